--- /dev/null
+++ b/include/irisring/decide.hpp
@@ -0,0 +1,136 @@
+// irisring: the interface of the decision module (implemented in src/decide.cpp).
+//
+// A host feeds events to one Gateway object per gateway and carries out the actions it is handed. All times
+// are milliseconds of the host's clock; the module reads no other clock and no other source of randomness
+// than the salt. Nothing here decides anything.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace irisring {
+
+using Time = double;
+using RequestId = std::uint32_t;
+using WorkerId = std::uint64_t;  // opaque
+using CustomerId = std::uint64_t;
+
+enum class Repeat { safe, keyed, unsafe };
+enum class Scope { all, zone, cell };
+enum class Phase { gone, ready, draining };
+enum class Result { ok, error, full, timeout, connectFailed, reset, cancelled, moot };
+
+struct ClassSettings {
+  Time aim = 0;       // an answer within this earns full worth
+  Time deadline = 0;  // what a client waits in all
+  Repeat repeat = Repeat::unsafe;
+  Scope scope = Scope::all;  // keyed: the workers that drop a repeat
+  Time window = 0;           // keyed: for how long they do
+  double worth = 1;
+  double lateWorth = 0;  // share of the worth that an answer past the aim earns
+};
+
+struct PlanSettings {
+  double rate = 0;  // units a second over all gateways; 0: no quota on the rate
+  double burst = 0;
+  unsigned openLimit = 0;  // attempts out at once over all gateways; 0: no such cap
+  double ceilingRate = 0;  // 0: no hard ceiling
+  double ceilingBurst = 0;
+  double ceilingSlack = 0;
+  double price = 1;
+  double overWorth = 0;  // share of its worth that work beyond the quota earns
+  double overCost = 0;   // share of its worth that it costs
+};
+
+struct Settings {
+  unsigned self = 0;
+  unsigned gateways = 1;
+  unsigned zone = 0;
+  std::vector<ClassSettings> classes;
+  std::vector<PlanSettings> plans;
+  std::vector<std::string> reportFields;
+  bool askDiscovery = false;  // the list of workers comes only on request
+  Time askWithin = 0;
+  unsigned maxAttempts = 1;
+  Time maxRetryAfter = 0;
+  Time meterPeriod = 0;       // 0: answers carry no readings
+  bool settlesUnits = false;  // units of a request are a guess that the answer corrects
+  double mostUnits = 1;
+  Time drainGrace = 0;
+  double coldFrom = 1;
+  Time warmUp = 0;
+  double fallMultiple = 1;
+  Time fallSpan = 0;
+  double crossZonePrice = 0;
+};
+
+struct Member {
+  WorkerId worker = 0;
+  Phase phase = Phase::ready;
+  unsigned zone = 0;
+  unsigned kind = 0;
+  unsigned cell = 0;
+  Time started = 0;  // 0: long ago
+};
+
+enum class ListKind { failed, delta, cached, full };
+
+struct Request {
+  RequestId id = 0;
+  unsigned klass = 0;
+  unsigned plan = 0;
+  CustomerId customer = 0;
+  Time expires = 0;
+  double units = 1;
+  unsigned setSize = 1;  // gateways that this customer's requests come through
+};
+
+struct Outcome {
+  RequestId id = 0;
+  Result result = Result::ok;
+  unsigned attempt = 0;
+  double trueUnits = 0;  // 0: none told
+  WorkerId worker = 0;
+  int usePercent = -1;  // metered use of the customer's quota; below 0: none told
+  Time elapsed = 0;
+  bool finished = false;  // nothing more is owed for this request
+  std::vector<double> report;
+};
+
+// What the module asks of its host.
+class Actions {
+ public:
+  virtual ~Actions() = default;
+  virtual void send(RequestId id, WorkerId worker, Time timeout) = 0;  // 0: until the client gives up
+  virtual void refuse(RequestId id, Time retryAfter) = 0;
+  virtual void fail(RequestId id) = 0;
+  virtual void setTimer(Time wait, std::uint64_t tag) = 0;
+  virtual void subscribe() = 0;  // ask for the list of workers and its changes
+  virtual void log(const std::string& line) = 0;
+};
+
+class Gateway {
+ public:
+  // Throws std::invalid_argument on settings that make no sense.
+  Gateway(const Settings& settings, std::uint64_t salt, Time now, Actions& actions);
+  ~Gateway();
+  Gateway(Gateway&&) noexcept;
+  Gateway& operator=(Gateway&&) noexcept;
+
+  void members(Time now, ListKind kind, const std::vector<Member>& list);
+  void request(Time now, const Request& request);
+  void outcome(Time now, const Outcome& outcome);
+  void clientLeft(Time now, RequestId id);
+  void timer(Time now, std::uint64_t tag);
+
+  std::size_t customersHeld() const;
+  std::size_t requestsHeld() const;
+
+ private:
+  class Core;
+  std::unique_ptr<Core> core_;
+};
+
+}  // namespace irisring
--- /dev/null
+++ b/src/decide.cpp
@@ -0,0 +1,829 @@
+// irisring: the decision module. Its interface (settings, events, actions) is include/irisring/decide.hpp.
+//
+// Reading order: the tuned values; Core's events at the end of its class (request, outcome, members, timer);
+// then the sections they call: 1 quota, 2 guards (ceiling, cold workers, drains), 3 server choice and
+// health, 4 attempts and final answers. Why each departs from the source design: docs/design.md.
+#include "irisring/decide.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <list>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace irisring {
+namespace {
+
+// --- Tuned values --------------------------------------------------------------------------------------
+// Quota.
+constexpr std::size_t kTable = 4096;     // customers held (the source's default); fewer: heavy ones return
+constexpr std::size_t kEvictScan = 32;   // oldest entries looked at for one that loses nothing by eviction
+constexpr double kFractionFloor = 0.05;  // lowest admit fraction (design); lower: no reading ever lifts it
+constexpr Time kClimb = 5000;  // ms from the floor back to 1 without readings; longer: refuses on old news
+constexpr double kClimbGaps =
+    3;                           // and at least this many usual gaps between readings, where they come rarely
+constexpr Time kForget = 60000;  // ms, memory of the usual demand and others' peaks; shorter: gateways swing
+constexpr Time kNews = 3000;  // ms, memory of readings and own sends in the use; longer: late to see a spike
+constexpr double kMeterLag = 800;  // ms from a metered period's end to its reading; errors blur the use
+constexpr double kDoubt = 0.5;     // requests that an assumed demand counts for; higher: late to believe news
+constexpr double kUsualDemand = 1;  // of the rate: demand of a customer that nothing is known of
+constexpr double kShareWeight =
+    4;                            // requests that a share of 1/setSize counts for; lower: one request is news
+constexpr double kUnitsKeep = 8;  // requests behind the usual size
+constexpr double kNewReading = 0.3;     // metered periods after which another value is a new reading
+constexpr Time kOpenTau = 1000;         // ms, memory of own attempts out
+constexpr Time kShareTau = 10000;       // ms, memory of the share; longer: slow after traffic moves
+constexpr double kLogisticScale = 1.7;  // of a normal spread in the logistic one that stands for it
+constexpr double kPaceMost =
+    1.5;  // usual requests that a gateway's part of the rate saves up while the store is empty
+constexpr double kCaution =
+    1;  // spreads of doubt kept from the estimate; higher: refuses with room; lower: goes past
+constexpr double kTarget = 0.6;       // of the rate, what the fraction aims at
+constexpr Time kPressedTau = 4000;    // ms, memory of how often the workers are full
+constexpr double kPressedMost = 0.8;  // higher: nothing is let in on a doubtful estimate
+constexpr double kDebt =
+    2;  // metered periods of the rate that the estimate may owe; 0: noise only ever adds room
+// A metered peak of attempts out stands about kPeakSpread deviations and kPeakStep over their mean.
+constexpr double kPeakSpread = 1.2;  // higher: caps go past
+constexpr double kPeakStep = 0.5;
+constexpr double kPeakNews = 0.3;  // weight of a new peak; higher: one crowd closes a cap
+// Guards.
+constexpr double kColdMargin = 0.8;  // of a cold worker's told share; above 1 eats into the rule's multiple
+constexpr Time kRateTau = 4000;  // ms, memory of the rate of good answers that cold workers are held against
+// Server choice and health.
+constexpr Time kSlowTau = 30000;   // ms, memory of a worker's latency
+constexpr double kSlowKeep = 0.8;  // and of its older answers; higher: late to see a slow machine
+constexpr double kSlowDoubt = 1;   // answers that its kind's usual latency counts for; 0: one answer decides
+constexpr double kSlowMost = 20;   // usual latencies that one answer counts for at most
+constexpr double kKindNews =
+    0.02;  // weight of an answer in its kind's latency; higher: the kind follows one worker
+constexpr Time kBaseSpan = 1000;     // ms that one answer stands for at most
+constexpr double kUsualOfAim = 0.2;  // usual latency of a class without answers
+constexpr double kTie = 0.02;  // of a worker's cost, by chance; 0: gateways alike all take the first listed
+constexpr double kShunned =
+    10000;                        // cost factor of an ejected or silent worker: only where there is no other
+constexpr double kTried = 30;     // of one that has failed this request
+constexpr Time kBaseTau = 20000;  // ms, memory of a class's usual latency
+constexpr Time kOthersKeep =
+    2400;  // ms until a worker without reports counts as the average; longer: old news decides
+constexpr Time kOthersSpan = 50;         // ms that a report stands for at least; 0: two at once count as one
+constexpr std::size_t kOthersMean = 10;  // reports at least behind the fleet's mean
+constexpr double kOthersTau = 600;       // ms, memory of load reports
+constexpr double kSilent = 3;  // usual latencies without an answer, two or more out; lower: bad luck ejects
+constexpr double kZoneWeight = 15;     // cost factor per unit of cross-zone price; higher: one zone fills up
+constexpr unsigned kFailsToEject = 2;  // failures in a row; 1: a single lost packet empties the pool
+constexpr Time kEjectFirst = 1000;     // ms of the first ejection; doubles up to kEjectMost
+constexpr Time kEjectMost = 8000;
+constexpr double kLimitFirst =
+    12;  // in-flight a worker starts with, over all gateways; higher: a start overdrives
+constexpr double kLimitMost = 200;
+constexpr double kLimitLeast = 0.1;   // lower: workers that recover are found too late
+constexpr double kLimitCut = 0.85;    // factor when an answer comes late; lower: half-empty workers
+constexpr double kLimitUsed = 0.7;    // share of a limit that must be in use for it to grow
+constexpr Time kLimitHold = 200;      // ms between cuts; one crowd of late answers is one cut
+constexpr double kPoolCut = 2;        // the gateway's limit: e-folds a second while answers are late
+constexpr double kPoolSpare = 2;      // times what is out, the limit that a first late answer leaves
+constexpr double kPoolRise = 0.6;     // and early; the two hold late answers near a quarter in overload
+constexpr double kLimitLate = 0.5;    // of the aim: an answer this late cuts the limit
+constexpr double kLimitEarly = 0.25;  // of the aim: an answer within this lets a used-up limit grow
+constexpr Time kFullPause =
+    150;  // ms without sends to a worker that answered "full"; doubles up to kFullMost
+constexpr Time kFullMost = 2000;
+// Attempts.
+constexpr unsigned kMostAttempts = 4;  // more than this on one request only adds load
+constexpr double kPatience = 5;        // usual latencies before an attempt that may be repeated is given up
+constexpr double kPatienceOfAim = 1;   // and at least this share of the aim
+constexpr double kBudgetMost = 5;      // early time-outs in a row
+constexpr double kBudgetStep = 0.05;   // earned by each good answer; higher: time-outs feed an overload
+constexpr Time kHoldStep = 40;         // ms between looks for a worker for a request that must not be refused
+constexpr Time kRetryAfter = 250;      // ms advised when no worker can take the request
+constexpr Time kLogEvery = 2000;       // ms between log lines
+
+constexpr int kSlots = 16;  // four metered periods in quarter periods
+
+class Random {  // splitmix64: the same numbers with every library
+ public:
+  explicit Random(std::uint64_t seed) : state_(seed) {}
+  double next() {
+    std::uint64_t z = (state_ += 0x9e3779b97f4a7c15ULL);
+    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+    return static_cast<double>((z ^ (z >> 31)) >> 11) * 0x1.0p-53;
+  }
+
+ private:
+  std::uint64_t state_;
+};
+
+double toward(double old, double sample, Time dt, Time tau) {
+  return old + (sample - old) * (1 - std::exp(-std::max(dt, 0.0) / tau));
+}
+
+struct Customer {
+  CustomerId id = 0;
+  unsigned plan = 0;
+  unsigned setSize = 1;
+  Time at = 0;          // bucket, store and ceiling are filled up to here
+  double tokens = 0;    // this gateway's bucket
+  double store = 0;     // estimate of the customer's global store
+  double ceiling = 0;   // this gateway's part of the hard ceiling
+  double fraction = 1;  // admit fraction
+  int reading = -1;
+  Time readingAt = 0, readingGap = 0;  // the last reading, and the usual time between two
+  double credit = 0;                   // units that the fraction has let in here and that are unused
+  double units = 0;                    // usual units of a request
+  double newsUnits = 0,
+         newsTime = 0;               // all gateways' demand as seen lately: units, and seconds they stand for
+  double oldUnits = 0, oldTime = 0;  // the same over a longer memory
+  double ownUse = 0, allUse = 0;     // decayed sums behind the share
+  unsigned open = 0;                 // attempts out
+  double meanOpen = 0, allOpen = 0;  // own on average; all gateways' by their metered peaks
+  std::array<double, kSlots> sent{};   // own units by quarter period
+  std::array<double, kSlots> taken{};  // what the others are held to have taken from the estimate
+  std::array<double, kSlots> in{};     // admit fraction in force
+  long slot = 0;
+};
+
+struct Worker {
+  Member listed;
+  unsigned inFlight = 0;
+  double others = 0;  // estimate of what the other gateways have out here
+  double limit = 1;   // own in-flight allowed
+  Time limitAt = 0, fullFor = 0;
+  double slowSum = 0, slowCount = 0;  // latencies over the class's usual, fading by answer and by time
+  Time slowAt = 0, othersAt = 0, heardAt = 0;
+  unsigned fails = 0;
+  Time ejectedUntil = 0, ejectFor = 0, fullUntil = 0;
+  double coldTokens = 0;
+  Time coldAt = 0;
+};
+
+struct Held {
+  Request ask;
+  Time arrived = 0;
+  unsigned attempts = 0;
+  bool out = false;         // an attempt is under way
+  bool mayHaveRun = false;  // some attempt may have run
+  WorkerId ranAt = 0;       // the first that may have; its group and window bind keyed repeats
+  unsigned ranZone = 0, ranCell = 0;
+  Time ranSince = 0, sentAt = 0;
+  std::vector<WorkerId> tried;
+};
+
+bool provesUnrun(Result result) {
+  return result == Result::full || result == Result::connectFailed || result == Result::moot;
+}
+
+void require(bool holds, const char* what) {
+  if (!holds) throw std::invalid_argument(std::string("settings: ") + what);
+}
+
+bool sane(double value) { return std::isfinite(value) && value >= 0; }
+
+}  // namespace
+
+class Gateway::Core {
+ public:
+  Core(const Settings& settings, std::uint64_t salt, Time now, Actions& actions)
+      : set_(settings), actions_(actions), random_(salt), bucketSince_(now), ceilingSince_(now) {
+    require(set_.gateways >= 1 && set_.self < set_.gateways, "gateway number out of range");
+    require(!set_.classes.empty(), "no classes");
+    require(!set_.plans.empty(), "no plans");
+    require(sane(set_.meterPeriod) && sane(set_.warmUp) && sane(set_.drainGrace) &&
+                sane(set_.maxRetryAfter) && sane(set_.coldFrom) && sane(set_.fallMultiple) &&
+                sane(set_.fallSpan) && sane(set_.mostUnits) && sane(set_.crossZonePrice) &&
+                sane(set_.askWithin),
+            "a figure is negative or not finite");
+    for (const auto& c : set_.classes)
+      require(sane(c.aim) && sane(c.deadline) && sane(c.window) && sane(c.worth) && sane(c.lateWorth),
+              "a class's figure is negative or not finite");
+    for (const auto& p : set_.plans)
+      require(sane(p.rate) && sane(p.burst) && sane(p.ceilingRate) && sane(p.ceilingBurst) &&
+                  sane(p.ceilingSlack) && sane(p.price) && sane(p.overWorth) && sane(p.overCost),
+              "a plan's figure is negative or not finite");
+    base_.resize(set_.classes.size(), 0);
+    baseAt_.resize(set_.classes.size(), now);
+    if (set_.askDiscovery) actions_.subscribe();
+  }
+
+  // --- Events -------------------------------------------------------------------------------------------
+
+  void request(Time now, const Request& ask) {
+    if (held_.contains(ask.id)) return;
+    if (ask.klass >= set_.classes.size() || ask.plan >= set_.plans.size() || !std::isfinite(ask.units) ||
+        !std::isfinite(ask.expires)) {
+      actions_.refuse(ask.id, kRetryAfter);
+      return;
+    }
+    Customer& customer = lookUp(now, ask);
+    if (const auto wait = admit(customer, ask)) return refuse(ask.id, *wait);
+    Held held;
+    held.ask = ask;
+    held.arrived = now;
+    Worker* worker = pick(now, held);
+    pressed_ = std::min(kPressedMost, toward(pressed_, worker ? 0 : 1, now - pressedAt_, kPressedTau));
+    pressedAt_ = now;
+    if (!worker) return refuse(ask.id, kRetryAfter);
+    debit(customer, ask.units);
+    send(now, held_.emplace(ask.id, held).first->second, *worker);
+  }
+
+  void outcome(Time now, const Outcome& end) {
+    const auto found = held_.find(end.id);
+    const auto worker = find(end.worker);
+    const auto sent = out_.find(outKey(end.id, end.attempt));
+    if (sent == out_.end()) return;  // repeated or unknown
+    const Flight flight = sent->second;
+    out_.erase(sent);
+    Customer* customer = peek(flight.customer);
+    if (customer && customer->open > 0) noteOpen(*customer, now, -1);
+    if (worker) judge(*worker, now, flight, end);
+    if (end.result == Result::ok) budget_ = std::min(kBudgetMost, budget_ + kBudgetStep);
+    if (end.result == Result::timeout) budget_ = std::max(0.0, budget_ - 1);
+    if (customer && end.usePercent >= 0) read(*customer, now, end.usePercent);
+    if (found == held_.end()) return;
+    Held& held = found->second;
+    held.out = false;
+    if (set_.settlesUnits && end.result == Result::ok && customer && end.trueUnits > 0)
+      settle(*customer, now, held.ask.units - end.trueUnits);
+    if (end.finished || end.result == Result::ok) {
+      held_.erase(found);
+      return;
+    }
+    if (!provesUnrun(end.result) && !held.mayHaveRun) {
+      held.mayHaveRun = true;
+      held.ranAt = end.worker;
+      held.ranSince = held.sentAt;
+      if (worker) held.ranZone = worker->listed.zone, held.ranCell = worker->listed.cell;
+    }
+    if (end.result == Result::moot || now >= held.ask.expires) return giveUp(now, held);
+    again(now, held);
+  }
+
+  void clientLeft(Time, RequestId id) { held_.erase(id); }
+
+  void timer(Time now, std::uint64_t tag) {
+    if (tag == kAskTag) return actions_.subscribe();
+    const auto found = held_.find(static_cast<RequestId>(tag));
+    if (found == held_.end() || found->second.out) return;
+    again(now, found->second);
+  }
+
+  void members(Time now, ListKind kind, const std::vector<Member>& list) {
+    if (kind == ListKind::failed) return actions_.setTimer(kRetryAfter, kAskTag);
+    if (kind != ListKind::delta)
+      for (Worker& worker : workers_) worker.listed.phase = Phase::gone;
+    for (const Member& entry : list) {
+      Worker* worker = find(entry.worker);
+      if (!worker) {
+        workers_.emplace_back();
+        worker = &workers_.back();
+        fresh(*worker, now);
+      } else if (entry.started != worker->listed.started) {  // restarted: what was learned is void
+        const unsigned inFlight = worker->inFlight;
+        *worker = Worker{};
+        worker->inFlight = inFlight;
+        fresh(*worker, now);
+      }
+      worker->listed = entry;
+    }
+    if (limit_ <= 0) limit_ = kLimitFirst * static_cast<double>(workers_.size()) / set_.gateways;
+    std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
+  }
+
+  std::size_t customersHeld() const { return index_.size(); }
+  std::size_t requestsHeld() const { return held_.size(); }
+
+ private:
+  static constexpr std::uint64_t kAskTag = ~std::uint64_t{0};
+
+  struct Flight {  // one attempt under way
+    CustomerId customer = 0;
+    unsigned klass = 0;
+  };
+
+  static std::uint64_t outKey(RequestId id, unsigned attempt) {
+    return std::uint64_t{id} << 16 | (attempt & 0xffff);
+  }
+
+  // The cold tokens start at chance, so that gateways alike do not all send at the same moment.
+  void fresh(Worker& worker, Time now) {
+    worker.slowAt = worker.othersAt = worker.coldAt = now;
+    worker.coldTokens = random_.next();
+    worker.limit = std::max(1.0, kLimitFirst / set_.gateways);
+  }
+
+  // --- 1. Quota -----------------------------------------------------------------------------------------
+
+  Customer* peek(CustomerId id) {
+    const auto found = index_.find(id);
+    return found == index_.end() ? nullptr : &*found->second;
+  }
+
+  // The customer's entry, filled up to now and moved to the recent end of the table.
+  Customer& lookUp(Time now, const Request& ask) {
+    const PlanSettings& plan = set_.plans[ask.plan];
+    if (const auto found = index_.find(ask.customer); found != index_.end()) {
+      table_.splice(table_.end(), table_, found->second);
+      // The set may have changed; what is over its new part of the ceiling is gone at once (fill).
+      found->second->setSize = std::max(1u, std::min(ask.setSize, set_.gateways));
+      fill(*found->second, now);
+      return *found->second;
+    }
+    if (index_.size() >= kTable) evict(now);
+    table_.emplace_back();
+    Customer& fresh = table_.back();
+    index_[ask.customer] = std::prev(table_.end());
+    fresh.id = ask.customer;
+    fresh.plan = ask.plan;
+    fresh.setSize = std::max(1u, std::min(ask.setSize, set_.gateways));
+    fresh.at = fresh.readingAt = now;
+    fresh.tokens = freshTokens(plan, fresh.setSize, now);
+    fresh.store = plan.burst;
+    fresh.units = std::max(0.0, ask.units);
+    fresh.in.fill(1);
+    fresh.credit = random_.next() * fresh.units;
+    fresh.oldTime = share(fresh) * (now - bucketSince_) / 1000;
+    fresh.newsTime = share(fresh) * std::min(kNews, now - bucketSince_) / 1000;
+    // The ceiling's store lives on over restarts and evictions, so nothing is taken to be left in it but
+    // what has come in since this gateway could last have sent for the customer.
+    fresh.ceiling =
+        std::min(plan.ceilingBurst, plan.ceilingRate * (now - ceilingSince_) / 1000) / fresh.setSize;
+    fresh.slot = slotAt(now);
+    return fresh;
+  }
+
+  // What a bucket holds by now that was made at this gateway's start, or when one that lost by it was
+  // evicted.
+  double freshTokens(const PlanSettings& plan, unsigned setSize, Time now) const {
+    return std::min(plan.burst, plan.burst / setSize + plan.rate * (now - bucketSince_) / 1000);
+  }
+
+  // Drops the oldest entry that loses nothing by it, so that a stream of one-off customers does not bring
+  // heavy ones back refilled; else the oldest.
+  void evict(Time now) {
+    auto victim = table_.begin();
+    std::size_t seen = 0;
+    for (auto it = table_.begin(); it != table_.end() && seen < kEvictScan; ++it, ++seen) {
+      fill(*it, now);
+      const PlanSettings& plan = set_.plans[it->plan];
+      if (it->open == 0 && it->fraction >= 1 && it->tokens >= freshTokens(plan, it->setSize, now) &&
+          it->ceiling >= plan.ceilingBurst / it->setSize) {
+        victim = it;
+        break;
+      }
+    }
+    if (victim->tokens < freshTokens(set_.plans[victim->plan], victim->setSize, now)) bucketSince_ = now;
+    if (victim->ceiling < set_.plans[victim->plan].ceilingBurst / victim->setSize) ceilingSince_ = now;
+    index_.erase(victim->id);
+    table_.erase(victim);
+  }
+
+  double debt(const PlanSettings& plan) const { return kDebt * plan.rate * set_.meterPeriod / 1000; }
+
+  // The part of the customer's use that this gateway sends.
+  double share(const Customer& c) const {
+    const double doubt = kShareWeight * c.units + 1e-9;
+    return std::min(1.0, (c.ownUse + doubt / c.setSize) / (c.allUse + doubt));
+  }
+
+  // All gateways' demand in units a second: what is seen lately against what is usual, and that against what
+  // nothing is known of, each by its weight.
+  double demand(const Customer& c) const {
+    const double doubt = kDoubt * c.units;
+    const double assumed = std::max(1e-6, kUsualDemand * set_.plans[c.plan].rate);
+    const double usual = (c.oldUnits + doubt) / (c.oldTime + doubt / assumed);
+    return (c.newsUnits + doubt) / (c.newsTime + doubt / usual);
+  }
+
+  // What the other gateways take from the store in units a second.
+  double othersUse(const Customer& c) const {
+    return demand(c) * (1 - share(c)) * c.in[static_cast<std::size_t>(c.slot % kSlots)];
+  }
+
+  void noteDemand(Customer& c, double units, double seconds) {
+    c.newsUnits += units, c.oldUnits += units;
+    c.newsTime += seconds, c.oldTime += seconds;
+  }
+
+  void fill(Customer& c, Time now) {
+    const PlanSettings& plan = set_.plans[c.plan];
+    const Time span = std::max(0.0, now - c.at);
+    const double dt = span / 1000;
+    c.tokens = std::min(plan.burst, c.tokens + plan.rate * dt);
+    const double owes = -debt(plan), full = c.store + plan.rate * dt;
+    const double taken = std::clamp(othersUse(c) * dt, 0.0, std::max(0.0, full - owes));
+    c.store = std::min(plan.burst, full - taken);
+    c.ceiling = std::min(plan.ceilingBurst / c.setSize, c.ceiling + plan.ceilingRate * dt / c.setSize);
+    const double keepNews = std::exp(-span / kNews), keep = std::exp(-span / kForget);
+    c.newsUnits *= keepNews, c.newsTime = c.newsTime * keepNews + share(c) * dt;
+    c.oldUnits *= keep, c.oldTime = c.oldTime * keep + share(c) * dt;
+    const double keepShare = std::exp(-span / kShareTau);
+    c.ownUse *= keepShare, c.allUse *= keepShare;
+    if (now - c.readingAt > 2 * set_.meterPeriod) {  // a gateway that lets nothing in is told nothing
+      c.fraction = std::min(1.0, c.fraction + span / std::max(kClimb, kClimbGaps * c.readingGap));
+      c.allOpen = toward(c.allOpen, 0, span, kForget);
+    }
+    c.meanOpen = toward(c.meanOpen, c.open, span, kOpenTau);
+    c.credit = std::min(kPaceMost * c.units, c.credit + plan.rate * share(c) * dt);
+    touchSlot(c, now, taken);
+    c.at = std::max(c.at, now);
+  }
+
+  // Nothing: admitted. Else the time after which the customer may find room.
+  std::optional<Time> admit(Customer& c, const Request& ask) {
+    const PlanSettings& plan = set_.plans[c.plan];
+    const double units = std::max(0.0, ask.units);
+    if (plan.ceilingRate > 0 && c.ceiling < units)
+      return 1000 * (units - c.ceiling) * c.setSize / plan.ceilingRate;
+    const double want = std::min(units, plan.burst);
+    c.units = toward(c.units, units, 1, kUnitsKeep);
+    if (plan.rate > 0 && c.tokens < want) return 1000 * (want - c.tokens) / plan.rate;
+    if (plan.openLimit > 0 && c.open >= plan.openLimit) return usual(ask.klass);
+    const double others = plan.rate > 0 ? c.meanOpen * (1 - share(c)) / share(c) : c.allOpen * (1 - share(c));
+    const double chance = plan.openLimit > 0 ? chanceUnder(plan.openLimit - c.open, others) : 1;
+    const bool crowded = chance * (1 + plan.overCost) < plan.overCost + pressed_;
+    if (crowded) return usual(ask.klass);
+    noteDemand(c, units, 0);
+    const bool empty = plan.rate > 0 && isEmpty(c, want);
+    c.in[static_cast<std::size_t>(c.slot % kSlots)] = empty ? c.fraction : 1;
+    // The fraction times the demand is the rate: what it lets in here is this gateway's share of the rate,
+    // measured out over time, so that a demand misjudged by some gateways does not add up past the quota.
+    if (empty && c.credit < units) return 1000 * (units - c.credit) / (plan.rate * share(c));
+    if (empty) c.credit -= units;
+    return std::nullopt;
+  }
+
+  // Whether a try would more likely than pays find the global store without its units: the estimate against
+  // what is not known of it, at the plan's own price of being wrong.
+  bool isEmpty(const Customer& c, double want) const {
+    const PlanSettings& plan = set_.plans[c.plan];
+    const double price = (plan.overCost - plan.overWorth + pressed_) / (1 - pressed_);
+    if (price <= 0) return false;
+    // Own sends are known; what the others have sent since the last reading's period is not.
+    const double age = std::min((c.at - c.readingAt + set_.meterPeriod) / 1000, plan.burst / plan.rate);
+    const double doubt = std::sqrt(std::min(demand(c), plan.rate) * (1 - share(c)) * c.units * age);
+    return c.store < want + (std::log(price) / kLogisticScale + kCaution) * doubt;
+  }
+
+  // Chance that the other gateways, with `mean` attempts out as a rule, have fewer than `room` out now.
+  static double chanceUnder(unsigned room, double mean) {
+    double term = std::exp(-mean), sum = 0;
+    for (unsigned i = 0; i < room && i < 64; ++i) sum += term, term *= mean / (i + 1);
+    return sum;
+  }
+
+  void debit(Customer& c, double units) {
+    c.tokens -= units;
+    c.ceiling -= units;
+    c.store -= units;
+    c.sent[static_cast<std::size_t>(c.slot % kSlots)] += units;
+  }
+
+  void settle(Customer& c, Time now, double back) {
+    fill(c, now);
+    const PlanSettings& plan = set_.plans[c.plan];
+    c.tokens = std::min(plan.burst, c.tokens + back);
+    c.store = std::min(plan.burst, c.store + back);
+  }
+
+  long slotAt(Time now) const { return static_cast<long>(now / (std::max(set_.meterPeriod, 1000.0) / 4)); }
+
+  // Moves on to the quarter period of now; `taken` is spread over those that have passed.
+  void touchSlot(Customer& c, Time now, double taken) {
+    const long to = slotAt(now), passed = std::max(0L, to - c.slot);
+    const double each = taken / static_cast<double>(passed + 1);
+    const auto from = static_cast<std::size_t>(c.slot % kSlots);
+    c.taken[from] += each;
+    for (c.slot = std::max(c.slot, to - kSlots); c.slot < to;) {
+      const auto next = static_cast<std::size_t>(++c.slot % kSlots);
+      c.sent[next] = 0, c.taken[next] = each, c.in[next] = c.in[from];
+    }
+  }
+
+  void noteOpen(Customer& c, Time now, int change) {
+    fill(c, now);
+    c.open = static_cast<unsigned>(static_cast<int>(c.open) + change);
+  }
+
+  // A reading rides on every answer for a metered period; only a new one counts.
+  void read(Customer& c, Time now, int percent) {
+    const Time since = now - c.readingAt;
+    const bool fresh = c.reading < 0 || (percent != c.reading && since >= kNewReading * set_.meterPeriod) ||
+                       since >= set_.meterPeriod;
+    if (!fresh) return;
+    c.readingGap = c.reading < 0 ? since : toward(c.readingGap, since, 1, 3);
+    c.reading = percent;
+    c.readingAt = now;
+    fill(c, now);
+    const PlanSettings& plan = set_.plans[c.plan];
+    if (plan.rate <= 0) {
+      const double over = std::max(0.0, percent / 100.0 * plan.openLimit - kPeakStep);
+      const double root = std::sqrt(kPeakSpread * kPeakSpread / 4 + over) - kPeakSpread / 2;
+      c.allOpen += kPeakNews * (root * root - c.allOpen);
+      return;
+    }
+    const Time slotLength = std::max(set_.meterPeriod, 1000.0) / 4;
+    const int lag = static_cast<int>(std::lround(kMeterLag / slotLength));
+    double own = 0, in = 0, taken = 0;
+    for (int i = lag; i < lag + 4 && i < kSlots; ++i) {
+      const auto at = static_cast<std::size_t>((c.slot - i + kSlots) % kSlots);
+      own += c.sent[at];
+      in += c.in[at] / 4;
+      taken += c.taken[at];
+    }
+    const double period = set_.meterPeriod / 1000;
+    const double others = std::max(0.0, percent / 100.0 * plan.rate * period - own);
+    const double before = othersUse(c);
+    c.ownUse += own, c.allUse += own + others;
+    noteDemand(c, others, period * (1 - share(c)) * in);
+    // The reading tells what the fraction of its own period let in, whatever the fraction is by now.
+    c.fraction = std::clamp(kTarget * plan.rate / demand(c), kFractionFloor, 1.0);
+    // What the estimate took for the metered period gives way to what was metered, and the time since then to
+    // the use as it is now known.
+    c.store += taken - others + (before - othersUse(c)) * kMeterLag / 1000;
+    c.store = std::clamp(c.store, -debt(plan), plan.burst);
+  }
+
+  // --- 2. Guards ----------------------------------------------------------------------------------------
+
+  // 1 for a warm worker, else the told lower bound of what it can do.
+  double warmth(const Worker& w, Time now) const {
+    if (w.listed.started <= 0 || set_.warmUp <= 0) return 1;
+    const double age = std::clamp((now - w.listed.started) / set_.warmUp, 0.0, 1.0);
+    return set_.coldFrom + (1 - set_.coldFrom) * age;
+  }
+
+  // Keeps this gateway's sends to a cold worker under its share of the good answers that it has of a warm
+  // one. Every gateway does so, so all together stay under the cold worker's share of what a warm one can do,
+  // also while retries are sent many times over. One that knows no such rate (all cold, just restarted) keeps
+  // to its part of what even a worker of one request a span bears. Hurts where the told lower bound is far
+  // under what the worker can do: it fills more slowly than it could.
+  bool coldRoom(Worker& w, Time now) {
+    const double warm = warmth(w, now);
+    if (warm >= 1) return true;
+    const double least = set_.fallMultiple / std::max(set_.fallSpan, 1.0) / set_.gateways;
+    const double known = toward(warmRate_, 0, now - warmAt_, kRateTau) / std::max(1u, warmWorkers_);
+    w.coldTokens =
+        std::min(1.0, w.coldTokens + kColdMargin * warm * std::max(known, least) * (now - w.coldAt));
+    w.coldAt = now;
+    return w.coldTokens >= 1;
+  }
+
+  void noteGood(const Worker& w, Time now) {
+    if (warmth(w, now) < 1) return;
+    warmRate_ = toward(warmRate_, 0, now - warmAt_, kRateTau) + 1 / kRateTau;
+    warmAt_ = now;
+    warmWorkers_ = 0;
+    for (const Worker& other : workers_)
+      warmWorkers_ +=
+          other.listed.phase == Phase::ready && warmth(other, now) >= 1 && other.ejectedUntil <= now;
+  }
+
+  // --- 3. Server choice and health ----------------------------------------------------------------------
+
+  Worker* find(WorkerId id) {
+    for (Worker& worker : workers_)
+      if (worker.listed.worker == id) return &worker;
+    return nullptr;
+  }
+
+  Time usual(unsigned klass) const {
+    return base_[klass] > 0 ? base_[klass] : set_.classes[klass].aim * kUsualOfAim;
+  }
+
+  double load(const Worker& w, Time now) const {
+    return w.inFlight + toward(w.others, meanOthers_, now - w.othersAt, kOthersKeep);
+  }
+
+  // Attempts out and no answer for several usual latencies: cut off, paused or dead, whatever the list says.
+  // Seen long before the time-outs; may hurt where a single attempt is very long, so it takes two.
+  bool silent(const Worker& w, Time now) const {
+    return w.inFlight >= 2 && now - w.heardAt > kSilent * *std::max_element(base_.begin(), base_.end());
+  }
+
+  // One limit for all that this gateway has out; a fraction of one is kept by chance.
+  bool room() { return inFlight_ + random_.next() < limit_; }
+
+  // How slow a worker is, as far as its few answers tell against those of all workers of its kind.
+  double slow(const Worker& w) const {
+    const auto kind = kinds_.find(w.listed.kind);
+    const double usual = kind == kinds_.end() ? 1 : kind->second;
+    return (kSlowDoubt * usual + w.slowSum) / (kSlowDoubt + w.slowCount);
+  }
+
+  void noteSlow(Worker& w, Time now, double ratio) {
+    const double keep = kSlowKeep * std::exp(-(now - w.slowAt) / kSlowTau);
+    w.slowSum = keep * w.slowSum + ratio;
+    w.slowCount = keep * w.slowCount + 1;
+    w.slowAt = now;
+    double& kind = kinds_.try_emplace(w.listed.kind, 1).first->second;
+    kind += kKindNews * (ratio - kind);
+  }
+
+  bool inGroup(const Held& held, const Worker& w) const {
+    const ClassSettings& klass = set_.classes[held.ask.klass];
+    if (!held.mayHaveRun || klass.repeat == Repeat::safe || klass.scope == Scope::all) return true;
+    return klass.scope == Scope::zone ? w.listed.zone == held.ranZone : w.listed.cell == held.ranCell;
+  }
+
+  // The least loaded ready worker, weighted by how slow it has been. Ejected
+  // ones serve where no other is.
+  Worker* pick(Time now, const Held& held) {
+    if (!held.mayHaveRun && !room()) return nullptr;
+    Worker* best = nullptr;
+    double least = 0;
+    for (Worker& w : workers_) {
+      if (w.listed.phase != Phase::ready || !inGroup(held, w) || !coldRoom(w, now)) continue;
+      if (w.fullUntil > now || (!held.mayHaveRun && w.inFlight + 1 > w.limit)) continue;
+      double cost = slow(w) * (load(w, now) + 1) * warmth(w, now);
+      if (w.listed.zone != set_.zone) cost *= 1 + kZoneWeight * set_.crossZonePrice;
+      cost *= 1 + kTie * random_.next();
+      if (w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now)) cost *= kShunned;
+      if (std::find(held.tried.begin(), held.tried.end(), w.listed.worker) != held.tried.end())
+        cost *= kTried;
+      if (!best || cost < least) best = &w, least = cost;
+    }
+    return best;
+  }
+
+  void judge(Worker& w, Time now, const Flight& flight, const Outcome& end) {
+    if (w.inFlight > 0) --w.inFlight;
+    if (inFlight_ > 0) --inFlight_;
+    if (end.result != Result::timeout && end.result != Result::connectFailed) w.heardAt = now;
+    if (!end.report.empty()) noteReport(w, now, end.report);
+    const Result result = end.result;
+    steerLimits(w, now, set_.classes[flight.klass].aim, end);
+    if (result == Result::full) {
+      w.fullFor = std::clamp(2 * w.fullFor, kFullPause, kFullMost);
+      w.fullUntil = now + w.fullFor;
+      return;
+    }
+    if (result == Result::cancelled || result == Result::moot) return;
+    if (result == Result::ok || result == Result::error || result == Result::timeout) {
+      if (result == Result::ok) {
+        Time& base = base_[flight.klass];
+        base = base > 0
+                   ? toward(base, end.elapsed, std::min(kBaseSpan, now - baseAt_[flight.klass]), kBaseTau)
+                   : end.elapsed;
+        baseAt_[flight.klass] = now;
+      }
+      const double ratio = std::min(kSlowMost, end.elapsed / usual(flight.klass));
+      if (result != Result::error && (result == Result::ok || ratio > slow(w))) noteSlow(w, now, ratio);
+    }
+    if (result == Result::ok) {
+      noteGood(w, now);
+      w.fails = 0;
+      w.fullFor = 0;
+      w.ejectFor = 0;
+      w.ejectedUntil = 0;
+    } else if (++w.fails >= kFailsToEject) {
+      w.ejectFor = std::clamp(2 * w.ejectFor, kEjectFirst, kEjectMost);
+      w.ejectedUntil = now + w.ejectFor;
+      log(now, "worker ejected: attempts in a row failed");
+    }
+  }
+
+  // Two in-flight limits, raised and cut by how an answer's time stands to the class's aim; they keep the
+  // queues at the workers short enough that what is sent is still worth answering, whatever made them long.
+  // The worker's own holds where a gateway has several attempts at a worker; that of the whole gateway goes
+  // as far below one for each worker as it must where gateways outnumber what the workers hold. It moves by
+  // time, not by answer, so that many answers a second say no more than a few. It may hurt where one worker's
+  // answers alone are late: it then sends less to all.
+  void steerLimits(Worker& w, Time now, Time aim, const Outcome& end) {
+    const bool late = end.result == Result::full || end.elapsed > kLimitLate * aim;
+    const bool early = end.result == Result::ok && end.elapsed < kLimitEarly * aim;
+    if (late && now - w.limitAt >= kLimitHold) {
+      w.limit = std::max(1.0, kLimitCut * std::min(w.limit, w.inFlight + 1.0));
+      w.limitAt = now;
+    } else if (early && w.inFlight + 1 >= kLimitUsed * w.limit) {
+      w.limit = std::min(kLimitMost, w.limit + 1 / w.limit);
+    }
+    const double span = std::min(now - limitAt_, kLimitHold) / 1000;
+    limitAt_ = now;
+    if (late)
+      limit_ = std::max(kLimitLeast,
+                        std::min(limit_, kPoolSpare * (inFlight_ + 1.0)) * std::exp(-kPoolCut * span));
+    else if (early && inFlight_ + 1 >= kLimitUsed * limit_)
+      limit_ *= std::exp(kPoolRise * span);
+  }
+
+  void noteReport(Worker& w, Time now, const std::vector<double>& report) {
+    const std::size_t n = std::min(report.size(), set_.reportFields.size());
+    for (std::size_t i = 0; i < n; ++i) {
+      double sample = -1;
+      if (set_.reportFields[i] == "inflight") sample = report[i] - w.inFlight - 1;
+      if (set_.reportFields[i] == "queue") sample = report[i] * (set_.gateways - 1) / set_.gateways;
+      if (sample < 0 && set_.reportFields[i] != "inflight") continue;
+      sample = std::max(0.0, sample);
+      w.others = toward(w.others, sample, now - w.othersAt + kOthersSpan, kOthersTau);
+      w.othersAt = now;
+      meanOthers_ = toward(meanOthers_, sample, 1,
+                           static_cast<double>(std::max<std::size_t>(kOthersMean, workers_.size())));
+    }
+  }
+
+  // --- 4. Attempts and final answers --------------------------------------------------------------------
+
+  void send(Time now, Held& held, Worker& worker) {
+    const ClassSettings& klass = set_.classes[held.ask.klass];
+    const Time left = held.ask.expires - now;
+    Time timeout = 0;
+    const bool last = held.attempts + 1 >= std::min(set_.maxAttempts, kMostAttempts);
+    if (klass.repeat != Repeat::unsafe && !last && budget_ >= 1) {
+      timeout = std::max(kPatience * usual(held.ask.klass), kPatienceOfAim * klass.aim);
+      if (timeout >= left) timeout = 0;
+    }
+    held.sentAt = now;
+    held.out = true;
+    held.tried.push_back(worker.listed.worker);
+    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass};
+    ++held.attempts;
+    ++inFlight_;
+    if (++worker.inFlight == 1) worker.heardAt = now;
+    worker.coldTokens -= 1;
+    if (Customer* customer = peek(held.ask.customer)) noteOpen(*customer, now, 1);
+    actions_.send(held.ask.id, worker.listed.worker, timeout);
+  }
+
+  // Another attempt where the class and the time allow one, else the final answer.
+  void again(Time now, Held& held) {
+    const ClassSettings& klass = set_.classes[held.ask.klass];
+    const bool bound = held.mayHaveRun && klass.repeat != Repeat::safe;
+    if (held.attempts >= std::min(set_.maxAttempts, kMostAttempts) || now >= held.ask.expires ||
+        (bound && klass.repeat == Repeat::unsafe) || (bound && now > held.ranSince + klass.window) ||
+        (held.mayHaveRun && budget_ < 1) || (klass.lateWorth <= 0 && now > held.arrived + klass.aim))
+      return giveUp(now, held);
+    Worker* worker = pick(now, held);
+    if (worker) return send(now, held, *worker);
+    if (!held.mayHaveRun || now + kHoldStep >= held.ask.expires) return giveUp(now, held);
+    actions_.setTimer(kHoldStep, held.ask.id);
+  }
+
+  // A refusal says that trying again is harmless; where that is not known the answer is a failure.
+  void giveUp(Time, Held& held) {
+    const ClassSettings& klass = set_.classes[held.ask.klass];
+    const RequestId id = held.ask.id;
+    const bool harmless = !held.mayHaveRun || klass.repeat == Repeat::safe ||
+                          (klass.repeat == Repeat::keyed && klass.scope == Scope::all);
+    held_.erase(id);
+    if (harmless)
+      refuse(id, kRetryAfter);
+    else
+      actions_.fail(id);
+  }
+
+  void refuse(RequestId id, Time wait) {
+    const Time most = set_.maxRetryAfter > 0 ? set_.maxRetryAfter : wait;
+    actions_.refuse(id, std::clamp(wait, 1.0, std::max(1.0, most)));
+  }
+
+  void log(Time now, const char* line) {
+    if (now - loggedAt_ < kLogEvery) return;
+    loggedAt_ = now;
+    actions_.log(line);
+  }
+
+  const Settings set_;
+  Actions& actions_;
+  Random random_;
+  std::list<Customer> table_;  // least recent first
+  std::unordered_map<CustomerId, std::list<Customer>::iterator> index_;
+  std::map<unsigned, double> kinds_;  // latency over the class's usual of each kind of worker
+  double meanOthers_ = 0;             // of load reports: what the others have out at a worker
+  std::vector<Worker> workers_;       // in the order of their listing
+  std::unordered_map<RequestId, Held> held_;
+  std::unordered_map<std::uint64_t, Flight> out_;
+  std::vector<Time> base_, baseAt_;  // usual latency of each class
+  Time bucketSince_, ceilingSince_;
+  unsigned inFlight_ = 0;  // attempts out, at all workers
+  double limit_ = 0;       // and how many may be
+  Time limitAt_ = 0;
+  double pressed_ = 0;  // share of admitted tries that find no worker
+  Time pressedAt_ = 0;
+  double budget_ = kBudgetMost;  // early time-outs and repeats after them that are left
+  double warmRate_ = 0;          // good answers of warm workers a ms
+  Time warmAt_ = 0;
+  unsigned warmWorkers_ = 0;
+  Time loggedAt_ = -kLogEvery;
+};
+
+Gateway::Gateway(const Settings& settings, std::uint64_t salt, Time now, Actions& actions)
+    : core_(std::make_unique<Core>(settings, salt, now, actions)) {}
+Gateway::~Gateway() = default;
+Gateway::Gateway(Gateway&&) noexcept = default;
+Gateway& Gateway::operator=(Gateway&&) noexcept = default;
+void Gateway::members(Time now, ListKind kind, const std::vector<Member>& list) {
+  core_->members(now, kind, list);
+}
+void Gateway::request(Time now, const Request& request) { core_->request(now, request); }
+void Gateway::outcome(Time now, const Outcome& outcome) { core_->outcome(now, outcome); }
+void Gateway::clientLeft(Time now, RequestId id) { core_->clientLeft(now, id); }
+void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
+std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
+std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
+
+}  // namespace irisring
--- /dev/null
+++ b/tests/quota_test.cpp
@@ -0,0 +1,236 @@
+#include "recorder.hpp"
+
+namespace irisring::test {
+namespace {
+
+// Asks and, when sent, serves at once. Returns whether it was let in.
+bool served(Bench& b, unsigned plan = 0, CustomerId customer = 1, int percent = -1, double units = 1,
+            unsigned setSize = 2) {
+  const RequestId id = b.ask(0, plan, customer, units, setSize);
+  if (!b.wasSent(id)) return false;
+  b.end(id, Result::ok, 50, percent);
+  return true;
+}
+
+std::vector<Member> fleet() {
+  std::vector<Member> all;
+  for (WorkerId w = 1; w <= 50; ++w) all.push_back(member(w));
+  return all;
+}
+
+TEST(Quota, NewCustomerStartsAtBurstOverItsGateways) {
+  Bench b;
+  b.list({member(1)});
+  int in = 0;
+  while (served(b)) ++in;
+  EXPECT_EQ(in, 10);
+}
+
+TEST(Quota, FillsTowardTheWholeRateAndBurst) {
+  Settings s = settings();
+  s.gateways = 1;
+  Bench b(s);
+  b.list({member(1)});
+  while (served(b, 0, 1, -1, 1, 1)) {
+  }
+  b.now += 500;
+  int in = 0;
+  while (served(b, 0, 1, -1, 1, 1)) ++in;
+  EXPECT_EQ(in, 5);
+  b.now += 60000;
+  in = 0;
+  while (served(b, 0, 1, -1, 1, 1)) ++in;
+  EXPECT_EQ(in, 20);
+}
+
+TEST(Quota, EmptyBucketRefusesAtOnceWithAnHonestRetryAfter) {
+  Bench b;
+  b.list({member(1)});
+  while (served(b)) {
+  }
+  EXPECT_TRUE(b.wasRefused(b.last));
+  EXPECT_NEAR(b.recorder.refused[b.last], 100, 1);  // one unit at ten a second
+  EXPECT_TRUE(b.recorder.timers.empty());
+}
+
+TEST(Quota, TrueUnitsSquareTheGuess) {
+  Settings s = settings();
+  s.gateways = 1, s.settlesUnits = true;
+  Bench b(s);
+  b.list({member(1)});
+  const RequestId id = b.ask(0, 0, 1, 8, 1);
+  b.end(id, Result::ok, 50, -1, true, 3);  // five come back
+  int in = 0;
+  while (served(b, 0, 1, -1, 1, 1)) ++in;
+  EXPECT_EQ(in, 17);
+}
+
+// A reading counts once, however many answers of its period it rides on.
+TEST(Quota, RepeatedReadingTrimsOnce) {
+  Settings s = settings();
+  s.gateways = 1;
+  const auto admitted = [&](int repeats) {
+    Bench b(s);
+    b.list({member(1)});
+    for (int i = 0; i < 20; ++i) served(b, 0, 1, -1, 1, 1);
+    b.now += 1100;
+    for (int i = 0; i < repeats; ++i) served(b, 0, 1, 200, 1, 1);
+    int in = 0;
+    for (int i = 0; i < 400; ++i) {
+      b.now += 100;
+      in += served(b, 0, 1, -1, 1, 1);
+    }
+    return in;
+  };
+  EXPECT_NEAR(admitted(1), admitted(6), 12);
+}
+
+// Two gateways' worth of traffic: readings well above the quota trim what is let in past it.
+TEST(Quota, ReadingsAboveTheQuotaTrim) {
+  const auto admitted = [](int percent) {
+    Bench b;
+    b.list({member(1)});
+    int in = 0;
+    for (int i = 0; i < 600; ++i) {
+      b.now += 50;
+      in += served(b, 0, 1, percent);
+    }
+    return in;
+  };
+  EXPECT_LT(admitted(200), 0.75 * admitted(100));
+}
+
+TEST(Quota, FractionClimbsBackWithoutReadings) {
+  Bench b;
+  b.list({member(1)});
+  for (int i = 0; i < 200; ++i) {
+    b.now += 50;
+    served(b, 0, 1, 400);
+  }
+  b.now += 60000;
+  int in = 0;
+  for (int i = 0; i < 40; ++i) {
+    b.now += 500;  // two a second against ten
+    in += served(b);
+  }
+  EXPECT_EQ(in, 40);
+}
+
+// A gateway that refuses is told nothing; it keeps believing the others for a while, not for ever.
+TEST(Quota, BelievesOthersForAWhileWithoutReadings) {
+  Settings s = settings();
+  s.plans[1].overCost = 1.2;
+  Bench b(s);
+  b.list({member(1)});
+  for (int i = 0; i < 40; ++i) {
+    b.now += 500;
+    const RequestId id = b.ask(0, 1);
+    if (b.wasSent(id)) b.end(id, Result::ok, 50, 400);
+  }
+  b.now += 3000;
+  int soon = 0, late = 0;
+  for (int i = 0; i < 20; ++i) soon += b.wasSent(b.ask(0, 1));
+  EXPECT_EQ(soon, 0);
+  b.now += 300000;
+  for (int i = 0; i < 20; ++i) late += b.wasSent(b.ask(0, 1));
+  EXPECT_EQ(late, 2);
+}
+
+TEST(Quota, CapOnAttemptsOutAtOnce) {
+  Bench b;
+  b.list({member(1)});
+  const RequestId first = b.ask(0, 1), second = b.ask(0, 1), third = b.ask(0, 1);
+  EXPECT_TRUE(b.wasSent(first));
+  EXPECT_TRUE(b.wasSent(second));
+  EXPECT_TRUE(b.wasRefused(third));
+  b.end(first, Result::ok);
+  EXPECT_TRUE(b.wasSent(b.ask(0, 1)));
+}
+
+TEST(Quota, OneOffCustomersDoNotBringAHeavyOneBackRefilled) {
+  Settings s = settings();
+  s.plans[0].rate = 0.001;
+  Bench b(s);
+  b.list({member(1)});
+  while (served(b)) {
+  }
+  for (CustomerId c = 100; c < 9000; ++c) {
+    b.gateway.request(b.now, {++b.last, 0, 0, c, b.now + 3000, 100000, 2});  // never let in: loses nothing
+  }
+  EXPECT_LE(b.gateway.customersHeld(), 4096u);
+  EXPECT_FALSE(served(b));
+}
+
+// A trickle past the fraction's floor, for a customer that asks many times its quota, adds up to a good part
+// of it.
+TEST(Quota, NoTrickleWhileTheEstimateOwes) {
+  Bench b;
+  b.list({member(1)});
+  int in = 0;
+  for (int i = 0; i < 4000; ++i) {
+    b.now += 5;  // 200 a second against ten, and the meter tells twice the rate
+    in += served(b, 0, 1, 200);
+  }
+  EXPECT_LT(in, 20 * 10 / 2 + 20);  // half the rate, and the first burst
+}
+
+// Many gateways: each meets a customer rarely, and its part of a small burst is under one request. A gateway
+// that has long been up lets the first one in.
+TEST(Quota, FirstRequestOfACustomerAtAGatewayLongUpIsLetIn) {
+  Settings s = settings();
+  s.gateways = 200;
+  s.plans[0].rate = 1, s.plans[0].burst = 4;
+  Bench b(s);
+  b.list(fleet());
+  b.now += 20000;
+  EXPECT_TRUE(served(b, 0, 1, -1, 1, 30));
+}
+
+// Its own rare requests and readings of little use say nothing against a calm customer among thirty gateways;
+// readings of three times the quota trim it.
+TEST(Quota, RareRequestsGoByTheReadings) {
+  const auto admitted = [](int percent) {
+    Settings s = settings();
+    s.gateways = 200;
+    s.plans[0].rate = 1, s.plans[0].burst = 4;
+    Bench b(s);
+    b.list(fleet());
+    int in = 0;
+    for (int i = 0; i < 40; ++i) {
+      b.now += 5000;
+      in += served(b, 0, 1, percent, 1, 30);
+    }
+    return in;
+  };
+  EXPECT_EQ(admitted(0), 40);
+  EXPECT_LT(admitted(300), 25);
+}
+
+// A customer far past its quota, spread evenly over ten gateways: each lets in about its tenth of the rate,
+// whatever it makes of the demand. Together they would else go past the quota by what they misjudge.
+TEST(Quota, WhileTheStoreIsEmptyAGatewayLetsInItsShareOfTheRate) {
+  Settings s = settings();
+  s.gateways = 10;
+  Bench b(s);
+  b.list({member(1)});
+  int in = 0;
+  for (int i = 0; i < 1200; ++i) {
+    b.now += 50;  // twenty a second here, two hundred in all, against ten; the meter tells 100%
+    const bool let = served(b, 0, 1, 100, 1, 10);
+    if (i >= 200) in += let;
+  }
+  EXPECT_GT(in, 25);
+  EXPECT_LT(in, 75);  // of 50 seconds at one a second
+}
+
+TEST(Quota, ZeroRatesAndAbsentReadingsAreLegal) {
+  Settings s = settings();
+  s.meterPeriod = 0;
+  s.plans = {PlanSettings{}};
+  Bench b(s);
+  b.list({member(1)});
+  for (int i = 0; i < 50; ++i) EXPECT_TRUE(served(b, 0, 1, i % 2 ? 0 : -1));
+}
+
+}  // namespace
+}  // namespace irisring::test
