Add the gatekeeper on real sockets: burlwind

Single-threaded on Boost.Asio, with Beast's HTTP parser and serializer and nlohmann-json. The settings' reader also gives the names and connection times that the sockets need.

--- /dev/null
+++ b/src/node/call.hpp
@@ -0,0 +1,29 @@
+// A client's request, read and checked: what the module is asked, and what goes on to a worker.
+#pragma once
+
+#include <variant>
+
+#include "node/config.hpp"
+#include "node/http.hpp"
+
+namespace burlwind {
+
+using ClientMessage = http::request<http::string_body>;
+
+struct Call {
+  unsigned klass = 0;
+  unsigned plan = 0;
+  irisring::CustomerId customer = 0;
+  irisring::Time patience = 0;  // how long the client waits from when it sent the request
+  double units = 1;
+  unsigned setSize = 1;
+};
+
+struct Rejection {
+  http::status status = http::status::bad_request;
+  std::string_view why;
+};
+
+std::variant<Call, Rejection> readCall(const ClientMessage& message, const Config& config);
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/client_server.hpp
@@ -0,0 +1,91 @@
+// The clients' side: the listener, client connections, readiness, and the writing of answers.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+
+#include "node/call.hpp"
+#include "node/http.hpp"
+
+namespace burlwind {
+
+struct Answer {
+  http::status status = http::status::ok;
+  std::string body;
+  std::string contentType = "text/plain";
+  irisring::Time retryAfter = 0;  // ms; 0: no advice
+};
+
+// The connection that a request came on, as its holder sees it.
+class Asker {
+ public:
+  virtual ~Asker() = default;
+  // The final answer, once for each request held.
+  virtual void answer(const Answer& answer) = 0;
+};
+
+// What takes the requests.
+class Holder {
+ public:
+  virtual ~Holder() = default;
+  virtual bool ready() const = 0;
+  // The asker is answered once, maybe before this returns.
+  virtual irisring::RequestId nextId() = 0;
+  virtual void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
+                    const std::shared_ptr<Asker>& asker) = 0;
+  // The client has gone; no answer is wanted.
+  virtual void left(irisring::RequestId id) = 0;
+};
+
+class ClientServer {
+ public:
+  struct Limits {
+    std::size_t connections = 480;
+    std::chrono::milliseconds idleFor{75000};
+    std::chrono::milliseconds wholeWithin{10000};  // a request, from its first byte
+    std::chrono::milliseconds writeWithin{10000};
+    std::chrono::milliseconds lingerFor{1000};
+  };
+
+  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Holder& holder);
+  ~ClientServer();
+  ClientServer(const ClientServer&) = delete;
+  ClientServer& operator=(const ClientServer&) = delete;
+
+  void start();  // throws std::runtime_error if it cannot listen
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+
+  // From here on every answer ends its connection.
+  void beginDrain() { draining_ = true; }
+  // Takes what the machine has accepted already, then no more; connections without a request are closed.
+  void stopAccepting();
+  // Called as soon as no connection is left.
+  void whenEmpty(std::function<void()> done);
+
+ private:
+  class Connection;
+
+  void accept();
+  void acceptLater();
+  void add(boost::asio::ip::tcp::socket socket);
+  void remove(const std::shared_ptr<Connection>& connection);
+  bool dropIdle();
+
+  const Config& config_;
+  const Limits limits_;
+  Holder& holder_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  std::unordered_set<std::shared_ptr<Connection>> connections_;
+  std::function<void()> done_;
+  bool accepting_ = false;  // an accept is pending
+  bool draining_ = false;
+};
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/config.hpp
@@ -0,0 +1,29 @@
+// What a gatekeeper is told at its start: its environment and its configuration file.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "settings.hpp"
+
+namespace burlwind {
+
+struct Config {
+  std::string name;
+  boost::asio::ip::tcp::endpoint listen;
+  boost::asio::ip::tcp::endpoint discovery;
+  std::uint64_t seed = 0;
+  unsigned sockets = 1024;  // file descriptors that the process may hold
+  std::string known;        // the list of workers as last had, in discovery's form; may be old
+  irisring::Settings settings;
+  irisring::HostSettings host;
+};
+
+// All throw std::runtime_error with one plain line on what is missing or malformed.
+Config readConfig();  // from BALANCER_CONFIG and the other variables, which go before the file
+Config parseConfig(std::string_view json);
+boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view hostPort);
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/discovery.hpp
@@ -0,0 +1,50 @@
+// Discovery: keeps a watch on the list of workers open and hands on what it tells.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "irisring/decide.hpp"
+
+namespace burlwind {
+
+struct Instance {
+  std::string id;
+  boost::asio::ip::tcp::endpoint address;
+  std::string zone, kind;
+  unsigned cell = 0;
+  irisring::Phase phase = irisring::Phase::ready;
+  double startedAtMs = 0;  // Unix time; 0: long ago
+};
+
+struct Roster {
+  long long generation = -1;
+  bool reset = false;  // the whole list; else only what changed
+  std::vector<Instance> instances;
+};
+
+// Throws std::runtime_error with one plain line.
+Roster parseRoster(std::string_view json);
+
+class Discovery {
+ public:
+  using Told = std::function<void(const Roster&)>;
+
+  // `from`: the version that is known already, or below 0.
+  Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, long long from,
+            Told told);
+  ~Discovery();
+  void start();
+  void stop();
+
+ private:
+  class Watch;
+  std::shared_ptr<Watch> watch_;
+};
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/gatekeeper.cpp
@@ -0,0 +1,256 @@
+#include "node/gatekeeper.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <cmath>
+#include <cstdio>
+
+namespace burlwind {
+namespace {
+
+using irisring::ListKind;
+using irisring::Member;
+using irisring::Outcome;
+using irisring::RequestId;
+using irisring::Result;
+using irisring::Time;
+using irisring::WorkerId;
+using namespace std::chrono_literals;
+
+constexpr Time kWayBack = 10;             // ms kept of a deadline for the answer's way to the client
+constexpr unsigned kSparedSockets = 24;   // descriptors for the listener, discovery, timers, standard streams
+constexpr double kIdleShare = 0.8;        // of the time that a worker keeps an idle connection
+constexpr auto kAcceptAfterTerm = 500ms;  // connections go on coming for up to 400 ms after SIGTERM
+constexpr auto kAnswerAfterTerm = 3400ms;  // a request held so long is failed: the end may come at 3.7 s
+
+std::chrono::steady_clock::duration span(Time ms) {
+  return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
+      std::chrono::duration<double, std::milli>(ms));
+}
+
+std::size_t halfOfSockets(const Config& config) {
+  return std::max<std::size_t>(8, (config.sockets - std::min(config.sockets / 2, kSparedSockets)) / 2);
+}
+
+WorkerPool::Limits poolLimits(const Config& config) {
+  WorkerPool::Limits out;
+  out.connectTimeout = std::chrono::milliseconds(std::lround(std::max(1.0, config.host.connectTimeout)));
+  out.idleFor = std::chrono::milliseconds(std::lround(kIdleShare * config.host.idleTimeout));
+  out.total = halfOfSockets(config);
+  return out;
+}
+
+ClientServer::Limits serverLimits(const Config& config) {
+  ClientServer::Limits out;
+  out.connections = halfOfSockets(config);
+  return out;
+}
+
+// The same number at every gatekeeper, whatever the address: they all run this program.
+WorkerId numberOf(const std::string& instanceId) { return std::hash<std::string>{}(instanceId); }
+
+unsigned indexOf(const std::vector<std::string>& names, const std::string& name) {
+  return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+}  // namespace
+
+Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config)
+    : io_(io),
+      config_(config),
+      pool_(io, poolLimits(config), config.settings.reportFields,
+            [this](AttemptEnd&& end) { ended(std::move(end)); }),
+      server_(io, config_, serverLimits(config), *this),
+      gateway_(config.settings, config.seed, clock_.now(), *this),
+      drain_(io) {
+  long long from = -1;
+  if (!config_.known.empty()) {
+    const Roster known = parseRoster(config_.known);
+    from = known.generation;
+    told(known, ListKind::cached);
+  }
+  discovery_ = std::make_unique<Discovery>(io, config_.discovery, from, [this](const Roster& roster) {
+    told(roster, roster.reset ? ListKind::full : ListKind::delta);
+  });
+}
+
+Gatekeeper::~Gatekeeper() = default;
+
+void Gatekeeper::start() {
+  server_.start();
+  discovery_->start();
+}
+
+void Gatekeeper::drain(std::function<void()> done) {
+  server_.beginDrain();
+  drain_.expires_after(kAcceptAfterTerm);
+  drain_.async_wait([this, done = std::move(done)](const Error& error) {
+    if (error) return;
+    server_.stopAccepting();
+    drain_.expires_after(kAnswerAfterTerm - kAcceptAfterTerm);
+    drain_.async_wait([this](const Error& late) {
+      if (!late) giveUpAll();
+    });
+    server_.whenEmpty(done);
+  });
+}
+
+// --- From the clients ------------------------------------------------------------------------------------
+
+void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
+                      const std::shared_ptr<Asker>& asker) {
+  const Time now = clock_.now();
+  Held& held = held_.try_emplace(id, io_).first->second;
+  held.message = std::move(message);
+  held.asker = asker;
+  held.expires = now + std::max(0.0, call.patience - kWayBack);
+  held.deadline.expires_after(span(held.expires - now));
+  held.deadline.async_wait([this, id](const Error& error) {
+    if (!error) expire(id);
+  });
+  gateway_.request(now, {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize});
+}
+
+void Gatekeeper::left(RequestId id) {
+  if (held_.erase(id) == 0) return;
+  gateway_.clientLeft(clock_.now(), id);
+  if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
+}
+
+// The deadline: an attempt that is out has timed out. The answer goes out now, whatever the module says.
+void Gatekeeper::expire(RequestId id) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  if (auto end = pool_.giveUp(id, Result::timeout)) {
+    end->outcome.finished = false;
+    gateway_.outcome(std::max(clock_.now(), found->second.expires), end->outcome);
+  }
+  if (!held_.contains(id)) return;
+  fail(id);
+  gateway_.clientLeft(clock_.now(), id);
+}
+
+void Gatekeeper::giveUpAll() {
+  while (!held_.empty()) {
+    const RequestId id = held_.begin()->first;
+    fail(id);
+    gateway_.clientLeft(clock_.now(), id);
+    if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
+  }
+}
+
+// --- From the workers ------------------------------------------------------------------------------------
+
+void Gatekeeper::ended(AttemptEnd&& end) {
+  Outcome& outcome = end.outcome;
+  const bool mine = held_.contains(outcome.id);
+  outcome.finished = !mine || outcome.result == Result::ok;
+  if (mine && outcome.result == Result::ok) {
+    Answer served;
+    served.body = std::move(end.body);
+    served.contentType = std::move(end.contentType);
+    answer(outcome.id, served);
+  }
+  gateway_.outcome(clock_.now(), outcome);
+}
+
+// --- From discovery --------------------------------------------------------------------------------------
+
+Member Gatekeeper::memberOf(const Instance& instance) const {
+  Member out;
+  out.worker = numberOf(instance.id);
+  out.phase = instance.phase;
+  out.zone = indexOf(config_.host.zones, instance.zone);
+  out.kind = indexOf(config_.host.kinds, instance.kind);
+  out.cell = instance.cell;
+  out.started = instance.startedAtMs;
+  return out;
+}
+
+void Gatekeeper::told(const Roster& roster, ListKind kind) {
+  std::vector<Member> members;
+  std::unordered_set<WorkerId> unnamed;
+  if (kind != ListKind::delta) unnamed = listed_;
+  for (const Instance& instance : roster.instances) {
+    members.push_back(memberOf(instance));
+    const WorkerId worker = members.back().worker;
+    unnamed.erase(worker);
+    if (instance.phase == irisring::Phase::ready) {
+      listed_.insert(worker);
+      pool_.place(worker, {instance.address, instance.startedAtMs});
+    } else {
+      pool_.retire(worker);
+    }
+  }
+  for (const WorkerId worker : unnamed) {
+    listed_.erase(worker);
+    pool_.retire(worker);
+  }
+  gateway_.members(clock_.now(), kind, members);
+  ready_ = ready_ || !listed_.empty();
+}
+
+// --- What the module asks for ----------------------------------------------------------------------------
+// These are called from within an event, so none of them feeds the module another.
+
+void Gatekeeper::send(RequestId id, WorkerId worker, Time timeout) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  Held& held = found->second;
+  const Time left = held.expires - clock_.now();
+  const bool early = timeout > 0 && timeout < left;
+  const Time wait = early ? timeout : left;
+  pool_.start(id, held.attempts++, worker, attemptBytes(held, wait),
+              early ? std::optional(span(timeout)) : std::nullopt);
+}
+
+void Gatekeeper::refuse(RequestId id, Time retryAfter) {
+  Answer refusal;
+  refusal.status = http::status::too_many_requests;
+  refusal.body = "refused: try again later\n";
+  refusal.retryAfter = retryAfter;
+  answer(id, refusal);
+}
+
+void Gatekeeper::fail(RequestId id) {
+  Answer failure;
+  failure.status = http::status::bad_gateway;
+  failure.body = "failed\n";
+  answer(id, failure);
+}
+
+void Gatekeeper::setTimer(Time wait, std::uint64_t tag) {
+  auto timer = std::make_unique<asio::steady_timer>(io_, span(wait));
+  auto& pending = *timer;
+  pending.async_wait([this, timer = std::move(timer), tag](const Error& error) {
+    if (!error) gateway_.timer(clock_.now(), tag);
+  });
+}
+
+void Gatekeeper::log(const std::string& line) { std::fprintf(stderr, "burlwind: %s\n", line.c_str()); }
+
+// The final answer. What comes later for this request finds nothing.
+void Gatekeeper::answer(RequestId id, const Answer& answer) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  const auto asker = std::move(found->second.asker);
+  held_.erase(found);
+  asker->answer(answer);
+}
+
+// The client's request with the time that is left; what concerns only the client's connection stays behind.
+std::string Gatekeeper::attemptBytes(const Held& held, Time wait) const {
+  ClientMessage message = held.message;
+  for (const auto field : {http::field::connection, http::field::keep_alive, http::field::te,
+                           http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
+                           http::field::expect, http::field::proxy_connection})
+    message.erase(field);
+  message.version(11);
+  message.set("Req-Deadline-Ms", std::to_string(std::max(1L, std::lround(std::floor(wait)))));
+  message.prepare_payload();
+  std::string out;
+  append(out, message);
+  return out;
+}
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/gatekeeper.hpp
@@ -0,0 +1,94 @@
+// One gatekeeper: the decision module between the clients' side, the workers' side and discovery. It turns
+// socket events into the module's events and the module's actions into socket work, and decides nothing.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "irisring/decide.hpp"
+#include "node/client_server.hpp"
+#include "node/config.hpp"
+#include "node/discovery.hpp"
+#include "node/worker_pool.hpp"
+
+namespace burlwind {
+
+// The module's one clock: it counts with the steady clock from the Unix time of its making, so that it never
+// steps and a worker's start, told in Unix time, is on it as it is.
+class ModuleClock {
+ public:
+  irisring::Time now() const {
+    const std::chrono::duration<double, std::milli> passed = std::chrono::steady_clock::now() - steady_;
+    return unix_ + passed.count();
+  }
+
+ private:
+  const std::chrono::steady_clock::time_point steady_ = std::chrono::steady_clock::now();
+  const double unix_ =
+      std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch()).count();
+};
+
+class Gatekeeper : private irisring::Actions, private Holder {
+ public:
+  Gatekeeper(boost::asio::io_context& io, const Config& config);
+  ~Gatekeeper() override;
+
+  void start();
+  // Goes on for a while, finishes what is held, then calls `done`.
+  void drain(std::function<void()> done);
+
+  boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
+  bool ready() const override { return ready_; }
+  std::size_t held() const { return held_.size(); }
+
+ private:
+  struct Held {
+    Held(boost::asio::io_context& io) : deadline(io) {}
+    ClientMessage message;
+    std::shared_ptr<Asker> asker;
+    irisring::Time expires = 0;
+    boost::asio::steady_timer deadline;
+    unsigned attempts = 0;
+  };
+
+  // Holder
+  irisring::RequestId nextId() override { return ++lastId_; }
+  void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
+            const std::shared_ptr<Asker>& asker) override;
+  void left(irisring::RequestId id) override;
+
+  // Actions
+  void send(irisring::RequestId id, irisring::WorkerId worker, irisring::Time timeout) override;
+  void refuse(irisring::RequestId id, irisring::Time retryAfter) override;
+  void fail(irisring::RequestId id) override;
+  void setTimer(irisring::Time wait, std::uint64_t tag) override;
+  void subscribe() override {}  // the watch is always open
+  void log(const std::string& line) override;
+
+  void told(const Roster& roster, irisring::ListKind kind);
+  irisring::Member memberOf(const Instance& instance) const;
+  void ended(AttemptEnd&& end);
+  void expire(irisring::RequestId id);
+  void giveUpAll();
+  void answer(irisring::RequestId id, const Answer& answer);
+  std::string attemptBytes(const Held& held, irisring::Time wait) const;
+
+  boost::asio::io_context& io_;
+  const Config config_;
+  const ModuleClock clock_;
+  WorkerPool pool_;
+  ClientServer server_;
+  std::unordered_set<irisring::WorkerId> listed_;
+  std::unordered_map<irisring::RequestId, Held> held_;
+  irisring::RequestId lastId_ = 0;
+  irisring::Gateway gateway_;
+  std::unique_ptr<Discovery> discovery_;
+  boost::asio::steady_timer drain_;
+  bool ready_ = false;
+};
+
+}  // namespace burlwind
--- /dev/null
+++ b/src/node/worker_pool.hpp
@@ -0,0 +1,87 @@
+// Connections to workers: one attempt at a time on each, its outcome, and what stands idle between attempts.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "irisring/decide.hpp"
+#include "node/http.hpp"
+
+namespace burlwind {
+
+// How an attempt ended, and the answer if it was served.
+struct AttemptEnd {
+  irisring::Outcome outcome;
+  std::string body;
+  std::string contentType;
+};
+
+class WorkerPool {
+ public:
+  struct Limits {
+    std::chrono::milliseconds connectTimeout{250};
+    std::chrono::milliseconds idleFor{24000};  // shorter than a worker keeps an idle connection
+    std::size_t total = 480;                   // connections to all workers
+    std::size_t idlePerWorker = 64;
+  };
+  struct Place {
+    boost::asio::ip::tcp::endpoint address;
+    double startedAtMs = 0;  // Unix time of the worker's last start; 0: long ago
+  };
+  using Ended = std::function<void(AttemptEnd&&)>;
+
+  WorkerPool(boost::asio::io_context& io, const Limits& limits, std::vector<std::string> reportFields,
+             Ended ended);
+  ~WorkerPool();
+  WorkerPool(const WorkerPool&) = delete;
+  WorkerPool& operator=(const WorkerPool&) = delete;
+
+  // Where a worker is. Connections to an earlier address or process are dropped.
+  void place(irisring::WorkerId worker, const Place& place);
+  // Nothing new goes there; its idle connections are closed. Attempts under way go on.
+  void retire(irisring::WorkerId worker);
+
+  // Starts one attempt. `ended` is called once for it, never from within this call.
+  void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, std::string bytes,
+             std::optional<std::chrono::steady_clock::duration> timeout);
+  // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
+  std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
+
+  std::size_t connections() const { return total_; }
+
+ private:
+  class Connection;
+  using Shared = std::shared_ptr<Connection>;
+  struct Worker {
+    Place place;
+    bool retired = false;
+    std::vector<Shared> idle;  // the most recent last
+  };
+
+  Shared takeIdle(Worker& worker);
+  bool makeRoom();
+  void report(irisring::Outcome outcome);
+  void finish(Connection& connection, AttemptEnd&& end);
+  void keep(const Shared& connection);
+  void drop(Connection& connection);
+  void closeIdle(Worker& worker);
+
+  boost::asio::io_context& io_;
+  const Limits limits_;
+  const std::vector<std::string> reportFields_;
+  const Ended ended_;
+  std::unordered_map<irisring::WorkerId, Worker> workers_;
+  std::unordered_map<irisring::RequestId, Shared> busy_;
+  std::size_t total_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace burlwind
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -114,9 +114,7 @@
   return out;
 }
 
-}  // namespace
-
-Settings parseSettings(std::string_view text) {
+Pairs readPairs(std::string_view text) {
   Pairs pairs;
   while (!text.empty()) {
     const auto end = text.find('\n');
@@ -128,6 +126,21 @@
     if (sign == std::string_view::npos) bad("settings: a line without '='", line.substr(0, 60));
     pairs.insert_or_assign(std::string(line.substr(0, sign)), std::string(line.substr(sign + 1)));
   }
+  return pairs;
+}
+
+std::vector<std::string> names(const Pairs& pairs, const std::string& key) {
+  std::vector<std::string> out(count(pairs, key));
+  for (std::size_t i = 0; i < out.size(); ++i)
+    read(pairs, key + "." + std::to_string(i) + ".name",
+         [&](std::string_view, std::string_view v) { out[i] = v; });
+  return out;
+}
+
+}  // namespace
+
+Settings parseSettings(std::string_view text) {
+  const Pairs pairs = readPairs(text);
   Settings out;
   readWhole(pairs, "me", out.self);
   readWhole(pairs, "nInstances", out.gateways);
@@ -158,4 +171,16 @@
   return out;
 }
 
+HostSettings parseHostSettings(std::string_view text) {
+  const Pairs pairs = readPairs(text);
+  HostSettings out;
+  out.classes = names(pairs, "profiles");
+  out.plans = names(pairs, "plans");
+  read(pairs, "localities", [&](std::string_view, std::string_view v) { out.zones = words(v); });
+  read(pairs, "shapes", [&](std::string_view, std::string_view v) { out.kinds = words(v); });
+  readNumber(pairs, "permissions.dialTimeout", out.connectTimeout);
+  readNumber(pairs, "permissions.connIdle", out.idleTimeout);
+  return out;
+}
+
 }  // namespace irisring
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -8,12 +8,14 @@
   command -v "$tool" >/dev/null || need+=("${tool/clang-format/clang-format}")
 done
 [ -e /usr/include/gtest/gtest.h ] || need+=(libgtest-dev)
+[ -e /usr/include/boost/beast/http.hpp ] || need+=(libboost-dev)
+[ -e /usr/include/nlohmann/json.hpp ] || need+=(nlohmann-json3-dev)
 if [ ${#need[@]} -gt 0 ]; then
   apt-get update -qq
   DEBIAN_FRONTEND=noninteractive apt-get install -y -qq "${need[@]}"
 fi
 
-clang-format --dry-run --Werror src/*.cpp src/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp
+clang-format --dry-run --Werror src/*.cpp src/*.hpp src/node/*.cpp src/node/*.hpp include/irisring/*.hpp tests/*.cpp tests/*.hpp tests/package/*.cpp
 
 for kind in plain sanitize; do
   sanitize=OFF
