Test the program over loopback sockets; let a connection at the limit wait

The tests drive clients, workers and discovery over loopback in one thread and wait for events only.

Found by Clients.AtTheLimitTheOldestIdleConnectionMakesRoom, which failed before: at the connection limit the oldest idle connection was dropped as soon as the limit was reached, so a client that had just connected lost its connection before its first request. Cause: room was made when the accept was armed. Now it is made when a connection comes, and one that finds no room waits in hand until another turns idle or ends.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <optional>
 #include <stdexcept>
+#include <utility>
 #include <vector>
 
 namespace burlwind {
@@ -119,6 +120,7 @@
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
     arm(server_.limits_.idleFor);
+    server_.accept();
   }
 
   // One read is pending in every state, so that the end of a client is seen while its request is held.
@@ -252,10 +254,14 @@
   accept();
 }
 
+// At the limit an idle connection makes room for one that comes, but not before it does; where none is idle,
+// the next one to turn idle or end does.
+bool ClientServer::hasRoom() const { return connections_.size() < limits_.connections || oldestIdle(); }
+
 void ClientServer::accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
-  // At the limit an idle connection makes room; where none is idle, the next one to end does.
-  if (connections_.size() >= limits_.connections && !dropIdle()) return;
+  if (accepting_ || !hasRoom()) return;
+  if (waiting_) return add(*std::exchange(waiting_, std::nullopt));
+  if (!acceptor_.is_open()) return;
   accepting_ = true;
   acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
@@ -263,7 +269,7 @@
     if (error == asio::error::no_descriptors || error == boost::system::errc::too_many_files_open_in_system ||
         error == asio::error::no_buffer_space || error == asio::error::no_memory)
       return acceptLater();
-    if (!error) add(std::move(socket));
+    if (!error) waiting_ = std::move(socket);
     accept();
   });
 }
@@ -279,8 +285,9 @@
 
 void ClientServer::add(tcp::socket socket) {
   const auto connection = std::make_shared<Connection>(*this, std::move(socket));
+  if (connections_.size() >= limits_.connections) dropIdle();
   connections_.insert(connection);
-  connection->start();
+  connection->start();  // goes on to accept
 }
 
 void ClientServer::remove(const std::shared_ptr<Connection>& connection) {
@@ -289,16 +296,19 @@
   if (connections_.empty() && !acceptor_.is_open() && done_) done_();
 }
 
-bool ClientServer::dropIdle() {
+std::shared_ptr<ClientServer::Connection> ClientServer::oldestIdle() const {
   std::shared_ptr<Connection> oldest;
   for (const auto& connection : connections_)
     if (connection->idle() && (!oldest || connection->idleSince() < oldest->idleSince())) oldest = connection;
-  if (!oldest) return false;
-  oldest->close();
-  return true;
+  return oldest;
+}
+
+void ClientServer::dropIdle() {
+  if (const auto oldest = oldestIdle()) oldest->close();
 }
 
 void ClientServer::stopAccepting() {
+  if (waiting_) add(*std::exchange(waiting_, std::nullopt));
   for (;;) {
     Error error;
     tcp::socket socket(acceptor_.get_executor());
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_set>
 
@@ -71,11 +72,13 @@
  private:
   class Connection;
 
+  bool hasRoom() const;
   void accept();
   void acceptLater();
   void add(boost::asio::ip::tcp::socket socket);
   void remove(const std::shared_ptr<Connection>& connection);
-  bool dropIdle();
+  std::shared_ptr<Connection> oldestIdle() const;
+  void dropIdle();
 
   const Config& config_;
   const Limits limits_;
@@ -83,6 +86,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
+  std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   std::function<void()> done_;
   bool accepting_ = false;  // an accept is pending
   bool draining_ = false;
--- /dev/null
+++ b/tests/loopback.hpp
@@ -0,0 +1,176 @@
+// Peers over loopback sockets for the tests of the program: clients, workers and discovery that do as the
+// test says. Everything runs in the test's own thread, and waits are for events, with a generous limit.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "node/gatekeeper.hpp"
+
+namespace burlwind::test {
+
+using asio::ip::tcp;
+using nlohmann::json;
+
+// One end of a connection: what has come so far, and whether the other side has ended it.
+class Peer : public std::enable_shared_from_this<Peer> {
+ public:
+  explicit Peer(tcp::socket socket) : socket_(std::move(socket)) {}
+  std::string got;
+  bool ended = false;
+
+  void read() {
+    socket_.async_read_some(asio::buffer(piece_),
+                            [self = shared_from_this(), this](const Error& error, std::size_t n) {
+                              got.append(piece_.data(), n);
+                              if (error)
+                                ended = true;
+                              else
+                                read();
+                            });
+  }
+  void send(const std::string& text) {
+    Error ignored;  // the other side may have gone already
+    asio::write(socket_, asio::buffer(text), ignored);
+  }
+  void end() { socket_.close(); }
+  bool has(const std::string& text) const { return got.find(text) != std::string::npos; }
+  std::size_t count(const std::string& text) const {
+    std::size_t n = 0;
+    for (auto at = got.find(text); at != std::string::npos; at = got.find(text, at + 1)) ++n;
+    return n;
+  }
+
+ private:
+  tcp::socket socket_;
+  std::array<char, 4096> piece_{};
+};
+using PeerPtr = std::shared_ptr<Peer>;
+
+class Listener {
+ public:
+  explicit Listener(asio::io_context& io)
+      : acceptor_(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    accept();
+  }
+  std::vector<PeerPtr> peers;
+
+  tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  std::string text() const { return "127.0.0.1:" + std::to_string(address().port()); }
+  std::size_t count(const std::string& what) const {
+    std::size_t n = 0;
+    for (const auto& peer : peers) n += peer->count(what);
+    return n;
+  }
+
+ private:
+  void accept() {
+    acceptor_.async_accept([this](const Error& error, tcp::socket socket) {
+      if (error) return;
+      peers.push_back(std::make_shared<Peer>(std::move(socket)));
+      peers.back()->read();
+      accept();
+    });
+  }
+  tcp::acceptor acceptor_;
+};
+
+inline json entry(const std::string& id, const std::string& address, const std::string& lifecycle = "Ready",
+                  double startedAtMs = 0) {
+  return {{"instanceId", id}, {"hostPort", address},    {"zone", "a"},   {"machineType", "m"},
+          {"cell", 0},        {"lifecycle", lifecycle}, {"weight", 1.0}, {"startedAtMs", startedAtMs}};
+}
+
+inline std::string roster(int generation, bool reset, const json& instances) {
+  return json{{"generation", generation}, {"reset", reset}, {"instances", instances}}.dump();
+}
+
+inline json settingsJson() {
+  return json::parse(R"({
+    "me": 0, "nInstances": 2, "locality": 0, "localities": ["a", "b"], "shapes": ["m"],
+    "discovery": "pushed",
+    "permissions": {"attemptsCap": 4, "dialTimeout": 5000.0, "connIdle": 30000.0, "maxRetryAfter": 1000.0},
+    "familyInfo": {"metering": 1000.0, "truedUp": false, "mostUnits": 2},
+    "report": {"how": "answers", "fields": ["util", "queue"]},
+    "rules": {"stopSendingWithin": 1000.0, "coldFrom": 0.2, "warmUp": 1000.0, "fallMultiple": 2.5,
+              "overloadFor": 1000.0},
+    "profiles": [
+      {"name": "look", "aim": 20000.0, "deadline": 60000.0, "repeat": "safe", "window": 0.0, "worth": 1.0},
+      {"name": "edit", "aim": 20000.0, "deadline": 60000.0, "repeat": "keyed", "dedupScope": "zone",
+       "window": 60000.0, "worth": 2.0},
+      {"name": "order", "aim": 20000.0, "deadline": 60000.0, "repeat": "unsafe", "worth": 3.0}],
+    "plans": [
+      {"name": "small", "unitsPerS": 0.001, "depth": 1.0, "pays": 1.0, "overrunCost": 1.0},
+      {"name": "large", "unitsPerS": 1000.0, "depth": 1000.0, "pays": 1.0, "overrunCost": 1.0}]})");
+}
+
+inline json configJson(const std::string& discovery, const json& known = {}) {
+  json out{{"name", "n0"},
+           {"listen", "127.0.0.1:0"},
+           {"discovery", discovery},
+           {"seed", "8c1f30d27a5be964"},
+           {"limits", {{"sockets", 256}}},
+           {"settings", settingsJson()}};
+  if (!known.is_null()) out["known"] = json::parse(roster(1, true, known));
+  return out;
+}
+
+struct Ask {
+  std::string klass = "look";
+  std::string plan = "large";
+  std::string id = "00000000000000a1";
+  std::string query = "client=00000000b4d65521";
+  std::string deadline = "60000";
+  std::string terms = "units=1,spread=2,first=1";
+  std::string extra;
+  std::string body;
+
+  std::string text() const {
+    std::string out = (klass == "look" ? "GET /" : "POST /") + klass + "?" + query + " HTTP/1.1\r\n";
+    out += "Host: backend.local\r\nReq-Id: " + id + "\r\nX-Tier: " + plan + "\r\n";
+    out += "Req-Deadline-Ms: " + deadline + "\r\nX-Call-Terms: " + terms + "\r\n" + extra;
+    if (klass == "edit") out += "Idempotency-Key: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n";
+    if (klass != "look") out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return out + "\r\n" + body;
+  }
+};
+
+inline std::string reply(const std::string& status, const std::string& body, const std::string& extra = "") {
+  return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" + extra +
+         "\r\n" + body;
+}
+
+class Loopback : public ::testing::Test {
+ protected:
+  using Condition = std::function<bool()>;
+
+  // Runs until the condition holds; fails the test if it does not for a long time.
+  void until(const Condition& holds, const char* what) {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+    while (!holds()) {
+      io.restart();
+      io.run_one_for(std::chrono::milliseconds(100));
+      ASSERT_LT(std::chrono::steady_clock::now(), limit) << "never: " << what;
+    }
+  }
+  PeerPtr dial(const tcp::endpoint& to) {
+    tcp::socket socket(io);
+    socket.connect(to);
+    const auto peer = std::make_shared<Peer>(std::move(socket));
+    peer->read();
+    return peer;
+  }
+  // A port at which nobody listens.
+  std::string nobody() { return Listener(io).text(); }
+
+  asio::io_context io{1};
+};
+
+}  // namespace burlwind::test
