Read the configuration again on SIGHUP and move to the discovery that it names

Ruled out: the new agent or the list, which the program never lived to ask. On SIGHUP the file is read again; a bad one is one line and changes nothing. The file's discovery goes before BALANCER_DISCOVERY, the new agent is asked for the whole list at once, and the list that is had stays until it speaks. The watch counts as dead after 4.5 s without a line instead of 7 s, and tries come 0.5 s apart at most instead of 2 s: what discovery has to tell counts as told 6 s later (4 s after SIGHUP), so 7 s could not keep a drain.

--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -93,6 +93,17 @@
   if (const char* value = std::getenv(variable)) file[key] = value;
 }
 
+json readFile() {
+  const char* path = std::getenv("BALANCER_CONFIG");
+  if (!path) bad("BALANCER_CONFIG is not set");
+  std::ifstream in(path);
+  if (!in) bad(std::string("cannot read ") + path);
+  json file = parseFile(std::string(std::istreambuf_iterator<char>(in), {}));
+  fromEnvironment("BALANCER_NAME", "name", file);
+  fromEnvironment("BALANCER_LISTEN", "listen", file);
+  return file;
+}
+
 }  // namespace
 
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view hostPort) {
@@ -112,15 +123,11 @@
 Config parseConfig(std::string_view text) { return fromJson(parseFile(text)); }
 
 Config readConfig() {
-  const char* path = std::getenv("BALANCER_CONFIG");
-  if (!path) bad("BALANCER_CONFIG is not set");
-  std::ifstream in(path);
-  if (!in) bad(std::string("cannot read ") + path);
-  json file = parseFile(std::string(std::istreambuf_iterator<char>(in), {}));
-  fromEnvironment("BALANCER_NAME", "name", file);
-  fromEnvironment("BALANCER_LISTEN", "listen", file);
+  json file = readFile();
   fromEnvironment("BALANCER_DISCOVERY", "discovery", file);
   return fromJson(file);
 }
 
+Config rereadConfig() { return fromJson(readFile()); }
+
 }  // namespace burlwind
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -1,4 +1,4 @@
-// What a gatekeeper is told at its start: its environment and its configuration file.
+// What a gatekeeper is told: at its start its environment and its configuration file, on a reload the file.
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
@@ -23,6 +23,8 @@
 
 // All throw std::runtime_error with one plain line on what is missing or malformed.
 Config readConfig();  // from BALANCER_CONFIG and the other variables, which go before the file
+// The file once more. Its `discovery` goes before BALANCER_DISCOVERY, which tells how it was at the start.
+Config rereadConfig();
 Config parseConfig(std::string_view json);
 boost::asio::ip::tcp::endpoint parseEndpoint(std::string_view hostPort);
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -19,9 +19,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto kConnectWithin = 1000ms;
-constexpr auto kSilence = 7s;  // an empty line comes every 2 s; shorter: one late line reopens the watch
 constexpr auto kBackoffFirst = 50ms;
-constexpr auto kBackoffMost = 2000ms;
 constexpr std::size_t kMostLine = std::size_t{8} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -71,8 +69,8 @@
   }
 
  public:
-  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, Told told)
-      : socket_(io), timer_(io), agent_(agent), generation_(from), told_(std::move(told)) {}
+  Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, const Limits& limits, Told told)
+      : socket_(io), timer_(io), agent_(agent), limits_(limits), generation_(from), told_(std::move(told)) {}
 
   void open() {
     if (stopped_) return;
@@ -111,7 +109,7 @@
     request.set(http::field::host, "discovery");
     out_.clear();
     append(out_, request);
-    wait(kSilence);
+    wait(limits_.silence);
     asio::async_write(socket_, asio::buffer(out_), guard([this](const Error& error, std::size_t) {
                         if (error) return again("broken");
                         read();
@@ -122,7 +120,7 @@
     socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
                               if (error) return again("ended");
                               in_.commit(n);
-                              wait(kSilence);
+                              wait(limits_.silence);
                               take();
                             }));
   }
@@ -168,7 +166,7 @@
     if (why != lastWhy_) std::fprintf(stderr, "burlwind: discovery: %s, trying again\n", why);
     lastWhy_ = why;
     timer_.expires_after(backoff_);
-    backoff_ = std::min<std::chrono::milliseconds>(2 * backoff_, kBackoffMost);
+    backoff_ = std::min(2 * backoff_, limits_.backoffMost);
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
       if (!error) open();
     }));
@@ -177,6 +175,7 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   const tcp::endpoint agent_;
+  const Limits limits_;
   long long generation_;
   const Told told_;
   beast::flat_buffer in_;
@@ -188,8 +187,9 @@
   bool stopped_ = false;
 };
 
-Discovery::Discovery(asio::io_context& io, const tcp::endpoint& agent, long long from, Told told)
-    : watch_(std::make_shared<Watch>(io, agent, from, std::move(told))) {}
+Discovery::Discovery(asio::io_context& io, const tcp::endpoint& agent, long long from, const Limits& limits,
+                     Told told)
+    : watch_(std::make_shared<Watch>(io, agent, from, limits, std::move(told))) {}
 Discovery::~Discovery() { stop(); }
 void Discovery::start() { watch_->open(); }
 void Discovery::stop() { watch_->stop(); }
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,10 +35,17 @@
 class Discovery {
  public:
   using Told = std::function<void(const Roster&)>;
+  struct Limits {
+    // Two of the empty lines that come every 2 s, and some time: what discovery has to tell counts as told 6
+    // s later, so a watch that died unseen must be open again before. Shorter: one late line reopens the
+    // watch.
+    std::chrono::milliseconds silence{4500};
+    std::chrono::milliseconds backoffMost{500};  // between tries; the agent is on this machine
+  };
 
   // `from`: the version that is known already, or below 0.
   Discovery(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& agent, long long from,
-            Told told);
+            const Limits& limits, Told told);
   ~Discovery();
   void start();
   void stop();
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -70,9 +70,7 @@
     from = known.generation;
     told(known, ListKind::cached);
   }
-  discovery_ = std::make_unique<Discovery>(io, config_.discovery, from, [this](const Roster& roster) {
-    told(roster, roster.reset ? ListKind::full : ListKind::delta);
-  });
+  watch(config_.discovery, from);
 }
 
 Gatekeeper::~Gatekeeper() = default;
@@ -82,6 +80,22 @@
   discovery_->start();
 }
 
+// Versions of one discovery say nothing at another, so the new one is asked for the whole list; until it
+// comes the list that is had stays in force.
+void Gatekeeper::reload(const Config& config) {
+  if (config.discovery == config_.discovery) return log("reloaded: discovery is where it was");
+  config_.discovery = config.discovery;
+  watch(config_.discovery, -1);
+  discovery_->start();
+  log("reloaded: discovery has moved");
+}
+
+void Gatekeeper::watch(const asio::ip::tcp::endpoint& agent, long long from) {
+  discovery_ = std::make_unique<Discovery>(
+      io_, agent, from, Discovery::Limits{},
+      [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); });
+}
+
 void Gatekeeper::drain(std::function<void()> done) {
   server_.beginDrain();
   drain_.expires_after(kAcceptAfterTerm);
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -38,6 +38,8 @@
   ~Gatekeeper() override;
 
   void start();
+  // Moves to the discovery that a new configuration names. All else that may differ waits for a restart.
+  void reload(const Config& config);
   // Goes on for a while, finishes what is held, then calls `done`.
   void drain(std::function<void()> done);
 
@@ -69,6 +71,7 @@
   void subscribe() override {}  // the watch is always open
   void log(const std::string& line) override;
 
+  void watch(const boost::asio::ip::tcp::endpoint& agent, long long from);
   void told(const Roster& roster, irisring::ListKind kind);
   irisring::Member memberOf(const Instance& instance) const;
   void ended(AttemptEnd&& end);
@@ -79,7 +82,7 @@
   std::string attemptBytes(const Held& held, irisring::Time wait) const;
 
   boost::asio::io_context& io_;
-  const Config config_;
+  Config config_;
   const ModuleClock clock_;
   WorkerPool pool_;
   ClientServer server_;
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -9,13 +9,31 @@
 
 namespace {
 
+// A file that cannot be read changes nothing: the gatekeeper goes on with what it has.
+void reload(burlwind::Gatekeeper& gatekeeper) {
+  try {
+    gatekeeper.reload(burlwind::rereadConfig());
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "burlwind: not reloaded: %s\n", error.what());
+  }
+}
+
+void onReload(boost::asio::signal_set& signals, burlwind::Gatekeeper& gatekeeper) {
+  signals.async_wait([&](const boost::system::error_code& error, int) {
+    if (error) return;
+    reload(gatekeeper);
+    onReload(signals, gatekeeper);
+  });
+}
+
 int run() {
   const burlwind::Config config = burlwind::readConfig();
   std::signal(SIGPIPE, SIG_IGN);
   boost::asio::io_context io(1);
+  boost::asio::signal_set reloads(io, SIGHUP), ends(io, SIGTERM, SIGINT);
   burlwind::Gatekeeper gatekeeper(io, config);
-  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code& error, int) {
+  onReload(reloads, gatekeeper);
+  ends.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) gatekeeper.drain([&] { io.stop(); });
   });
   gatekeeper.start();
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -249,14 +249,8 @@
   untilGot(client, "HTTP/1.1 503");
   until([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
   EXPECT_TRUE(discovery.peers[0]->has("GET /registry/instances?watch=1 HTTP/1.1\r\n"));
-  const auto chunk = [](const std::string& text) {
-    std::ostringstream size;
-    size << std::hex << text.size();
-    return size.str() + "\r\n" + text + "\r\n";
-  };
   const std::string line = roster(7, true, json::array({entry("s-1", worker.text())})) + "\n";
-  discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n") +
-                           chunk(line.substr(0, 30)));
+  discovery.peers[0]->send(kWatchHead + chunk("\n") + chunk(line.substr(0, 30)));
   client->send(question);
   until([&] { return client->count("HTTP/1.1 503") == 2; }, "still not ready");
   discovery.peers[0]->send(chunk(line.substr(30)));
@@ -271,16 +265,13 @@
   openWithWorker();
   until([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
   const auto tell = [&](int generation, const json& change) {
-    const std::string line = roster(generation, false, change) + "\n";
-    std::ostringstream size;
-    size << std::hex << line.size();
-    discovery.peers[0]->send(size.str() + "\r\n" + line + "\r\n");
+    discovery.peers[0]->send(chunk(roster(generation, false, change) + "\n"));
   };
   const auto client = ask(Ask());
   untilSeen("00000000000000a1");
   worker.peers[0]->send(reply("200 OK", "old"));
   untilGot(client, "old");
-  discovery.peers[0]->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  discovery.peers[0]->send(kWatchHead);
   tell(2, json::array({entry("s-1", other.text())}));
   until([&] { return worker.peers[0]->ended; }, "the old connection ends");
   client->send(Ask().text());
--- a/tests/loopback.hpp
+++ b/tests/loopback.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "node/gatekeeper.hpp"
 
@@ -92,6 +93,14 @@
   return json{{"generation", generation}, {"reset", reset}, {"instances", instances}}.dump();
 }
 
+// What discovery writes: the head of a watch's answer, and a piece of it.
+inline const std::string kWatchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline std::string chunk(const std::string& text) {
+  std::ostringstream size;
+  size << std::hex << text.size();
+  return size.str() + "\r\n" + text + "\r\n";
+}
+
 inline json settingsJson() {
   return json::parse(R"({
     "me": 0, "nInstances": 2, "locality": 0, "localities": ["a", "b"], "shapes": ["m"],
