--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -20,7 +20,8 @@
 enum class Repeat { safe, keyed, unsafe };
 enum class Scope { all, zone, cell };
 enum class Phase { gone, ready, draining };
-enum class Result { ok, error, full, timeout, connectFailed, reset, cancelled, moot };
+// spoilt: an answer came and is of no use. It has run, and that says nothing of the worker.
+enum class Result { ok, error, full, timeout, connectFailed, reset, cancelled, moot, spoilt };
 
 struct ClassSettings {
   Time aim = 0;       // an answer within this earns full worth
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -2,7 +2,7 @@
 //
 // Reading order: the tuned values; Core's events at the end of its class (request, outcome, members, timer);
 // then the sections they call: 1 quota, 2 guards (ceiling, cold workers, drains), 3 server choice and
-// health, 4 attempts and final answers. Why each departs from the source design: docs/design.md.
+// health, 4 attempts and final answers. Why each departs from the source design stands where it does.
 #include "irisring/decide.hpp"
 
 #include <algorithm>
@@ -662,7 +662,7 @@
       w.fullUntil = now + w.fullFor;
       return;
     }
-    if (result == Result::cancelled || result == Result::moot) return;
+    if (result == Result::cancelled || result == Result::moot || result == Result::spoilt) return;
     if (result == Result::ok || result == Result::error || result == Result::timeout) {
       if (result == Result::ok) {
         Time& base = base_[flight.klass];
--- /dev/null
+++ b/src/node/budget.hpp
@@ -0,0 +1,47 @@
+// The bytes of messages that the program holds, over all connections, and the most that they may come to.
+#pragma once
+
+#include <cstddef>
+
+namespace burlwind {
+
+class Budget {
+ public:
+  explicit Budget(std::size_t most) : most_(most) {}
+  Budget(const Budget&) = delete;
+  Budget& operator=(const Budget&) = delete;
+  std::size_t held() const { return held_; }
+
+  // What one connection holds; given back at its end.
+  class Share {
+   public:
+    explicit Share(Budget& budget) : budget_(budget) {}
+    ~Share() { shrinkTo(0); }
+    Share(const Share&) = delete;
+    Share& operator=(const Share&) = delete;
+
+    // Whether the connection may hold this much; if not, its share stays.
+    bool growTo(std::size_t bytes) {
+      if (bytes > mine_ && budget_.held_ - mine_ + bytes > budget_.most_) return false;
+      set(bytes);
+      return true;
+    }
+    void shrinkTo(std::size_t bytes) {
+      if (bytes < mine_) set(bytes);
+    }
+
+   private:
+    void set(std::size_t bytes) {
+      budget_.held_ += bytes - mine_;
+      mine_ = bytes;
+    }
+    Budget& budget_;
+    std::size_t mine_ = 0;
+  };
+
+ private:
+  const std::size_t most_;
+  std::size_t held_ = 0;
+};
+
+}  // namespace burlwind
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -1,43 +1,31 @@
 #include "node/call.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <optional>
 
 namespace burlwind {
 namespace {
 
+using Head = http::request_header<>;
+
 constexpr irisring::CustomerId kCustomers = irisring::CustomerId{1} << 33;
 constexpr double kMostPatience = 10 * 60 * 1000;
+constexpr std::size_t kHexDigits = 16;
 
-// The whole of a text as a number, or nothing.
-template <class T, class... Base>
-std::optional<T> number(std::string_view text, Base... base) {
-  T value{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base...);
-  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  return value;
-}
-
-std::string_view header(const ClientMessage& message, const char* name) { return view(message[name]); }
+std::string_view header(const Head& head, const char* name) { return view(head[name]); }
 
-// The part before the first `mark`; the text goes on behind it.
-std::string_view cut(std::string_view& text, char mark) {
-  const auto at = text.find(mark);
-  const auto part = text.substr(0, at);
-  text = at == std::string_view::npos ? std::string_view{} : text.substr(at + 1);
-  return part;
-}
-
-// The value of `name` in a list of name=value.
+// The value of `name` in a list of name=value; nothing where it is not there, or more than once.
 std::string_view valueOf(std::string_view list, char mark, std::string_view name) {
+  std::string_view found;
+  bool seen = false;
   while (!list.empty()) {
     std::string_view value = cut(list, mark);
-    while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-    if (cut(value, '=') == name) return value;
+    if (cut(value, '=') != name) continue;
+    if (std::exchange(seen, true)) return {};
+    found = value;
   }
-  return {};
+  return found;
 }
 
 std::optional<unsigned> indexOf(const std::vector<std::string>& names, std::string_view name) {
@@ -46,6 +34,10 @@
   return static_cast<unsigned>(found - names.begin());
 }
 
+std::optional<std::uint64_t> hex(std::string_view text) {
+  return text.size() == kHexDigits ? number<std::uint64_t>(text, 16) : std::nullopt;
+}
+
 bool readTerms(std::string_view terms, const irisring::Settings& settings, Call& call) {
   const auto units = number<double>(valueOf(terms, ',', "units"));
   const auto spread = number<unsigned>(valueOf(terms, ',', "spread"));
@@ -58,42 +50,57 @@
   return true;
 }
 
-bool methodFits(const ClientMessage& message, irisring::Repeat repeat) {
-  if (repeat == irisring::Repeat::safe) return message.method() == http::verb::get && message.body().empty();
-  return message.method() == http::verb::post &&
-         (repeat == irisring::Repeat::unsafe || !header(message, "Idempotency-Key").empty());
+// A request that names one of these twice means one thing to us and may mean another to a worker.
+bool serviceHeadersOnce(const Head& head) {
+  for (const char* name : {"Host", "Req-Id", "X-Tier", "Req-Deadline-Ms", "X-Call-Terms", "Idempotency-Key"})
+    if (countOf(head, name) > 1) return false;
+  return true;
+}
+
+bool bodyTold(const Head& head) {
+  return countOf(head, "Transfer-Encoding") > 0 ||
+         (countOf(head, "Content-Length") > 0 && header(head, "Content-Length") != "0");
+}
+
+bool methodFits(const Head& head, irisring::Repeat repeat) {
+  if (repeat == irisring::Repeat::safe) return head.method() == http::verb::get && !bodyTold(head);
+  return head.method() == http::verb::post &&
+         header(head, "Idempotency-Key").empty() == (repeat == irisring::Repeat::unsafe);
 }
 
 }  // namespace
 
-std::variant<Call, Rejection> readCall(const ClientMessage& message, const Config& config) {
+std::variant<Call, Rejection> readCall(const Head& head, const Config& config) {
   constexpr auto bad = http::status::bad_request;
-  std::string_view target = view(message.target());
+  if (!plainFraming(head)) return Rejection{bad, "the body's length is not told plainly"};
+  if (!serviceHeadersOnce(head)) return Rejection{bad, "a header is repeated"};
+  std::string_view target = view(head.target());
   const std::string_view path = cut(target, '?');
   if (path.size() < 2 || path.front() != '/') return Rejection{http::status::not_found, "no such path"};
   std::string_view rest = path.substr(1);
   const auto klass = indexOf(config.host.classes, cut(rest, '/'));
   // A request of the service names itself; whatever else asks for some path is told that there is none.
-  const bool named = !header(message, "Req-Id").empty();
+  const bool named = countOf(head, "Req-Id") > 0;
   if (!klass && !named) return Rejection{http::status::not_found, "no such path"};
   if (!klass) return Rejection{bad, "unknown class"};
-  if (!named) return Rejection{bad, "no Req-Id"};
+  const auto id = hex(header(head, "Req-Id"));
+  if (!id) return Rejection{bad, "bad Req-Id"};
   Call call;
+  call.id = *id;
   call.klass = *klass;
-  if (!methodFits(message, config.settings.classes[*klass].repeat))
+  if (!methodFits(head, config.settings.classes[*klass].repeat))
     return Rejection{bad, "the method, body or Idempotency-Key does not fit the class"};
-  const auto plan = indexOf(config.host.plans, header(message, "X-Tier"));
+  const auto plan = indexOf(config.host.plans, header(head, "X-Tier"));
   if (!plan) return Rejection{bad, "unknown plan"};
   call.plan = *plan;
-  const std::string_view key = valueOf(target, '&', "client");
-  const auto customer = number<irisring::CustomerId>(key, 16);
-  if (key.size() != 16 || !customer || *customer >= kCustomers) return Rejection{bad, "bad customer"};
+  const auto customer = hex(valueOf(target, '&', "client"));
+  if (!customer || *customer >= kCustomers) return Rejection{bad, "bad customer"};
   call.customer = *customer;
-  const auto patience = number<std::uint64_t>(header(message, "Req-Deadline-Ms"));
+  const auto patience = number<std::uint64_t>(header(head, "Req-Deadline-Ms"));
   if (!patience || *patience < 1 || static_cast<double>(*patience) > kMostPatience)
     return Rejection{bad, "bad Req-Deadline-Ms"};
   call.patience = static_cast<double>(*patience);
-  if (!readTerms(header(message, "X-Call-Terms"), config.settings, call))
+  if (!readTerms(header(head, "X-Call-Terms"), config.settings, call))
     return Rejection{bad, "bad X-Call-Terms"};
   return call;
 }
--- a/src/node/call.hpp
+++ b/src/node/call.hpp
@@ -1,6 +1,7 @@
 // A client's request, read and checked: what the module is asked, and what goes on to a worker.
 #pragma once
 
+#include <cstdint>
 #include <variant>
 
 #include "node/config.hpp"
@@ -11,6 +12,7 @@
 using ClientMessage = http::request<http::string_body>;
 
 struct Call {
+  std::uint64_t id = 0;  // the client's
   unsigned klass = 0;
   unsigned plan = 0;
   irisring::CustomerId customer = 0;
@@ -24,6 +26,7 @@
   std::string_view why;
 };
 
-std::variant<Call, Rejection> readCall(const ClientMessage& message, const Config& config);
+// By the head alone, so that what is wrong is turned away before its body comes.
+std::variant<Call, Rejection> readCall(const http::request_header<>& head, const Config& config);
 
 }  // namespace burlwind
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -15,9 +15,11 @@
 using Clock = std::chrono::steady_clock;
 using namespace std::chrono_literals;
 
-constexpr std::size_t kMostAhead = 16 * 1024;  // read of what follows a request that is held
-constexpr auto kAcceptPause = 50ms;            // after an accept that failed for want of descriptors
-constexpr auto kHalfSentAtStop = 500ms;        // what is left to a half-sent request once nobody accepts
+constexpr std::size_t kMostAhead = 4 * 1024;  // read of what follows a request that is held
+constexpr std::size_t kMostMarks = 16;        // of when that came
+constexpr auto kAcceptPause = 50ms;           // after an accept that failed for want of descriptors
+constexpr auto kHalfSentAtStop = 500ms;       // what is left to a half-sent request once nobody accepts
+constexpr irisring::Time kFullRetryAfter = 1000;
 
 std::string seconds(irisring::Time ms) {
   char text[32];
@@ -31,43 +33,69 @@
   return http::status::bad_request;
 }
 
+// When bytes came that were read ahead. A request's time counts from its last byte, also while it waits
+// behind another one.
+class Arrivals {
+ public:
+  void note(std::size_t upTo, Clock::time_point at) {
+    if (marks_.size() < kMostMarks)
+      marks_.push_back({upTo, at});
+    else
+      marks_.back().upTo = upTo;  // held to have come earlier than it did
+  }
+  // The time of the byte that ends at `upTo`; `latest` if it was not read ahead. Forgets what came before it.
+  Clock::time_point of(std::size_t upTo, Clock::time_point latest) {
+    std::erase_if(marks_, [&](const Mark& mark) { return mark.upTo < upTo; });
+    return marks_.empty() ? latest : marks_.front().at;
+  }
+
+ private:
+  struct Mark {
+    std::size_t upTo;
+    Clock::time_point at;
+  };
+  std::vector<Mark> marks_;
+};
+
 }  // namespace
 
-// One client connection: one request at a time, in the order in which they come.
+// One client connection: one request at a time, in the order in which they come. A request is checked by its
+// head, so that what is wrong is turned away before its body has come; the connection ends with that.
 class ClientServer::Connection : public Asker, public std::enable_shared_from_this<Connection> {
  public:
   Connection(ClientServer& server, tcp::socket socket)
-      : server_(server), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+      : server_(server), socket_(std::move(socket)), timer_(socket_.get_executor()), bytes_(server.budget_) {}
 
-  void start() {
+  void start(Connections::iterator at) {
+    at_ = at;
     Error ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
-    listen();
+    arm(server_.limits_.wholeWithin);
     read();
+    server_.accept();
   }
 
-  void answer(const Answer& answer) override {
+  void answer(Answer&& answer) override {
     if (state_ != State::held) return;
-    http::response<http::string_body> message(answer.status, 11, answer.body);
-    if (!answer.contentType.empty()) message.set(http::field::content_type, answer.contentType);
-    if (answer.retryAfter > 0) message.set(http::field::retry_after, seconds(answer.retryAfter));
+    http::response<http::empty_body> head(answer.status, 11);
+    if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
+    if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
     last_ = last_ || server_.draining_;
-    message.keep_alive(!last_);
-    message.prepare_payload();
+    head.keep_alive(!last_);
+    head.content_length(answer.body.size());
     state_ = State::answering;
-    append(out_, message);
+    append(out_, head);
+    body_ = std::move(answer.body);
+    bytes_.shrinkTo(in_.capacity() + body_.size());
     write();
   }
 
-  bool idle() const { return state_ == State::reading && !begun(); }
-  Clock::time_point idleSince() const { return idleSince_; }
-
   void close() {
     if (state_ == State::closed) return;
     const bool held = state_ == State::held;
-    abandon();
     const auto self = shared_from_this();
-    server_.remove(self);
+    abandon();
+    server_.remove(standing_, at_);
     if (held) server_.holder_.left(id_);
   }
 
@@ -77,12 +105,13 @@
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
+    bytes_.shrinkTo(0);
   }
 
   // Nobody accepts any more: ends a connection without a request, unless one has come unread.
   void finishUp() {
     Error error;
-    if (idle() && socket_.available(error) == 0) return close();
+    if (state_ == State::reading && !begun() && socket_.available(error) == 0) return close();
     if (state_ == State::reading) arm(kHalfSentAtStop);
   }
 
@@ -96,7 +125,13 @@
     };
   }
 
-  bool begun() const { return begun_ || in_.size() > 0; }
+  bool begun() const { return parser_ || in_.size() > 0; }
+
+  void stand(Standing standing) {
+    auto& to = server_.connections_[standing];
+    to.splice(to.end(), server_.connections_[standing_], at_);
+    standing_ = standing;
+  }
 
   void arm(std::chrono::milliseconds span) {
     timer_.expires_after(span);
@@ -113,12 +148,10 @@
   // Ready for the next request.
   void listen() {
     state_ = State::reading;
-    begun_ = false;
-    idleSince_ = Clock::now();
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(kMostBody);
-    parser_->header_limit(kMostHeader);
+    parser_.reset();
+    call_.reset();
+    bytes_.shrinkTo(in_.capacity());
+    stand(idle);
     arm(server_.limits_.idleFor);
     server_.accept();
   }
@@ -126,92 +159,154 @@
   // One read is pending in every state, so that the end of a client is seen while its request is held.
   void read() {
     reading_ = true;
+    if (in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
     socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
                               reading_ = false;
                               if (error) return close();
                               in_.commit(n);
-                              if (state_ == State::lingering) in_.clear();
-                              if (state_ == State::reading) parse();
-                              if (state_ != State::closed && in_.size() < kMostAhead) read();
+                              received_ += n;
+                              readAt_ = Clock::now();
+                              came(n);
+                              if (wantsMore()) read();
                             }));
   }
 
+  bool wantsMore() const {
+    return state_ == State::reading || (state_ != State::closed && in_.size() < kMostAhead);
+  }
+
+  void came(std::size_t n) {
+    if (state_ == State::reading) return parse();
+    if (state_ != State::lingering) return arrivals_.note(received_, readAt_);
+    in_.clear();
+    lingered_ += n;
+    if (lingered_ > server_.limits_.lingerBytes) close();
+  }
+
   void parse() {
-    if (!begun_ && in_.size() > 0) {
-      begun_ = true;
-      arm(server_.limits_.wholeWithin);
-    }
+    if (!parser_) begin();
     Error error;
+    if (!parser_->is_header_done()) {
+      const bool head = feed(*parser_, in_, error, Feed::head);
+      if (error) return reject({statusOf(error), "malformed request"});
+      if (!head || !welcome()) return;
+    }
     const bool done = feed(*parser_, in_, error);
-    if (error) {
-      last_ = true;
-      return reject({statusOf(error), "malformed request"});
+    if (error) return reject({statusOf(error), "malformed request"});
+    if (!fits(parser_->get().body().capacity())) return;
+    if (done) handle(parser_->release());
+  }
+
+  // A request's first byte.
+  void begin() {
+    if (standing_ == idle) {
+      stand(unfinished);
+      arm(server_.limits_.wholeWithin);
     }
-    if (!done) return sendContinue();
-    timer_.cancel();
-    handle(parser_->release());
+    parser_.emplace();
+    parser_->body_limit(kMostBody);
+    parser_->header_limit(kMostHeader);
+  }
+
+  // The head is whole. Whether the request may go on.
+  bool welcome() {
+    const auto& head = parser_->get();
+    last_ = !head.keep_alive();
+    if (!isHealth(head) && !call(head)) return false;
+    const auto length = parser_->content_length();
+    if (!fits(length ? static_cast<std::size_t>(*length) : 0)) return false;
+    if (beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) sendContinue();
+    return true;
+  }
+
+  static bool isHealth(const ClientMessage& message) {
+    return message.target() == "/health/ready" && plainFraming(message);
+  }
+
+  // Reads the head as one of the service, or rejects it.
+  bool call(const ClientMessage& message) {
+    const auto read = readCall(message, server_.config_);
+    if (const auto* wrong = std::get_if<Rejection>(&read)) return reject(*wrong), false;
+    call_ = std::get<Call>(read);
+    if (!server_.holder_.holds(call_->id)) return true;
+    return reject({http::status::conflict, "a request of this Req-Id is open"}), false;
+  }
+
+  // Whether there is room for a body of this size; else the client may come back.
+  bool fits(std::size_t body) {
+    if (bytes_.growTo(in_.capacity() + body)) return true;
+    last_ = true;
+    say(http::status::service_unavailable, "out of room", kFullRetryAfter);
+    return false;
   }
 
   void sendContinue() {
-    if (!parser_->is_header_done() || continued_) return;
-    continued_ = true;
-    if (!beast::iequals(parser_->get()[http::field::expect], "100-continue")) return;
-    http::response<http::empty_body> message(http::status::continue_, 11);
-    append(out_, message);
+    append(out_, http::response<http::empty_body>(http::status::continue_, 11));
     write();
   }
 
   void handle(ClientMessage&& message) {
-    continued_ = false;
-    last_ = !message.keep_alive();
-    if (message.target() == "/health/ready") return sayReady(message.method());
-    const auto call = readCall(message, server_.config_);
-    if (const auto* wrong = std::get_if<Rejection>(&call)) return reject(*wrong);
+    if (!call_) return sayReady(message.method());
+    // With the body, trailers may have brought more headers, and the same id may have come elsewhere.
+    if (!message.body().empty() && !call(message)) return;
+    timer_.cancel();
+    stand(busy);
+    const auto at = arrivals_.of(received_ - in_.size(), readAt_);
+    call_->patience -= std::chrono::duration<double, std::milli>(Clock::now() - at).count();
     state_ = State::held;
     id_ = server_.holder_.nextId();
-    server_.holder_.take(id_, std::get<Call>(call), std::move(message), shared_from_this());
+    server_.holder_.take(id_, *call_, std::move(message), shared_from_this());
   }
 
   void sayReady(http::verb method) {
     if (method != http::verb::get) return reject({http::status::method_not_allowed, "only GET"});
     const bool ready = server_.holder_.ready() && !server_.draining_;
-    reject({ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready"});
+    say(ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready");
   }
 
-  // An answer from here: the request never reaches the holder.
   void reject(const Rejection& why) {
-    if (why.status == http::status::request_timeout) last_ = true;
+    last_ = true;
+    say(why.status, why.why);
+  }
+
+  // An answer from here: the request never reaches the holder.
+  void say(http::status status, std::string_view what, irisring::Time retryAfter = 0) {
     state_ = State::held;
     Answer text;
-    text.status = why.status;
-    text.body = std::string(why.why) + "\n";
-    answer(text);
+    text.status = status;
+    text.body = std::string(what) + "\n";
+    text.retryAfter = retryAfter;
+    answer(std::move(text));
   }
 
   void write() {
     if (!writing_.empty()) return;
     writing_.swap(out_);
-    if (state_ == State::answering) arm(server_.limits_.writeWithin);
-    asio::async_write(socket_, asio::buffer(writing_), guard([this](const Error& error, std::size_t) {
+    const bool whole = state_ == State::answering;
+    if (whole) arm(server_.limits_.writeWithin);
+    const std::array<asio::const_buffer, 2> all{asio::buffer(writing_),
+                                                whole ? asio::buffer(body_) : asio::const_buffer{}};
+    asio::async_write(socket_, all, guard([this, whole](const Error& error, std::size_t) {
                         if (error) return close();
-                        written();
+                        writing_.clear();
+                        if (whole) return written();
+                        if (!out_.empty()) write();
                       }));
   }
 
   void written() {
-    writing_.clear();
-    if (!out_.empty()) return write();
-    if (state_ != State::answering) return;
+    body_ = {};
     if (last_) return linger();
     listen();
     if (in_.size() > 0) parse();
-    if (state_ != State::closed && !reading_ && in_.size() < kMostAhead) read();
+    if (!reading_ && wantsMore()) read();
   }
 
   // The answer's end is told at once; the connection goes when the client has seen it, so that bytes that it
-  // was still sending do not reset what it has not read yet.
+  // was still sending do not reset what it has not read yet. A client that just goes on sending is cut off.
   void linger() {
     state_ = State::lingering;
+    stand(unfinished);
     Error ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     in_.clear();
@@ -222,29 +317,37 @@
   ClientServer& server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  Budget::Share bytes_;
   beast::flat_buffer in_;
-  std::optional<http::request_parser<http::string_body>> parser_;
-  std::string out_, writing_;
+  std::optional<http::request_parser<http::string_body>> parser_;  // from a request's first byte on
+  std::optional<Call> call_;                                       // once its head is read
+  std::string out_, writing_, body_;
   State state_ = State::reading;
-  Clock::time_point idleSince_;
+  Standing standing_ = unfinished;
+  Connections::iterator at_;
+  Arrivals arrivals_;
+  std::size_t received_ = 0;  // bytes, ever
+  std::size_t lingered_ = 0;
+  Clock::time_point readAt_;
   irisring::RequestId id_ = 0;
-  bool begun_ = false;      // a request's first byte has come
-  bool continued_ = false;  // 100 Continue was considered
-  bool last_ = false;       // the connection ends with the next answer
+  bool last_ = false;  // the connection ends with the next answer
   bool reading_ = false;
 };
 
-ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Holder& holder)
-    : config_(config), limits_(limits), holder_(holder), acceptor_(io), pause_(io) {}
+ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
+                           Holder& holder)
+    : config_(config), limits_(limits), budget_(budget), holder_(holder), acceptor_(io), pause_(io) {}
 
 ClientServer::~ClientServer() {
-  for (const auto& connection : connections_) connection->abandon();
+  for (const auto& list : connections_)
+    for (const auto& connection : list) connection->abandon();
 }
 
 void ClientServer::start() {
   try {
     acceptor_.open(config_.listen.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.set_option(tcp::acceptor::receive_buffer_size(kReceiveBuffer));  // connections inherit it
     acceptor_.bind(config_.listen);
     acceptor_.listen();
     acceptor_.non_blocking(true);
@@ -254,9 +357,15 @@
   accept();
 }
 
-// At the limit an idle connection makes room for one that comes, but not before it does; where none is idle,
-// the next one to turn idle or end does.
-bool ClientServer::hasRoom() const { return connections_.size() < limits_.connections || oldestIdle(); }
+std::size_t ClientServer::connections() const {
+  std::size_t sum = 0;
+  for (const auto& list : connections_) sum += list.size();
+  return sum;
+}
+
+// At the limit an unfinished or idle connection makes room for one that comes, but not before it does; where
+// there is none, the next one to turn idle or end does.
+bool ClientServer::hasRoom() const { return connections() < limits_.connections || oldestToSpare(); }
 
 void ClientServer::accept() {
   if (accepting_ || !hasRoom()) return;
@@ -276,7 +385,7 @@
 
 // Out of descriptors: the connection stays in the machine's queue and would be reported again at once.
 void ClientServer::acceptLater() {
-  dropIdle();
+  dropOldest();
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](const Error& error) {
     if (!error) accept();
@@ -285,26 +394,25 @@
 
 void ClientServer::add(tcp::socket socket) {
   const auto connection = std::make_shared<Connection>(*this, std::move(socket));
-  if (connections_.size() >= limits_.connections) dropIdle();
-  connections_.insert(connection);
-  connection->start();  // goes on to accept
+  if (connections() >= limits_.connections) dropOldest();
+  auto& list = connections_[unfinished];
+  connection->start(list.insert(list.end(), connection));  // goes on to accept
 }
 
-void ClientServer::remove(const std::shared_ptr<Connection>& connection) {
-  connections_.erase(connection);
+void ClientServer::remove(Standing standing, Connections::iterator connection) {
+  connections_[standing].erase(connection);
   accept();
-  if (connections_.empty() && !acceptor_.is_open() && done_) done_();
+  endIfEmpty();
 }
 
-std::shared_ptr<ClientServer::Connection> ClientServer::oldestIdle() const {
-  std::shared_ptr<Connection> oldest;
-  for (const auto& connection : connections_)
-    if (connection->idle() && (!oldest || connection->idleSince() < oldest->idleSince())) oldest = connection;
-  return oldest;
+std::shared_ptr<ClientServer::Connection> ClientServer::oldestToSpare() const {
+  for (const Standing standing : {unfinished, idle})
+    if (!connections_[standing].empty()) return connections_[standing].front();
+  return nullptr;
 }
 
-void ClientServer::dropIdle() {
-  if (const auto oldest = oldestIdle()) oldest->close();
+void ClientServer::dropOldest() {
+  if (const auto oldest = oldestToSpare()) oldest->close();
 }
 
 void ClientServer::stopAccepting() {
@@ -319,12 +427,18 @@
   Error ignored;
   acceptor_.close(ignored);
   pause_.cancel();
-  for (const auto& connection : std::vector(connections_.begin(), connections_.end())) connection->finishUp();
+  std::vector<std::shared_ptr<Connection>> all;
+  for (const auto& list : connections_) all.insert(all.end(), list.begin(), list.end());
+  for (const auto& connection : all) connection->finishUp();
 }
 
 void ClientServer::whenEmpty(std::function<void()> done) {
   done_ = std::move(done);
-  if (connections_.empty() && !acceptor_.is_open()) done_();
+  endIfEmpty();
+}
+
+void ClientServer::endIfEmpty() {
+  if (connections() == 0 && !acceptor_.is_open() && done_) done_();
 }
 
 }  // namespace burlwind
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -1,16 +1,19 @@
 // The clients' side: the listener, client connections, readiness, and the writing of answers.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_set>
 
+#include "node/budget.hpp"
 #include "node/call.hpp"
 #include "node/http.hpp"
 
@@ -28,7 +31,7 @@
  public:
   virtual ~Asker() = default;
   // The final answer, once for each request held.
-  virtual void answer(const Answer& answer) = 0;
+  virtual void answer(Answer&& answer) = 0;
 };
 
 // What takes the requests.
@@ -36,6 +39,8 @@
  public:
   virtual ~Holder() = default;
   virtual bool ready() const = 0;
+  // Whether a request that the client calls so is held.
+  virtual bool holds(std::uint64_t clientsId) const = 0;
   // The asker is answered once, maybe before this returns.
   virtual irisring::RequestId nextId() = 0;
   virtual void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
@@ -48,13 +53,17 @@
  public:
   struct Limits {
     std::size_t connections = 480;
-    std::chrono::milliseconds idleFor{75000};
-    std::chrono::milliseconds wholeWithin{10000};  // a request, from its first byte
+    std::chrono::milliseconds idleFor{8000};  // between requests
+    // A request, from its first byte; the first one from the connection's begin. What is not whole by then is
+    // owed an answer or an end within 3 s.
+    std::chrono::milliseconds wholeWithin{2500};
     std::chrono::milliseconds writeWithin{10000};
-    std::chrono::milliseconds lingerFor{1000};
+    std::chrono::milliseconds lingerFor{400};
+    std::size_t lingerBytes = 64 * 1024;
   };
 
-  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Holder& holder);
+  ClientServer(boost::asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
+               Holder& holder);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -69,23 +78,31 @@
   // Called as soon as no connection is left.
   void whenEmpty(std::function<void()> done);
 
+  std::size_t connections() const;
+
  private:
   class Connection;
+  using Connections = std::list<std::shared_ptr<Connection>>;
+  // What a connection is at, in the order in which they make room: no whole request yet, or its end; between
+  // two requests; a request held or answered.
+  enum Standing : std::size_t { unfinished, idle, busy };
 
+  std::shared_ptr<Connection> oldestToSpare() const;
   bool hasRoom() const;
   void accept();
   void acceptLater();
   void add(boost::asio::ip::tcp::socket socket);
-  void remove(const std::shared_ptr<Connection>& connection);
-  std::shared_ptr<Connection> oldestIdle() const;
-  void dropIdle();
+  void remove(Standing standing, Connections::iterator connection);
+  void dropOldest();
+  void endIfEmpty();
 
   const Config& config_;
   const Limits limits_;
+  Budget& budget_;
   Holder& holder_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
-  std::unordered_set<std::shared_ptr<Connection>> connections_;
+  std::array<Connections, 3> connections_;               // by standing; the longest so first
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   std::function<void()> done_;
   bool accepting_ = false;  // an accept is pending
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -14,6 +14,7 @@
 using nlohmann::json;
 
 constexpr unsigned kLeastSockets = 64;
+constexpr unsigned kLeastMemoryMb = 16;
 
 [[noreturn]] void bad(const std::string& what) { throw std::runtime_error("configuration: " + what); }
 
@@ -64,12 +65,12 @@
   return found->get<std::string>();
 }
 
-unsigned readSockets(const json& file) {
-  const json::json_pointer at("/limits/sockets");
-  if (!file.contains(at)) return Config{}.sockets;
+unsigned readLimit(const json& file, const std::string& name, unsigned least, unsigned untold) {
+  const json::json_pointer at("/limits/" + name);
+  if (!file.contains(at)) return untold;
   const json& value = file.at(at);
-  if (!value.is_number() || value.get<double>() < kLeastSockets)
-    bad("limits.sockets is not a number of at least " + std::to_string(kLeastSockets));
+  if (!value.is_number() || !(value.get<double>() >= least))
+    bad("limits." + name + " is not a number of at least " + std::to_string(least));
   return static_cast<unsigned>(std::min(value.get<double>(), 1e6));
 }
 
@@ -79,7 +80,8 @@
   out.listen = parseEndpoint(textOf(file, "listen"));
   out.discovery = parseEndpoint(textOf(file, "discovery"));
   if (file.contains("seed")) out.seed = parseSeed(textOf(file, "seed"));
-  out.sockets = readSockets(file);
+  out.sockets = readLimit(file, "sockets", kLeastSockets, out.sockets);
+  out.memoryMb = readLimit(file, "memory_mb", kLeastMemoryMb, out.memoryMb);
   if (file.contains("known")) out.known = file["known"].dump();
   if (!file.contains("settings") || !file["settings"].is_object()) bad("settings is missing");
   std::string lines;
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -16,7 +16,8 @@
   boost::asio::ip::tcp::endpoint discovery;
   std::uint64_t seed = 0;
   unsigned sockets = 1024;  // file descriptors that the process may hold
-  std::string known;        // the list of workers as last had, in discovery's form; may be old
+  unsigned memoryMb = 192;
+  std::string known;  // the list of workers as last had, in discovery's form; may be old
   irisring::Settings settings;
   irisring::HostSettings host;
 };
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -19,9 +19,11 @@
 
 constexpr Time kWayBack =
     10;  // ms kept for the way back; measured within the program: 0.4 at the 99th percentile
-constexpr unsigned kSparedSockets = 24;   // descriptors for the listener, discovery, timers, standard streams
-constexpr double kIdleShare = 0.8;        // of the time that a worker keeps an idle connection
-constexpr auto kAcceptAfterTerm = 500ms;  // connections go on coming for up to 400 ms after SIGTERM
+constexpr unsigned kSparedSockets = 24;  // descriptors for the listener, discovery, timers, standard streams
+constexpr unsigned kOwnMegabytes = 12;   // the program, the module's customers, connections without messages
+constexpr unsigned kLeastMegabytes = 4;
+constexpr double kIdleShare = 0.8;         // of the time that a worker keeps an idle connection
+constexpr auto kAcceptAfterTerm = 500ms;   // connections go on coming for up to 400 ms after SIGTERM
 constexpr auto kAnswerAfterTerm = 3400ms;  // a request held so long is failed: the end may come at 3.7 s
 
 std::chrono::steady_clock::duration span(Time ms) {
@@ -33,6 +35,12 @@
   return std::max<std::size_t>(8, (config.sockets - std::min(config.sockets / 2, kSparedSockets)) / 2);
 }
 
+// Half of what the program itself does not need, since what is held is not all that it takes to hold it.
+std::size_t bytesOfMessages(const Config& config) {
+  return (config.memoryMb - std::min(config.memoryMb - kLeastMegabytes, kOwnMegabytes)) *
+         (std::size_t{1} << 20) / 2;
+}
+
 WorkerPool::Limits poolLimits(const Config& config) {
   WorkerPool::Limits out;
   out.connectTimeout = std::chrono::milliseconds(std::lround(std::max(1.0, config.host.connectTimeout)));
@@ -50,6 +58,21 @@
 // The same number at every gatekeeper, whatever the address: they all run this program.
 WorkerId numberOf(const std::string& instanceId) { return std::hash<std::string>{}(instanceId); }
 
+// Makes what goes on of a client's request, once for all attempts. What concerns only the client's connection
+// stays behind.
+void prepare(ClientMessage& message, std::string& head, std::shared_ptr<const std::string>& body) {
+  for (const auto field : {http::field::connection, http::field::keep_alive, http::field::te,
+                           http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
+                           http::field::expect, http::field::proxy_connection})
+    message.erase(field);
+  message.erase("Req-Deadline-Ms");
+  message.version(11);
+  if (message.method() != http::verb::get) message.content_length(message.body().size());
+  body = std::make_shared<const std::string>(std::move(message.body()));
+  append(head, http::request<http::empty_body>(std::move(message.base())));
+  head.resize(head.size() - 2);  // goes on with the deadline
+}
+
 unsigned indexOf(const std::vector<std::string>& names, const std::string& name) {
   return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
 }
@@ -59,9 +82,10 @@
 Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config)
     : io_(io),
       config_(config),
-      pool_(io, poolLimits(config), config.settings.reportFields,
+      budget_(bytesOfMessages(config)),
+      pool_(io, poolLimits(config), budget_, config.settings.reportFields,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
-      server_(io, config_, serverLimits(config), *this),
+      server_(io, config_, serverLimits(config), budget_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       drain_(io) {
   long long from = -1;
@@ -116,6 +140,8 @@
                       const std::shared_ptr<Asker>& asker) {
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
+  held.clientsId = call.id;
+  clientsIds_.insert(call.id);
   held.message = std::move(message);
   held.asker = asker;
   held.expires = now + std::max(0.0, call.patience - kWayBack);
@@ -127,7 +153,9 @@
 }
 
 void Gatekeeper::left(RequestId id) {
-  if (held_.erase(id) == 0) return;
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  release(found);
   gateway_.clientLeft(clock_.now(), id);
   if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
 }
@@ -164,7 +192,7 @@
     Answer served;
     served.body = std::move(end.body);
     served.contentType = std::move(end.contentType);
-    answer(outcome.id, served);
+    answer(outcome.id, std::move(served));
   }
   gateway_.outcome(clock_.now(), outcome);
 }
@@ -216,7 +244,11 @@
   if (left <= 0) return reportMoot(id, held.attempts++, worker);
   const bool early = timeout > 0 && timeout < left;
   const Time wait = early ? timeout : left;
-  pool_.start(id, held.attempts++, worker, attemptBytes(held, wait),
+  if (!held.body) prepare(held.message, held.head, held.body);
+  Message message{held.head, held.body};
+  message.head +=
+      "Req-Deadline-Ms: " + std::to_string(std::max(1L, std::lround(std::floor(wait)))) + "\r\n\r\n";
+  pool_.start(id, held.attempts++, worker, std::move(message),
               early ? std::optional(span(timeout)) : std::nullopt);
 }
 
@@ -235,14 +267,14 @@
   refusal.status = http::status::too_many_requests;
   refusal.body = "refused: try again later\n";
   refusal.retryAfter = retryAfter;
-  answer(id, refusal);
+  answer(id, std::move(refusal));
 }
 
 void Gatekeeper::fail(RequestId id) {
   Answer failure;
   failure.status = http::status::bad_gateway;
   failure.body = "failed\n";
-  answer(id, failure);
+  answer(id, std::move(failure));
 }
 
 void Gatekeeper::setTimer(Time wait, std::uint64_t tag) {
@@ -256,27 +288,17 @@
 void Gatekeeper::log(const std::string& line) { std::fprintf(stderr, "burlwind: %s\n", line.c_str()); }
 
 // The final answer. What comes later for this request finds nothing.
-void Gatekeeper::answer(RequestId id, const Answer& answer) {
+void Gatekeeper::answer(RequestId id, Answer&& answer) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   const auto asker = std::move(found->second.asker);
-  held_.erase(found);
-  asker->answer(answer);
+  release(found);
+  asker->answer(std::move(answer));
 }
 
-// The client's request with the time that is left; what concerns only the client's connection stays behind.
-std::string Gatekeeper::attemptBytes(const Held& held, Time wait) const {
-  ClientMessage message = held.message;
-  for (const auto field : {http::field::connection, http::field::keep_alive, http::field::te,
-                           http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
-                           http::field::expect, http::field::proxy_connection})
-    message.erase(field);
-  message.version(11);
-  message.set("Req-Deadline-Ms", std::to_string(std::max(1L, std::lround(std::floor(wait)))));
-  message.prepare_payload();
-  std::string out;
-  append(out, message);
-  return out;
+void Gatekeeper::release(std::unordered_map<RequestId, Held>::iterator held) {
+  clientsIds_.erase(held->second.clientsId);
+  held_.erase(held);
 }
 
 }  // namespace burlwind
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -50,7 +50,10 @@
  private:
   struct Held {
     Held(boost::asio::io_context& io) : deadline(io) {}
-    ClientMessage message;
+    std::uint64_t clientsId = 0;
+    ClientMessage message;  // until the first attempt, which makes the next two of it
+    std::string head;       // as it goes on, but for the deadline
+    std::shared_ptr<const std::string> body;
     std::shared_ptr<Asker> asker;
     irisring::Time expires = 0;
     boost::asio::steady_timer deadline;
@@ -58,6 +61,7 @@
   };
 
   // Holder
+  bool holds(std::uint64_t clientsId) const override { return clientsIds_.contains(clientsId); }
   irisring::RequestId nextId() override { return ++lastId_; }
   void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
             const std::shared_ptr<Asker>& asker) override;
@@ -78,16 +82,18 @@
   void expire(irisring::RequestId id);
   void giveUpAll();
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
-  void answer(irisring::RequestId id, const Answer& answer);
-  std::string attemptBytes(const Held& held, irisring::Time wait) const;
+  void answer(irisring::RequestId id, Answer&& answer);
+  void release(std::unordered_map<irisring::RequestId, Held>::iterator held);
 
   boost::asio::io_context& io_;
   Config config_;
   const ModuleClock clock_;
+  Budget budget_;
   WorkerPool pool_;
   ClientServer server_;
   std::unordered_set<irisring::WorkerId> listed_;
   std::unordered_map<irisring::RequestId, Held> held_;
+  std::unordered_set<std::uint64_t> clientsIds_;  // of what is held
   irisring::RequestId lastId_ = 0;
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
--- a/src/node/http.hpp
+++ b/src/node/http.hpp
@@ -1,13 +1,16 @@
-// What the sides of the program share of HTTP: Beast's parser fed from a buffer, and its serializer to text.
-// Every connection keeps one read pending and hands what comes to its parser, so that the end of a connection
-// is seen in every state.
+// What the sides of the program share of HTTP: Beast's parser fed from a buffer, its serializer to text, and
+// the checks of what Beast lets through. Every connection keeps one read pending and hands what comes to its
+// parser, so that the end of a connection is seen in every state.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,22 +24,68 @@
 constexpr std::size_t kMostBody = 64 * 1024;
 constexpr std::size_t kMostHeader = 16 * 1024;
 constexpr std::size_t kReadStep = 4096;
+// Of the machine's memory for what a peer has sent and nobody has read yet; doubled by the system. Left to
+// itself that grows to megabytes a connection while a peer sends at full speed.
+constexpr int kReceiveBuffer = 32 * 1024;
 
 inline std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 
-// Feeds what has been read; true once the message is whole. What follows it stays in the buffer.
+// The whole of a text as a number, or nothing.
+template <class T, class... Base>
+std::optional<T> number(std::string_view text, Base... base) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base...);
+  if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+// The part before the first `mark`, without blanks ahead of it; the text goes on behind the mark.
+inline std::string_view cut(std::string_view& text, char mark) {
+  const auto at = text.find(mark);
+  auto part = text.substr(0, at);
+  text = at == std::string_view::npos ? std::string_view{} : text.substr(at + 1);
+  part.remove_prefix(std::min(part.find_first_not_of(' '), part.size()));
+  return part;
+}
+
+enum class Feed { head, whole };
+
+// Feeds what has been read; true once the head, or the whole message, is there. What follows stays in the
+// buffer.
 template <class Parser>
-bool feed(Parser& parser, beast::flat_buffer& in, Error& error) {
-  while (!parser.is_done() && in.size() > 0) {
+bool feed(Parser& parser, beast::flat_buffer& in, Error& error, Feed until = Feed::whole) {
+  const auto enough = [&] { return until == Feed::head ? parser.is_header_done() : parser.is_done(); };
+  parser.eager(until == Feed::whole);
+  while (!enough() && in.size() > 0) {
     const std::size_t used = parser.put(in.data(), error);
     in.consume(used);
     if (error == http::error::need_more) {
       error = {};
+      // Beast waits for the end of a chunk's head for as long as one likes.
+      if (used == 0 && in.size() >= kMostHeader) error = http::error::header_limit;
       if (used == 0) return false;
     }
     if (error) return false;
   }
-  return parser.is_done();
+  return enough();
+}
+
+template <class Fields>
+std::size_t countOf(const Fields& fields, beast::string_view name) {
+  const auto range = fields.equal_range(name);
+  return static_cast<std::size_t>(std::distance(range.first, range.second));
+}
+
+// Whether the fields tell a message's length in one way, and plainly: at most one Content-Length of digits
+// alone, or at most one Transfer-Encoding that is `chunked` and nothing else. What two readers may read in
+// two ways can hide a message in another's body.
+template <class Fields>
+bool plainFraming(const Fields& fields) {
+  const std::size_t lengths = countOf(fields, "Content-Length"),
+                    codings = countOf(fields, "Transfer-Encoding");
+  if (lengths + codings > 1) return false;
+  if (lengths == 1) return number<std::uint64_t>(view(fields["Content-Length"])).has_value();
+  return codings == 0 || beast::iequals(fields["Transfer-Encoding"], "chunked");
 }
 
 template <bool isRequest, class Body>
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -1,9 +1,10 @@
 #include "node/worker_pool.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <charconv>
+#include <cmath>
 
 namespace burlwind {
 namespace {
@@ -15,34 +16,46 @@
 using irisring::WorkerId;
 using Clock = std::chrono::steady_clock;
 
-template <class T>
-bool parse(std::string_view text, T& value) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  return error == std::errc() && end == text.data() + text.size();
-}
+constexpr double kMostFigure = 1e6;  // of a load report
+constexpr int kMostPercent = 1000000;
+constexpr unsigned kMostInterim = 8;  // 1xx answers ahead of one
 
-// The figures of `inflight=7,queue=2,util=0.61` in the settings' order; none unless all are there.
+// The figures of `inflight=7,queue=2,util=0.61` in the settings' order; none unless all are there, each once
+// and such that it can be so. What the module takes in once stays in its means.
 std::vector<double> readReport(std::string_view text, const std::vector<std::string>& fields) {
-  std::vector<double> out(fields.size());
+  std::vector<double> out(fields.size(), -1);
   std::size_t found = 0;
   while (!text.empty()) {
-    const auto comma = text.find(',');
-    std::string_view pair = text.substr(0, comma);
-    text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
-    while (!pair.empty() && pair.front() == ' ') pair.remove_prefix(1);
-    const auto sign = pair.find('=');
-    const auto field = std::find(fields.begin(), fields.end(), pair.substr(0, sign));
-    if (sign == std::string_view::npos || field == fields.end()) continue;
-    found += parse(pair.substr(sign + 1), out[static_cast<std::size_t>(field - fields.begin())]);
+    std::string_view value = cut(text, ',');
+    const auto field = std::find(fields.begin(), fields.end(), cut(value, '='));
+    if (field == fields.end()) continue;
+    const auto figure = number<double>(value);
+    double& place = out[static_cast<std::size_t>(field - fields.begin())];
+    if (!figure || !std::isfinite(*figure) || *figure < 0 || *figure > kMostFigure || place >= 0) return {};
+    place = *figure;
+    ++found;
   }
-  return found == fields.size() && found > 0 ? out : std::vector<double>{};
+  return found == fields.size() ? out : std::vector<double>{};
+}
+
+// A header that can be read in one way only; else nothing.
+std::string_view only(const http::fields& fields, const char* name) {
+  return countOf(fields, name) == 1 ? view(fields[name]) : std::string_view{};
 }
 
 Result resultOf(const http::response<http::string_body>& answer) {
   if (answer.result() == http::status::ok) return Result::ok;
   const bool busy = answer.result() == http::status::service_unavailable ||
                     answer.result() == http::status::gateway_timeout;
-  return busy && view(answer["Srv-Declined"]) == "1" ? Result::full : Result::error;
+  return busy && only(answer, "Srv-Declined") == "1" ? Result::full : Result::error;
+}
+
+// A want of this machine's own, which says nothing of the worker.
+bool isLocal(const Error& error) {
+  using namespace boost::system;
+  return error == asio::error::no_descriptors || error == errc::too_many_files_open_in_system ||
+         error == asio::error::no_buffer_space || error == asio::error::no_memory ||
+         error == errc::address_not_available;
 }
 
 double unixNow() {
@@ -57,26 +70,30 @@
 class WorkerPool::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(WorkerPool& pool, WorkerId to, const tcp::endpoint& at)
-      : worker(to), address(at), openedAtMs(unixNow()), pool_(pool), socket_(pool.io_), timer_(pool.io_) {}
+      : worker(to),
+        address(at),
+        openedAtMs(unixNow()),
+        pool_(pool),
+        socket_(pool.io_),
+        timer_(pool.io_),
+        bytes_(pool.budget_) {}
 
   const WorkerId worker;
   const tcp::endpoint address;
   const double openedAtMs;
 
-  void begin(RequestId id, unsigned attempt, std::string bytes, std::optional<Clock::duration> timeout) {
+  void begin(RequestId id, unsigned attempt, Message message, std::optional<Clock::duration> timeout) {
     outcome_ = Outcome{};
     outcome_.id = id;
     outcome_.attempt = attempt;
     outcome_.worker = worker;
     startedAt_ = Clock::now();
     giveUpAt_ = timeout ? startedAt_ + *timeout : Clock::time_point::max();
-    out_ = std::move(bytes);
+    out_ = std::move(message);
     written_ = false;
     busy_ = true;
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(kMostBody);
-    parser_->header_limit(kMostHeader);
+    interim_ = 0;
+    await();
     if (up_)
       write();
     else
@@ -85,8 +102,9 @@
 
   // The end of the attempt that is out, as seen from here, if it is given up now.
   Outcome stop(Result result) {
+    const bool sent = written_ || result == Result::cancelled || result == Result::moot;
     busy_ = false;
-    outcome_.result = written_ || result == Result::cancelled ? result : Result::connectFailed;
+    outcome_.result = sent ? result : Result::connectFailed;
     stamp();
     return outcome_;
   }
@@ -98,12 +116,15 @@
   bool spoiled() {
     char byte;
     Error error;
-    socket_.non_blocking(true, error);
     socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
     return error != asio::error::would_block;
   }
 
+  // Idle from now on; it holds no more than it must.
   void rest() {
+    parser_.reset();
+    out_ = {};
+    bytes_.shrinkTo(0);
     giveUpAt_ = Clock::now() + pool_.limits_.idleFor;
     arm(giveUpAt_);
   }
@@ -113,6 +134,7 @@
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
+    bytes_.shrinkTo(0);
   }
 
  private:
@@ -139,57 +161,100 @@
   }
 
   void expire() {
-    if (busy_)
-      end(up_ ? Result::timeout : Result::connectFailed);
-    else
-      pool_.drop(*this);
+    if (!busy_) return pool_.drop(*this);
+    if (!up_) return end(Result::connectFailed);
+    end(answering_ && Clock::now() < giveUpAt_ ? Result::spoilt : Result::timeout);
+  }
+
+  // Ready for an answer.
+  void await() {
+    answering_ = false;
+    parser_.emplace();
+    parser_->body_limit(kMostBody);
+    parser_->header_limit(kMostHeader);
   }
 
   void connect() {
+    Error error;
+    socket_.open(address.protocol(), error);
+    if (!error) socket_.set_option(tcp::socket::receive_buffer_size(kReceiveBuffer), error);
+    if (error)
+      return asio::post(pool_.io_, [self = shared_from_this(), this, error] {
+        if (!closed_) notUp(error);
+      });
     arm(std::min(giveUpAt_, startedAt_ + pool_.limits_.connectTimeout));
-    socket_.async_connect(address, guard([this](const Error& error, std::size_t) {
-                            if (error) return end(Result::connectFailed);
+    socket_.async_connect(address, guard([this](const Error& failed, std::size_t) {
+                            if (failed) return notUp(failed);
                             Error ignored;
                             socket_.set_option(tcp::no_delay(true), ignored);
+                            socket_.non_blocking(true, ignored);
                             up_ = true;
                             read();
                             write();
                           }));
   }
 
+  void notUp(const Error& error) { end(isLocal(error) ? Result::moot : Result::connectFailed); }
+
+  // From here on the request may have run, unless the system tells that its last byte was not written: the
+  // system takes it in within this call, however much later the handler runs.
   void write() {
     arm(giveUpAt_);
-    asio::async_write(socket_, asio::buffer(out_), guard([this](const Error& error, std::size_t) {
-                        if (!busy_) return;
-                        if (error) return end(Result::connectFailed);
-                        written_ = true;
+    written_ = writing_ = true;
+    const std::string_view body = out_.body ? std::string_view(*out_.body) : std::string_view{};
+    const std::array<asio::const_buffer, 2> all{asio::buffer(out_.head),
+                                                asio::buffer(body.data(), body.size())};
+    asio::async_write(socket_, all, guard([this](const Error& error, std::size_t) {
+                        writing_ = false;
+                        if (!error || !busy_) return;
+                        written_ = false;
+                        end(Result::connectFailed);
                       }));
   }
 
   void read() {
+    if (in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
     socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
                               in_.commit(n);
                               if (!busy_) return pool_.drop(*this);
-                              error ? broken() : take();
+                              error ? end(Result::reset) : take();
                             }));
   }
 
   void take() {
+    if (!answering_) {
+      answering_ = true;
+      arm(std::min(giveUpAt_, Clock::now() + pool_.limits_.answerWithin));
+    }
     Error error;
+    if (!parser_->is_header_done()) {
+      const bool head = feed(*parser_, in_, error, Feed::head);
+      if (error || (head && !readable())) return end(Result::spoilt);
+      if (head && parser_->get().result_int() < 200) return passOver();
+    }
     const bool done = feed(*parser_, in_, error);
-    if (error) return end(Result::error);
+    if (error || !bytes_.growTo(parser_->get().body().capacity() + in_.capacity()))
+      return end(Result::spoilt);
     if (done) return answered();
     read();
   }
 
-  // The worker has ended the connection; an answer that only this delimits is whole now.
-  void broken() {
-    Error error;
-    if (parser_->is_header_done() && parser_->need_eof()) {
-      parser_->put_eof(error);
-      if (!error && parser_->is_done()) return answered();
-    }
-    end(Result::reset);
+  // Whether the head tells where the answer ends. One that only the connection's end would tell may as well
+  // have been cut short: it is not served.
+  bool readable() {
+    const auto& head = parser_->get();
+    if (!plainFraming(head)) return false;
+    if (head.result() == http::status::switching_protocols) return false;
+    return !parser_->need_eof() || head.result_int() < 200;
+  }
+
+  // An interim answer; the one that counts is still to come.
+  void passOver() {
+    if (++interim_ > kMostInterim) return end(Result::spoilt);
+    await();
+    arm(giveUpAt_);
+    if (in_.size() > 0) return take();
+    read();
   }
 
   void answered() {
@@ -197,14 +262,13 @@
     AttemptEnd whole;
     outcome_.result = resultOf(answer);
     stamp();
-    int percent = 0;
-    if (parse(view(answer["X-RateLimit-Used"]), percent) && percent >= 0) outcome_.usePercent = percent;
-    outcome_.report = readReport(view(answer["Srv-Load"]), pool_.reportFields_);
+    const auto percent = number<int>(only(answer, "X-RateLimit-Used"));
+    if (percent && *percent >= 0 && *percent <= kMostPercent) outcome_.usePercent = *percent;
+    outcome_.report = readReport(only(answer, "Srv-Load"), pool_.reportFields_);
     whole.outcome = outcome_;
     whole.contentType = std::string(view(answer[http::field::content_type]));
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-    const bool good = written_ && in_.size() == 0 && answer.keep_alive() &&
-                      answer.result() != http::status::switching_protocols && answer.result_int() >= 200;
+    const bool good = !writing_ && in_.size() == 0 && answer.keep_alive();
     whole.body = std::move(answer.body());
     busy_ = false;
     const auto self = shared_from_this();
@@ -228,20 +292,28 @@
   WorkerPool& pool_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  Budget::Share bytes_;
   beast::flat_buffer in_;
   std::optional<http::response_parser<http::string_body>> parser_;
-  std::string out_;
+  Message out_;
   Outcome outcome_;
   Clock::time_point startedAt_, giveUpAt_;
+  unsigned interim_ = 0;
   bool up_ = false;
   bool busy_ = false;
-  bool written_ = false;  // the request's last byte: from here on it may have run
+  bool written_ = false;    // the request's last byte: from here on it may have run
+  bool writing_ = false;    // the request's bytes are still in use
+  bool answering_ = false;  // the answer's first byte has come
   bool closed_ = false;
 };
 
-WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, std::vector<std::string> reportFields,
-                       Ended ended)
-    : io_(io), limits_(limits), reportFields_(std::move(reportFields)), ended_(std::move(ended)) {}
+WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, Budget& budget,
+                       std::vector<std::string> reportFields, Ended ended)
+    : io_(io),
+      limits_(limits),
+      budget_(budget),
+      reportFields_(std::move(reportFields)),
+      ended_(std::move(ended)) {}
 
 WorkerPool::~WorkerPool() {
   *alive_ = false;
@@ -255,9 +327,11 @@
   const bool restarted = place.startedAtMs > worker.place.startedAtMs;
   if (restarted || place.address != worker.place.address) closeIdle(worker);
   worker.place = place;
-  worker.retired = false;
-  if (!restarted) return;
-  // The process that these attempts went to is no more, whether or not its machine has said so.
+  if (restarted) endLost(id, place);
+}
+
+// The process that these attempts went to is no more, whether or not its machine has said so.
+void WorkerPool::endLost(WorkerId id, const Place& place) {
   std::vector<Shared> lost;
   for (auto& [request, connection] : busy_)
     if (connection->worker == id && connection->openedAtMs < place.startedAtMs) lost.push_back(connection);
@@ -271,31 +345,30 @@
 void WorkerPool::retire(WorkerId id) {
   const auto found = workers_.find(id);
   if (found == workers_.end()) return;
-  found->second.retired = true;
   closeIdle(found->second);
+  workers_.erase(found);
 }
 
-void WorkerPool::start(RequestId id, unsigned attempt, WorkerId target, std::string bytes,
+void WorkerPool::start(RequestId id, unsigned attempt, WorkerId target, Message message,
                        std::optional<Clock::duration> timeout) {
   const auto worker = workers_.find(target);
   Shared connection;
-  if (worker != workers_.end() && !worker->second.retired) {
-    connection = takeIdle(worker->second);
-    if (!connection && makeRoom()) {
-      connection = std::make_shared<Connection>(*this, target, worker->second.place.address);
-      ++total_;
-    }
+  if (worker != workers_.end()) connection = takeIdle(worker->second);
+  if (!connection && worker != workers_.end() && makeRoom()) {
+    connection = std::make_shared<Connection>(*this, target, worker->second.place.address);
+    ++total_;
   }
   if (!connection) {
     Outcome outcome;
     outcome.id = id;
     outcome.attempt = attempt;
     outcome.worker = target;
-    outcome.result = Result::connectFailed;
+    // For want of room here the worker is not to blame.
+    outcome.result = worker == workers_.end() ? Result::connectFailed : Result::moot;
     return report(outcome);
   }
   busy_[id] = connection;
-  connection->begin(id, attempt, std::move(bytes), timeout);
+  connection->begin(id, attempt, std::move(message), timeout);
 }
 
 std::optional<AttemptEnd> WorkerPool::giveUp(RequestId id, Result result) {
@@ -351,8 +424,7 @@
 
 void WorkerPool::keep(const Shared& connection) {
   const auto found = workers_.find(connection->worker);
-  const bool wanted = found != workers_.end() && !found->second.retired &&
-                      found->second.place.address == connection->address &&
+  const bool wanted = found != workers_.end() && found->second.place.address == connection->address &&
                       found->second.place.startedAtMs <= connection->openedAtMs &&
                       found->second.idle.size() < limits_.idlePerWorker;
   if (!wanted) return drop(*connection);
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "irisring/decide.hpp"
+#include "node/budget.hpp"
 #include "node/http.hpp"
 
 namespace burlwind {
@@ -24,12 +25,21 @@
   std::string contentType;
 };
 
+// What an attempt writes. The body is the same for all attempts of a request.
+struct Message {
+  std::string head;
+  std::shared_ptr<const std::string> body;
+};
+
 class WorkerPool {
  public:
   struct Limits {
     std::chrono::milliseconds connectTimeout{250};
     std::chrono::milliseconds idleFor{24000};  // shorter than a worker keeps an idle connection
-    std::size_t total = 480;                   // connections to all workers
+    // An answer from its first byte to its last: workers write one at once, so one that stops half way does
+    // not go on. Longer: a client waits in vain; shorter: a long answer over a slow line is given up.
+    std::chrono::milliseconds answerWithin{300};
+    std::size_t total = 480;  // connections to all workers
     std::size_t idlePerWorker = 64;
   };
   struct Place {
@@ -38,34 +48,35 @@
   };
   using Ended = std::function<void(AttemptEnd&&)>;
 
-  WorkerPool(boost::asio::io_context& io, const Limits& limits, std::vector<std::string> reportFields,
-             Ended ended);
+  WorkerPool(boost::asio::io_context& io, const Limits& limits, Budget& budget,
+             std::vector<std::string> reportFields, Ended ended);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
   WorkerPool& operator=(const WorkerPool&) = delete;
 
   // Where a worker is. Connections to an earlier address or process are dropped.
   void place(irisring::WorkerId worker, const Place& place);
-  // Nothing new goes there; its idle connections are closed. Attempts under way go on.
+  // Nothing new goes there; its idle connections are closed and it is forgotten. Attempts under way go on.
   void retire(irisring::WorkerId worker);
 
   // Starts one attempt. `ended` is called once for it, never from within this call.
-  void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, std::string bytes,
+  void start(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker, Message message,
              std::optional<std::chrono::steady_clock::duration> timeout);
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
 
   std::size_t connections() const { return total_; }
+  std::size_t workers() const { return workers_.size(); }
 
  private:
   class Connection;
   using Shared = std::shared_ptr<Connection>;
   struct Worker {
     Place place;
-    bool retired = false;
     std::vector<Shared> idle;  // the most recent last
   };
 
+  void endLost(irisring::WorkerId id, const Place& place);
   Shared takeIdle(Worker& worker);
   bool makeRoom();
   void report(irisring::Outcome outcome);
@@ -76,9 +87,10 @@
 
   boost::asio::io_context& io_;
   const Limits limits_;
+  Budget& budget_;
   const std::vector<std::string> reportFields_;
   const Ended ended_;
-  std::unordered_map<irisring::WorkerId, Worker> workers_;
+  std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
   std::unordered_map<irisring::RequestId, Shared> busy_;
   std::size_t total_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/tests/sides.hpp
@@ -0,0 +1,66 @@
+// The clients' side and the workers' side of the program, each alone, for the tests.
+#pragma once
+
+#include "loopback.hpp"
+
+namespace burlwind::test {
+
+struct Silent : Holder {  // never answers
+  bool ready() const override { return true; }
+  bool holds(std::uint64_t clientsId) const override { return held.contains(clientsId); }
+  irisring::RequestId nextId() override { return ++last; }
+  void take(irisring::RequestId, const Call& c, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
+    held.insert(c.id);
+    call = c;
+    asker = a;
+  }
+  void left(irisring::RequestId) override { ++gone, held.clear(); }
+  irisring::RequestId last = 0;
+  int gone = 0;
+  Call call;
+  std::unordered_set<std::uint64_t> held;
+  std::shared_ptr<Asker> asker;
+};
+
+class Clients : public Loopback {
+ protected:
+  void open(const ClientServer::Limits& limits) {
+    config = parseConfig(configJson("127.0.0.1:1").dump());
+    server.emplace(io, config, limits, budget, holder);
+    server->start();
+  }
+  Budget budget{1 << 20};
+  Config config;
+  Silent holder;
+  std::optional<ClientServer> server;
+};
+
+class Pool : public Loopback {
+ protected:
+  void open(const WorkerPool::Limits& limits) {
+    pool.emplace(io, limits, budget, std::vector<std::string>{"util", "queue"}, [this](AttemptEnd&& end) {
+      EXPECT_FALSE(starting) << "told from within start";
+      ends.push_back(std::move(end));
+    });
+    pool->place(1, {worker.address(), 0});
+  }
+  void start(irisring::RequestId id, std::optional<std::chrono::steady_clock::duration> timeout = {}) {
+    starting = true;
+    pool->start(id, 0, 1, {"GET / HTTP/1.1\r\nReq-Id: 1\r\n\r\n", nullptr}, timeout);
+    starting = false;
+  }
+  void untilSeen(std::size_t n) {
+    until([&] { return worker.count("\r\n\r\n") == n; }, "a request at the worker");
+  }
+  void untilEnds(std::size_t n) {
+    until([&] { return ends.size() == n; }, "an outcome");
+  }
+
+  Budget budget{1 << 20};
+  Listener worker{io};
+  std::optional<WorkerPool> pool;
+  std::vector<AttemptEnd> ends;
+  bool starting = false;
+};
+
+}  // namespace burlwind::test
