--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -31,8 +31,13 @@
       std::chrono::duration<double, std::milli>(ms));
 }
 
-std::size_t halfOfSockets(const Config& config) {
-  return std::max<std::size_t>(8, (config.sockets - std::min(config.sockets / 2, kSparedSockets)) / 2);
+// A request has one attempt at most, and requests hold a third of the descriptors at most.
+std::size_t workersSockets(const Config& config) { return std::max<std::size_t>(8, config.sockets / 3); }
+
+// All others: clients keep many connections without a request, and each that must make room costs one later.
+std::size_t clientsSockets(const Config& config) {
+  const std::size_t taken = workersSockets(config) + kSparedSockets;
+  return std::max<std::size_t>(8, config.sockets - std::min<std::size_t>(config.sockets, taken));
 }
 
 // Half of what the program itself does not need, since what is held is not all that it takes to hold it.
@@ -45,13 +50,13 @@
   WorkerPool::Limits out;
   out.connectTimeout = std::chrono::milliseconds(std::lround(std::max(1.0, config.host.connectTimeout)));
   out.idleFor = std::chrono::milliseconds(std::lround(kIdleShare * config.host.idleTimeout));
-  out.total = halfOfSockets(config);
+  out.total = workersSockets(config);
   return out;
 }
 
 ClientServer::Limits serverLimits(const Config& config) {
   ClientServer::Limits out;
-  out.connections = halfOfSockets(config);
+  out.connections = clientsSockets(config);
   return out;
 }
 
--- a/tests/gatekeeper_test.cpp
+++ b/tests/gatekeeper_test.cpp
@@ -241,6 +241,18 @@
   untilGot(client, "second");
 }
 
+// Of 256 descriptors: a third for workers, 24 to spare, and the rest for clients that keep their connections.
+TEST_F(Gate, KeepsAsManyClientConnectionsAsItsDescriptorsAllow) {
+  openWithWorker();
+  std::vector<PeerPtr> clients;
+  for (int i = 0; i < 140; ++i) {
+    clients.push_back(dial(node->address()));
+    clients.back()->send("GET /health/ready HTTP/1.1\r\nHost: b\r\n\r\n");
+    untilGot(clients.back(), "ready");
+  }
+  for (const auto& client : clients) EXPECT_FALSE(client->ended);
+}
+
 TEST_F(Gate, IsReadyOnceItHasAListAndFollowsTheWatchAcrossChunks) {
   open(nullptr);
   const auto client = dial(node->address());
