--- a/src/node/call.hpp
+++ b/src/node/call.hpp
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <variant>
 
+#include "http/http.hpp"
 #include "node/config.hpp"
-#include "node/http.hpp"
 
 namespace burlwind {
 
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -13,9 +13,9 @@
 #include <optional>
 #include <string>
 
+#include "http/http.hpp"
 #include "node/budget.hpp"
 #include "node/call.hpp"
-#include "node/http.hpp"
 
 namespace burlwind {
 
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-#include "settings.hpp"
+#include "settings/settings.hpp"
 
 namespace burlwind {
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -8,8 +8,8 @@
 #include <optional>
 #include <stdexcept>
 
+#include "http/http.hpp"
 #include "node/config.hpp"
-#include "node/http.hpp"
 
 namespace burlwind {
 namespace {
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -46,16 +46,21 @@
          (std::size_t{1} << 20) / 2;
 }
 
-WorkerPool::Limits poolLimits(const Config& config) {
+WorkerPool::Limits poolLimits(const Config& config, const OperatorSettings::Workers& workers) {
   WorkerPool::Limits out;
+  out.answerWithin = workers.answerWithin;
+  out.idlePerWorker = workers.idlePerWorker;
   out.connectTimeout = std::chrono::milliseconds(std::lround(std::max(1.0, config.host.connectTimeout)));
   out.idleFor = std::chrono::milliseconds(std::lround(kIdleShare * config.host.idleTimeout));
   out.total = workersSockets(config);
   return out;
 }
 
-ClientServer::Limits serverLimits(const Config& config) {
+ClientServer::Limits serverLimits(const Config& config, const OperatorSettings::Clients& clients) {
   ClientServer::Limits out;
+  out.idleFor = clients.idle;
+  out.wholeWithin = clients.wholeWithin;
+  out.writeWithin = clients.writeWithin;
   out.connections = clientsSockets(config);
   return out;
 }
@@ -84,13 +89,14 @@
 
 }  // namespace
 
-Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config)
+Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config, const OperatorSettings& settings)
     : io_(io),
       config_(config),
+      operator_(settings),
       budget_(bytesOfMessages(config)),
-      pool_(io, poolLimits(config), budget_, config.settings.reportFields,
+      pool_(io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
-      server_(io, config_, serverLimits(config), budget_, *this),
+      server_(io, config_, serverLimits(config, settings.clients), budget_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       drain_(io) {
   long long from = -1;
@@ -121,7 +127,7 @@
 
 void Gatekeeper::watch(const asio::ip::tcp::endpoint& agent, long long from) {
   discovery_ = std::make_unique<Discovery>(
-      io_, agent, from, Discovery::Limits{},
+      io_, agent, from, Discovery::Limits{operator_.discovery.silence, operator_.discovery.backoffMost},
       [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); });
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -14,6 +14,7 @@
 #include "node/config.hpp"
 #include "node/discovery.hpp"
 #include "node/worker_pool.hpp"
+#include "operator/operator.hpp"
 
 namespace burlwind {
 
@@ -34,7 +35,7 @@
 
 class Gatekeeper : private irisring::Actions, private Holder {
  public:
-  Gatekeeper(boost::asio::io_context& io, const Config& config);
+  Gatekeeper(boost::asio::io_context& io, const Config& config, const OperatorSettings& settings = {});
   ~Gatekeeper() override;
 
   void start();
@@ -88,6 +89,7 @@
 
   boost::asio::io_context& io_;
   Config config_;
+  const OperatorSettings operator_;
   const ModuleClock clock_;
   Budget budget_;
   WorkerPool pool_;
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -12,9 +12,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "http/http.hpp"
 #include "irisring/decide.hpp"
 #include "node/budget.hpp"
-#include "node/http.hpp"
 
 namespace burlwind {
 
--- /dev/null
+++ b/src/operator/operator.hpp
@@ -0,0 +1,32 @@
+// The operator file: what an installation may set beyond what the platform tells a gatekeeper. TOML, one
+// section a subsystem, every key optional. It is checked whole before anything of it is used; it decides
+// nothing. Read once at the start (bounded by the file's size) and again by --check.
+#pragma once
+
+#include <chrono>
+#include <string>
+
+namespace burlwind {
+
+// All times in milliseconds. Where a default is `platform`, what the platform's configuration gives holds.
+struct OperatorSettings {
+  struct Clients {
+    std::chrono::milliseconds idle{8000};          // a connection between two requests is closed after this
+    std::chrono::milliseconds wholeWithin{2500};   // a request, from its first byte
+    std::chrono::milliseconds writeWithin{10000};  // an answer that its reader does not take
+  } clients;
+  struct Workers {
+    std::chrono::milliseconds answerWithin{300};  // an answer, from its first byte to its last
+    std::size_t idlePerWorker = 64;               // connections kept between attempts
+  } workers;
+  struct Discovery {
+    std::chrono::milliseconds silence{4500};     // a watch without a line for so long is opened anew
+    std::chrono::milliseconds backoffMost{500};  // between tries
+  } discovery;
+};
+
+// Both throw FileError: one line that names the file, the key and the reason.
+OperatorSettings readOperatorFile(const std::string& path);
+OperatorSettings parseOperatorFile(std::string_view text, const std::string& name);
+
+}  // namespace burlwind
--- a/src/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,4 +1,4 @@
-#include "settings.hpp"
+#include "settings/settings.hpp"
 
 #include <charconv>
 #include <functional>
--- a/src/drill.cpp
+++ b/src/simhost/drill.cpp
@@ -5,8 +5,8 @@
 #include <map>
 #include <stdexcept>
 
-#include "settings.hpp"
-#include "wire.hpp"
+#include "settings/settings.hpp"
+#include "simhost/wire.hpp"
 
 namespace {
 
--- a/src/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "simhost/wire.hpp"
 
 #include <bit>
 #include <stdexcept>
--- a/tests/bad_clients_test.cpp
+++ b/tests/node/bad_clients_test.cpp
@@ -1,6 +1,6 @@
 // Clients that send what they should not, or nothing: each gets an error or an end soon, and nobody else a
 // loss.
-#include "sides.hpp"
+#include "support/sides.hpp"
 
 namespace burlwind::test {
 namespace {
--- a/tests/bad_workers_test.cpp
+++ b/tests/node/bad_workers_test.cpp
@@ -1,5 +1,5 @@
 // Workers whose answers are spoilt or bring more than belongs to them, and workers that come and go.
-#include "sides.hpp"
+#include "support/sides.hpp"
 
 namespace burlwind::test {
 namespace {
--- a/tests/gatekeeper_test.cpp
+++ b/tests/node/gatekeeper_test.cpp
@@ -1,7 +1,7 @@
 // The whole gatekeeper over loopback sockets: one request from client to worker and back, in all its fates.
 #include <algorithm>
 
-#include "loopback.hpp"
+#include "support/loopback.hpp"
 
 namespace burlwind::test {
 namespace {
--- a/tests/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <fstream>
 
-#include "sides.hpp"
+#include "support/sides.hpp"
 
 namespace burlwind::test {
 namespace {
--- a/tests/reload_test.cpp
+++ b/tests/node/reload_test.cpp
@@ -8,7 +8,7 @@
 #include <filesystem>
 #include <fstream>
 
-#include "loopback.hpp"
+#include "support/loopback.hpp"
 
 namespace burlwind::test {
 namespace {
--- /dev/null
+++ b/tests/operator/operator_test.cpp
@@ -0,0 +1,83 @@
+// The operator file: defaults, ranges, and what a person is told about a mistake.
+#include "operator/operator.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <regex>
+
+#include "checked_toml/checked_toml.hpp"
+
+namespace burlwind {
+namespace {
+
+std::string errorOf(const std::string& text) {
+  try {
+    parseOperatorFile(text, "op.toml");
+  } catch (const FileError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(OperatorFile, AnEmptyOneHasTheDefaults) {
+  const OperatorSettings empty = parseOperatorFile("", "op.toml");
+  EXPECT_EQ(empty.clients.idle.count(), 8000);
+  EXPECT_EQ(empty.workers.idlePerWorker, 64u);
+}
+
+TEST(OperatorFile, TakesWhatItSays) {
+  const OperatorSettings set = parseOperatorFile("[discovery]\nsilence_ms = 9000\n", "op.toml");
+  EXPECT_EQ(set.discovery.silence.count(), 9000);
+  EXPECT_EQ(set.discovery.backoffMost.count(), 500);
+}
+
+TEST(OperatorFile, NamesFileKeyAndReason) {
+  EXPECT_EQ(errorOf("[clients]\nidle_ms = 'long'\n"), "op.toml: clients.idle_ms: is not a number");
+  EXPECT_EQ(errorOf("[clients]\nidle_ms = 5\n"), "op.toml: clients.idle_ms: 5 is not from 100 to 3.6e+06");
+  EXPECT_EQ(errorOf("[clients]\nidle_ms = 500.5\n"), "op.toml: clients.idle_ms: is not a whole number");
+  EXPECT_EQ(errorOf("clients = 3\n"), "op.toml: clients: is not a table");
+  EXPECT_NE(errorOf("[clients\n").find("op.toml: line 1: "), std::string::npos);
+}
+
+TEST(OperatorFile, AnUnknownKeyNamesTheNearestKnownOne) {
+  EXPECT_EQ(errorOf("[workers]\nanswer_withn_ms = 300\n"),
+            "op.toml: workers.answer_withn_ms: is not known; did you mean answer_within_ms?");
+  EXPECT_EQ(errorOf("[worker]\n"), "op.toml: worker: is not known; did you mean workers?");
+  EXPECT_EQ(errorOf("zzzzzz = 1\n"), "op.toml: zzzzzz: is not known");
+}
+
+TEST(OperatorFile, AMissingOneIsNamed) {
+  try {
+    readOperatorFile("/nonexistent/op.toml");
+    FAIL();
+  } catch (const FileError& error) {
+    EXPECT_STREQ(error.what(), "/nonexistent/op.toml: cannot be read");
+  }
+}
+
+// The example holds every key at its default: it reads as an empty file does, and changing any one number in
+// it to what no key takes is noticed, so no key of it is passed over.
+TEST(OperatorFile, TheExampleHoldsTheDefaults) {
+  std::ifstream in(BURLWIND_ROOT "/deploy/operator.example.toml");
+  const std::string text((std::istreambuf_iterator<char>(in)), {});
+  const OperatorSettings example = parseOperatorFile(text, "example"), none;
+  EXPECT_EQ(example.clients.idle, none.clients.idle);
+  EXPECT_EQ(example.clients.wholeWithin, none.clients.wholeWithin);
+  EXPECT_EQ(example.clients.writeWithin, none.clients.writeWithin);
+  EXPECT_EQ(example.workers.answerWithin, none.workers.answerWithin);
+  EXPECT_EQ(example.workers.idlePerWorker, none.workers.idlePerWorker);
+  EXPECT_EQ(example.discovery.silence, none.discovery.silence);
+  EXPECT_EQ(example.discovery.backoffMost, none.discovery.backoffMost);
+  const std::regex setting("(\\w+) = [0-9]+");
+  int keys = 0;
+  for (std::sregex_iterator at(text.begin(), text.end(), setting), end; at != end; ++at, ++keys) {
+    std::string broken = text;
+    broken.replace(static_cast<std::size_t>(at->position()), at->str().size(), (*at)[1].str() + " = -1");
+    EXPECT_FALSE(errorOf(broken).empty()) << at->str();
+  }
+  EXPECT_EQ(keys, 7);
+}
+
+}  // namespace
+}  // namespace burlwind
--- a/tests/attempts_test.cpp
+++ b/tests/policy/attempts_test.cpp
@@ -2,7 +2,7 @@
 #include <random>
 #include <set>
 
-#include "recorder.hpp"
+#include "policy/recorder.hpp"
 
 namespace irisring::test {
 namespace {
--- a/tests/guards_test.cpp
+++ b/tests/policy/guards_test.cpp
@@ -1,6 +1,6 @@
 #include <deque>
 
-#include "recorder.hpp"
+#include "policy/recorder.hpp"
 
 namespace irisring::test {
 namespace {
--- a/tests/lines_test.cpp
+++ b/tests/policy/lines_test.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 TEST(Lines, TheModuleStaysSmall) {
-  std::ifstream in(std::string(IRISRING_ROOT) + "/src/decide.cpp");
+  std::ifstream in(std::string(IRISRING_ROOT) + "/src/policy/decide.cpp");
   ASSERT_TRUE(in);
   int lines = 0;
   for (std::string line; std::getline(in, line);) {
@@ -19,13 +19,13 @@
 }
 
 TEST(Lines, TheModuleNamesItsInterfaceAndIsThePolicy) {
-  std::ifstream module(std::string(IRISRING_ROOT) + "/src/decide.cpp");
+  std::ifstream module(std::string(IRISRING_ROOT) + "/src/policy/decide.cpp");
   std::string first;
   std::getline(module, first);
   EXPECT_NE(first.find("include/irisring/decide.hpp"), std::string::npos);
   std::ifstream deploy(std::string(IRISRING_ROOT) + "/deploy/balancer.toml");
   std::string text((std::istreambuf_iterator<char>(deploy)), {});
-  EXPECT_NE(text.find("policy = [\"src/decide.cpp\"]"), std::string::npos);
+  EXPECT_NE(text.find("policy = [\"src/policy/decide.cpp\"]"), std::string::npos);
 }
 
 }  // namespace
--- a/tests/quota_test.cpp
+++ b/tests/policy/quota_test.cpp
@@ -1,7 +1,7 @@
 #include <cmath>
 #include <list>
 
-#include "recorder.hpp"
+#include "policy/recorder.hpp"
 
 namespace irisring::test {
 namespace {
--- a/tests/wire_test.cpp
+++ b/tests/simhost/wire_test.cpp
@@ -1,4 +1,4 @@
-#include "wire.hpp"
+#include "simhost/wire.hpp"
 
 #include <gtest/gtest.h>
 #include <sys/wait.h>
@@ -9,7 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
-#include "settings.hpp"
+#include "settings/settings.hpp"
 
 namespace irisring {
 namespace {
--- a/tests/sides.hpp
+++ b/tests/support/sides.hpp
@@ -1,7 +1,7 @@
 // The clients' side and the workers' side of the program, each alone, for the tests.
 #pragma once
 
-#include "loopback.hpp"
+#include "support/loopback.hpp"
 
 namespace burlwind::test {
 
