Add the rehearsal kit: stand-ins, load, faults, judge and report, in one command

src/rehearsal: scenarios in TOML (checked, file, key and reason), arrivals drawn ahead from a seed, an order server's model, the quota ledger and the meter, the judge and the reports are pure code under virtual time in their tests; order servers, discovery and the front with its clients are a thin layer on loopback in one process and one loop. Nothing of the daemon is linked.

--- a/src/checked_toml/checked_toml.cpp
+++ b/src/checked_toml/checked_toml.cpp
@@ -40,7 +40,9 @@
   std::string best;
   std::size_t least = std::max<std::size_t>(1, word.size() / 3) + 1;
   for (const std::string& candidate : candidates) {
-    const std::size_t apart = distance(word, candidate);
+    // A name cut short, or one with something behind it, is near whatever its length.
+    const bool part = word.size() >= 3 && (candidate.starts_with(word) || word.starts_with(candidate));
+    const std::size_t apart = part ? 1 : distance(word, candidate);
     if (apart < least) best = candidate, least = apart;
   }
   return best;
--- /dev/null
+++ b/src/rehearsal/scenario.hpp
@@ -0,0 +1,154 @@
+// What a rehearsal plays: fleet, plans, classes, clients, load by the minute, faults by time. Read from TOML
+// and checked whole before anything is started. Decides nothing and does no I/O but reading its file.
+//
+// In the file times are the season's own. `pace` plays them that many times faster: `paced` scales work,
+// aims, deadlines, plan figures and fault times together. Connect times and the kernel do not scale.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burlwind::rehearsal {
+
+enum class Repeat { safe, keyed, unsafe };
+enum class Scope { all, zone };
+
+struct ClassSpec {
+  std::string name;
+  Repeat repeat = Repeat::safe;
+  Scope scope = Scope::zone;  // keyed: who drops a repeat
+  double share = 1;           // of the requests
+  double workMs = 100;        // of one core, mean
+  double cv = 1;
+  double aimMs = 1000;
+  double deadlineMs = 3000;
+  double windowMs = 0;  // keyed: for how long a repeat is dropped
+  double worth = 1;
+};
+
+struct PlanSpec {
+  std::string name;
+  unsigned customers = 1;
+  double use = 0.4;       // mean asked, as a share of the rate
+  double heavyShare = 0;  // of the customers, who ask heavyTimes the rate
+  double heavyTimes = 2;
+  double rate = 1;   // units a second
+  double burst = 5;  // units
+  unsigned openLimit = 0;
+  double ceilingRate = 0;  // 0: no ceiling
+  double ceilingBurst = 0;
+  double ceilingSlack = 0;
+  double price = 1;
+  double overCost = 1;
+};
+
+struct FleetSpec {
+  unsigned servers = 6;
+  unsigned zones = 2;
+  unsigned cores = 3;
+  double speedCv = 0.1;
+  double slotsPerCore = 6;
+  double queuePerCore = 12;
+  double thrash = 0.1;  // capacity lost when twice thrashAt a core are in work
+  double thrashAt = 4;
+  double coldFrom = 0.3;  // share of its capacity that a cold server has
+  double warmMs = 12000;
+  double errorShare = 0;
+  unsigned connections = 1000;  // that a server accepts
+  double idleMs = 30000;
+  double handshakeMs = 0.5;  // work of a core for each new connection
+  double reportPeriodMs = 400;
+  double reportDelayMs = 60;
+  double reportNoise = 0.05;
+  double meterPeriodMs = 1000;
+  double meterLagMs = 600;
+  double drainMs = 4000;
+  double tellMs = 1500;  // how late discovery tells a gatekeeper, at most
+};
+
+struct GatekeeperSpec {
+  unsigned count = 2;
+  unsigned sockets = 1024;
+  unsigned memoryMb = 192;
+  unsigned port = 0;  // 0: a free one
+  double connectMs = 250;
+  double readyWithinS = 10;
+};
+
+struct ClientSpec {
+  unsigned retries = 1;
+  double backoffMs = 100;
+  double honourShare = 0.7;      // of the clients, who heed Retry-After
+  double patienceShare = 1;      // of the deadline, for each try
+  double leaveShare = 0;         // of the requests, whose client leaves early
+  double spread = 1;             // share of the gatekeepers that a customer comes through
+  double shiftS = 10;            // a customer's weights change about so often
+  unsigned idleConnections = 0;  // kept open beside, without a request
+};
+
+struct RuleSpec {
+  double drainGraceMs = 1000;
+  double fallMultiple = 2.5;
+  double fallSpanMs = 1000;
+  double answerGraceMs = 8;
+  double slackMs = 50;  // each time limit is so much longer on sockets; does not scale
+};
+
+enum class FaultKind {
+  slow,
+  falseUtil,
+  lateMeter,
+  lateReports,
+  cut,
+  crash,
+  cold,
+  shrink,
+  drain,
+  neighbour,
+  hotCustomer,
+  spoilt,
+  rude,
+  discoveryDown,
+  gatekeeperKill,
+  gatekeeperRestart,
+  gatekeeperReload
+};
+std::string_view nameOf(FaultKind kind);
+
+struct FaultSpec {
+  FaultKind kind = FaultKind::slow;
+  double startMs = 0;
+  double lengthMs = 0;
+  std::vector<unsigned> targets;  // servers, a zone, gatekeepers or customers, by kind; empty: all that apply
+  double size = 0;                // by kind: a factor, a share, ms or a count
+
+  bool activeAt(double ms) const { return ms >= startMs && ms < startMs + lengthMs; }
+  bool aims(unsigned target) const;
+};
+
+struct Scenario {
+  std::string name = "unnamed";
+  std::string about;
+  double lengthMs = 20000;
+  double pace = 1;
+  std::uint64_t seed = 1;
+  std::vector<double> load{1};  // factor on all arrivals, points evenly over the length, linear between
+  FleetSpec fleet;
+  GatekeeperSpec gatekeepers;
+  ClientSpec clients;
+  RuleSpec rules;
+  std::vector<ClassSpec> classes;
+  std::vector<PlanSpec> plans;
+  std::vector<FaultSpec> faults;
+
+  double loadAt(double ms) const;
+};
+
+// Both throw FileError (checked_toml): file, key and reason.
+Scenario parseScenario(std::string_view text, const std::string& name);
+Scenario readScenario(const std::string& path);
+Scenario paced(Scenario scenario);  // the times and rates as played; `pace` stays for the report
+
+}  // namespace burlwind::rehearsal
