--- a/src/rehearsal/front.cpp
+++ b/src/rehearsal/front.cpp
@@ -206,12 +206,8 @@
 // Asks /health/ready again and again, on a connection of its own each time.
 class Front::Health : public std::enable_shared_from_this<Health> {
  public:
-  Health(Front& front, unsigned gatekeeper, std::function<void()> ready)
-      : front_(front),
-        gatekeeper_(gatekeeper),
-        ready_(std::move(ready)),
-        socket_(front.world_.io),
-        timer_(front.world_.io) {}
+  Health(Front& front, unsigned gatekeeper)
+      : front_(front), gatekeeper_(gatekeeper), socket_(front.world_.io), timer_(front.world_.io) {}
   void ask() {
     got_.clear();
     socket_ = tcp::socket(front_.world_.io);
@@ -236,9 +232,7 @@
                               got_.append(piece_.data(), n);
                               if (got_.rfind("HTTP/1.1 200", 0) == 0) {
                                 timer_.cancel();
-                                front_.gates_[gatekeeper_].up = true;
-                                if (ready_) ready_();
-                                return;
+                                return front_.cameUp(gatekeeper_);
                               }
                               if (error || got_.size() > kStatusLine) return again();
                               read();
@@ -259,7 +253,6 @@
   }
   Front& front_;
   const unsigned gatekeeper_;
-  const std::function<void()> ready_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::array<char, 512> piece_{};
@@ -269,11 +262,14 @@
 // A client that sends what cannot be used and reads what it is sent, for a while.
 class Front::Rude : public std::enable_shared_from_this<Rude> {
  public:
+  static constexpr std::uint64_t kSilent = 4;  // says nothing, and stays until it is ended
   Rude(Front& front, std::uint64_t number)
       : front_(front), socket_(front.world_.io), timer_(front.world_.io), number_(number) {}
   void start(const tcp::endpoint& to) {
-    timer_.expires_after(kRudeFor);
-    timer_.async_wait([self = shared_from_this(), this](const Error&) { end(); });
+    if (number_ != kSilent) {
+      timer_.expires_after(kRudeFor);
+      timer_.async_wait([self = shared_from_this(), this](const Error&) { end(); });
+    }
     socket_.async_connect(to, [self = shared_from_this(), this](const Error& error) {
       if (error) return end();
       static const std::array<std::string, 5> kTexts{
@@ -316,18 +312,28 @@
 Front::~Front() {
   over_ = true;
   for (const auto& rude : rude_) rude->end();
+  for (const auto& sleeper : sleepers_) sleeper->end();
   while (!links_.empty()) (*links_.begin())->close();
 }
 
 void Front::watch(unsigned gatekeeper, std::function<void()> ready) {
-  gates_.at(gatekeeper).up = false;
-  std::make_shared<Health>(*this, gatekeeper, std::move(ready))->ask();
+  Gate& gate = gates_.at(gatekeeper);
+  gate.up = false;
+  if (ready) gate.ready = std::move(ready);
+  if (std::exchange(gate.watched, true)) return;
+  std::make_shared<Health>(*this, gatekeeper)->ask();
+}
+
+void Front::cameUp(unsigned gatekeeper) {
+  Gate& gate = gates_[gatekeeper];
+  gate.up = true;
+  gate.watched = false;
+  if (const auto ready = std::exchange(gate.ready, nullptr)) ready();
 }
 
 void Front::start() {
   arriveDue();
   rudeTick();
-  keepSleepers();
 }
 
 void Front::whenDone(std::function<void()> done) {
@@ -478,17 +484,19 @@
     rude_.back()->start(gates_[rudeCount_++ % gates_.size()].address);
   }
   std::erase_if(rude_, [](const auto& one) { return one.use_count() == 1; });
+  keepSleepers();
   rudeTimer_.expires_after(kRudeEvery);
   rudeTimer_.async_wait([this](const Error& error) {
     if (!error) rudeTick();
   });
 }
 
-// Connections that ask nothing are opened once; the gatekeepers end them when they please.
+// Connections that ask nothing; one that its gatekeeper has ended is opened anew.
 void Front::keepSleepers() {
-  for (unsigned i = 0; i < world_.scenario.clients.idleConnections; ++i) {
-    rude_.push_back(std::make_shared<Rude>(*this, 4));
-    rude_.back()->start(gates_[i % gates_.size()].address);
+  std::erase_if(sleepers_, [](const auto& one) { return one.use_count() == 1; });
+  while (sleepers_.size() < world_.scenario.clients.idleConnections) {
+    sleepers_.push_back(std::make_shared<Rude>(*this, Rude::kSilent));
+    sleepers_.back()->start(gates_[sleepers_.size() % gates_.size()].address);
   }
 }
 
--- a/src/rehearsal/front.hpp
+++ b/src/rehearsal/front.hpp
@@ -29,7 +29,7 @@
   void start();                               // arrivals begin now: the world's clock has been started
   void whenDone(std::function<void()> done);  // all arrivals have had their end
   std::size_t open() const { return open_; }  // tries under way
-  std::size_t connections() const { return links_.size(); }
+  std::size_t connections() const { return links_.size() + sleepers_.size(); }
 
  private:
   class Link;
@@ -37,6 +37,7 @@
   class Health;
   class Rude;
 
+  void cameUp(unsigned gatekeeper);
   void arriveDue();
   void send(const std::shared_ptr<Try>& attempt);
   void ended(const std::shared_ptr<Try>& attempt, unsigned status, double retryAfterMs);
@@ -53,12 +54,13 @@
   World& world_;
   struct Gate {
     boost::asio::ip::tcp::endpoint address;
-    bool up = false;
+    bool up = false, watched = false;
+    std::function<void()> ready;
     std::vector<std::shared_ptr<Link>> idle;
   };
   std::vector<Gate> gates_;
   std::set<std::shared_ptr<Link>> links_;
-  std::list<std::shared_ptr<Rude>> rude_;
+  std::list<std::shared_ptr<Rude>> rude_, sleepers_;
   boost::asio::steady_timer arrivals_, rudeTimer_;
   std::size_t next_ = 0;  // arrival
   std::size_t open_ = 0;
--- a/src/rehearsal/judge.cpp
+++ b/src/rehearsal/judge.cpp
@@ -404,6 +404,7 @@
   // -----------------------------------------------------------------------------------------------
 
   void usage(const Event& event) {
+    if (event.gatekeeper < 0) return void(out_.kitCpuSeconds = event.value);
     DaemonReport& report = out_.daemons.at(daemonOf(event));
     double& last = lastCpu_[event.gatekeeper];
     const double used = event.value >= last ? event.value - last : event.value;
--- a/src/rehearsal/judge.hpp
+++ b/src/rehearsal/judge.hpp
@@ -74,6 +74,7 @@
   std::vector<PlanReport> plans;
   std::vector<DaemonReport> daemons;
   double lagMost = 0, lagShare = 0;
+  double kitCpuSeconds = 0;
   bool tooSlow = false;  // the kit's lag: the run means nothing
 
   bool held() const;
--- a/src/rehearsal/rehearsal.cpp
+++ b/src/rehearsal/rehearsal.cpp
@@ -229,6 +229,12 @@
       event.extra = usage.memoryMb;
       event.number = usage.descriptors;
     }
+    rusage own{};
+    ::getrusage(RUSAGE_SELF, &own);
+    const auto seconds = [](const timeval& t) {
+      return static_cast<double>(t.tv_sec) + 1e-6 * static_cast<double>(t.tv_usec);
+    };
+    world_.trace.add(world_.now(), Kind::usage).value = seconds(own.ru_utime) + seconds(own.ru_stime);
     if (options_.progress) {
       std::fprintf(stderr, "\r%5.0f of %.0f s, %zu tries under way, %zu connections ", world_.now() / 1000,
                    scenario_.lengthMs / 1000, front_->open(), front_->connections());
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -130,7 +130,8 @@
           {"faults", faults},
           {"daemons", daemons},
           {"kit",
-           {{"lag_max_ms", round(v.lagMost, 0.1)},
+           {{"cpu_us_per_request", round(1e6 * share(v.kitCpuSeconds, v.asked), 0.1)},
+            {"lag_max_ms", round(v.lagMost, 0.1)},
             {"lag_share", round(v.lagShare, 1e-5)},
             {"too_slow", v.tooSlow}}}};
 }
@@ -188,7 +189,8 @@
            b.why + "\n";
     for (const std::string& proof : b.proof) out += "    " + proof + "\n";
   }
-  out += format("the kit's own lag: at most %.1f ms, %.2f%% of the time%s\n", v.lagMost, 100 * v.lagShare,
+  out += format("the kit's own lag: at most %.1f ms, %.2f%% of the time; its CPU %.0f us a request%s\n",
+                v.lagMost, 100 * v.lagShare, 1e6 * share(v.kitCpuSeconds, v.asked),
                 v.tooSlow ? "; TOO SLOW, the run means nothing" : "");
   if (s.pace != 1) out += "connect times and the kernel do not scale with the pace\n";
   return out;
--- a/src/rehearsal/trace.hpp
+++ b/src/rehearsal/trace.hpp
@@ -34,7 +34,8 @@
             // value = when it started, below 0: long ago
   daemon,   // gatekeeper, text = start, ready, term, kill, reload, exit, crash, hang; number = exit status
   fault,    // number = its place in the scenario, text = begin, end
-  usage,    // gatekeeper, value = CPU seconds since its start, extra = memory in MB, number = descriptors
+  usage,    // gatekeeper, value = CPU seconds since its start, extra = memory in MB, number = descriptors;
+            // with no gatekeeper: of the kit itself
   lag       // the kit itself was so late: value = ms
 };
 
--- a/tests/rehearsal/stand_ins_test.cpp
+++ b/tests/rehearsal/stand_ins_test.cpp
@@ -451,6 +451,40 @@
   EXPECT_EQ(count(Kind::want), 1u) << "both belong to one arrival";
 }
 
+TEST_F(FrontTest, AnArrivalDoesNotWaitForTheAnswerToTheOneBefore) {
+  open();
+  asked();
+  plan.arrivals.assign(3, plan.arrivals[0]);
+  front->start();  // two more are due
+  asked(3);
+  EXPECT_EQ(count(Kind::answer), 0u);
+  EXPECT_EQ(front->open(), 3u);
+}
+
+TEST_F(FrontTest, WhoHonoursRetryAfterComesNoSooner) {
+  scenario.clients.honourShare = 1;
+  open(0, 1);
+  asked()->send(test::reply("429 Too Many Requests", "", "Retry-After: 0.3\r\n"));
+  asked(2);
+  const double answered = lastOf(Kind::answer).at, again = lastOf(Kind::ask).at;
+  EXPECT_GE(again - answered, 299);
+}
+
+TEST_F(FrontTest, AGatekeeperThatWasDownIsAskedAgainUntilItIsReady) {
+  open();
+  serve(asked());
+  until([&] { return done; }, "the end");
+  bool back = false;
+  front->watch(0, [&] { back = true; });
+  const auto health = gate.count("/health/ready");
+  until([&] { return gate.count("/health/ready") > health; }, "the question");
+  gate.peers.back()->send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+  until([&] { return gate.count("/health/ready") > health + 1; }, "the question again");
+  EXPECT_FALSE(back);
+  gate.peers.back()->send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  until([&] { return back; }, "readiness");
+}
+
 TEST_F(FrontTest, AClientLeavesWhenItHasHadEnough) {
   open(20);
   const auto peer = asked();
