--- a/src/rehearsal/front.cpp
+++ b/src/rehearsal/front.cpp
@@ -306,7 +306,7 @@
 
 Front::Front(World& world, std::vector<tcp::endpoint> gatekeepers)
     : world_(world), arrivals_(world.io), rudeTimer_(world.io) {
-  for (const tcp::endpoint& address : gatekeepers) gates_.push_back({address, false, {}});
+  for (const tcp::endpoint& address : gatekeepers) gates_.emplace_back().address = address;
 }
 
 Front::~Front() {
