Add connection admission by proof and source, off by default; a flood to rehearse it with

Need: one broken program that opens connections by the thousand takes the places of others; the oldest made room.

src/admission: a core without I/O that ranks connections by what they have shown and by how many their source holds; caps by source, trusted fronts, bounded memory, keyed hash; ClientServer does what it is told. Without a setting it keeps the old order. A spare descriptor lets a client be told 503 with Retry-After when descriptors run out.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -1,8 +1,12 @@
 #include "node/client_server.hpp"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cstdio>
 #include <optional>
 #include <stdexcept>
 #include <utility>
@@ -20,6 +24,7 @@
 constexpr auto kAcceptPause = 50ms;           // after an accept that failed for want of descriptors
 constexpr auto kHalfSentAtStop = 500ms;       // what is left to a half-sent request once nobody accepts
 constexpr irisring::Time kFullRetryAfter = 1000;
+constexpr auto kTellCountsAfter = 10s;
 
 std::string seconds(irisring::Time ms) {
   char text[32];
@@ -63,11 +68,14 @@
 // head, so that what is wrong is turned away before its body has come; the connection ends with that.
 class ClientServer::Connection : public Asker, public std::enable_shared_from_this<Connection> {
  public:
-  Connection(ClientServer& server, tcp::socket socket)
-      : server_(server), socket_(std::move(socket)), timer_(socket_.get_executor()), bytes_(server.budget_) {}
-
-  void start(Connections::iterator at) {
-    at_ = at;
+  Connection(ClientServer& server, tcp::socket socket, admission::Id place)
+      : server_(server),
+        socket_(std::move(socket)),
+        timer_(socket_.get_executor()),
+        bytes_(server.budget_),
+        place_(place) {}
+
+  void start() {
     Error ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
     arm(server_.limits_.wholeWithin);
@@ -77,6 +85,9 @@
 
   void answer(Answer&& answer) override {
     if (state_ != State::held) return;
+    // What was served has been let in; health and rejections come by here too and prove nothing.
+    if (standing_ == Standing::owed && answer.status == http::status::ok)
+      server_.core_.prove(place_, admission::Proof::letIn);
     http::response<http::empty_body> head(answer.status, 11);
     if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
@@ -95,7 +106,7 @@
     const bool held = state_ == State::held;
     const auto self = shared_from_this();
     abandon();
-    server_.remove(standing_, at_);
+    server_.remove(place_);
     if (held) server_.holder_.left(id_);
   }
 
@@ -128,9 +139,8 @@
   bool begun() const { return parser_ || in_.size() > 0; }
 
   void stand(Standing standing) {
-    auto& to = server_.connections_[standing];
-    to.splice(to.end(), server_.connections_[standing_], at_);
     standing_ = standing;
+    server_.core_.stand(place_, standing);
   }
 
   void arm(std::chrono::milliseconds span) {
@@ -151,7 +161,7 @@
     parser_.reset();
     call_.reset();
     bytes_.shrinkTo(in_.capacity());
-    stand(idle);
+    stand(Standing::idle);
     arm(server_.limits_.idleFor);
     server_.accept();
   }
@@ -199,8 +209,8 @@
 
   // A request's first byte.
   void begin() {
-    if (standing_ == idle) {
-      stand(unfinished);
+    if (standing_ == Standing::idle) {
+      stand(Standing::unfinished);
       arm(server_.limits_.wholeWithin);
     }
     parser_.emplace();
@@ -228,6 +238,7 @@
     const auto read = readCall(message, server_.config_);
     if (const auto* wrong = std::get_if<Rejection>(&read)) return reject(*wrong), false;
     call_ = std::get<Call>(read);
+    server_.core_.prove(place_, admission::Proof::head);
     if (!server_.holder_.holds(call_->id)) return true;
     return reject({http::status::conflict, "a request of this Req-Id is open"}), false;
   }
@@ -250,7 +261,7 @@
     // With the body, trailers may have brought more headers, and the same id may have come elsewhere.
     if (!message.body().empty() && !call(message)) return;
     timer_.cancel();
-    stand(busy);
+    stand(Standing::owed);
     const auto at = arrivals_.of(received_ - in_.size(), readAt_);
     call_->patience -= std::chrono::duration<double, std::milli>(Clock::now() - at).count();
     state_ = State::held;
@@ -306,7 +317,7 @@
   // was still sending do not reset what it has not read yet. A client that just goes on sending is cut off.
   void linger() {
     state_ = State::lingering;
-    stand(unfinished);
+    stand(Standing::ending);
     Error ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     in_.clear();
@@ -323,8 +334,8 @@
   std::optional<Call> call_;                                       // once its head is read
   std::string out_, writing_, body_;
   State state_ = State::reading;
-  Standing standing_ = unfinished;
-  Connections::iterator at_;
+  const admission::Id place_;
+  Standing standing_ = Standing::unfinished;
   Arrivals arrivals_;
   std::size_t received_ = 0;  // bytes, ever
   std::size_t lingered_ = 0;
@@ -334,13 +345,40 @@
   bool reading_ = false;
 };
 
+namespace {
+
+admission::Settings placesOf(const ClientServer::Limits& limits) {
+  admission::Settings out = limits.admission;
+  out.connections = limits.connections;
+  out.reserve = static_cast<std::size_t>(limits.reserveShare * static_cast<double>(limits.connections));
+  return out;
+}
+
+admission::Address addressOf(const asio::ip::address& address) {
+  const auto v6 =
+      address.is_v4() ? asio::ip::make_address_v6(asio::ip::v4_mapped, address.to_v4()) : address.to_v6();
+  return {v6.to_bytes()};
+}
+
+int openSpare() { return ::open("/dev/null", O_RDONLY | O_CLOEXEC); }
+
+}  // namespace
+
 ClientServer::ClientServer(asio::io_context& io, const Config& config, const Limits& limits, Budget& budget,
                            Holder& holder)
-    : config_(config), limits_(limits), budget_(budget), holder_(holder), acceptor_(io), pause_(io) {}
+    : config_(config),
+      limits_(limits),
+      budget_(budget),
+      holder_(holder),
+      acceptor_(io),
+      pause_(io),
+      core_(placesOf(limits), config.seed),
+      spareDescriptor_(openSpare()),
+      tell_(io) {}
 
 ClientServer::~ClientServer() {
-  for (const auto& list : connections_)
-    for (const auto& connection : list) connection->abandon();
+  for (const auto& [place, connection] : connections_) connection->abandon();
+  if (spareDescriptor_ >= 0) ::close(spareDescriptor_);
 }
 
 void ClientServer::start() {
@@ -357,18 +395,10 @@
   accept();
 }
 
-std::size_t ClientServer::connections() const {
-  std::size_t sum = 0;
-  for (const auto& list : connections_) sum += list.size();
-  return sum;
-}
-
-// At the limit an unfinished or idle connection makes room for one that comes, but not before it does; where
-// there is none, the next one to turn idle or end does.
-bool ClientServer::hasRoom() const { return connections() < limits_.connections || oldestToSpare(); }
-
+// At the limit one that may be spared makes room for one that comes, but not before it does; where there is
+// none, the next one to turn idle or end does.
 void ClientServer::accept() {
-  if (accepting_ || !hasRoom()) return;
+  if (accepting_ || !core_.hasRoom()) return;
   if (waiting_) return add(*std::exchange(waiting_, std::nullopt));
   if (!acceptor_.is_open()) return;
   accepting_ = true;
@@ -383,36 +413,85 @@
   });
 }
 
-// Out of descriptors: the connection stays in the machine's queue and would be reported again at once.
+// Out of descriptors: the connection stays in the machine's queue and would be reported again at once. With
+// the one that was kept for this it is taken and told; the next comes after a pause, when an idle one may
+// have made room.
 void ClientServer::acceptLater() {
-  dropOldest();
+  if (const auto place = core_.spare()) close(*place);
+  if (spareDescriptor_ >= 0) {
+    ::close(spareDescriptor_);
+    Error error;
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) turnAway(socket);
+    spareDescriptor_ = openSpare();
+  }
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](const Error& error) {
     if (!error) accept();
   });
 }
 
+// As far as it can be told without waiting: the text fits any socket's buffer.
+void ClientServer::turnAway(tcp::socket& socket) {
+  static constexpr std::string_view kText =
+      "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  Error ignored;
+  socket.non_blocking(true, ignored);
+  socket.send(asio::buffer(kText), 0, ignored);
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+  socket.close(ignored);
+}
+
 void ClientServer::add(tcp::socket socket) {
-  const auto connection = std::make_shared<Connection>(*this, std::move(socket));
-  if (connections() >= limits_.connections) dropOldest();
-  auto& list = connections_[unfinished];
-  connection->start(list.insert(list.end(), connection));  // goes on to accept
+  Error error;
+  const auto peer = socket.remote_endpoint(error);
+  if (error) return accept();  // it has gone already
+  const admission::Id place = ++lastPlace_;
+  const auto now = std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
+  const admission::Arrival arrival = core_.arrive(now, place, addressOf(peer.address()));
+  if (arrival.evict || !arrival.taken) tellCounts();
+  if (!arrival.taken) {
+    turnAway(socket);
+    return accept();
+  }
+  const auto connection = std::make_shared<Connection>(*this, std::move(socket), place);
+  connections_.emplace(place, connection);
+  if (arrival.evict) close(*arrival.evict);
+  connection->start();  // goes on to accept
 }
 
-void ClientServer::remove(Standing standing, Connections::iterator connection) {
-  connections_[standing].erase(connection);
-  accept();
-  endIfEmpty();
+void ClientServer::close(admission::Id place) {
+  const auto found = connections_.find(place);
+  if (found == connections_.end()) return;
+  const auto connection = found->second;
+  connection->close();
 }
 
-std::shared_ptr<ClientServer::Connection> ClientServer::oldestToSpare() const {
-  for (const Standing standing : {unfinished, idle})
-    if (!connections_[standing].empty()) return connections_[standing].front();
-  return nullptr;
+void ClientServer::remove(admission::Id place) {
+  core_.gone(place);
+  connections_.erase(place);
+  accept();
+  endIfEmpty();
 }
 
-void ClientServer::dropOldest() {
-  if (const auto oldest = oldestToSpare()) oldest->close();
+// One line some seconds after something was evicted or turned away, not one for each.
+void ClientServer::tellCounts() {
+  if (std::exchange(telling_, true)) return;
+  tell_.expires_after(kTellCountsAfter);
+  tell_.async_wait([this](const Error& error) {
+    if (error) return;
+    telling_ = false;
+    const admission::Counts& counts = core_.counts();
+    std::fprintf(
+        stderr,
+        "burlwind: connections: %llu taken, %llu evicted, turned away %llu (source full), %llu (unfinished), "
+        "%llu (too fast), %llu (table full); %zu held of %zu, %zu unproven, %zu sources\n",
+        static_cast<unsigned long long>(counts.taken), static_cast<unsigned long long>(counts.evicted),
+        static_cast<unsigned long long>(counts.turned[0]), static_cast<unsigned long long>(counts.turned[1]),
+        static_cast<unsigned long long>(counts.turned[2]), static_cast<unsigned long long>(counts.turned[3]),
+        core_.held(), limits_.connections, core_.unproven(), core_.sources());
+  });
 }
 
 void ClientServer::stopAccepting() {
@@ -427,8 +506,9 @@
   Error ignored;
   acceptor_.close(ignored);
   pause_.cancel();
+  tell_.cancel();
   std::vector<std::shared_ptr<Connection>> all;
-  for (const auto& list : connections_) all.insert(all.end(), list.begin(), list.end());
+  for (const auto& [place, connection] : connections_) all.push_back(connection);
   for (const auto& connection : all) connection->finishUp();
 }
 
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -1,18 +1,18 @@
 // The clients' side: the listener, client connections, readiness, and the writing of answers.
 #pragma once
 
-#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 
+#include "admission/core.hpp"
 #include "http/http.hpp"
 #include "node/budget.hpp"
 #include "node/call.hpp"
@@ -53,6 +53,8 @@
  public:
   struct Limits {
     std::size_t connections = 480;
+    admission::Settings admission;  // its connections and reserve follow from the number above and this share
+    double reserveShare = 0.25;     // of the connections: so many that were served make no room for others
     std::chrono::milliseconds idleFor{8000};  // between requests
     // A request, from its first byte; the first one from the connection's begin. What is not whole by then is
     // owed an answer or an end within 3 s.
@@ -78,22 +80,20 @@
   // Called as soon as no connection is left.
   void whenEmpty(std::function<void()> done);
 
-  std::size_t connections() const;
+  std::size_t connections() const { return connections_.size(); }
+  const admission::Counts& admitted() const { return core_.counts(); }
 
  private:
   class Connection;
-  using Connections = std::list<std::shared_ptr<Connection>>;
-  // What a connection is at, in the order in which they make room: no whole request yet, or its end; between
-  // two requests; a request held or answered.
-  enum Standing : std::size_t { unfinished, idle, busy };
+  using Standing = admission::Standing;
 
-  std::shared_ptr<Connection> oldestToSpare() const;
-  bool hasRoom() const;
   void accept();
   void acceptLater();
   void add(boost::asio::ip::tcp::socket socket);
-  void remove(Standing standing, Connections::iterator connection);
-  void dropOldest();
+  void turnAway(boost::asio::ip::tcp::socket& socket);
+  void remove(admission::Id place);
+  void close(admission::Id place);
+  void tellCounts();
   void endIfEmpty();
 
   const Config& config_;
@@ -102,7 +102,12 @@
   Holder& holder_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
-  std::array<Connections, 3> connections_;               // by standing; the longest so first
+  admission::Core core_;  // who may hold a connection
+  std::unordered_map<admission::Id, std::shared_ptr<Connection>> connections_;
+  admission::Id lastPlace_ = 0;
+  int spareDescriptor_ = -1;  // given up to accept and end what comes when there are no others
+  boost::asio::steady_timer tell_;
+  bool telling_ = false;
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   std::function<void()> done_;
   bool accepting_ = false;  // an accept is pending
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -56,8 +56,11 @@
   return out;
 }
 
-ClientServer::Limits serverLimits(const Config& config, const OperatorSettings::Clients& clients) {
+ClientServer::Limits serverLimits(const Config& config, const OperatorSettings& settings) {
+  const OperatorSettings::Clients& clients = settings.clients;
   ClientServer::Limits out;
+  out.admission = settings.admission.settings;
+  out.reserveShare = settings.admission.reserveShare;
   out.idleFor = clients.idle;
   out.wholeWithin = clients.wholeWithin;
   out.writeWithin = clients.writeWithin;
@@ -96,7 +99,7 @@
       budget_(bytesOfMessages(config)),
       pool_(io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
             [this](AttemptEnd&& end) { ended(std::move(end)); }),
-      server_(io, config_, serverLimits(config, settings.clients), budget_, *this),
+      server_(io, config_, serverLimits(config, settings), budget_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       drain_(io) {
   long long from = -1;
--- a/src/operator/operator.hpp
+++ b/src/operator/operator.hpp
@@ -6,6 +6,8 @@
 #include <chrono>
 #include <string>
 
+#include "admission/core.hpp"
+
 namespace burlwind {
 
 // All times in milliseconds. Where a default is `platform`, what the platform's configuration gives holds.
@@ -15,6 +17,10 @@
     std::chrono::milliseconds wholeWithin{2500};   // a request, from its first byte
     std::chrono::milliseconds writeWithin{10000};  // an answer that its reader does not take
   } clients;
+  struct Admission {
+    double reserveShare = 0.25;    // of the connections: so many that were served make no room for others
+    admission::Settings settings;  // caps of a source and its prefix; connections come from the platform
+  } admission;
   struct Workers {
     std::chrono::milliseconds answerWithin{300};  // an answer, from its first byte to its last
     std::size_t idlePerWorker = 64;               // connections kept between attempts
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -113,7 +113,8 @@
   discoveryDown,
   gatekeeperKill,
   gatekeeperRestart,
-  gatekeeperReload
+  gatekeeperReload,
+  flood
 };
 std::string_view nameOf(FaultKind kind);
 
--- a/tests/rehearsal/judge_test.cpp
+++ b/tests/rehearsal/judge_test.cpp
@@ -291,6 +291,21 @@
   EXPECT_GE(verdict().broken[static_cast<std::size_t>(Rule::answer)], 1u);
 }
 
+// Seen in the busy hour: a kept connection of a gatekeeper that the scenario kills ends with nothing
+// answered.
+TEST_F(JudgeTest, WhatAKilledGatekeeperHadSentOnAndItsClientSendsOnceMoreIsNoBreach) {
+  const auto id = ask(0, order);
+  begin(1, id, 0, 1), end(20, id, 0, 1, "closed");
+  trace.add(19, Kind::daemon).text = "kill";
+  trace.events.back().gatekeeper = 0;
+  plainEvent(20, Kind::crossed, id);
+  Event again = trace.events[1];
+  again.at = 21;
+  trace.events.push_back(again);
+  begin(30, id, 1, 2), end(90, id, 1, 2, "served"), answer(91, id);
+  expectHeld();
+}
+
 // --- Rule: effect
 // ----------------------------------------------------------------------------------------------------
 
