--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -22,7 +22,12 @@
   return text;
 }
 
-double round(double value, double to) { return std::round(value / to) * to; }
+// To a whole part of one, such as 0.01: written so that the shortest text of the result is what a person
+// expects.
+double round(double value, double to) {
+  const double parts = std::round(1 / to);
+  return std::round(value * parts) / parts;
+}
 double seconds(double ms) { return round(ms / 1000, 0.001); }
 double share(double part, double whole) { return whole > 0 ? part / whole : 0; }
 
@@ -218,7 +223,7 @@
   std::function<double(const Window&)> value;
 };
 
-constexpr double kWide = 960, kHigh = 170, kLeft = 54, kTop = 12, kPlotWide = kWide - kLeft - 12,
+constexpr double kWide = 960, kHigh = 170, kLeft = 54, kTop = 12, kPlotWide = kWide - kLeft - 28,
                  kPlotHigh = kHigh - 40;
 
 // One plot over the run's time, faults as bands behind it, breaches as marks on its lower edge.
@@ -238,7 +243,7 @@
   for (int i = 0; i <= 4; ++i)
     out += format(
         "<line class='grid' x1='%.1f' x2='%.1f' y1='%.1f' y2='%.1f'/><text x='%.1f' y='%.1f' "
-        "class='left'>%.3g</text>",
+        "class='left'>%.4g</text>",
         kLeft, kLeft + kPlotWide, y(most * i / 4), y(most * i / 4), kLeft - 6, y(most * i / 4) + 4,
         most * i / 4);
   for (int i = 0; i <= 6; ++i)
