--- a/src/rehearsal/judge.cpp
+++ b/src/rehearsal/judge.cpp
@@ -18,7 +18,9 @@
 constexpr double kNever = std::numeric_limits<double>::infinity();
 constexpr double kMeterRoomMs = 150;      // of the ceiling's rate, on sockets
 constexpr double kToldShare = 2.0 / 3.0;  // of a fall's work must come from gatekeepers that knew
-constexpr double kAnyLagMs = 25;          // how near a late moment an event counts as seen late
+constexpr double kSeenAfterKillMs =
+    2000;                         // for how long after a kill its connections may still be seen to end
+constexpr double kAnyLagMs = 25;  // how near a late moment an event counts as seen late
 
 struct Attempt {
   const Event* begin = nullptr;
@@ -111,7 +113,7 @@
   Verdict run() {
     for (const Event* event : events_) gather(*event);
     for (const Event* event : events_) follow(*event);
-    for (const std::uint64_t id : order_) checkRequest(id, requests_[id]);
+    for (const std::uint64_t id : order_) checkRequest(requests_[id]);
     finish();
     return std::move(out_);
   }
@@ -164,7 +166,7 @@
         lag_.add(event);
         break;
       case Kind::daemon:
-        if (event.text == "kill" || event.text == "term") ends_[event.gatekeeper].push_back(&event);
+        if (event.text == "kill") kills_[event.gatekeeper].push_back(event.at);
         break;
       case Kind::stray:
         breach(Rule::answer, event, "a request that no client sent reached a server",
@@ -324,9 +326,7 @@
     out_.plans[wanted.plan].share.served += worth;
   }
 
-  // --- Drains
-  // ------------------------------------------------------------------------------------------------
-
+  // --- Drains ---
   struct Known {
     const Event* notReadySince = nullptr;
     double startedAt = -1;
@@ -356,9 +356,7 @@
              {line(*since, "told"), line(event, "attempt")});
   }
 
-  // --- Cold servers
-  // ------------------------------------------------------------------------------------------
-
+  // --- Cold servers ---
   struct Cold {
     double startedAt = -1;
     bool broken = false;
@@ -400,9 +398,7 @@
            {line(*cold.recent.front(), "first of the span"), line(event, "last of the span")});
   }
 
-  // --- Daemons
-  // -----------------------------------------------------------------------------------------------
-
+  // --- Daemons ---
   void usage(const Event& event) {
     if (event.gatekeeper < 0) return void(out_.kitCpuSeconds = event.value);
     DaemonReport& report = out_.daemons.at(daemonOf(event));
@@ -424,22 +420,22 @@
     if (event.text == "crash" || event.text == "hang") report.crashed = true;
   }
 
-  // Whether the plan ended this gatekeeper about then: what it held is lost with it.
-  bool endedByPlan(int gatekeeper, double at) const {
-    const auto found = ends_.find(gatekeeper);
-    if (found == ends_.end()) return false;
-    return std::any_of(found->second.begin(), found->second.end(), [&](const Event* end) {
-      return end->text == "kill" && at >= end->at - kCrossingMs && at <= end->at + 2000;
+  // Whether the scenario killed this gatekeeper about then: what it held is lost with it.
+  bool killedByPlan(int gatekeeper, double at) const {
+    const auto found = kills_.find(gatekeeper);
+    if (found == kills_.end()) return false;
+    return std::any_of(found->second.begin(), found->second.end(), [&](double kill) {
+      return at >= kill - kCrossingMs && at <= kill + kSeenAfterKillMs;
     });
   }
 
   // --- Each request, whole ---------------------------------------------------------------------------------
 
-  void checkRequest(std::uint64_t id, const Request& request) {
+  void checkRequest(const Request& request) {
     if (!request.ask) return;
     checkAnswer(request);
     checkAttempts(request);
-    checkRefusal(id, request);
+    checkRefusal(request);
   }
 
   double allowance(double at) const { return kCrossingMs + lag_.at(at); }
@@ -462,7 +458,7 @@
                  {line(*r.answer, "answer"), line(*attempt.begin, "attempt")});
     } else if (r.lost && r.lost->good && r.attempts.empty()) {
       ++out_.failed;  // the first of a connection that was ended with nothing sent on: failed, not lost
-    } else if (r.lost && !endedByPlan(ask.gatekeeper, r.lost->at)) {
+    } else if (r.lost && !killedByPlan(ask.gatekeeper, r.lost->at)) {
       breach(Rule::answer, *r.lost, "its connection ended with no whole answer",
              {line(ask, "ask"), line(*r.lost, "connection ended")});
     } else if (r.overdue) {
@@ -471,7 +467,7 @@
     } else if (!r.lost && !r.left) {
       breach(Rule::answer, ask, "no answer was seen by the end of the run", {line(ask, "ask")});
     }
-    if (r.crossed && !r.attempts.empty() && !endedByPlan(ask.gatekeeper, r.crossed->at) &&
+    if (r.crossed && !r.attempts.empty() && !killedByPlan(ask.gatekeeper, r.crossed->at) &&
         r.attempts.front().begin->at < r.crossed->at - allowance(r.crossed->at))
       breach(Rule::answer, *r.crossed, "taken, sent on, and its connection ended with no answer",
              {line(*r.attempts.front().begin, "attempt"), line(*r.crossed, "connection ended")});
@@ -511,7 +507,7 @@
 
   unsigned zoneOf(int server) const { return static_cast<unsigned>(server) % scenario_.fleet.zones; }
 
-  void checkRefusal(std::uint64_t, const Request& r) {
+  void checkRefusal(const Request& r) {
     if (!r.answer || (r.answer->part != 429 && r.answer->part != 503)) return;
     const ClassSpec& klass = scenario_.classes[r.ask->klass];
     if (klass.repeat == Repeat::safe || (klass.repeat == Repeat::keyed && klass.scope == Scope::all)) return;
@@ -521,9 +517,7 @@
                       {line(*attempt.begin, "attempt"), line(*r.answer, "answer")});
   }
 
-  // --- The end
-  // -----------------------------------------------------------------------------------------------
-
+  // --- The end ---
   void breach(Rule rule, const Event& event, std::string why, std::vector<std::string> proof) {
     unsigned& count = out_.broken[static_cast<std::size_t>(rule)];
     if (++count <= kMostBreaches)
@@ -565,7 +559,7 @@
   Lag lag_;
   std::map<std::pair<int, int>, Known> known_;
   std::map<int, Cold> cold_;
-  std::map<int, std::vector<const Event*>> ends_;
+  std::map<int, std::vector<double>> kills_;
   std::map<int, double> lastCpu_;
   std::vector<Histogram> latencies_;
   double window_ = kWindowMs;
--- a/src/rehearsal/order_server.cpp
+++ b/src/rehearsal/order_server.cpp
@@ -377,9 +377,7 @@
   connection->reply("200 OK", "Content-Type: text/plain\r\n" + extra, bodyFor(name), "served");
 }
 
-// --- Load reports
-// --------------------------------------------------------------------------------------------
-
+// --- Load reports ---
 void OrderServer::sample() {
   Random random(world_.seed, "report", Hash().add(std::uint64_t{index_}).add(world_.now()).value());
   const double noise = 1 + world_.scenario.fleet.reportNoise * random.normal();
@@ -402,9 +400,7 @@
   return text;
 }
 
-// --- What happens to it
-// -----------------------------------------------------------------------------------------
-
+// --- What happens to it ---
 void OrderServer::crash() {
   model_.stop(world_.now());
   jobs_.clear();
--- a/src/rehearsal/rehearsal.cpp
+++ b/src/rehearsal/rehearsal.cpp
@@ -107,9 +107,7 @@
  private:
   unsigned gatekeepers() const { return scenario_.gatekeepers.count; }
 
-  // --- Before the begin
-  // --------------------------------------------------------------------------------------
-
+  // --- Before the begin ---
   void prepare() {
     for (unsigned s = 0; s < scenario_.fleet.servers; ++s) {
       servers_.push_back(std::make_unique<OrderServer>(world_, fleet_, s, -1e12));
@@ -175,9 +173,7 @@
     }
   }
 
-  // --- Playing
-  // -------------------------------------------------------------------------------------------------
-
+  // --- Playing ---
   // Times from here on count from now: what was noted before lies before 0.
   void begin() {
     playing_ = true;
@@ -254,9 +250,7 @@
     });
   }
 
-  // --- Faults
-  // --------------------------------------------------------------------------------------------------
-
+  // --- Faults ---
   struct Edge {
     double at = 0;
     std::size_t fault = 0;
@@ -407,9 +401,7 @@
     daemons_[g]->signal(SIGHUP);
   }
 
-  // --- Daemons
-  // ---------------------------------------------------------------------------------------------------
-
+  // --- Daemons ---
   Event& note(unsigned g, const char* text) {
     Event& event = world_.trace.add(world_.now(), Kind::daemon);
     event.gatekeeper = static_cast<std::int16_t>(g);
@@ -446,9 +438,7 @@
          "; its log ends:\n" + log);
   }
 
-  // --- The end
-  // ---------------------------------------------------------------------------------------------------
-
+  // --- The end ---
   void end() {
     if (!stopping_) stop("");
   }
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -203,9 +203,7 @@
   return out;
 }
 
-// --- The page
-// ----------------------------------------------------------------------------------------------------
-
+// --- The page ---
 namespace {
 
 std::string escaped(const std::string& text) {
--- a/tests/admission/core_test.cpp
+++ b/tests/admission/core_test.cpp
@@ -183,9 +183,7 @@
   EXPECT_TRUE(core.arrive(0, 1002, v4(0)).taken) << "it is forgotten";
 }
 
-// --- Invariants
-// ------------------------------------------------------------------------------------------------------
-
+// --- Invariants ---
 struct Seen {
   unsigned source = 0;
   Standing standing = Standing::unfinished;
--- a/tests/node/flood_test.cpp
+++ b/tests/node/flood_test.cpp
@@ -47,6 +47,15 @@
     peer->read();
     return peer;
   }
+  // Clients that have been served, and keep their connections.
+  std::vector<PeerPtr> knownFrom(const char* source, unsigned count) {
+    std::vector<PeerPtr> known;
+    for (unsigned i = 0; i < count; ++i) {
+      known.push_back(dialFrom(source));
+      serve(known.back(), 100 + i);
+    }
+    return known;
+  }
   // Many more than the table holds.
   void flood(const char* source, const std::string& text, std::size_t count) {
     for (std::size_t i = 0; i < count; ++i) {
@@ -61,11 +70,7 @@
 
 TEST_F(Flood, SilentHalfAndSlowOnesTakeNothingFromTheKnownOnOtherAddresses) {
   openFor(40);
-  std::vector<PeerPtr> known;
-  for (unsigned i = 0; i < 8; ++i) {
-    known.push_back(dialFrom("127.0.0.9"));
-    serve(known.back(), 100 + i);
-  }
+  const auto known = knownFrom("127.0.0.9", 8);
   flood("127.0.0.66", "", 200);
   flood("127.0.0.66", ask(1).substr(0, 40), 200);
   flood("127.0.0.66", "G", 200);
@@ -75,11 +80,7 @@
 
 TEST_F(Flood, NorFromTheKnownOnTheSameAddress) {
   openFor(40);
-  std::vector<PeerPtr> known;
-  for (unsigned i = 0; i < 8; ++i) {
-    known.push_back(dialFrom("127.0.0.66"));
-    serve(known.back(), 100 + i);
-  }
+  const auto known = knownFrom("127.0.0.66", 8);
   flood("127.0.0.66", "", 300);
   for (unsigned i = 0; i < 8; ++i) serve(known[i], 200 + i);
 }
--- a/tests/rehearsal/bad_proxy.cpp
+++ b/tests/rehearsal/bad_proxy.cpp
@@ -218,7 +218,10 @@
 
 int main(int words, char** word) {
   mode = words > 1 ? word[1] : "good";
-  signal(SIGTERM, [](int) { std::_Exit(0); });
+  if (mode == "deaf")
+    signal(SIGTERM, SIG_IGN);
+  else
+    signal(SIGTERM, [](int) { std::_Exit(0); });
   signal(SIGHUP, SIG_IGN);
   std::thread(watch, std::getenv("BALANCER_DISCOVERY")).detach();
   const sockaddr_in at = endpoint(std::getenv("BALANCER_LISTEN"));
--- a/tests/rehearsal/judge_test.cpp
+++ b/tests/rehearsal/judge_test.cpp
@@ -131,9 +131,7 @@
   EXPECT_EQ(verdict().served, 3u);
 }
 
-// --- Service
-// -----------------------------------------------------------------------------------------------------
-
+// --- Service ---
 TEST_F(JudgeTest, AnAnswerPastTheAimServesNothing) {
   const auto just = ask(0, look);
   begin(1, just, 0, 1), end(999, just, 0, 1, "served"), answer(1000, just);
@@ -178,9 +176,7 @@
   EXPECT_EQ(v.windows[1].faults, (std::vector<std::size_t>{0, 1}));
 }
 
-// --- Rule: answer
-// --------------------------------------------------------------------------------------------------
-
+// --- Rule: answer ---
 TEST_F(JudgeTest, AnswerInTimeJustInsideAndJustOutside) {
   const auto id = ask(0, look);
   begin(1, id, 0, 1), end(3000, id, 0, 1, "served");
@@ -306,9 +302,7 @@
   expectHeld();
 }
 
-// --- Rule: effect
-// ----------------------------------------------------------------------------------------------------
-
+// --- Rule: effect ---
 TEST_F(JudgeTest, AnUnsafeOneIsNotSentAgainOnceItMayHaveRun) {
   const auto id = ask(0, order);
   begin(1, id, 0, 1), end(50, id, 0, 1, "reset");
@@ -388,9 +382,7 @@
   expectOnly(Rule::effect, 11, id);
 }
 
-// --- Rule: drain
-// -----------------------------------------------------------------------------------------------------
-
+// --- Rule: drain ---
 TEST_F(JudgeTest, NothingNewToADrainingServerAfterTheGrace) {
   told(0, 0, "ready");
   told(100, 0, "draining");
@@ -423,9 +415,7 @@
   expectHeld();
 }
 
-// --- Rule: cold
-// ------------------------------------------------------------------------------------------------------
-
+// --- Rule: cold ---
 // So many attempts of 100 ms in half a second at a cold server that can do 0.5 ms in a ms: it stands 1000 and
 // a job.
 class ColdTest : public JudgeTest {
@@ -473,9 +463,7 @@
   expectHeld();
 }
 
-// --- Rule: ceiling
-// ---------------------------------------------------------------------------------------------------
-
+// --- Rule: ceiling ---
 TEST_F(JudgeTest, TheCeilingHoldsWithItsSlack) {
   // 5 units, 1 of slack, and what the rate gives in 150 ms: 7.5 below nothing would be too many by one.
   for (int i = 0; i < 7; ++i) good(0, look, 9, 1);
@@ -496,9 +484,7 @@
   expectHeld();
 }
 
-// --- The kit's own state, daemons, and the trace
-// -----------------------------------------------------------------------
-
+// --- The kit's own state, daemons, and the trace ---
 TEST_F(JudgeTest, AMachineThatIsTooSlowIsSaidSo) {
   good(0, look);
   trace.add(100, Kind::lag).value = 399;
--- a/tests/rehearsal/kit_test.cpp
+++ b/tests/rehearsal/kit_test.cpp
@@ -138,9 +138,7 @@
   EXPECT_EQ(again.out, first.out);
 }
 
-// --- What can go wrong
-// ---------------------------------------------------------------------------------------------
-
+// --- What can go wrong ---
 TEST_F(KitSurvives, ACommandThatDoesNotExist) {
   const Ran ran = play(kBase + kPlan, "/nonexistent/daemon");
   EXPECT_EQ(ran.status, 2) << ran.out;
@@ -172,6 +170,13 @@
   EXPECT_TRUE(ran.report["daemons"][0]["crashed"]);
 }
 
+TEST_F(KitSurvives, ADaemonThatDoesNotEnd) {
+  const Ran ran = play(kBase + kPlan, "'" BURLWIND_BAD_PROXY "' deaf");
+  EXPECT_EQ(ran.status, 1) << ran.out;
+  EXPECT_NE(ran.err.find("did not end on SIGTERM"), std::string::npos) << ran.err;
+  EXPECT_TRUE(ran.report["daemons"][0]["crashed"]);
+}
+
 TEST_F(KitSurvives, CtrlCLeavesNoProcess) {
   const std::string mark = "burlwind-mark-" + std::to_string(getpid());
   const std::string path = write("s.toml", kBase + kPlan);
--- a/tests/rehearsal/stand_ins_test.cpp
+++ b/tests/rehearsal/stand_ins_test.cpp
@@ -58,9 +58,7 @@
   World world{io, scenario, plan, trace, 1, {}, 0, {}};
 };
 
-// --- Order server
-// ----------------------------------------------------------------------------------------------------
-
+// --- Order server ---
 class OrderServerTest : public StandIns {
  protected:
   void open(double startedAt = -1e12) {
@@ -293,9 +291,7 @@
   EXPECT_FALSE(peer->ended) << "the connection stays open and is of no further use";
 }
 
-// --- Discovery
-// -------------------------------------------------------------------------------------------------------
-
+// --- Discovery ---
 class DiscoveryTest : public StandIns {
  protected:
   DiscoveryTest() {
@@ -368,9 +364,7 @@
   until([&] { return fresh->has("s-0"); }, "the list at the new address");
 }
 
-// --- The front
-// ---------------------------------------------------------------------------------------------------------
-
+// --- The front ---
 // One arrival of a class at once, against a scripted gatekeeper.
 class FrontTest : public StandIns {
  protected:
