Admission: at most an eighth waits between requests, room by proof, a door that refuses

The core now bounds what waits between requests (idle_share); the longest idle ends first, one that asked once before one that came again, and an answer carries Connection: close where all that wait have shown more. What comes to a table full of requests waits 100 ms and is then told 503 at once, as long as there is no room; what it had sent is read first, since a reset would lose the text. Out of descriptors, 64 at a time are told so, not one each 50 ms.

--- a/src/admission/core.cpp
+++ b/src/admission/core.cpp
@@ -1,13 +1,14 @@
 #include "admission/core.hpp"
 
 #include <algorithm>
+#include <sstream>
 
 namespace burlwind::admission {
 namespace {
 
 constexpr unsigned kV4Offset = 96;  // bits before an IPv4 address in the 16 bytes
 
-bool unprovenIs(Proof proof) { return proof != Proof::letIn; }
+bool unprovenIs(Proof proof) { return proof < Proof::letIn; }
 
 std::uint64_t mix(std::uint64_t z) {  // SplitMix64's finalizer
   z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
@@ -15,8 +16,39 @@
   return z ^ (z >> 31);
 }
 
+void writeCap(std::ostream& out, double cap, const char* what) {
+  if (cap > 0) out << ", " << cap << ' ' << what;
+}
+
 }  // namespace
 
+std::string describe(const Settings& settings) {
+  std::ostringstream out;
+  out << settings.connections << " connections, " << settings.reserve
+      << " of them kept for those that were served, ";
+  if (settings.idleMost > 0) out << settings.idleMost << " at most between requests, ";
+  out << settings.acceptWait << " ms for room; a source is a /" << settings.prefixV4 << " or IPv6 /"
+      << settings.prefixV6;
+  const bool capped = settings.perSource > 0 || settings.unfinishedPerSource > 0 || settings.newPerSecond > 0;
+  if (!capped) out << ", no caps";
+  writeCap(out, static_cast<double>(settings.perSource), "connections");
+  writeCap(out, static_cast<double>(settings.unfinishedPerSource), "unfinished");
+  writeCap(out, settings.newPerSecond, "new a second");
+  out << "; " << settings.trusted.size() << " trusted prefixes";
+  return out.str();
+}
+
+std::string describe(const Counts& counts) {
+  constexpr std::array<const char*, kTurned> kWhy{"source full", "unfinished", "too fast", "table full",
+                                                  "no descriptors"};
+  std::ostringstream out;
+  out << counts.taken << " taken, " << counts.evicted << " evicted, " << counts.idledOut
+      << " ended between requests, turned away";
+  for (std::size_t i = 0; i < kTurned; ++i)
+    out << (i > 0 ? ", " : " ") << counts.turned[i] << " (" << kWhy[i] << ')';
+  return out.str();
+}
+
 bool Address::isV4() const {
   return std::all_of(bytes.begin(), bytes.begin() + 10, [](std::uint8_t b) { return b == 0; }) &&
          bytes[10] == 0xff && bytes[11] == 0xff;
@@ -31,7 +63,7 @@
   return true;
 }
 
-std::size_t Core::KeyHash::operator()(const Key& bytes) const {
+std::size_t SourceHash::operator()(const SourceKey& bytes) const {
   std::uint64_t out = key;
   for (std::size_t at = 0; at < bytes.size(); at += 8) {
     std::uint64_t word = 0;
@@ -42,7 +74,7 @@
 }
 
 Core::Core(const Settings& settings, std::uint64_t key)
-    : settings_(settings), sources_(0, KeyHash{mix(key + 1)}) {}
+    : settings_(settings), sources_(0, SourceHash{mix(key + 1)}) {}
 
 Core::Key Core::keyOf(const Address& address) const {
   Key out{};
@@ -84,9 +116,6 @@
 
 // What an unproven newcomer may push out, before what has proved itself.
 std::size_t Core::rankOf(const Entry& entry) const {
-  constexpr std::size_t kIdle = 4;
-  if (entry.standing == Standing::owed) return kKept;
-  if (settings_.order == Order::oldest) return entry.standing == Standing::idle ? kIdle : 0;
   const bool unproven = unprovenIs(entry.proof);
   switch (entry.standing) {
     case Standing::unfinished:
@@ -94,7 +123,7 @@
     case Standing::ending:
       return 1;
     case Standing::idle:
-      return unproven ? 2 : kIdle;
+      return kIdleRanks[unproven ? 0 : entry.proof == Proof::letIn ? 1 : 2];
     case Standing::owed:
       return kKept;
   }
@@ -103,8 +132,7 @@
 
 Core::Share Core::shareOf(const Source& source, std::size_t rank) const {
   const auto& mine = source.byRank[rank];
-  const std::size_t count = settings_.order == Order::proof ? mine.size() : 0;
-  return {count, mine.empty() ? 0 : -static_cast<std::int64_t>(mine.begin()->first), source.number};
+  return {mine.size(), mine.empty() ? 0 : -static_cast<std::int64_t>(mine.begin()->first), source.number};
 }
 
 void Core::enter(Id id, Entry& entry) {
@@ -126,18 +154,26 @@
   if (!mine.empty()) shares_[entry.rank].insert(shareOf(source, entry.rank));
 }
 
-// Of the lowest rank that anyone holds, the source with the most, and of that the one longest so.
+// Of a rank that someone holds: of the source with the most the one longest so.
+Id Core::firstOf(std::size_t rank) const {
+  const Key& key = numbers_.at(shares_[rank].rbegin()->source);
+  return sources_.at(key).byRank[rank].begin()->second;
+}
+
 std::optional<Id> Core::lowest(std::size_t belowRank) const {
-  for (std::size_t rank = 0; rank < belowRank; ++rank) {
-    if (shares_[rank].empty()) continue;
-    const Key& key = numbers_.at(shares_[rank].rbegin()->source);
-    return sources_.at(key).byRank[rank].begin()->second;
-  }
+  for (std::size_t rank = 0; rank < belowRank; ++rank)
+    if (!shares_[rank].empty()) return firstOf(rank);
+  return std::nullopt;
+}
+
+std::optional<Id> Core::lowestIdle() const {
+  for (const std::size_t rank : kIdleRanks)
+    if (!shares_[rank].empty()) return firstOf(rank);
   return std::nullopt;
 }
 
 std::optional<Id> Core::lowestOf(const Source& source, bool unfinishedOnly) const {
-  for (const std::size_t rank : {0u, 1u, 2u, 3u, 4u}) {
+  for (std::size_t rank = 0; rank < kRanks; ++rank) {
     if (unfinishedOnly && rank != 0 && rank != 3) continue;
     if (!source.byRank[rank].empty()) return source.byRank[rank].begin()->second;
   }
@@ -164,7 +200,7 @@
   Source& source = sourceOf(key, now);
   Arrival out;
   const auto turnAway = [&](Turned why) {
-    ++counts_.turned[static_cast<std::size_t>(why)];
+    turned(why);
     out.why = why;
     forgetOldest();
     return out;
@@ -201,14 +237,23 @@
 // one.
 std::size_t Core::ranksOpen() const {
   constexpr std::size_t kUnproven = 3;
-  return settings_.order == Order::proof && unproven_ + settings_.reserve >= settings_.connections ? kUnproven
-                                                                                                   : kRanks;
+  return unproven_ + settings_.reserve >= settings_.connections ? kUnproven : kRanks;
 }
 
 bool Core::hasRoom() const {
   return entries_.size() < settings_.connections || lowest(ranksOpen()).has_value();
 }
 
+Door Core::door(Time now) {
+  if (hasRoom()) {
+    fullSince_.reset();
+    return {};
+  }
+  if (!fullSince_) fullSince_ = now;
+  const Time until = *fullSince_ + settings_.acceptWait;
+  return {now < until ? Door::Is::hold : Door::Is::shut, until};
+}
+
 std::optional<Id> Core::spare() {
   const auto out = lowest(kRanks);
   if (!out) return out;
@@ -231,16 +276,37 @@
   enter(id, entry);
 }
 
-void Core::stand(Id id, Standing standing) {
+std::optional<Id> Core::stand(Id id, Standing standing) {
   const auto found = entries_.find(id);
-  if (found == entries_.end()) return;
+  if (found == entries_.end()) return std::nullopt;
   Entry& entry = found->second;
   Source& source = sources_.at(entry.source);
   source.unfinished -= entry.standing == Standing::unfinished;
   source.unfinished += standing == Standing::unfinished;
+  idle_ -= entry.standing == Standing::idle;
   leave(id, entry);
+  std::optional<Id> out;
+  if (standing == Standing::idle && settings_.idleMost > 0 && idle_ >= settings_.idleMost) out = lowestIdle();
+  idle_ += standing == Standing::idle;
   entry.standing = standing;
+  if (standing == Standing::owed && entry.proof == Proof::letIn) entry.proof = Proof::again;
   enter(id, entry);
+  if (out) {
+    ++counts_.idledOut;
+    gone(*out);
+  }
+  return out;
+}
+
+bool Core::keeps(Id id) const {
+  if (settings_.idleMost == 0 || idle_ < settings_.idleMost) return true;
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return false;
+  Entry waiting = found->second;
+  waiting.standing = Standing::idle;
+  const std::size_t mine = rankOf(waiting);
+  return std::any_of(kIdleRanks.begin(), kIdleRanks.end(),
+                     [&](std::size_t rank) { return rank <= mine && !shares_[rank].empty(); });
 }
 
 void Core::gone(Id id) {
@@ -251,6 +317,7 @@
   Source& source = sources_.at(entry.source);
   source.unfinished -= entry.standing == Standing::unfinished;
   unproven_ -= unprovenIs(entry.proof);
+  idle_ -= entry.standing == Standing::idle;
   entries_.erase(found);
   if (--source.held > 0) return;
   numbers_.erase(source.number);
--- a/src/admission/core.hpp
+++ b/src/admission/core.hpp
@@ -4,7 +4,9 @@
 //
 // A connection is judged by what it has proved and by its source (an address prefix). When the table is full,
 // room is made by the lowest rank below; within a rank by the source that holds most of that rank; of that
-// source by the one longest so. One that owes an answer is never chosen.
+// source by the one longest so. One that owes an answer is never chosen. Beyond a number of connections that
+// wait between requests the same order says which of those ends: a program that opens a connection for each
+// request, and keeps it, would else run out of its own.
 //
 // Invariants: held <= connections; served ones make room for others only down to the reserve; what is owed an
 // answer is never evicted; a source is under its caps, unless it is trusted. Cost: O(log n) a call, n
@@ -39,17 +41,11 @@
   bool holds(const Address& other) const;
 };
 
-// Whose connection makes room when the table is full.
-enum class Order : std::uint8_t {
-  oldest,  // what has no whole request or is being closed, then what waits between requests; the one longest
-           // so
-  proof    // by rank and share, as above
-};
-
 struct Settings {
-  Order order = Order::oldest;
   std::size_t connections = 480;
   std::size_t reserve = 120;  // slots of connections that were served, which make no room for unproven ones
+  std::size_t idleMost = 0;   // connections that wait between requests; 0: no bound
+  Time acceptWait = 100;      // what comes waits so long for room before it is turned away
   unsigned prefixV4 = 32;     // bits that make a source, 1 to 32
   unsigned prefixV6 = 64;     // 1 to 128
   std::size_t perSource = 0;  // connections of one source; 0: no cap
@@ -60,11 +56,11 @@
 };
 
 // What a connection has shown, rising.
-enum class Proof : std::uint8_t { nothing, head, letIn };
+enum class Proof : std::uint8_t { nothing, head, letIn, again };  // again: asked once more after that
 // What it is at.
 enum class Standing : std::uint8_t { unfinished, idle, owed, ending };
-enum class Turned : std::uint8_t { sourceFull, sourceUnfinished, sourceTooFast, tableFull };
-constexpr std::size_t kTurned = 4;
+enum class Turned : std::uint8_t { sourceFull, sourceUnfinished, sourceTooFast, tableFull, noDescriptors };
+constexpr std::size_t kTurned = 5;
 
 struct Arrival {
   bool taken = false;
@@ -72,11 +68,28 @@
   Turned why = Turned::tableFull;  // where it is not taken
 };
 
+// What is to be done with one that comes.
+struct Door {
+  enum class Is : std::uint8_t { open, hold, shut } is = Is::open;  // shut: it is turned away
+  Time until = 0;                                                   // held so long for room
+};
+
 struct Counts {
   std::uint64_t taken = 0, evicted = 0;
+  std::uint64_t idledOut = 0;  // ended between requests, since more than idleMost waited there
   std::array<std::uint64_t, kTurned> turned{};
 };
 
+// One line on what the settings come to, and one on what has happened.
+std::string describe(const Settings& settings);
+std::string describe(const Counts& counts);
+
+using SourceKey = std::array<std::uint8_t, 17>;  // the masked address, and whether it is trusted
+struct SourceHash {
+  std::uint64_t key;
+  std::size_t operator()(const SourceKey& source) const;
+};
+
 class Core {
  public:
   // `key` seeds the hash of addresses: a hostile client cannot choose addresses that collide.
@@ -84,30 +97,33 @@
 
   // One has come. If it is taken, the core holds it from here on, and no longer the one to evict.
   Arrival arrive(Time now, Id id, const Address& from);
-  // Whether one that comes now from anywhere would be taken, as far as the table goes; else accepting may
-  // wait.
-  bool hasRoom() const;
+  // Whether one that comes now from anywhere would be taken, as far as the table goes; it may wait for room,
+  // but not behind others that have waited long already (a standing queue, as CoDel calls it: RFC 8289, 3).
+  Door door(Time now);
   // Room is wanted for another reason (descriptors have run out): who is to go, if any may. It is held no
   // longer.
   std::optional<Id> spare();
+  // One was turned away by the host, for a reason of its own.
+  void turned(Turned why) { ++counts_.turned[static_cast<std::size_t>(why)]; }
   // All ignore an id that is not held.
   void prove(Id id, Proof proof);  // never falls
-  void stand(Id id, Standing standing);
+  // Who is to end, if too many wait between requests; another one, and held no longer.
+  std::optional<Id> stand(Id id, Standing standing);
+  // Whether one that is about to be answered may wait for a further request; else its answer ends it.
+  bool keeps(Id id) const;
   void gone(Id id);
 
   std::size_t held() const { return entries_.size(); }
   std::size_t unproven() const { return unproven_; }
   std::size_t sources() const { return sources_.size(); }
+  const Settings& settings() const { return settings_; }
   const Counts& counts() const { return counts_; }
 
  private:
-  static constexpr std::size_t kRanks = 5;
+  static constexpr std::size_t kRanks = 6;
+  static constexpr std::array<std::size_t, 3> kIdleRanks{2, 4, 5};
   static constexpr std::size_t kKept = kRanks;  // owed an answer: no rank
-  using Key = std::array<std::uint8_t, 17>;     // the masked address, and whether it is trusted
-  struct KeyHash {
-    std::uint64_t key;
-    std::size_t operator()(const Key& key) const;
-  };
+  using Key = SourceKey;
   struct Source {
     std::uint64_t number = 0;  // of its making, for a stable order
     std::size_t held = 0, unfinished = 0;
@@ -136,7 +152,10 @@
   Key keyOf(const Address& address) const;
   Source& sourceOf(const Key& key, Time now);
   std::optional<Turned> capOf(Source& source, Time now);
+  bool hasRoom() const;
+  Id firstOf(std::size_t rank) const;
   std::optional<Id> lowest(std::size_t belowRank) const;
+  std::optional<Id> lowestIdle() const;
   std::size_t ranksOpen() const;
   std::optional<Id> lowestOf(const Source& source, bool unfinishedOnly) const;
   std::size_t rankOf(const Entry& entry) const;
@@ -147,11 +166,12 @@
 
   const Settings settings_;
   std::unordered_map<Id, Entry> entries_;
-  std::unordered_map<Key, Source, KeyHash> sources_;
+  std::unordered_map<Key, Source, SourceHash> sources_;
   std::array<std::set<Share>, kRanks> shares_;
   std::unordered_map<std::uint64_t, Key> numbers_;  // of sources that hold something
   std::list<Key> idleSources_;                      // the least recently seen first
-  std::size_t unproven_ = 0;
+  std::size_t unproven_ = 0, idle_ = 0;
+  std::optional<Time> fullSince_;
   std::uint64_t lastSince_ = 0, lastSource_ = 0;
   Counts counts_;
 };
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -25,6 +25,9 @@
 constexpr auto kHalfSentAtStop = 500ms;       // what is left to a half-sent request once nobody accepts
 constexpr irisring::Time kFullRetryAfter = 1000;
 constexpr auto kTellCountsAfter = 10s;
+constexpr int kMostTurnedAtOnce = 64;  // while there are no descriptors
+constexpr std::size_t kLeastIdle = 8;
+constexpr int kMostUnread = 4;  // steps of what one that is turned away has sent already
 
 std::string seconds(irisring::Time ms) {
   char text[32];
@@ -91,7 +94,7 @@
     http::response<http::empty_body> head(answer.status, 11);
     if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
-    last_ = last_ || server_.draining_;
+    last_ = last_ || server_.draining_ || !server_.core_.keeps(place_);
     head.keep_alive(!last_);
     head.content_length(answer.body.size());
     state_ = State::answering;
@@ -140,7 +143,7 @@
 
   void stand(Standing standing) {
     standing_ = standing;
-    server_.core_.stand(place_, standing);
+    if (const auto other = server_.core_.stand(place_, standing)) server_.close(*other);
   }
 
   void arm(std::chrono::milliseconds span) {
@@ -350,7 +353,11 @@
 admission::Settings placesOf(const ClientServer::Limits& limits) {
   admission::Settings out = limits.admission;
   out.connections = limits.connections;
-  out.reserve = static_cast<std::size_t>(limits.reserveShare * static_cast<double>(limits.connections));
+  const auto share = [&](double of) {
+    return static_cast<std::size_t>(of * static_cast<double>(limits.connections));
+  };
+  out.reserve = share(limits.reserveShare);
+  out.idleMost = std::max(kLeastIdle, share(limits.idleShare));
   return out;
 }
 
@@ -360,6 +367,10 @@
   return {v6.to_bytes()};
 }
 
+admission::Time now() {
+  return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
+}
+
 int openSpare() { return ::open("/dev/null", O_RDONLY | O_CLOEXEC); }
 
 }  // namespace
@@ -374,7 +385,8 @@
       pause_(io),
       core_(placesOf(limits), config.seed),
       spareDescriptor_(openSpare()),
-      tell_(io) {}
+      tell_(io),
+      hold_(io) {}
 
 ClientServer::~ClientServer() {
   for (const auto& [place, connection] : connections_) connection->abandon();
@@ -396,9 +408,18 @@
 }
 
 // At the limit one that may be spared makes room for one that comes, but not before it does; where there is
-// none, the next one to turn idle or end does.
+// none, what comes is held for a moment, and then turned away as long as there is no room.
 void ClientServer::accept() {
-  if (accepting_ || !core_.hasRoom()) return;
+  const admission::Door door = core_.door(now());
+  if (accepting_) return;
+  if (waiting_ && door.is == admission::Door::Is::hold) {
+    hold_.expires_at(Clock::time_point(
+        std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double, std::milli>(door.until))));
+    hold_.async_wait([this](const Error& error) {
+      if (!error) accept();
+    });
+    return;
+  }
   if (waiting_) return add(*std::exchange(waiting_, std::nullopt));
   if (!acceptor_.is_open()) return;
   accepting_ = true;
@@ -413,18 +434,23 @@
   });
 }
 
-// Out of descriptors: the connection stays in the machine's queue and would be reported again at once. With
-// the one that was kept for this it is taken and told; the next comes after a pause, when an idle one may
-// have made room.
+// Out of descriptors: what comes stays in the machine's queue and would be reported again at once. With the
+// one that was kept for this some of them are taken and told; the next come after a pause, when an idle one
+// may have made room.
 void ClientServer::acceptLater() {
   if (const auto place = core_.spare()) close(*place);
   if (spareDescriptor_ >= 0) {
     ::close(spareDescriptor_);
     Error error;
-    tcp::socket socket(acceptor_.get_executor());
-    acceptor_.accept(socket, error);
-    if (!error) turnAway(socket);
+    for (int i = 0; i < kMostTurnedAtOnce && !error; ++i) {
+      tcp::socket socket(acceptor_.get_executor());
+      acceptor_.accept(socket, error);
+      if (error) break;
+      turnAway(socket);
+      core_.turned(admission::Turned::noDescriptors);
+    }
     spareDescriptor_ = openSpare();
+    tellCounts();
   }
   pause_.expires_after(kAcceptPause);
   pause_.async_wait([this](const Error& error) {
@@ -438,6 +464,10 @@
       "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
   Error ignored;
   socket.non_blocking(true, ignored);
+  // What has come is read first: closing a socket with bytes unread resets it, and the text would be lost.
+  std::array<char, kReadStep> unread;
+  for (int step = 0; step < kMostUnread && socket.receive(asio::buffer(unread), 0, ignored) > 0; ++step) {
+  }
   socket.send(asio::buffer(kText), 0, ignored);
   socket.shutdown(tcp::socket::shutdown_send, ignored);
   socket.close(ignored);
@@ -448,8 +478,7 @@
   const auto peer = socket.remote_endpoint(error);
   if (error) return accept();  // it has gone already
   const admission::Id place = ++lastPlace_;
-  const auto now = std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
-  const admission::Arrival arrival = core_.arrive(now, place, addressOf(peer.address()));
+  const admission::Arrival arrival = core_.arrive(now(), place, addressOf(peer.address()));
   if (arrival.evict || !arrival.taken) tellCounts();
   if (!arrival.taken) {
     turnAway(socket);
@@ -482,15 +511,9 @@
   tell_.async_wait([this](const Error& error) {
     if (error) return;
     telling_ = false;
-    const admission::Counts& counts = core_.counts();
-    std::fprintf(
-        stderr,
-        "burlwind: connections: %llu taken, %llu evicted, turned away %llu (source full), %llu (unfinished), "
-        "%llu (too fast), %llu (table full); %zu held of %zu, %zu unproven, %zu sources\n",
-        static_cast<unsigned long long>(counts.taken), static_cast<unsigned long long>(counts.evicted),
-        static_cast<unsigned long long>(counts.turned[0]), static_cast<unsigned long long>(counts.turned[1]),
-        static_cast<unsigned long long>(counts.turned[2]), static_cast<unsigned long long>(counts.turned[3]),
-        core_.held(), limits_.connections, core_.unproven(), core_.sources());
+    std::fprintf(stderr, "burlwind: connections: %s; %zu held of %zu, %zu unproven, %zu sources\n",
+                 describe(core_.counts()).c_str(), core_.held(), limits_.connections, core_.unproven(),
+                 core_.sources());
   });
 }
 
@@ -507,6 +530,7 @@
   acceptor_.close(ignored);
   pause_.cancel();
   tell_.cancel();
+  hold_.cancel();
   std::vector<std::shared_ptr<Connection>> all;
   for (const auto& [place, connection] : connections_) all.push_back(connection);
   for (const auto& connection : all) connection->finishUp();
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -55,6 +55,7 @@
     std::size_t connections = 480;
     admission::Settings admission;  // its connections and reserve follow from the number above and this share
     double reserveShare = 0.25;     // of the connections: so many that were served make no room for others
+    double idleShare = 0.125;       // of the connections: so many may wait between requests, 8 at least
     std::chrono::milliseconds idleFor{8000};  // between requests
     // A request, from its first byte; the first one from the connection's begin. What is not whole by then is
     // owed an answer or an end within 3 s.
@@ -82,6 +83,7 @@
 
   std::size_t connections() const { return connections_.size(); }
   const admission::Counts& admitted() const { return core_.counts(); }
+  const admission::Settings& admission() const { return core_.settings(); }
 
  private:
   class Connection;
@@ -109,6 +111,7 @@
   boost::asio::steady_timer tell_;
   bool telling_ = false;
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
+  boost::asio::steady_timer hold_;                       // how long that may last
   std::function<void()> done_;
   bool accepting_ = false;  // an accept is pending
   bool draining_ = false;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -61,6 +61,7 @@
   ClientServer::Limits out;
   out.admission = settings.admission.settings;
   out.reserveShare = settings.admission.reserveShare;
+  out.idleShare = settings.admission.idleShare;
   out.idleFor = clients.idle;
   out.wholeWithin = clients.wholeWithin;
   out.writeWithin = clients.writeWithin;
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -45,6 +45,7 @@
   void drain(std::function<void()> done);
 
   boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
+  const admission::Settings& admission() const { return server_.admission(); }
   bool ready() const override { return ready_; }
   std::size_t held() const { return held_.size(); }
   std::size_t listed() const { return listed_.size(); }  // workers that may be sent to
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -43,7 +43,8 @@
     const burlwind::OperatorSettings settings = operatorSettings(line);
     const burlwind::Config config = burlwind::readConfig();
     boost::asio::io_context io(1);
-    burlwind::Gatekeeper(io, config, settings);
+    const burlwind::Gatekeeper gatekeeper(io, config, settings);
+    std::printf("burlwind: admission: %s\n", burlwind::admission::describe(gatekeeper.admission()).c_str());
   } catch (const std::exception& error) {
     std::fprintf(stderr, "burlwind: %s\n", error.what());
     return 2;
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -46,9 +46,9 @@
     return static_cast<std::size_t>(section.whole(key, static_cast<long>(otherwise), range));
   };
   admission::Settings& settings = out.settings;
-  const bool proof = section.text("make_room", "oldest", {"oldest", "proof"}) == "proof";
-  settings.order = proof ? admission::Order::proof : admission::Order::oldest;
   out.reserveShare = section.number("reserve_share", out.reserveShare, {0, 0.9});
+  out.idleShare = section.number("idle_share", out.idleShare, {0.01, 1});
+  settings.acceptWait = section.number("accept_wait_ms", settings.acceptWait, {0, 10000});
   settings.prefixV4 = static_cast<unsigned>(count("prefix_v4", settings.prefixV4, {1, 32}));
   settings.prefixV6 = static_cast<unsigned>(count("prefix_v6", settings.prefixV6, {1, 128}));
   settings.perSource = count("per_source", settings.perSource, {0, 1000000});
--- a/src/operator/operator.hpp
+++ b/src/operator/operator.hpp
@@ -19,6 +19,7 @@
   } clients;
   struct Admission {
     double reserveShare = 0.25;    // of the connections: so many that were served make no room for others
+    double idleShare = 0.125;      // of the connections: so many may wait between requests, 8 at least
     admission::Settings settings;  // caps of a source and its prefix; connections come from the platform
   } admission;
   struct Workers {
--- a/tests/node/reload_test.cpp
+++ b/tests/node/reload_test.cpp
@@ -2,6 +2,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -71,6 +72,31 @@
   EXPECT_EQ(second.peers.size(), 1u);
 }
 
+// Thousands that say nothing come and go meanwhile: the move goes on, and a client is served.
+TEST_F(Reload, AFloodKeepsItNeitherFromMovingNorFromServing) {
+  open();
+  std::vector<PeerPtr> crowd;
+  const auto flood = [&] {
+    for (int i = 0; i < 300; ++i) {
+      crowd.push_back(dial(node->address()));
+      io.restart();
+      io.poll();
+    }
+  };
+  flood();
+  const auto client = dial(node->address());
+  client->send(Ask().text());
+  until([&] { return worker.count("\r\n\r\n") == 1; }, "a request at the worker");
+  reload(second);
+  flood();
+  until([&] { return second.count("\r\n\r\n") == 1; }, "a watch at the second discovery");
+  flood();
+  worker.peers[0]->send(reply("200 OK", "served"));
+  until([&] { return client->has("served"); }, "the answer");
+  until([&] { return std::count_if(crowd.begin(), crowd.end(), [](auto& one) { return one->ended; }) > 600; },
+        "the flood pushed out itself");
+}
+
 // A watch whose other side died unseen tells nothing more: it is opened again.
 TEST_F(Reload, ASilentWatchIsOpenedAgain) {
   Discovery::Limits limits;
