--- a/tests/node/flood_test.cpp
+++ b/tests/node/flood_test.cpp
@@ -121,6 +121,24 @@
   serve(known, 2);
 }
 
+// Whole heads of customers that are refused, then quiet: that proves nothing.
+TEST_F(Flood, OneThatIsRefusedPushesOutOnlyItself) {
+  openFor(20);
+  const auto known = knownFrom("127.0.0.66", 4);
+  for (unsigned i = 0; i < 60; ++i) {
+    crowd.push_back(dialFrom("127.0.0.66"));
+    const auto before = holder.last;
+    crowd.back()->send(ask(1000 + i));
+    until([&] { return holder.last == before + 1; }, "the request is held");
+    holder.held.clear();
+    Answer refusal;
+    refusal.status = http::status::too_many_requests;
+    holder.asker->answer(std::move(refusal));
+    until([&] { return crowd.back()->has("HTTP/1.1 429"); }, "the refusal");
+  }
+  for (unsigned i = 0; i < 4; ++i) serve(known[i], 200 + i);
+}
+
 TEST_F(Flood, AReconnectingOneLeavesRoomForAnEvictedClientsResend) {
   openFor(10);
   flood("127.0.0.66", "", 100);
