Forward authentication: ask a checker over HTTP before a request is admitted

Need: workshop programs will prove who they are through a check over HTTP. Outside the gatekeeper it would hold orders past their deadlines, and its retries would be load that nobody counts.

The check comes before the module hears of a request, so that what is denied takes no units; out at a checker and waiting for one are bounded, also for clients that come and go. What a checker sets is taken off every request first. SIGHUP reads the operator file again for this section and asks anew what waits.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -93,6 +93,7 @@
       server_.core_.prove(place_, admission::Proof::letIn);
     http::response<http::empty_body> head(answer.status, 11);
     if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
+    for (const auto& [name, value] : answer.headers) head.insert(name, value);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
     last_ = last_ || server_.draining_ || !server_.core_.keeps(place_);
     head.keep_alive(!last_);
@@ -104,6 +105,12 @@
     write();
   }
 
+  std::string from() const override {
+    Error error;
+    const auto peer = socket_.remote_endpoint(error);
+    return error ? std::string() : peer.address().to_string();
+  }
+
   void close() {
     if (state_ == State::closed) return;
     const bool held = state_ == State::held;
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -11,6 +11,8 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "admission/core.hpp"
 #include "http/http.hpp"
@@ -24,6 +26,7 @@
   std::string body;
   std::string contentType = "text/plain";
   irisring::Time retryAfter = 0;  // ms; 0: no advice
+  std::vector<std::pair<std::string, std::string>> headers;
 };
 
 // The connection that a request came on, as its holder sees it.
@@ -32,6 +35,7 @@
   virtual ~Asker() = default;
   // The final answer, once for each request held.
   virtual void answer(Answer&& answer) = 0;
+  virtual std::string from() const = 0;  // the client's address
 };
 
 // What takes the requests.
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <cstdio>
 
+#include "checked_toml/checked_toml.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -22,6 +24,7 @@
 constexpr unsigned kSparedSockets = 24;  // descriptors for the listener, discovery, timers, standard streams
 constexpr unsigned kOwnMegabytes = 12;   // the program, the module's customers, connections without messages
 constexpr unsigned kLeastMegabytes = 4;
+constexpr Time kUncheckedRetryAfter = 1000;
 constexpr double kIdleShare = 0.8;         // of the time that a worker keeps an idle connection
 constexpr auto kAcceptAfterTerm = 500ms;   // connections go on coming for up to 400 ms after SIGTERM
 constexpr auto kAnswerAfterTerm = 3400ms;  // a request held so long is failed: the end may come at 3.7 s
@@ -91,6 +94,10 @@
   return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
+bool named(const std::vector<std::string>& names, const std::string& name) {
+  return indexOf(names, name) < names.size();
+}
+
 }  // namespace
 
 Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config, const OperatorSettings& settings)
@@ -110,6 +117,7 @@
     told(known, ListKind::cached);
   }
   watch(config_.discovery, from);
+  startAsking(settings);
 }
 
 Gatekeeper::~Gatekeeper() = default;
@@ -119,9 +127,14 @@
   discovery_->start();
 }
 
+void Gatekeeper::reload(const Config& config, const OperatorSettings& settings) {
+  startAsking(settings);
+  follow(config);
+}
+
 // Versions of one discovery say nothing at another, so the new one is asked for the whole list; until it
 // comes the list that is had stays in force.
-void Gatekeeper::reload(const Config& config) {
+void Gatekeeper::follow(const Config& config) {
   if (config.discovery == config_.discovery) return log("reloaded: discovery is where it was");
   config_.discovery = config.discovery;
   watch(config_.discovery, -1);
@@ -158,19 +171,28 @@
   held.clientsId = call.id;
   clientsIds_.insert(call.id);
   held.message = std::move(message);
+  held.call = call;
   held.asker = asker;
   held.expires = now + std::max(0.0, call.patience - kWayBack);
   held.deadline.expires_after(span(held.expires - now));
   held.deadline.async_wait([this, id](const Error& error) {
     if (!error) expire(id);
   });
-  gateway_.request(now, {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize});
+  check(id, held);
+}
+
+void Gatekeeper::admit(RequestId id, const Held& held) {
+  const Call& call = held.call;
+  gateway_.request(clock_.now(),
+                   {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize});
 }
 
 void Gatekeeper::left(RequestId id) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
+  const bool checking = found->second.checking;
   release(found);
+  if (checking) return asking_->left(id);
   gateway_.clientLeft(clock_.now(), id);
   if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
 }
@@ -179,6 +201,7 @@
 void Gatekeeper::expire(RequestId id) {
   const auto found = held_.find(id);
   if (found == held_.end()) return;
+  if (found->second.checking) return unchecked(id);
   if (auto end = pool_.giveUp(id, Result::timeout)) {
     end->outcome.finished = false;
     gateway_.outcome(std::max(clock_.now(), found->second.expires), end->outcome);
@@ -191,12 +214,85 @@
 void Gatekeeper::giveUpAll() {
   while (!held_.empty()) {
     const RequestId id = held_.begin()->first;
+    if (held_.begin()->second.checking) {
+      unchecked(id);
+      continue;
+    }
     fail(id);
     gateway_.clientLeft(clock_.now(), id);
     if (auto end = pool_.giveUp(id, Result::cancelled)) ended(std::move(*end));
   }
 }
 
+// --- Checks ----------------------------------------------------------------------------------------------
+
+// None without checkers. What waits for a verdict of those that were is asked of these.
+void Gatekeeper::startAsking(const OperatorSettings& settings) {
+  const auth::Asked& asked = settings.auth;
+  for (const auth::Route& route : asked.routes) {
+    for (const std::string& klass : route.classes)
+      if (!named(config_.host.classes, klass))
+        throw FileError(settings.file + ": auth.route.classes: the platform has no class " + klass);
+    for (const std::string& plan : route.plans)
+      if (!named(config_.host.plans, plan))
+        throw FileError(settings.file + ": auth.route.plans: the platform has no plan " + plan);
+  }
+  asking_.reset();
+  if (asked.on())
+    asking_ = std::make_unique<auth::Asking>(
+        io_, asked, [this](RequestId id, auth::Told told, const auth::VerdictPtr& verdict) {
+          decided(id, told, verdict);
+        });
+  std::vector<RequestId> waiting;
+  for (const auto& [id, held] : held_)
+    if (held.checking) waiting.push_back(id);
+  for (const RequestId id : waiting) check(id, held_.at(id));
+}
+
+// Before the module hears of it: what is denied takes no units, and what no checker has room for either.
+void Gatekeeper::check(RequestId id, Held& held) {
+  held.checking = false;
+  if (!asking_) return admit(id, held);
+  const auth::Asked& asked = asking_->asked();
+  auth::strip(asked.terms, held.message);
+  const auth::Route& route =
+      auth::routeOf(asked, config_.host.classes[held.call.klass], config_.host.plans[held.call.plan]);
+  if (!route.check) return admit(id, held);
+  held.checking = true;
+  asking_->ask(id, route, held.message, held.asker->from());
+}
+
+void Gatekeeper::decided(RequestId id, auth::Told told, const auth::VerdictPtr& verdict) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  Held& held = found->second;
+  held.checking = false;
+  if (told == auth::Told::verdict && !verdict->allows) return deny(id, *verdict);
+  if (told == auth::Told::down || told == auth::Told::busy) return unchecked(id);
+  if (verdict) auth::apply(*verdict, held.message);
+  admit(id, held);
+}
+
+// A final answer: the checker's.
+void Gatekeeper::deny(RequestId id, const auth::Verdict& verdict) {
+  Answer denial;
+  denial.status = static_cast<http::status>(verdict.status);
+  denial.headers = verdict.headers;
+  denial.contentType.clear();
+  denial.body = verdict.body;
+  answer(id, std::move(denial));
+}
+
+// Nobody said in time whether it may go on: nothing has run, and it may come again.
+void Gatekeeper::unchecked(RequestId id) {
+  if (asking_) asking_->left(id);
+  Answer refusal;
+  refusal.status = http::status::service_unavailable;
+  refusal.body = "no checker answers: try again later\n";
+  refusal.retryAfter = kUncheckedRetryAfter;
+  answer(id, std::move(refusal));
+}
+
 // --- From the workers ------------------------------------------------------------------------------------
 
 void Gatekeeper::ended(AttemptEnd&& end) {
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -39,8 +39,10 @@
   ~Gatekeeper() override;
 
   void start();
-  // Moves to the discovery that a new configuration names. All else that may differ waits for a restart.
-  void reload(const Config& config);
+  // Moves to the discovery that a new configuration names, and to what new settings say of checks; what waits
+  // for a check is asked anew. All else that may differ waits for a restart. Throws std::runtime_error, with
+  // nothing changed, if a route of the checks names a class or a plan that is not there.
+  void reload(const Config& config, const OperatorSettings& settings);
   // Goes on for a while, finishes what is held, then calls `done`.
   void drain(std::function<void()> done);
 
@@ -48,6 +50,7 @@
   const admission::Settings& admission() const { return server_.admission(); }
   bool ready() const override { return ready_; }
   std::size_t held() const { return held_.size(); }
+  auth::Counts checks() const { return asking_ ? asking_->core().counts() : auth::Counts{}; }
   std::size_t listed() const { return listed_.size(); }  // workers that may be sent to
 
  private:
@@ -58,6 +61,8 @@
     std::string head;       // as it goes on, but for the deadline
     std::shared_ptr<const std::string> body;
     std::shared_ptr<Asker> asker;
+    Call call;
+    bool checking = false;  // waits for a verdict: the module has not heard of it
     irisring::Time expires = 0;
     boost::asio::steady_timer deadline;
     unsigned attempts = 0;
@@ -82,6 +87,13 @@
   void told(const Roster& roster, irisring::ListKind kind);
   irisring::Member memberOf(const Instance& instance) const;
   void ended(AttemptEnd&& end);
+  void check(irisring::RequestId id, Held& held);
+  void decided(irisring::RequestId id, auth::Told told, const auth::VerdictPtr& verdict);
+  void admit(irisring::RequestId id, const Held& held);
+  void deny(irisring::RequestId id, const auth::Verdict& verdict);
+  void unchecked(irisring::RequestId id);
+  void startAsking(const OperatorSettings& settings);
+  void follow(const Config& config);
   void expire(irisring::RequestId id);
   void giveUpAll();
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
@@ -101,6 +113,7 @@
   irisring::RequestId lastId_ = 0;
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<auth::Asking> asking_;  // none: nothing is checked
   boost::asio::steady_timer drain_;
   bool ready_ = false;
 };
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -10,33 +10,33 @@
 
 namespace {
 
+struct CommandLine {
+  std::string operatorFile;
+  bool check = false;
+};
+
+burlwind::OperatorSettings operatorSettings(const CommandLine& line) {
+  return line.operatorFile.empty() ? burlwind::OperatorSettings{}
+                                   : burlwind::readOperatorFile(line.operatorFile);
+}
+
 // A file that cannot be read changes nothing: the gatekeeper goes on with what it has.
-void reload(burlwind::Gatekeeper& gatekeeper) {
+void reload(burlwind::Gatekeeper& gatekeeper, const CommandLine& line) {
   try {
-    gatekeeper.reload(burlwind::rereadConfig());
+    gatekeeper.reload(burlwind::rereadConfig(), operatorSettings(line));
   } catch (const std::exception& error) {
     std::fprintf(stderr, "burlwind: not reloaded: %s\n", error.what());
   }
 }
 
-void onReload(boost::asio::signal_set& signals, burlwind::Gatekeeper& gatekeeper) {
+void onReload(boost::asio::signal_set& signals, burlwind::Gatekeeper& gatekeeper, const CommandLine& line) {
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (error) return;
-    reload(gatekeeper);
-    onReload(signals, gatekeeper);
+    reload(gatekeeper, line);
+    onReload(signals, gatekeeper, line);
   });
 }
 
-struct CommandLine {
-  std::string operatorFile;
-  bool check = false;
-};
-
-burlwind::OperatorSettings operatorSettings(const CommandLine& line) {
-  return line.operatorFile.empty() ? burlwind::OperatorSettings{}
-                                   : burlwind::readOperatorFile(line.operatorFile);
-}
-
 // Reads everything and makes what a start makes, but opens no socket.
 int check(const CommandLine& line) {
   try {
@@ -60,7 +60,7 @@
   boost::asio::io_context io(1);
   boost::asio::signal_set reloads(io, SIGHUP), ends(io, SIGTERM, SIGINT);
   burlwind::Gatekeeper gatekeeper(io, config, settings);
-  onReload(reloads, gatekeeper);
+  onReload(reloads, gatekeeper, line);
   ends.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) gatekeeper.drain([&] { io.stop(); });
   });
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -1,9 +1,13 @@
 #include "operator/operator.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
+#include <cctype>
 #include <charconv>
+#include <cstring>
 
 #include "checked_toml/checked_toml.hpp"
+#include "node/config.hpp"
 
 namespace burlwind {
 namespace {
@@ -60,6 +64,97 @@
   section.finish();
 }
 
+auth::Route readRoute(CheckedTable table) {
+  auth::Route out;
+  out.classes = table.texts("classes", std::vector<std::string>{});
+  out.plans = table.texts("plans", std::vector<std::string>{});
+  out.check = table.truth("check", true);
+  const std::string whenDown = table.text("when_down", "closed", {"closed", "open", "last"});
+  out.whenDown = whenDown == "open"   ? auth::WhenDown::open
+                 : whenDown == "last" ? auth::WhenDown::last
+                                      : auth::WhenDown::closed;
+  table.finish();
+  return out;
+}
+
+// A name that can stand in a message's head.
+bool isToken(const std::string& name) {
+  return !name.empty() && std::all_of(name.begin(), name.end(), [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) ||
+           (c != 0 && std::strchr("!#$%&'*+-.^_`|~", c) != nullptr);
+  });
+}
+
+std::vector<std::string> readNames(CheckedTable& section, const char* key) {
+  auto out = section.texts(key, std::vector<std::string>{});
+  for (const std::string& name : out)
+    if (!isToken(name)) section.fail(key, "'" + name + "' is not the name of a header");
+  return out;
+}
+
+void readTerms(CheckedTable& section, auth::Terms& out) {
+  const std::string convention = section.text("convention", "nginx", {"nginx", "traefik", "envoy"});
+  out.convention = convention == "envoy"     ? auth::Convention::envoy
+                   : convention == "traefik" ? auth::Convention::traefik
+                                             : auth::Convention::nginx;
+  out.path = section.text("path", out.path);
+  const bool plain =
+      std::all_of(out.path.begin(), out.path.end(), [](char c) { return c > 0x20 && c < 0x7f; });
+  if (!out.path.starts_with('/') || !plain) section.fail("path", "'" + out.path + "' is not a path");
+  out.host = section.text("host", out.host);
+  const auto inHost = [](char c) {
+    return std::isalnum(static_cast<unsigned char>(c)) || std::strchr(".-:[]", c);
+  };
+  if (!std::all_of(out.host.begin(), out.host.end(), inHost))
+    section.fail("host", "'" + out.host + "' is not a host");
+  out.send = readNames(section, "send_headers");
+  out.take = readNames(section, "take_headers");
+  for (const std::string& name : out.take)
+    if (!auth::mayTake(name))
+      section.fail("take_headers", "'" + name + "' is the message's or the platform's own");
+  out.tell = readNames(section, "tell_headers");
+  out.bodyBytes = static_cast<std::size_t>(section.whole("body_bytes", 0, {0, 65536}));
+}
+
+void readAuth(CheckedTable section, auth::Asked& out) {
+  readTerms(section, out.terms);
+  for (const std::string& text : section.texts("checkers", std::vector<std::string>{})) {
+    try {
+      out.checkers.push_back(parseEndpoint(text));
+    } catch (const std::runtime_error&) {
+      section.fail("checkers", "'" + text + "' is not ADDRESS:PORT");
+    }
+  }
+  auth::Settings& settings = out.settings;
+  const auto count = [&](const char* key, std::size_t& target, Range range) {
+    target = static_cast<std::size_t>(section.whole(key, static_cast<long>(target), range));
+  };
+  const auto ms = [&](const char* key, auth::Time& target, Range range) {
+    target = section.number(key, target, range);
+  };
+  count("out_per_checker", settings.outPerChecker, {1, 4096});
+  count("queue", settings.queue, {0, 100000});
+  count("queue_per_source", settings.queuePerSource, {1, 100000});
+  count("waiters_per_check", settings.waitersPerCheck, {1, 100000});
+  ms("timeout_ms", settings.timeout, {10, 60000});
+  settings.attempts = static_cast<unsigned>(section.whole("attempts", settings.attempts, {1, 5}));
+  settings.retryShare = section.number("retry_share", settings.retryShare, {0, 1});
+  settings.retryBurst = section.number("retry_burst", settings.retryBurst, {0, 1000});
+  settings.ejectAfter = static_cast<unsigned>(section.whole("eject_after", settings.ejectAfter, {1, 1000}));
+  ms("eject_ms", settings.ejectFor, {10, 600000});
+  ms("eject_most_ms", settings.ejectMost, {10, 3600000});
+  if (settings.ejectMost < settings.ejectFor) section.fail("eject_most_ms", "is less than eject_ms");
+  count("cache_entries", settings.cacheEntries, {0, 10000000});
+  count("cache_bytes", settings.cacheBytes, {0, 1 << 30});
+  count("cache_text", settings.cacheText, {0, 65536});
+  ms("allow_ms", settings.allowFor, {0, 3600000});
+  ms("allow_most_ms", settings.allowMost, {0, 86400000});
+  ms("deny_most_ms", settings.denyMost, {0, 3600000});
+  ms("last_ms", settings.lastFor, {0, 86400000});
+  for (CheckedTable& route : section.tables("route")) out.routes.push_back(readRoute(route));
+  section.finish();
+}
+
 void readWorkers(CheckedTable section, OperatorSettings::Workers& out) {
   readMs(section, "answer_within_ms", out.answerWithin, {10, 60000});
   out.idlePerWorker = static_cast<std::size_t>(
@@ -73,10 +168,12 @@
   section.finish();
 }
 
-OperatorSettings fromTable(CheckedTable file) {
+OperatorSettings fromTable(CheckedTable file, const std::string& name) {
   OperatorSettings out;
+  out.file = name;
   readClients(file.table("clients"), out.clients);
   readAdmission(file.table("admission"), out.admission);
+  readAuth(file.table("auth"), out.auth);
   readWorkers(file.table("workers"), out.workers);
   readDiscovery(file.table("discovery"), out.discovery);
   file.finish();
@@ -85,10 +182,12 @@
 
 }  // namespace
 
-OperatorSettings readOperatorFile(const std::string& path) { return fromTable(CheckedTable::read(path)); }
+OperatorSettings readOperatorFile(const std::string& path) {
+  return fromTable(CheckedTable::read(path), path);
+}
 
 OperatorSettings parseOperatorFile(std::string_view text, const std::string& name) {
-  return fromTable(CheckedTable::parse(text, name));
+  return fromTable(CheckedTable::parse(text, name), name);
 }
 
 }  // namespace burlwind
--- a/src/operator/operator.hpp
+++ b/src/operator/operator.hpp
@@ -1,17 +1,19 @@
 // The operator file: what an installation may set beyond what the platform tells a gatekeeper. TOML, one
 // section a subsystem, every key optional. It is checked whole before anything of it is used; it decides
-// nothing. Read once at the start (bounded by the file's size) and again by --check.
+// nothing. Read at the start (bounded by the file's size), by --check, and on a reload.
 #pragma once
 
 #include <chrono>
 #include <string>
 
 #include "admission/core.hpp"
+#include "auth/asking.hpp"
 
 namespace burlwind {
 
 // All times in milliseconds. Where a default is `platform`, what the platform's configuration gives holds.
 struct OperatorSettings {
+  std::string file;  // where they come from
   struct Clients {
     std::chrono::milliseconds idle{8000};          // a connection between two requests is closed after this
     std::chrono::milliseconds wholeWithin{2500};   // a request, from its first byte
@@ -22,6 +24,7 @@
     double idleShare = 0.125;      // of the connections: so many may wait between requests, 8 at least
     admission::Settings settings;  // caps of a source and its prefix; connections come from the platform
   } admission;
+  auth::Asked auth;  // off without checkers; the only section that a reload takes anew
   struct Workers {
     std::chrono::milliseconds answerWithin{300};  // an answer, from its first byte to its last
     std::size_t idlePerWorker = 64;               // connections kept between attempts
--- /dev/null
+++ b/tests/auth/asking_test.cpp
@@ -0,0 +1,335 @@
+// Checks before orders, on loopback: scripted checkers that hang, end, talk nonsense and change their mind.
+#include "auth/asking.hpp"
+
+#include "support/loopback.hpp"
+
+namespace burlwind::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+class Checks : public Loopback {
+ protected:
+  void SetUp() override {
+    settings.auth.checkers = {checker.address()};
+    settings.auth.terms.path = "/check";
+    settings.auth.terms.take = {"X-User"};
+    settings.auth.settings.outPerChecker = 64;
+  }
+  void open() {
+    const json known = json::array({entry("s-1", worker.text())});
+    node.emplace(io, parseConfig(configJson(discovery.text(), known).dump()), settings);
+    node->start();
+  }
+  static Ask asking(const std::string& token, unsigned number = 1) {
+    Ask out;
+    char id[17];
+    std::snprintf(id, sizeof id, "%016x", number);
+    out.id = id;
+    out.extra = "Authorization: Bearer " + token + "\r\n";
+    return out;
+  }
+  PeerPtr ask(const std::string& token, unsigned number = 1) {
+    const auto client = dial(node->address());
+    client->send(asking(token, number).text());
+    return client;
+  }
+  void untilChecks(std::size_t n) {
+    until([&] { return checker.count("GET /check") == n; }, "a check");
+  }
+  void untilOrders(std::size_t n) {
+    until([&] { return worker.count("\r\n\r\n") == n; }, "a request at the worker");
+  }
+  // By the checker's connection that holds the last check.
+  void say(const std::string& text) { lastOf(checker)->send(text); }
+  void serve(const std::string& body) { lastOf(worker)->send(reply("200 OK", body)); }
+  static PeerPtr lastOf(Listener& listener) { return listener.peers.back(); }
+  // Nothing has come to the worker, also after what is under way.
+  void nothingAtTheWorker() {
+    io.restart();
+    io.poll();
+    EXPECT_EQ(worker.count("\r\n\r\n"), 0u);
+  }
+
+  Listener discovery{io}, worker{io}, checker{io};
+  OperatorSettings settings;
+  std::optional<Gatekeeper> node;
+};
+
+TEST_F(Checks, AnAllowedRequestGoesOnWithWhatTheCheckerSaid) {
+  open();
+  const auto client = dial(node->address());
+  Ask forged = asking("good");
+  forged.extra += "X-User: root\r\n";
+  client->send(forged.text());
+  untilChecks(1);
+  EXPECT_TRUE(checker.peers[0]->has("Authorization: Bearer good"));
+  EXPECT_TRUE(checker.peers[0]->has("X-Original-URI: /look?client="));
+  EXPECT_FALSE(checker.peers[0]->has("X-User")) << "not even the checker sees what is forged";
+  nothingAtTheWorker();
+  say(reply("204 No Content", "", "X-User: ana\r\n"));
+  untilOrders(1);
+  EXPECT_TRUE(lastOf(worker)->has("X-User: ana\r\n"));
+  EXPECT_EQ(worker.count("X-User"), 1u);
+  serve("served");
+  until([&] { return client->has("served"); }, "the answer");
+}
+
+TEST_F(Checks, ADenialIsFinalAndNothingReachesAWorker) {
+  open();
+  const auto client = ask("bad");
+  untilChecks(1);
+  say(reply("401 Unauthorized", "no", "WWW-Authenticate: Bearer realm=\"pedidos\"\r\n"));
+  until([&] { return client->has("HTTP/1.1 401"); }, "the denial");
+  EXPECT_TRUE(client->has("WWW-Authenticate: Bearer realm=\"pedidos\"\r\n"));
+  EXPECT_FALSE(client->has("Retry-After"));
+  nothingAtTheWorker();
+}
+
+// A plan with one unit for each thousand seconds: the denied ones have not taken it.
+TEST_F(Checks, ADeniedRequestTakesNoUnits) {
+  open();
+  for (unsigned i = 1; i <= 20; ++i) {
+    const auto client = dial(node->address());
+    Ask one = asking("bad" + std::to_string(i), i);
+    one.plan = "small";
+    one.terms = "units=1,spread=1,first=0";
+    client->send(one.text());
+    untilChecks(i);
+    say(reply("403 Forbidden", ""));
+    until([&] { return client->has("HTTP/1.1 403"); }, "the denial");
+  }
+  const auto client = dial(node->address());
+  Ask good = asking("good", 99);
+  good.plan = "small";
+  good.terms = "units=1,spread=1,first=0";
+  client->send(good.text());
+  untilChecks(21);
+  say(reply("200 OK", ""));
+  untilOrders(1);
+  Ask next = good;  // the unit is gone now
+  next.id = "00000000000000ff";
+  const auto late = dial(node->address());
+  late->send(next.text());
+  untilChecks(22);
+  say(reply("200 OK", ""));
+  until([&] { return late->has("HTTP/1.1 429"); }, "the refusal");
+}
+
+// The checker hangs while an order that must not run twice waits.
+TEST_F(Checks, AHangingCheckerCostsAnOrderAtMostItsDeadline) {
+  settings.auth.settings.timeout = 60000;
+  open();
+  Ask order = asking("good");
+  order.klass = "order";
+  order.deadline = "150";
+  const auto client = dial(node->address());
+  client->send(order.text());
+  untilChecks(1);
+  until([&] { return client->has("HTTP/1.1 503"); }, "the answer");
+  EXPECT_TRUE(client->has("Retry-After: 1"));
+  say(reply("200 OK", ""));
+  until([&] { return node->held() == 0; }, "nothing held");
+  nothingAtTheWorker();
+  EXPECT_EQ(client->count("HTTP/1.1"), 1u);
+}
+
+TEST_F(Checks, OneThatDoesNotAnswerInTimeIsGivenUpAndTheRouteDecides) {
+  settings.auth.settings.timeout = 50;
+  settings.auth.settings.attempts = 1;
+  settings.auth.routes = {{{"order"}, {}, true, auth::WhenDown::closed},
+                          {{}, {}, true, auth::WhenDown::open}};
+  open();
+  const auto look = ask("good", 1);
+  untilOrders(1);
+  serve("open");
+  until([&] { return look->has("open"); }, "the answer of the open route");
+  Ask order = asking("good", 2);
+  order.klass = "order";
+  const auto client = dial(node->address());
+  client->send(order.text());
+  until([&] { return client->has("HTTP/1.1 503"); }, "the refusal of the closed one");
+  EXPECT_EQ(worker.count("\r\n\r\n"), 1u);
+}
+
+TEST_F(Checks, ALateAnswerOfTheCheckerFindsNothing) {
+  open();
+  auto client = ask("good");
+  untilChecks(1);
+  client->end();
+  until([&] { return node->held() == 0; }, "the client has left");
+  say(reply("200 OK", ""));
+  nothingAtTheWorker();
+}
+
+TEST_F(Checks, TwoAnswersAreOneAndEndTheConnection) {
+  open();
+  const auto client = ask("bad");
+  untilChecks(1);
+  say(reply("403 Forbidden", "") + reply("200 OK", ""));
+  until([&] { return client->has("HTTP/1.1 403"); }, "the denial");
+  until([&] { return checker.peers[0]->ended; }, "what comes unasked ends the connection");
+  nothingAtTheWorker();
+}
+
+TEST_F(Checks, WhatCannotBeReadIsTheCheckersFailure) {
+  settings.auth.settings.attempts = 1;
+  settings.auth.settings.ejectAfter = 1000;
+  open();
+  const std::string big = "Content-Length: 3000000000\r\n\r\n";
+  const std::vector<std::string> answers{
+      "noise\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n" + big,
+      "HTTP/1.1 200 OK\r\nX-Long: " + std::string(20000, 'x'),
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\n\r\n",
+      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
+      reply("500 Internal Server Error", ""),
+      reply("302 Found", "", "Location: /login\r\n"),
+  };
+  unsigned number = 0;
+  for (const std::string& answer : answers) {
+    const auto client = ask("good", ++number);
+    untilChecks(number);
+    say(answer);
+    until([&] { return client->has("HTTP/1.1 503"); }, answer.substr(0, 40).c_str());
+  }
+  nothingAtTheWorker();
+}
+
+TEST_F(Checks, InterimAnswersAndSinglesBytesAreRead) {
+  open();
+  const auto client = ask("good");
+  untilChecks(1);
+  const std::string all = "HTTP/1.1 100 Continue\r\n\r\n" + reply("200 OK", "", "X-User: ana\r\n");
+  for (const char byte : all) {
+    say(std::string(1, byte));
+    io.restart();
+    io.poll();
+  }
+  untilOrders(1);
+}
+
+TEST_F(Checks, AKeptConnectionThatHasEndedIsReplacedOnce) {
+  open();
+  const auto first = ask("a", 1);
+  untilChecks(1);
+  say(reply("200 OK", ""));
+  untilOrders(1);
+  checker.peers[0]->end();  // the end and the next check cross
+  const auto second = ask("b", 2);
+  untilChecks(1 + 1);
+  EXPECT_EQ(checker.peers.size(), 2u);
+  say(reply("200 OK", ""));
+  untilOrders(2);
+}
+
+TEST_F(Checks, OneConnectionCarriesChecksInTurn) {
+  open();
+  for (unsigned i = 1; i <= 5; ++i) {
+    const auto client = ask("t" + std::to_string(i), i);
+    untilChecks(i);
+    say(reply("403 Forbidden", ""));
+    until([&] { return client->has("HTTP/1.1 403"); }, "the denial");
+  }
+  EXPECT_EQ(checker.peers.size(), 1u);
+}
+
+TEST_F(Checks, ManyWithOneNewTokenAreOneCheckAndADisconnectSparesTheOthers) {
+  open();
+  std::vector<PeerPtr> clients;
+  for (unsigned i = 1; i <= 40; ++i) clients.push_back(ask("new", i));
+  until([&] { return node->held() == 40; }, "all are held");
+  clients[0]->end();
+  until([&] { return node->held() == 39; }, "one has left");
+  say(reply("403 Forbidden", ""));
+  until(
+      [&] { return std::all_of(clients.begin() + 1, clients.end(), [](auto& c) { return c->has("403"); }); },
+      "all are told");
+  EXPECT_EQ(checker.count("GET /check"), 1u);
+}
+
+TEST_F(Checks, AVerdictIsRememberedAsItSaysAndAFlipCountsFromThenOn) {
+  open();
+  ask("a", 1);
+  untilChecks(1);
+  say(reply("200 OK", "", "Cache-Control: max-age=3600\r\n"));
+  untilOrders(1);
+  ask("a", 2);
+  untilOrders(2);
+  EXPECT_EQ(checker.count("GET /check"), 1u);
+  node->reload(parseConfig(configJson(discovery.text()).dump()), settings);  // forgets
+  const auto client = ask("a", 3);
+  untilChecks(2);
+  say(reply("403 Forbidden", ""));
+  until([&] { return client->has("403"); }, "the denial");
+  EXPECT_EQ(worker.count("\r\n\r\n"), 2u);
+}
+
+TEST_F(Checks, AReloadAsksTheNewCheckerWhatWaitsAtTheOld) {
+  open();
+  const auto client = ask("a");
+  untilChecks(1);
+  Listener other{io};
+  settings.auth.checkers = {other.address()};
+  node->reload(parseConfig(configJson(discovery.text()).dump()), settings);
+  until([&] { return other.count("GET /check") == 1; }, "the check at the new one");
+  say(reply("403 Forbidden", ""));  // the old one's word counts no more
+  other.peers.back()->send(reply("200 OK", ""));
+  untilOrders(1);
+  settings.auth.checkers.clear();
+  node->reload(parseConfig(configJson(discovery.text()).dump()), settings);
+  ask("b", 2);
+  untilOrders(2);
+}
+
+TEST_F(Checks, AReloadToARouteOfNoClassChangesNothing) {
+  open();
+  auto wrong = settings;
+  wrong.auth.routes = {{{"dance"}, {}, true, auth::WhenDown::open}};
+  EXPECT_THROW(node->reload(parseConfig(configJson(discovery.text()).dump()), wrong), std::runtime_error);
+  ask("a");
+  untilChecks(1);
+}
+
+TEST_F(Checks, ADrainAnswersWhatStillWaitsForAVerdict) {
+  settings.auth.settings.timeout = 60000;
+  open();
+  const auto client = ask("a");
+  untilChecks(1);
+  bool done = false;
+  node->drain([&] { done = true; });
+  until([&] { return client->has("HTTP/1.1 503") && client->ended; }, "its answer");
+  until([&] { return done; }, "the drain's end");
+  nothingAtTheWorker();
+}
+
+TEST_F(Checks, ARouteWithoutACheckIsNotCheckedButStrippedAllTheSame) {
+  settings.auth.routes = {{{"look"}, {}, false, auth::WhenDown::closed}};
+  open();
+  const auto client = dial(node->address());
+  Ask forged = asking("none");
+  forged.extra += "X-User: root\r\n";
+  client->send(forged.text());
+  untilOrders(1);
+  EXPECT_EQ(worker.count("X-User"), 0u);
+  EXPECT_EQ(checker.peers.size(), 0u);
+}
+
+// Down at the start, refused connections: told at once, and the checker is left alone meanwhile.
+TEST_F(Checks, OneThatIsNotThereIsAskedSeldom) {
+  std::optional<Listener> gone(std::in_place, io);
+  settings.auth.checkers = {gone->address()};
+  gone.reset();
+  settings.auth.settings.ejectFor = settings.auth.settings.ejectMost = 3600e3;
+  open();
+  for (unsigned i = 1; i <= 50; ++i) {
+    const auto client = ask("t" + std::to_string(i), i);
+    until([&] { return client->has("HTTP/1.1 503"); }, "a refusal");
+  }
+  EXPECT_LE(node->checks().started, 6u);
+  nothingAtTheWorker();
+}
+
+}  // namespace
+}  // namespace burlwind::test
--- a/tests/node/reload_test.cpp
+++ b/tests/node/reload_test.cpp
@@ -24,7 +24,7 @@
     node->start();
     until([&] { return first.count("\r\n\r\n") == 1; }, "a watch at the first discovery");
   }
-  void reload(const Listener& to) { node->reload(parseConfig(configJson(to.text()).dump())); }
+  void reload(const Listener& to) { node->reload(parseConfig(configJson(to.text()).dump()), {}); }
 
   Listener first{io}, second{io}, worker{io}, other{io};
   std::optional<Gatekeeper> node;
--- a/tests/operator/operator_test.cpp
+++ b/tests/operator/operator_test.cpp
@@ -61,6 +61,33 @@
             "op.toml: admission.trusted: 'here' is not an address or a prefix");
 }
 
+TEST(OperatorFile, ReadsChecks) {
+  const auto read = parseOperatorFile(
+      "[auth]\nconvention = 'envoy'\ncheckers = ['127.0.0.1:9000', '127.0.0.2:9000']\n"
+      "take_headers = ['X-User']\n[[auth.route]]\nclasses = ['look']\nwhen_down = 'last'\n"
+      "[[auth.route]]\ncheck = false\n",
+      "op.toml");
+  ASSERT_TRUE(read.auth.on());
+  EXPECT_EQ(read.auth.checkers.size(), 2u);
+  EXPECT_EQ(read.auth.terms.convention, auth::Convention::envoy);
+  ASSERT_EQ(read.auth.routes.size(), 2u);
+  EXPECT_EQ(auth::routeOf(read.auth, "look", "any").whenDown, auth::WhenDown::last);
+  EXPECT_FALSE(auth::routeOf(read.auth, "order", "any").check);
+}
+
+TEST(OperatorFile, NamesWhatIsWrongWithChecks) {
+  EXPECT_EQ(errorOf("[auth]\ncheckers = ['auth.example.org:80']\n"),
+            "op.toml: auth.checkers: 'auth.example.org:80' is not ADDRESS:PORT");
+  EXPECT_EQ(errorOf("[auth]\ntake_headers = ['X User']\n"),
+            "op.toml: auth.take_headers: 'X User' is not the name of a header");
+  EXPECT_EQ(errorOf("[auth]\ntake_headers = ['content-length']\n"),
+            "op.toml: auth.take_headers: 'content-length' is the message's or the platform's own");
+  EXPECT_EQ(errorOf("[auth]\npath = 'check'\n"), "op.toml: auth.path: 'check' is not a path");
+  EXPECT_EQ(errorOf("[auth]\neject_ms = 500\neject_most_ms = 100\n"),
+            "op.toml: auth.eject_most_ms: is less than eject_ms");
+  EXPECT_NE(errorOf("[[auth.route]]\nwhen_down = 'maybe'\n").find("when_down"), std::string::npos);
+}
+
 TEST(OperatorFile, AMissingOneIsNamed) {
   try {
     readOperatorFile("/nonexistent/op.toml");
@@ -84,6 +111,11 @@
   EXPECT_EQ(example.admission.reserveShare, none.admission.reserveShare);
   EXPECT_EQ(example.admission.settings.rememberedSources, none.admission.settings.rememberedSources);
   EXPECT_EQ(example.admission.settings.prefixV6, none.admission.settings.prefixV6);
+  EXPECT_FALSE(example.auth.on());
+  EXPECT_EQ(example.auth.terms.path, none.auth.terms.path);
+  EXPECT_EQ(example.auth.settings.timeout, none.auth.settings.timeout);
+  EXPECT_EQ(example.auth.settings.cacheBytes, none.auth.settings.cacheBytes);
+  EXPECT_EQ(example.auth.settings.lastFor, none.auth.settings.lastFor);
   EXPECT_EQ(example.workers.answerWithin, none.workers.answerWithin);
   EXPECT_EQ(example.workers.idlePerWorker, none.workers.idlePerWorker);
   EXPECT_EQ(example.discovery.silence, none.discovery.silence);
@@ -95,7 +127,7 @@
     broken.replace(static_cast<std::size_t>(at->position()), at->str().size(), (*at)[1].str() + " = -1");
     EXPECT_FALSE(errorOf(broken).empty()) << at->str();
   }
-  EXPECT_EQ(keys, 16);
+  EXPECT_EQ(keys, 35);
 }
 
 }  // namespace
