Auth: one look-up of what is out, one place for the retry budget, nothing unused

Read once more: the budget of further attempts was paid into at two places, and the check that an answer is for was looked up by the same lines twice; both are one now. Behaviour and assertions are unchanged.

--- a/src/auth/checkers.cpp
+++ b/src/auth/checkers.cpp
@@ -179,12 +179,6 @@
   line->close();
 }
 
-std::size_t Checkers::idleCount() const {
-  std::size_t out = 0;
-  for (const auto& idle : idle_) out += idle.size();
-  return out;
-}
-
 Checkers::Shared Checkers::takeIdle(std::size_t checker) {
   auto& idle = idle_[checker];
   if (idle.empty()) return nullptr;
--- a/src/auth/checkers.hpp
+++ b/src/auth/checkers.hpp
@@ -37,12 +37,9 @@
   // Closes the connection that the check is out on; `ended` is not called for it.
   void abandon(CheckId check);
 
-  std::size_t connections() const { return busy_.size() + idleCount(); }
-
  private:
   class Line;
   using Shared = std::shared_ptr<Line>;
-  std::size_t idleCount() const;
   Shared takeIdle(std::size_t checker);
   void finish(Line& line, bool keep, Reply* reply, Fault fault);
   void drop(Line& line);
--- a/src/auth/core.cpp
+++ b/src/auth/core.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <sstream>
 
 namespace burlwind::auth {
 namespace {
@@ -18,17 +17,6 @@
   return out;
 }
 
-std::string describe(const Counts& counts) {
-  std::ostringstream out;
-  out << counts.asked << " asked, " << counts.remembered << " remembered, " << counts.shared << " shared, "
-      << counts.started << " checks started, " << counts.resent << " resent; " << counts.allowed
-      << " allowed, " << counts.denied << " denied; without a checker " << counts.open << " open, "
-      << counts.last << " by the last verdict, " << counts.down << " refused; " << counts.busy
-      << " refused for want of room; " << counts.timeouts << " timed out, " << counts.broken << " broken, "
-      << counts.errors << " errors, " << counts.ejections << " ejections, " << counts.late << " late answers";
-  return out.str();
-}
-
 Core::Core(const Settings& settings)
     : settings_(settings), checkers_(settings.checkers), retryTokens_(settings.retryBurst) {}
 
@@ -76,7 +64,6 @@
   byText_.emplace(*check.text, id);
   waiters_[waiter] = {id, ask.whenDown};
   if (checker) {
-    retryTokens_ = std::min(settings_.retryBurst, retryTokens_ + settings_.retryShare);
     start(now, id, check, *checker, false, todo);
   } else {
     check.place = queue_.insert(queue_.end(), id);
@@ -133,7 +120,8 @@
 // --- Checks ---
 
 void Core::start(Time now, CheckId id, Check& check, std::size_t checker, bool fresh, Todo& todo) {
-  ++check.attempts;
+  if (check.attempts++ == 0 && !check.staleSeen)  // a first attempt pays into the budget of further ones
+    retryTokens_ = std::min(settings_.retryBurst, retryTokens_ + settings_.retryShare);
   ++counts_.started;
   check.checker = checker;
   check.out = true;
@@ -176,14 +164,19 @@
   }
 }
 
+// The check whose attempt is out; else what came for it is counted.
+Core::Check* Core::outNow(CheckId id) {
+  const auto found = checks_.find(id);
+  if (found != checks_.end() && found->second.out) return &found->second;
+  ++counts_.late;
+  return nullptr;
+}
+
 Todo Core::answered(Time now, CheckId id, VerdictPtr verdict, Freshness freshness) {
   Todo todo;
-  const auto found = checks_.find(id);
-  if (found == checks_.end() || !found->second.out) {
-    ++counts_.late;
-    return todo;
-  }
-  Check& check = found->second;
+  Check* const underWay = outNow(id);
+  if (!underWay) return todo;
+  Check& check = *underWay;
   Checker& checker = checkers_[check.checker];
   checker.failures = 0;
   checker.ejectFor = 0;
@@ -197,12 +190,9 @@
 
 Todo Core::failed(Time now, CheckId id, Fault fault) {
   Todo todo;
-  const auto found = checks_.find(id);
-  if (found == checks_.end() || !found->second.out) {
-    ++counts_.late;
-    return todo;
-  }
-  Check& check = found->second;
+  Check* const underWay = outNow(id);
+  if (!underWay) return todo;
+  Check& check = *underWay;
   const std::size_t checker = check.checker;
   stop(check, id);
   if (fault == Fault::staleLine && !std::exchange(check.staleSeen, true)) {
@@ -242,7 +232,6 @@
     const CheckId id = queue_.front();
     Check& check = checks_.at(id);
     stop(check, id);
-    retryTokens_ = std::min(settings_.retryBurst, retryTokens_ + settings_.retryShare);
     start(now, id, check, *checker, false, todo);
   }
 }
--- a/src/auth/core.hpp
+++ b/src/auth/core.hpp
@@ -13,7 +13,6 @@
 
 #include <cstdint>
 #include <list>
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -114,7 +113,6 @@
   std::uint64_t allowed = 0, denied = 0, open = 0, last = 0, down = 0, busy = 0;
   std::uint64_t timeouts = 0, broken = 0, errors = 0, staleLines = 0, ejections = 0, late = 0;
 };
-std::string describe(const Counts& counts);
 
 class Core {
  public:
@@ -168,6 +166,7 @@
   using Cache = std::list<Remembered>;  // the most recently used first
 
   std::optional<std::size_t> choose(Time now, std::size_t butNot) const;
+  Check* outNow(CheckId id);
   void start(Time now, CheckId id, Check& check, std::size_t checker, bool fresh, Todo& todo);
   void stop(Check& check, CheckId id);
   void serveQueue(Time now, Todo& todo);
--- a/tests/auth/core_test.cpp
+++ b/tests/auth/core_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
 #include <random>
 
 namespace burlwind::auth {
