--- a/tests/auth/asking_test.cpp
+++ b/tests/auth/asking_test.cpp
@@ -1,6 +1,8 @@
 // Checks before orders, on loopback: scripted checkers that hang, end, talk nonsense and change their mind.
 #include "auth/asking.hpp"
 
+#include <sys/resource.h>
+
 #include "support/loopback.hpp"
 
 namespace burlwind::test {
@@ -16,9 +18,10 @@
     settings.auth.terms.take = {"X-User"};
     settings.auth.settings.outPerChecker = 64;
   }
-  void open() {
-    const json known = json::array({entry("s-1", worker.text())});
-    node.emplace(io, parseConfig(configJson(discovery.text(), known).dump()), settings);
+  void open(unsigned sockets = 256) {
+    json config = configJson(discovery.text(), json::array({entry("s-1", worker.text())}));
+    config["limits"]["sockets"] = sockets;
+    node.emplace(io, parseConfig(config.dump()), settings);
     node->start();
   }
   static Ask asking(const std::string& token, unsigned number = 1) {
@@ -250,6 +253,80 @@
   EXPECT_EQ(checker.count("GET /check"), 1u);
 }
 
+// A thousand, or as many as this process may have descriptors for both ends of.
+TEST_F(Checks, AThousandWithOneNewTokenAtOnceAreOneCheck) {
+  constexpr unsigned kWanted = 1000, kOwn = 100;
+  rlimit limit{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+  const rlimit before = limit;
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 2 * kWanted + kOwn);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+  const auto many = static_cast<unsigned>(std::min<rlim_t>(kWanted, (limit.rlim_cur - kOwn) / 2));
+  settings.auth.settings.waitersPerCheck = many;
+  open(4 * kWanted);
+  std::vector<PeerPtr> clients;
+  for (unsigned i = 1; i <= many; ++i) {
+    clients.push_back(ask("new", i));
+    io.restart();
+    io.poll();
+  }
+  until([&] { return node->held() == many; }, "all are held");
+  EXPECT_EQ(checker.count("GET /check"), 1u);
+  say(reply("403 Forbidden", ""));
+  until(
+      [&] {
+        return std::all_of(clients.begin(), clients.end(), [](auto& c) { return c->count("HTTP/1.1") == 1; });
+      },
+      "each has one answer");
+  EXPECT_TRUE(std::all_of(clients.begin(), clients.end(), [](auto& c) { return c->has("HTTP/1.1 403"); }));
+  EXPECT_EQ(checker.count("GET /check"), 1u);
+  nothingAtTheWorker();
+  clients.clear();
+  node.reset();
+  setrlimit(RLIMIT_NOFILE, &before);
+}
+
+TEST_F(Checks, AFlipWhileARequestIsInFlightCountsForWhatIsDecidedLater) {
+  open();
+  const auto first = ask("a", 1);
+  untilChecks(1);
+  say(reply("200 OK", ""));
+  untilOrders(1);
+  const auto second = ask("a", 2);
+  untilChecks(2);
+  say(reply("403 Forbidden", ""));
+  until([&] { return second->has("HTTP/1.1 403"); }, "the denial");
+  serve("served");
+  until([&] { return first->has("served"); }, "the answer of what was under way");
+  EXPECT_EQ(worker.count("\r\n\r\n"), 1u);
+}
+
+TEST_F(Checks, AHugeTokenIsAskedOneThatIsNoneIsTurnedAway) {
+  open();
+  const auto huge = ask(std::string(12000, 'x'), 1);
+  untilChecks(1);
+  say(reply("401 Unauthorized", ""));
+  until([&] { return huge->has("HTTP/1.1 401"); }, "the denial");
+  const auto larger = ask(std::string(20000, 'x'), 2);
+  until([&] { return larger->has("HTTP/1.1 431"); }, "the rejection by its size");
+  const auto control = ask("good\x01\x02", 3);
+  until([&] { return control->has("HTTP/1.1 400"); }, "the rejection of control characters");
+  EXPECT_EQ(checker.count("GET /check"), 1u);
+  nothingAtTheWorker();
+}
+
+TEST_F(Checks, AVerdictAfterTheDrainHasBegunStillCounts) {
+  open();
+  const auto client = ask("a");
+  untilChecks(1);
+  bool done = false;
+  node->drain([&] { done = true; });
+  say(reply("200 OK", ""));
+  untilOrders(1);
+  serve("served");
+  until([&] { return client->has("served") && done; }, "its answer, then the end");
+}
+
 TEST_F(Checks, AVerdictIsRememberedAsItSaysAndAFlipCountsFromThenOn) {
   open();
   ask("a", 1);
