Auth: the status that a client is told without a checker is a setting (status_on_error)

Need: Envoy's convention has status_on_error; it was listed as not covered. error_status in [auth], 503 by default; what is beyond the bound of the queue stays a refusal.

--- a/src/auth/asking.hpp
+++ b/src/auth/asking.hpp
@@ -25,6 +25,9 @@
   Checkers::Limits pool;
   std::vector<boost::asio::ip::tcp::endpoint> checkers;  // empty: nothing is checked
   std::vector<Route> routes;
+  // What a client is told where no checker has said anything (Envoy's status_on_error). 503 and 429 say that
+  // it may come again; any other is a failure. What is beyond the queue's bound is 503 whatever this says.
+  unsigned errorStatus = 503;
   bool on() const { return !checkers.empty(); }
 };
 
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -282,7 +282,7 @@
   Held& held = found->second;
   held.checking = false;
   if (told == auth::Told::verdict && !verdict->allows) return deny(id, *verdict);
-  if (told == auth::Told::down || told == auth::Told::busy) return unchecked(id);
+  if (told == auth::Told::down || told == auth::Told::busy) return unchecked(id, told);
   if (verdict) auth::apply(*verdict, held.message);
   admit(id, held);
 }
@@ -298,10 +298,13 @@
 }
 
 // Nobody said in time whether it may go on: nothing has run, and it may come again.
-void Gatekeeper::unchecked(RequestId id) {
-  if (asking_) asking_->left(id);
+void Gatekeeper::unchecked(RequestId id, auth::Told told) {
   Answer refusal;
   refusal.status = http::status::service_unavailable;
+  if (asking_) {
+    asking_->left(id);
+    if (told == auth::Told::down) refusal.status = static_cast<http::status>(asking_->asked().errorStatus);
+  }
   refusal.body = "no checker answers: try again later\n";
   refusal.retryAfter = kUncheckedRetryAfter;
   answer(id, std::move(refusal));
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -96,7 +96,7 @@
   void decided(irisring::RequestId id, auth::Told told, const auth::VerdictPtr& verdict);
   void admit(irisring::RequestId id, const Held& held);
   void deny(irisring::RequestId id, const auth::Verdict& verdict);
-  void unchecked(irisring::RequestId id);
+  void unchecked(irisring::RequestId id, auth::Told told = auth::Told::down);
   void checkNames(const OperatorSettings& settings) const;
   void startAsking(const OperatorSettings& settings);
   auth::Said said(const http::request_header<>& head, const std::string& from);
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -196,6 +196,7 @@
   ms("allow_most_ms", settings.allowMost, {0, 86400000});
   ms("deny_most_ms", settings.denyMost, {0, 3600000});
   ms("last_ms", settings.lastFor, {0, 86400000});
+  out.errorStatus = static_cast<unsigned>(section.whole("error_status", out.errorStatus, {400, 599}));
   for (CheckedTable& route : section.tables("route")) out.routes.push_back(readRoute(route));
   section.finish();
 }
--- a/tests/auth/asking_test.cpp
+++ b/tests/auth/asking_test.cpp
@@ -426,6 +426,23 @@
   EXPECT_EQ(checker.count("GET /check"), 4u) << "two at once after one answer";
 }
 
+// Envoy's status_on_error; what is beyond the bound of the queue is a refusal all the same.
+TEST_F(Checks, WithoutACheckerTheClientIsToldTheStatusThatIsSet) {
+  settings.auth.errorStatus = 403;
+  settings.auth.settings.attempts = 1;
+  settings.auth.settings.ejectAfter = 1000;
+  settings.auth.settings.outPerChecker = 1;
+  settings.auth.settings.queue = 0;
+  open();
+  const auto out = ask("a", 1);
+  untilChecks(1);
+  const auto beyond = ask("b", 2);
+  until([&] { return beyond->has("HTTP/1.1 503") && beyond->has("Retry-After: 1"); }, "the refusal");
+  say(reply("500 Internal Server Error", ""));
+  until([&] { return out->has("HTTP/1.1 403"); }, "the status that is set");
+  nothingAtTheWorker();
+}
+
 // Down at the start, refused connections: told at once, and the checker is left alone meanwhile.
 TEST_F(Checks, OneThatIsNotThereIsAskedSeldom) {
   std::optional<Listener> gone(std::in_place, io);
