Auth: what was let go counts as returned also where nothing may stay out

Seen on reading the change: with out_ms = 0 or out_most = 0 a request that was let go was never put among those that end, so the module counted it as out for good and a capped plan was refused after two. A special case in letGo was at fault; it is gone, and what is put there ends at once. The new test fails without it. Also a test of the scenario's checkers, and an include and a comparison that nothing used are gone.

--- a/src/auth/answering.cpp
+++ b/src/auth/answering.cpp
@@ -1,7 +1,6 @@
 #include "auth/answering.hpp"
 
 #include <algorithm>
-#include <boost/asio/ip/network_v4.hpp>
 #include <cmath>
 
 namespace burlwind::auth {
@@ -132,8 +131,7 @@
 }
 
 void Answers::letGo(Time now, const Question& question) {
-  if (settings_.outFor > 0 && settings_.outMost > 0)
-    out_.emplace_back(now + settings_.outFor, question.customer);
+  out_.emplace_back(now + settings_.outFor, question.customer);
   if (question.id.empty() || settings_.remembered == 0) return;
   ids_.push_back({question, now + settings_.rememberFor});
   byId_.emplace(ids_.back().question.id, std::prev(ids_.end()));
--- a/src/auth/answering.hpp
+++ b/src/auth/answering.hpp
@@ -81,7 +81,6 @@
 
 struct AnswerCounts {
   std::uint64_t asked = 0, allowed = 0, repeated = 0, refused = 0, unusable = 0, strangers = 0;
-  bool operator==(const AnswerCounts&) const = default;
 };
 
 std::string describe(const AnswerCounts& counts);  // one line, for the log
--- a/tests/auth/answers_on_sockets_test.cpp
+++ b/tests/auth/answers_on_sockets_test.cpp
@@ -124,6 +124,22 @@
   EXPECT_EQ(told(question("e", "capped")), "HTTP/1.1 200 OK");
 }
 
+// None of it counts as out: each that is let go is over at once, however many there were.
+TEST_F(Proxied, WithNoTimeNothingStaysOut) {
+  json config = configJson(discovery.text(), json::array());
+  config["settings"]["plans"].push_back({{"name", "capped"}, {"atOnce", 2}, {"overrunCost", 1.0}});
+  for (const bool byTime : {true, false}) {
+    settings.answer.outFor = byTime ? 0 : 60000;
+    settings.answer.outMost = byTime ? 10 : 0;
+    proxy.reset();
+    node.emplace(io, parseConfig(config.dump()), settings);
+    node->start();
+    for (int i = 0; i < 20; ++i)
+      EXPECT_EQ(told(question("r" + std::to_string(i), "capped")), "HTTP/1.1 200 OK") << i;
+    EXPECT_EQ(node->answers().out(), 0u);
+  }
+}
+
 TEST_F(Proxied, ItsTimeEndsByItself) {
   settings.answer.outFor = 5;
   open();
--- a/tests/rehearsal/scenario_test.cpp
+++ b/tests/rehearsal/scenario_test.cpp
@@ -149,5 +149,25 @@
   }
 }
 
+TEST(Scenario, CheckersAreReadAndTheirFaultsWantThem) {
+  const std::string plain =
+      "name = 'x'\nlength_s = 100\npace = 4\n[[class]]\nname = 'a'\nrepeat = 'safe'\nwork_ms = 1\naim_ms = "
+      "1\ndeadline_ms = 1\n[[plan]]\nname = 'p'\ncustomers = 1\nrate = 1\nburst = 1\n";
+  const std::string flips = "[[fault]]\nkind = 'checker_flips'\nstart_s = 40\nlength_s = 20\nsize = 1\n";
+  const std::string slow =
+      "[[fault]]\nkind = 'checker_slow'\nstart_s = 1\nlength_s = 2\ntargets = [0]\nsize = 8\n";
+  const Scenario read = paced(
+      parseScenario(plain + flips + slow + "[checkers]\ncount = 1\ndelay_ms = 8\nmax_age_s = 3\n", "x"));
+  EXPECT_EQ(read.checkers.delayMs, 2);
+  EXPECT_EQ(read.checkers.maxAgeS, 3u) << "it does not scale";
+  EXPECT_EQ(read.faults[1].size, 2);
+  EXPECT_FALSE(read.flipped(7, 9999));
+  EXPECT_TRUE(read.flipped(7, 10000));
+  EXPECT_FALSE(read.flipped(7, 15000));
+  EXPECT_THROW(parseScenario(plain + flips, "x"), FileError);
+  EXPECT_THROW(parseScenario(plain + slow, "x"), FileError);
+  EXPECT_THROW(parseScenario(plain + "[checkers]\nbad_share = 0.5\n", "x"), FileError);
+}
+
 }  // namespace
 }  // namespace burlwind::rehearsal
