Read the platform's fields in one place; judge a cap without noting the try

Read once more: customers, units and names were read by like lines in node/call.cpp and auth/answering.cpp (now http/fields.hpp), isCrowded changed the entry that it judged (its caller notes the try), and a proxy's question was recognised at its head and again when whole.

--- a/src/auth/answering.cpp
+++ b/src/auth/answering.cpp
@@ -3,14 +3,14 @@
 #include <algorithm>
 #include <cmath>
 
+#include "http/fields.hpp"
+
 namespace burlwind::auth {
 namespace {
 
 using Head = http::request_header<>;
 
-constexpr std::size_t kHexDigits = 16;
-constexpr std::uint64_t kCustomers = std::uint64_t{1} << 33;  // the platform's
-constexpr std::size_t kMostId = 128;                          // bytes
+constexpr std::size_t kMostId = 128;  // bytes
 constexpr Time kSecond = 1000;
 
 boost::asio::ip::address_v6 asV6(const boost::asio::ip::address& address) {
@@ -20,12 +20,6 @@
 
 std::string_view header(const Head& head, const std::string& name) { return view(head[name]); }
 
-std::optional<unsigned> indexOf(const std::vector<std::string>& names, std::string_view name) {
-  const auto found = std::find(names.begin(), names.end(), name);
-  if (found == names.end()) return std::nullopt;
-  return static_cast<unsigned>(found - names.begin());
-}
-
 // The path of the request that is asked about.
 std::string_view originalPath(const AnswerSettings& settings, const Head& head) {
   switch (settings.convention) {
@@ -75,10 +69,9 @@
        {&settings.customer, &settings.plan, &settings.klass, &settings.units, &settings.id})
     if (countOf(head, *name) > 1) return *name + " is repeated";
   Question out;
-  const std::string_view customer = header(head, settings.customer);
-  const auto known = customer.size() == kHexDigits ? number<std::uint64_t>(customer, 16) : std::nullopt;
-  if (!known || *known >= kCustomers) return settings.customer + " names no customer";
-  out.customer = *known;
+  const auto customer = customerOf(header(head, settings.customer));
+  if (!customer) return settings.customer + " names no customer";
+  out.customer = *customer;
   const auto plan = indexOf(platform.plans, header(head, settings.plan));
   if (!plan) return settings.plan + " names no plan";
   out.plan = *plan;
@@ -86,9 +79,8 @@
   if (!klass) return "neither " + settings.klass + " nor the request's path names a class";
   out.klass = *klass;
   if (countOf(head, settings.units) > 0) {
-    const auto units = number<double>(header(head, settings.units));
-    if (!units || !std::isfinite(*units) || *units <= 0 || *units > platform.mostUnits)
-      return settings.units + " is no number of units";
+    const auto units = unitsOf(header(head, settings.units), platform.mostUnits);
+    if (!units) return settings.units + " is no number of units";
     out.units = *units;
   }
   const std::string_view id = header(head, settings.id);
--- a/src/node/call.cpp
+++ b/src/node/call.cpp
@@ -1,17 +1,15 @@
 #include "node/call.hpp"
 
-#include <algorithm>
-#include <cmath>
 #include <optional>
 
+#include "http/fields.hpp"
+
 namespace burlwind {
 namespace {
 
 using Head = http::request_header<>;
 
-constexpr irisring::CustomerId kCustomers = irisring::CustomerId{1} << 33;
 constexpr double kMostPatience = 10 * 60 * 1000;
-constexpr std::size_t kHexDigits = 16;
 
 std::string_view header(const Head& head, const char* name) { return view(head[name]); }
 
@@ -28,21 +26,11 @@
   return found;
 }
 
-std::optional<unsigned> indexOf(const std::vector<std::string>& names, std::string_view name) {
-  const auto found = std::find(names.begin(), names.end(), name);
-  if (name.empty() || found == names.end()) return std::nullopt;
-  return static_cast<unsigned>(found - names.begin());
-}
-
-std::optional<std::uint64_t> hex(std::string_view text) {
-  return text.size() == kHexDigits ? number<std::uint64_t>(text, 16) : std::nullopt;
-}
-
 bool readTerms(std::string_view terms, const irisring::Settings& settings, Call& call) {
-  const auto units = number<double>(valueOf(terms, ',', "units"));
+  const auto units = unitsOf(valueOf(terms, ',', "units"), settings.mostUnits);
   const auto spread = number<unsigned>(valueOf(terms, ',', "spread"));
   const auto first = number<unsigned>(valueOf(terms, ',', "first"));
-  if (!units || !std::isfinite(*units) || *units <= 0 || *units > settings.mostUnits) return false;
+  if (!units) return false;
   if (!spread || *spread < 1 || *spread > settings.gateways || !first || *first >= settings.gateways)
     return false;
   call.units = *units;
@@ -83,7 +71,7 @@
   const bool named = countOf(head, "Req-Id") > 0;
   if (!klass && !named) return Rejection{http::status::not_found, "no such path"};
   if (!klass) return Rejection{bad, "unknown class"};
-  const auto id = hex(header(head, "Req-Id"));
+  const auto id = hexDigits(header(head, "Req-Id"));
   if (!id) return Rejection{bad, "bad Req-Id"};
   Call call;
   call.id = *id;
@@ -93,8 +81,8 @@
   const auto plan = indexOf(config.host.plans, header(head, "X-Tier"));
   if (!plan) return Rejection{bad, "unknown plan"};
   call.plan = *plan;
-  const auto customer = hex(valueOf(target, '&', "client"));
-  if (!customer || *customer >= kCustomers) return Rejection{bad, "bad customer"};
+  const auto customer = customerOf(valueOf(target, '&', "client"));
+  if (!customer) return Rejection{bad, "bad customer"};
   call.customer = *customer;
   const auto patience = number<std::uint64_t>(header(head, "Req-Deadline-Ms"));
   if (!patience || *patience < 1 || static_cast<double>(*patience) > kMostPatience)
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -232,7 +232,8 @@
   bool welcome() {
     const auto& head = parser_->get();
     last_ = !head.keep_alive();
-    if (!isHealth(head) && !isQuestion(head) && !call(head)) return false;
+    question_ = isQuestion(head);
+    if (!isHealth(head) && !question_ && !call(head)) return false;
     const auto length = parser_->content_length();
     if (!fits(length ? static_cast<std::size_t>(*length) : 0)) return false;
     if (beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) sendContinue();
@@ -271,7 +272,7 @@
   }
 
   void handle(ClientMessage&& message) {
-    if (isQuestion(message)) return say(server_.holder_.question(message, from()));
+    if (question_) return say(server_.holder_.question(message, from()));
     if (!call_) return sayReady(message.method());
     // With the body, trailers may have brought more headers, and the same id may have come elsewhere.
     if (!message.body().empty() && !call(message)) return;
@@ -351,6 +352,7 @@
   beast::flat_buffer in_;
   std::optional<http::request_parser<http::string_body>> parser_;  // from a request's first byte on
   std::optional<Call> call_;                                       // once its head is read
+  bool question_ = false;                                          // what comes is a proxy's
   std::string out_, writing_, body_;
   State state_ = State::reading;
   const admission::Id place_;
--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -529,7 +529,11 @@
     const double want = std::min(units, plan.burst);
     c.units = toward(c.units, units, 1, kUnitsKeep);
     if (plan.rate > 0 && c.tokens < want) return 1000 * (want - c.tokens) / plan.rate;
-    if (plan.openLimit > 0 && isCrowded(c, usual(ask.klass))) return usual(ask.klass);
+    if (plan.openLimit > 0) {
+      const bool crowded = isCrowded(c);
+      c.wantOpen += usual(ask.klass) / kOpenTau;
+      if (crowded) return usual(ask.klass);
+    }
     noteDemand(c, units, 0);
     const bool empty = plan.rate > 0 && isEmpty(c, want);
     c.in[at(c.slot)] = static_cast<float>(empty ? c.fraction : 1);
@@ -552,7 +556,7 @@
     return c.store < want + (std::log(price) / kLogisticScale + kCaution) * doubt;
   }
 
-  // Whether a try that would be out for so long would more likely than pays find the cap on attempts out used
+  // Whether a try would more likely than pays find the cap on attempts out used
   // up by the other gateways: at the plan's own price of being wrong, and by what the try still brings if it
   // is refused and comes back. Within its part of the cap a gateway takes the others to have out what it lets
   // out itself, as they keep to the same rule; were it what they are asked for, all would wait for all. What
@@ -560,12 +564,11 @@
   // that asks for more does so everywhere at once, and its metered peaks tell of that too late. Where a rate
   // binds too, nobody sends more than that. Covers caps of a few attempts as well as large ones; may hurt
   // where a customer's tries stay at one gateway although its set has several.
-  bool isCrowded(Customer& c, Time length) const {
+  bool isCrowded(const Customer& c) const {
     const PlanSettings& plan = set_.plans[c.plan];
     const unsigned part = partOf(plan.openLimit, c.setSize);
     const double others = (1 - share(c)) / share(c);
     const double wanted = (c.open < part ? c.meanOpen : c.wantOpen) * others;
-    c.wantOpen += length / kOpenTau;
     if (c.open >= plan.openLimit) return true;
     const unsigned room = plan.openLimit - c.open;
     const double chance = plan.rate > 0
