Large fleets: whole first requests, ceilings dealt out by use, caps judged by the meter

Checked: a ceiling's true store never fell under 20.9 of 32 while a fifth of the tries were refused for it, and of twenty ways one carries a third of a customer's traffic, so parts of a twentieth starve it. A cap of 4 was judged by one own attempt times nineteen others. A bucket that starts with burst over 75 holds no request for 1.4 s. Ruled out: want of workers (0.1% there), CPU (0.0 s), descriptors (75 of 384).

Lines at fault: lookUp (parts of one request), ceilingBurst / setSize in lookUp, fill, admit and evict, and isCrowded (meanOpen * others). Changed there; a set whose even part holds four requests or more is as before.

--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -42,6 +42,7 @@
 constexpr double kUnitsKeep = 8;  // requests behind the usual size
 constexpr double kNewReading =
     0.3;  // metered periods after which another value is a new reading, until the meter's beat is known
+constexpr double kOwnTries = 0.2;       // own tries of late that the meter counts for where caps are judged
 constexpr Time kOpenTau = 1000;         // ms, memory of own attempts out
 constexpr Time kShareTau = 10000;       // ms, memory of the share; longer: slow after traffic moves
 constexpr double kLogisticScale = 1.7;  // of a normal spread in the logistic one that stands for it
@@ -64,6 +65,11 @@
 constexpr unsigned kCapCounted = 16;  // caps up to this are counted one by one; higher: dear
 constexpr double kMeanCounted = 30;   // and means; from there on a normal spread stands for them
 // Guards.
+constexpr double kCeilingMoved = 0.5;  // of a ceiling, what is dealt out by the use; higher: new ways starve
+constexpr double kShareClaimed =
+    0.7;                           // of a metered share of it; at 0.8 their doubt passes it in 1% of plays
+constexpr double kPartEnough = 4;  // requests in an even part of a ceiling with which all is dealt out evenly
+constexpr Time kAway = 1000;  // ms that a gateway is away at least for a restart; longer: passes ceilings
 constexpr double kColdMargin = 0.8;  // of a cold worker's told share; above 1 eats into the rule's multiple
 constexpr Time kRateTau = 4000;  // ms, memory of the rate of good answers that cold workers are held against
 // Server choice and health.
@@ -246,6 +252,7 @@
         actions_(actions),
         random_(salt),
         beat_(settings.meterPeriod),
+        startedAt_(now),
         bucketSince_(now),
         ceilingSince_(now) {
     require(set_.gateways >= 1 && set_.self < set_.gateways, "gateway number out of range");
@@ -423,7 +430,10 @@
     fresh.at = fresh.readingAt = now;
     fresh.bornAt = now;
     fresh.toldTo = now - set_.meterPeriod;
-    fresh.tokens = freshTokens(plan, fresh.setSize, now);
+    // A part of a request is nothing: all gateways of a large set would turn the first ones away. Where the
+    // table has let go of spent buckets it stays so, or a thousand customers could draw it anew and anew.
+    const double first = bucketSince_ == startedAt_ ? std::min(plan.burst, ask.units) : 0;
+    fresh.tokens = std::max(freshTokens(plan, fresh.setSize, now), first);
     fresh.store = plan.burst;
     fresh.units = std::max(0.0, ask.units);
     fresh.in.fill(1);
@@ -432,12 +442,23 @@
     fresh.newsTime = share(fresh) * std::min(kNews, now - bucketSince_) / 1000;
     // The ceiling's store lives on over restarts and evictions, so nothing is taken to be left in it but
     // what has come in since this gateway could last have sent for the customer.
-    fresh.ceiling =
-        std::min(plan.ceilingBurst, plan.ceilingRate * (now - ceilingSince_) / 1000) / fresh.setSize;
+    const double since = std::min(plan.ceilingBurst, plan.ceilingRate * (now - ceilingSince_) / 1000);
+    fresh.ceiling = std::max(freshCeiling(fresh), ceilingPart(fresh) * since);
     fresh.slot = slotAt(now);
     return fresh;
   }
 
+  // What a gateway may take to be left of a ceiling at its start. Where its part of the rate is less than a
+  // request in the time that a restart takes at least, that is one request, if all gateways' first ones are
+  // no more than the ceiling gives in this time, with its slack, and the table has let go of no spent part;
+  // else nothing.
+  double freshCeiling(const Customer& c) const {
+    const PlanSettings& plan = set_.plans[c.plan];
+    const double given = plan.ceilingRate * kAway / 1000;
+    const bool slow = ceilingPart(c) * given < c.units && ceilingSince_ == startedAt_;
+    return slow && c.units * c.setSize <= given + plan.ceilingSlack ? c.units : 0;
+  }
+
   // What a bucket holds by now that was made at this gateway's start, or when one that lost by it was
   // evicted.
   double freshTokens(const PlanSettings& plan, unsigned setSize, Time now) const {
@@ -453,17 +474,30 @@
       fill(*it, now);
       const PlanSettings& plan = set_.plans[it->plan];
       if (it->open == 0 && it->fraction >= 1 && it->tokens >= freshTokens(plan, it->setSize, now) &&
-          it->ceiling >= plan.ceilingBurst / it->setSize) {
+          it->ceiling >= ceilingPart(*it) * plan.ceilingBurst) {
         victim = it;
         break;
       }
     }
     if (victim->tokens < freshTokens(set_.plans[victim->plan], victim->setSize, now)) bucketSince_ = now;
-    if (victim->ceiling < set_.plans[victim->plan].ceilingBurst / victim->setSize) ceilingSince_ = now;
+    if (victim->ceiling < ceilingPart(*victim) * set_.plans[victim->plan].ceilingBurst) ceilingSince_ = now;
     index_.erase(victim->id);
     table_.erase(victim);
   }
 
+  // This gateway's part of a ceiling that all of them must keep without hearing of one another. Where an even
+  // part holds a few requests only, half of the ceiling is dealt out by the metered use that each has sent:
+  // few of many ways carry most of a customer's traffic. Those shares sum to about one whatever the use is
+  // (0.8 to 1.3 counted over sets of 13 to 20), and what each may hold is bounded by its part as it is now. A
+  // gateway that has no reading yet takes the even part, but neither has it sent anything then. Hurts where a
+  // share is told late: what moved away keeps its part until it fades.
+  double ceilingPart(const Customer& c) const {
+    const double even = 1.0 / c.setSize;
+    const double holds = set_.plans[c.plan].ceilingBurst * even / std::max(c.units, 1e-9);
+    const double moved = kCeilingMoved * std::clamp(2 - 2 * holds / kPartEnough, 0.0, 1.0);
+    return (1 - moved) * even + moved * kShareClaimed * share(c);
+  }
+
   double debt(const PlanSettings& plan) const { return kDebt * plan.rate * set_.meterPeriod / 1000; }
 
   // The part of the customer's use that this gateway sends.
@@ -503,7 +537,8 @@
     c.tokens = std::min(plan.burst, c.tokens + plan.rate * dt);
     const double taken = othersTake(c, c.store, dt);
     c.store = std::min(plan.burst, c.store + plan.rate * dt - taken);
-    c.ceiling = std::min(plan.ceilingBurst / c.setSize, c.ceiling + plan.ceilingRate * dt / c.setSize);
+    const double part = ceilingPart(c);
+    c.ceiling = std::min(part * plan.ceilingBurst, c.ceiling + part * plan.ceilingRate * dt);
     const double keepNews = std::exp(-span / kNews), keep = std::exp(-span / kForget);
     c.newsUnits *= keepNews, c.newsTime = c.newsTime * keepNews + share(c) * dt;
     c.oldUnits *= keep, c.oldTime = c.oldTime * keep + share(c) * dt;
@@ -525,7 +560,7 @@
     const PlanSettings& plan = set_.plans[c.plan];
     const double units = std::max(0.0, ask.units);
     if (plan.ceilingRate > 0 && c.ceiling < units)
-      return 1000 * (units - c.ceiling) * c.setSize / plan.ceilingRate;
+      return 1000 * (units - c.ceiling) / (ceilingPart(c) * plan.ceilingRate);
     const double want = std::min(units, plan.burst);
     c.units = toward(c.units, units, 1, kUnitsKeep);
     if (plan.rate > 0 && c.tokens < want) return 1000 * (want - c.tokens) / plan.rate;
@@ -572,13 +607,26 @@
     if (c.open >= plan.openLimit) return true;
     const unsigned room = plan.openLimit - c.open;
     const double chance = plan.rate > 0
-                              ? chanceUnder(room, c.meanOpen * others)
+                              ? chanceUnder(room, othersOpen(c, c.meanOpen * others))
                               : std::min(chanceOthersUnder(room, wanted, c.setSize - 1, part, plan.openLimit),
                                          chanceUnder(room, c.allOpen * (1 - share(c))));
     const double loss = plan.overCost - plan.overWorth;
     return chance * (1 + loss) < loss + std::min(kHopeMost, pressed_ + kComesBack);
   }
 
+  // What the others have out where a rate binds too: by what this gateway has out itself, as far as its tries
+  // of late tell, else by what is metered of them and stays out for the usual time. A gateway of many meets a
+  // customer too seldom to tell of the others by itself.
+  double othersOpen(const Customer& c, double byOwn) const {
+    Time out = 0;
+    for (unsigned klass = 0; klass < base_.size(); ++klass) out += usual(klass);
+    const double perMs = 1 / (1000 * std::max(c.units, 1e-9));
+    const double byMeter = othersUse(c) * perMs * out / static_cast<double>(base_.size());
+    const double tries = demand(c) * share(c) * perMs * kOpenTau;
+    const double own = tries * tries, metered = kOwnTries * kOwnTries;
+    return (own * byOwn + metered * byMeter) / (own + metered);
+  }
+
   static unsigned partOf(unsigned cap, unsigned setSize) {
     return std::max(1u, static_cast<unsigned>(std::lround(static_cast<double>(cap) / setSize)));
   }
@@ -1021,6 +1069,7 @@
   std::array<double, kLags> misfit_{};  // own use over the metered one, by the lag held against it
   Time noneToldAt_ = kNever;            // the last answer without a reading, before any came
   bool told_ = false;                   // any reading has come
+  const Time startedAt_;
   Time bucketSince_, ceilingSince_;
   unsigned inFlight_ = 0;  // attempts out, at all workers
   double mostOut_ = 0;     // the most of late, as of mostOutAt_
