One failure ejects a worker that a gateway meets seldom; hard cases of a large fleet tested

Counted: a gateway of a hundred sends some 6 requests a second, so it meets each of 60 workers every 10 s. Two failures in a row took 20 s to come, and an ejection of 1 s was over before the next meeting.

Where this gateway's own time between two attempts at one worker is over a second, one failure ejects, and the ejection lasts for that time, 10 s at most.

--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -96,6 +96,8 @@
 constexpr unsigned kFailsToEject = 2;  // failures in a row; 1: a single lost packet empties the pool
 constexpr Time kEjectFirst = 1000;     // ms of the first ejection; doubles up to kEjectMost
 constexpr Time kEjectMost = 8000;
+constexpr Time kEjectRare = 10000;  // ms of it at most where this gateway meets a worker seldom
+constexpr double kGapKeep = 20;     // attempts behind the usual time between two
 constexpr double kLimitFirst =
     12;  // in-flight a worker starts with, over all gateways; higher: a start overdrives
 constexpr double kLimitMost = 200;
@@ -934,13 +936,20 @@
       w.fullFor = 0;
       w.ejectFor = 0;
       w.ejectedUntil = 0;
-    } else if (++w.fails >= kFailsToEject) {
-      w.ejectFor = std::clamp(2 * w.ejectFor, kEjectFirst, kEjectMost);
+    } else if (++w.fails >= (visitGap() > kEjectFirst ? 1 : kFailsToEject)) {
+      const Time first = std::clamp(visitGap(), kEjectFirst, kEjectRare);
+      w.ejectFor = std::clamp(2 * w.ejectFor, first, std::max(kEjectMost, first));
       w.ejectedUntil = now + w.ejectFor;
       log(now, "worker ejected: attempts in a row failed");
     }
   }
 
+  // Time between two attempts of this gateway at one worker, were all sent alike. One of many meets each so
+  // seldom that an ejection of a second or two would be over before the next, and that a second failure would
+  // come only after many seconds: there one failure is all the evidence there is, and to do without one of
+  // many workers costs it next to nothing.
+  Time visitGap() const { return sendGap_ * static_cast<double>(workers_.size()); }
+
   // Two in-flight limits, raised and cut by how an answer's time stands to the class's aim; they keep the
   // queues at the workers short enough that what is sent is still worth answering, whatever made them long.
   // The worker's own holds where a gateway has several attempts at a worker; that of the whole gateway goes
@@ -1008,6 +1017,8 @@
     ++inFlight_;
     mostOut_ = mostOut(now);
     mostOutAt_ = now;
+    if (sentAt_ > 0) sendGap_ = toward(sendGap_, now - sentAt_, 1, kGapKeep);
+    sentAt_ = now;
     if (++worker.inFlight == 1) worker.heardAt = now;
     worker.coldTokens -= 1;
     if (Customer* customer = peek(held.ask.customer)) noteOpen(*customer, now, 1);
@@ -1075,7 +1086,8 @@
   double mostOut_ = 0;     // the most of late, as of mostOutAt_
   double limit_ = 0;       // and how many may be
   Time limitAt_ = 0, mostOutAt_ = 0;
-  double pressed_ = 0;  // share of admitted tries that find no worker
+  Time sentAt_ = 0, sendGap_ = 0;  // the last attempt, and the usual time between two
+  double pressed_ = 0;             // share of admitted tries that find no worker
   Time pressedAt_ = 0;
   double budget_ = kBudgetMost;  // early time-outs and repeats after them that are left
   double warmRate_ = 0;          // good answers of warm workers a ms
--- a/tests/node/gatekeeper_test.cpp
+++ b/tests/node/gatekeeper_test.cpp
@@ -338,6 +338,36 @@
   EXPECT_EQ(node->listed(), 0u);  // or it would be kept for good, as ids are ever new
 }
 
+// An overbooked discovery: long silence on an open watch, then all that changed at once, the same again, and
+// a line of garbage. The last good list serves meanwhile, and the whole one is asked for after the garbage.
+TEST_F(Gate, AllChangesAtOnceTwiceTheSameAndGarbageLeaveTheLastGoodList) {
+  openWithWorker();
+  until([&] { return discovery.count("\r\n\r\n") == 1; }, "a watch");
+  discovery.peers[0]->send(kWatchHead);
+  const auto client = ask(Ask());  // while discovery says nothing
+  untilSeen("00000000000000a1");
+  worker.peers[0]->send(reply("200 OK", "before"));
+  untilGot(client, "before");
+  json all = json::array({entry("s-1", worker.text(), "Terminating")});
+  for (int i = 2; i <= 200; ++i) all.push_back(entry("s-" + std::to_string(i), other.text()));
+  const std::string changes = roster(90, false, all) + "\n";
+  discovery.peers[0]->send(chunk(changes + changes));
+  until([&] { return node->listed() == 199; }, "all changes");
+  ::testing::internal::CaptureStderr();
+  discovery.peers[0]->send(chunk("{\"generation\":91,\"instances\":[{\"instanceId\":7}]}\n"));
+  until([&] { return discovery.count("/registry/instances?watch=1 HTTP/1.1\r\n") == 1; },
+        "the whole list asked for");
+  const std::string lines = ::testing::internal::GetCapturedStderr();
+  EXPECT_NE(lines.find("burlwind: discovery: "), std::string::npos) << lines;
+  EXPECT_LE(std::count(lines.begin(), lines.end(), '\n'), 2) << lines;
+  EXPECT_EQ(node->listed(), 199u);
+  client->send(Ask().text());
+  until([&] { return other.count("\r\n\r\n") == 1; }, "a listed worker");
+  other.peers[0]->send(reply("200 OK", "after"));
+  untilGot(client, "after");
+  EXPECT_EQ(worker.count("\r\n\r\n"), 1u);
+}
+
 TEST_F(Gate, DrainFinishesWhatIsHeldAndServesWhatStillComes) {
   openWithWorker();
   const auto early = ask(Ask());
--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -124,5 +124,138 @@
   EXPECT_GT(sent, 0.965);
 }
 
+// A crowd of customers that each ask now and then, at any gateway.
+void crowd(Fleet& fleet, std::mt19937& random, double perSecond, Time span) {
+  std::exponential_distribution<double> gap(perSecond / 1000);
+  const Time end = fleet.now + span;
+  for (Time at = fleet.now + gap(random); at < end; at += gap(random)) {
+    fleet.until(at);
+    fleet.ask(static_cast<unsigned>(random() % kGateways), 0, 1000 + random() % 3000, 60);
+  }
+  fleet.until(end);
+}
+
+void eachHasOneAnswer(const Fleet& fleet) {
+  for (const auto& [id, count] : fleet.finals) ASSERT_EQ(count, 1u) << "request " << id;
+}
+
+// What a cold worker may be sent in the rule's span: the multiple of what it can do, which is the told share
+// of what a warm one bears. Here a warm one is held to bear what it was sent, so the bound is a strict one.
+double coldBudget(const Settings& s, double warmPerSecond, double warmth) {
+  return s.fallMultiple * warmth * warmPerSecond * s.fallSpan / 1000;
+}
+
+// All hundred are killed and back within a second, with one list that names nine workers as just started: no
+// worker gets a herd, no cold one more than its budget, and a customer gains a request at each gateway at
+// most.
+TEST(LargeFleet, AHundredRestartsWithOneListBringNoHerd) {
+  const Settings s = large();
+  std::vector<Member> list = workers();
+  Fleet fleet(s, list);
+  std::mt19937 random(3);
+  crowd(fleet, random, 600, 4000);
+  for (unsigned w = 0; w < 9; ++w) list[w].started = fleet.now;
+  const Time start = fleet.now;
+  const unsigned before = fleet.sentOf[7];
+  for (unsigned g = 0; g < kGateways; ++g) {
+    fleet.restart(g, list);
+    for (int again = 0; again < 3; ++again)
+      if (g < 60) fleet.ask(g, 0, 7, 60);
+    crowd(fleet, random, 600, 10);
+  }
+  EXPECT_LE(fleet.sentOf[7] - before, 60 + s.plans[0].burst + s.plans[0].rate);
+  crowd(fleet, random, 600, 4000);
+  const double warm = 600.0 / 51;  // a second, were the cold ones sent nothing
+  for (const Member& member : list) {
+    const std::size_t most = fleet.mostWithin(member.worker, s.fallSpan, start);
+    if (member.started > 0)
+      EXPECT_LE(static_cast<double>(most), std::max(s.fallMultiple, coldBudget(s, warm, s.coldFrom + 0.4)));
+    else
+      EXPECT_LE(static_cast<double>(most), 3 * warm) << "worker " << member.worker;
+  }
+}
+
+// Half of the workers are cut off, come back cold 6 s later and are listed so: what is sent into the lost
+// zone ends in one answer each, no cold one is pushed over, and they carry their part again once they are
+// warm.
+TEST(LargeFleet, ALostZoneComesBackColdAndIsWarmedEvenly) {
+  const Settings s = large();
+  Fleet fleet(s, workers());
+  std::mt19937 random(5);
+  crowd(fleet, random, 600, 4000);
+  std::vector<Member> back;
+  for (const Member& member : workers())
+    if (member.zone == 1) fleet.lost.insert(member.worker), back.push_back(member);
+  crowd(fleet, random, 600, 6000);
+  fleet.lost.clear();
+  for (Member& member : back) member.started = fleet.now;
+  const Time cold = fleet.now;
+  fleet.tell(back, 300);
+  crowd(fleet, random, 600, 3000);
+  for (const Member& member : back)
+    EXPECT_LE(static_cast<double>(fleet.mostWithin(member.worker, s.fallSpan, cold)),
+              std::max(s.fallMultiple, coldBudget(s, 600.0 / 30, s.coldFrom + 0.3)));
+  crowd(fleet, random, 600, s.warmUp + 3000);
+  const Time warm = fleet.now;
+  crowd(fleet, random, 600, 4000);
+  std::size_t all = 0, theirs = 0;
+  for (const Member& member : workers()) {
+    const std::size_t n = fleet.cameSince(member.worker, warm);
+    all += n;
+    if (member.zone == 1) theirs += n;
+  }
+  EXPECT_GT(static_cast<double>(theirs), 0.4 * static_cast<double>(all));
+  fleet.until(fleet.now + 6000);
+  eachHasOneAnswer(fleet);
+}
+
+// Thirty-six of sixty leave one after another within 7 s while as many new ones come: nothing is sent to one
+// that is gone, what is under way ends in one answer, and the new ones are warmed evenly.
+TEST(LargeFleet, SixInTenReplacedWithinSevenSeconds) {
+  const Settings s = large();
+  Fleet fleet(s, workers());
+  std::mt19937 random(7);
+  crowd(fleet, random, 600, 4000);
+  std::map<WorkerId, Time> gone;
+  for (unsigned w = 0; w < 36; ++w) {
+    Member old = workers()[w], fresh = member(1000 + w, w % 2, fleet.now);
+    old.phase = Phase::gone;
+    fleet.tell({old, fresh}, 150);
+    gone[old.worker] = fleet.now + 150;
+    crowd(fleet, random, 600, 7000.0 / 36);
+  }
+  crowd(fleet, random, 600, 8000);
+  std::vector<std::size_t> came;
+  for (unsigned w = 0; w < 36; ++w) {
+    EXPECT_EQ(fleet.cameSince(workers()[w].worker, gone[workers()[w].worker] + 1), 0u);
+    EXPECT_LE(static_cast<double>(fleet.mostWithin(1000 + w, s.fallSpan)),
+              std::max(s.fallMultiple, coldBudget(s, 600.0 / 24, s.coldFrom + 0.6)));
+    came.push_back(fleet.cameSince(1000 + w, fleet.now - 4000));
+  }
+  const auto [least, most] = std::minmax_element(came.begin(), came.end());
+  EXPECT_GT(*least, 0u);
+  EXPECT_LE(*most, 4 * *least);
+  fleet.until(fleet.now + 6000);
+  eachHasOneAnswer(fleet);
+}
+
+// One worker takes no further connections, as others hold all that it has: attempts there fail, are tried
+// elsewhere and grow rare, and it gets its part again once it takes them.
+TEST(LargeFleet, AFullTableOfConnectionsIsNeitherADeathNorALoop) {
+  const Settings s = large();
+  Fleet fleet(s, workers(12));
+  std::mt19937 random(9);
+  crowd(fleet, random, 600, 4000);
+  fleet.lost.insert(1);
+  crowd(fleet, random, 600, 8000);  // found out by each gateway for itself
+  const double found = static_cast<double>(fleet.cameSince(1, fleet.now - 4000)) / 4;
+  EXPECT_LT(found, 0.5 * 600 / 12);
+  fleet.lost.clear();
+  crowd(fleet, random, 600, 10000);
+  EXPECT_GT(static_cast<double>(fleet.cameSince(1, fleet.now - 2000)), 0.6 * 2 * 600 / 12);
+  fleet.until(fleet.now + 6000);
+  eachHasOneAnswer(fleet);
+}
+
 }  // namespace
 }  // namespace irisring::test
