Weigh strangers: a large set sends on the part of first meetings that is worth most

Each by itself finds room in 0.68 to 0.85 of the cases, which pays at a price of 1.2, so admit sent all of them; but room that a greedy customer's try finds is room that another of its tries would have had, so over all gateways the last of them cost more than they bring.

Line at fault: admit, which judges by this try's own chance where the set is larger than the store. isStranger and strangersPart: where a set is over twice as large as the store (or the cap), such tries are sent on by the chance at which one more brings nothing, in closed form from the plan's price and demands of a quarter to six times the rate.

--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -50,6 +50,9 @@
     1.5;  // usual requests that a gateway's part of the rate saves up while the store is empty
 constexpr double kCaution =
     1;  // spreads of doubt kept from the estimate; higher: refuses with room; lower: goes past
+constexpr double kManyWays = 2;  // stores or caps in the gateways of a set from which strangers are weighed
+constexpr double kAskLeast = 0.25;    // of its rate, what a stranger may ask for
+constexpr double kAskMost = 6;        // higher: fewer strangers are let in
 constexpr double kTarget = 0.6;       // of the rate, what the fraction aims at
 constexpr Time kPressedTau = 4000;    // ms, memory of how often the workers are full
 constexpr double kPressedMost = 0.8;  // higher: nothing is let in on a doubtful estimate
@@ -557,6 +560,25 @@
     c.at = std::max(c.at, now);
   }
 
+  // Whether a try is turned away as one of a customer that this gateway has no reading of. Where a set is far
+  // larger than the customer's store or cap, all its gateways' first tries are more than there is room for,
+  // though each of them by itself would more likely than not find some.
+  bool isStranger(const Customer& c) {
+    const PlanSettings& plan = set_.plans[c.plan];
+    const double holds = plan.rate > 0 ? plan.burst / std::max(c.units, 1e-9) : plan.openLimit;
+    if (c.reading >= 0 || set_.meterPeriod <= 0 || holds <= 0 || c.setSize <= kManyWays * holds) return false;
+    return random_.next() >= strangersPart(plan);
+  }
+
+  // The part of strangers' tries that is worth most if it is sent on. A try's customer may ask for any
+  // multiple of its rate between the least and the most, each doubling as likely. Of a multiple m only 1 / m
+  // finds room, and what is sent on above that costs the plan's price: the worth grows with the part for as
+  // long as the multiples under 1 / part are more than the price times those over it.
+  static double strangersPart(const PlanSettings& plan) {
+    const double loss = std::max(0.0, plan.overCost - plan.overWorth);
+    return std::min(1.0, 1 / (kAskLeast * std::pow(kAskMost / kAskLeast, loss / (1 + loss))));
+  }
+
   // Nothing: admitted. Else the time after which the customer may find room.
   std::optional<Time> admit(Customer& c, const Request& ask) {
     const PlanSettings& plan = set_.plans[c.plan];
@@ -572,6 +594,7 @@
       if (crowded) return usual(ask.klass);
     }
     noteDemand(c, units, 0);
+    if (isStranger(c)) return usual(ask.klass);
     const bool empty = plan.rate > 0 && isEmpty(c, want);
     c.in[at(c.slot)] = static_cast<float>(empty ? c.fraction : 1);
     // The fraction times the demand is the rate: what it lets in here is this gateway's share of the rate,
