--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -291,8 +291,9 @@
       return;
     }
     Customer& customer = lookUp(now, ask);
-    if (isStranger(customer)) return refuse(ask.id, usual(ask.klass));
     if (const auto wait = admit(customer, ask)) return refuse(ask.id, *wait);
+    // After admit, which notes the demand: a stranger that asks again is likelier one that asks too much.
+    if (isStranger(customer)) return refuse(ask.id, usual(ask.klass));
     Held held;
     held.ask = ask;
     held.arrived = now;
