Fleet tests: see a request never answered, move the traffic that is said to move

Seen on reading the change once more: eachHasOneAnswer counted only requests that had an answer, so one that was lost passed; ACeilingHoldsThroughSpikesMovesAndRestarts said that traffic moves, and it did not. Both are so now, and hold. Planted: an answer dropped now and then, and whole shares of a ceiling, are each caught. In the module a condition of its own in freshCeiling, where "slow" had taken it in, and a comment's lines; its behaviour is unchanged.

--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -461,8 +461,9 @@
   // else nothing.
   double freshCeiling(const Customer& c) const {
     const PlanSettings& plan = set_.plans[c.plan];
+    if (ceilingSince_ != startedAt_) return 0;
     const double given = plan.ceilingRate * kAway / 1000;
-    const bool slow = ceilingPart(c) * given < c.units && ceilingSince_ == startedAt_;
+    const bool slow = ceilingPart(c) * given < c.units;
     return slow && c.units * c.setSize <= given + plan.ceilingSlack ? c.units : 0;
   }
 
@@ -563,9 +564,9 @@
   }
 
   // Whether a try is turned away as one of a customer that this gateway has no reading of. Only where answers
-  // come here that may bring one: who is let go to a proxy stays unknown. Where a set is far
-  // larger than the customer's store or cap, all its gateways' first tries are more than there is room for,
-  // though each of them by itself would more likely than not find some.
+  // come here that may bring one: who is let go to a proxy stays unknown. Where a set is far larger than the
+  // customer's store or cap, all its gateways' first tries are more than there is room for, though each of
+  // them by itself would more likely than not find some.
   bool isStranger(const Customer& c) {
     const PlanSettings& plan = set_.plans[c.plan];
     const double holds = plan.rate > 0 ? plan.burst / std::max(c.units, 1e-9) : plan.openLimit;
--- a/tests/policy/fleet.hpp
+++ b/tests/policy/fleet.hpp
@@ -45,6 +45,7 @@
   bool ask(unsigned gateway, unsigned plan, CustomerId customer, unsigned setSize) {
     const RequestId id = ++last_;
     asked_[id] = {customer, plan};
+    finals[id] = 0;  // one that is never answered is seen too
     const std::size_t before = sent;
     gateways_[gateway].request(now, {id, 0, plan, customer, now + 5000, 1, setSize});
     return sent > before;
@@ -87,8 +88,7 @@
   std::map<WorkerId, std::vector<Time>> came;  // attempts
   std::map<CustomerId, unsigned> sentOf;       // requests of a customer
   std::set<WorkerId> lost;                     // workers that answer nobody
-  std::map<CustomerId, double> ceiling;        // the true store, as the rule has it
-  double lowest = 0;                           // of all customers at any time
+  double lowest = 0;                           // of the true ceiling stores of all customers
 
  private:
   struct Due {
@@ -140,7 +140,7 @@
     plan_[customer] = plan;
     const PlanSettings& p = settings_.plans[plan];
     if (p.ceilingRate <= 0) return;
-    auto [store, fresh] = ceiling.try_emplace(customer, p.ceilingBurst);
+    auto [store, fresh] = ceiling_.try_emplace(customer, p.ceilingBurst);
     if (!fresh) {
       const double gained = p.ceilingRate * (now - at_[customer]) / 1000;
       store->second = std::min(p.ceilingBurst, store->second + gained);
@@ -167,6 +167,7 @@
   std::map<RequestId, unsigned> attempts_;
   std::map<CustomerId, std::map<long, double>> use_;
   std::map<CustomerId, unsigned> plan_;
+  std::map<CustomerId, double> ceiling_;  // the true store, as the rule has it
   std::map<CustomerId, Time> at_;
   RequestId last_ = 0;
   std::size_t order_ = 0;
--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -33,16 +33,18 @@
   return pick(random);
 }
 
-// Poisson arrivals of one customer over its set; returns the part that was sent on.
+// Poisson arrivals of one customer over its set, by its usual ways or, moved, most by the least used one;
+// returns the part that was sent on.
 double drive(Fleet& fleet, std::mt19937& random, unsigned plan, CustomerId customer, unsigned setSize,
-             double perSecond, Time span) {
+             double perSecond, Time span, bool moved = false) {
   std::exponential_distribution<double> gap(perSecond / 1000);
   unsigned asked = 0, sent = 0;
   const Time end = fleet.now + span;
   for (Time at = fleet.now + gap(random); at < end; at += gap(random)) {
     fleet.until(at);
     ++asked;
-    sent += fleet.ask(way(random, setSize), plan, customer, setSize);
+    const unsigned by = way(random, setSize);
+    sent += fleet.ask(moved ? setSize - 1 - by : by, plan, customer, setSize);
   }
   fleet.until(end);
   return asked == 0 ? 1 : 1.0 * sent / asked;
@@ -143,6 +145,7 @@
     Fleet fleet(s, workers());
     drive(fleet, random, 1, 7, 20, 5.5, 12000);
     drive(fleet, random, 1, 7, 20, 130, 5000);
+    drive(fleet, random, 1, 7, 20, 130, 3000, true);
     for (unsigned g = 0; g < 20; ++g)
       if (g % 3 != 0) fleet.restart(g, workers());
     drive(fleet, random, 1, 7, 20, 130, 5000);
