--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -106,6 +106,12 @@
   Time retryAfter = 0;  // ms, where it is not
 };
 
+// The workers as routing sees them at a moment.
+struct Fleet {
+  std::size_t listed = 0;   // not gone
+  std::size_t avoided = 0;  // of these: draining, or sent to only where there is no other
+};
+
 // What the module asks of its host.
 class Actions {
  public:
@@ -138,6 +144,7 @@
   Leave leave(Time now, const Request& request, bool metered);
   void returned(Time now, CustomerId customer);
 
+  Fleet fleet(Time now) const;
   std::size_t customersHeld() const;
   std::size_t requestsHeld() const;
 
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -1,6 +1,7 @@
 #include "node/client_server.hpp"
 
 #include <fcntl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -19,10 +20,12 @@
 using Clock = std::chrono::steady_clock;
 using namespace std::chrono_literals;
 
+constexpr std::chrono::milliseconds kFirstByteWhileEmptying{300};
+constexpr irisring::Time kDrainedRetryAfter = 200;  // by then the front knows, and asks elsewhere
+
 constexpr std::size_t kMostAhead = 4 * 1024;  // read of what follows a request that is held
 constexpr std::size_t kMostMarks = 16;        // of when that came
 constexpr auto kAcceptPause = 50ms;           // after an accept that failed for want of descriptors
-constexpr auto kHalfSentAtStop = 500ms;       // what is left to a half-sent request once nobody accepts
 constexpr irisring::Time kFullRetryAfter = 1000;
 constexpr auto kTellCountsAfter = 10s;
 constexpr int kMostTurnedAtOnce = 64;  // while there are no descriptors
@@ -81,13 +84,15 @@
   void start() {
     Error ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
-    arm(server_.limits_.wholeWithin);
+    arm(server_.conduct_.idleMost ? kFirstByteWhileEmptying : server_.limits_.wholeWithin);
     read();
     server_.accept();
   }
 
   void answer(Answer&& answer) override {
     if (state_ != State::held) return;
+    if (call_)
+      server_.holder_.figures().ended(call_->klass, metrics::fateOf(static_cast<unsigned>(answer.status)));
     // What was served has been let in; health and rejections come by here too and prove nothing.
     if (standing_ == Standing::owed && answer.status == http::status::ok)
       server_.core_.prove(place_, admission::Proof::letIn);
@@ -95,7 +100,7 @@
     if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
     for (const auto& [name, value] : answer.headers) head.insert(name, value);
     if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
-    last_ = last_ || server_.draining_ || !server_.core_.keeps(place_);
+    last_ = last_ || !server_.conduct_.keeps || !server_.core_.keeps(place_);
     head.keep_alive(!last_);
     head.content_length(answer.body.size());
     state_ = State::answering;
@@ -123,17 +128,17 @@
   // Ends it and tells nobody.
   void abandon() {
     state_ = State::closed;
+    countOut();
     timer_.cancel();
     Error ignored;
     socket_.close(ignored);
     bytes_.shrinkTo(0);
   }
 
-  // Nobody accepts any more: ends a connection without a request, unless one has come unread.
-  void finishUp() {
+  // Ends it if no request has begun since that time, unless one has come unread.
+  void endIfIdleSince(Clock::time_point since) {
     Error error;
-    if (state_ == State::reading && !begun() && socket_.available(error) == 0) return close();
-    if (state_ == State::reading) arm(kHalfSentAtStop);
+    if (state_ == State::reading && !begun() && idleSince_ <= since && socket_.available(error) == 0) close();
   }
 
  private:
@@ -148,6 +153,14 @@
 
   bool begun() const { return parser_ || in_.size() > 0; }
 
+  void countIn() {
+    counted_ = true;
+    server_.holder_.figures().taken();
+  }
+  void countOut() {
+    if (std::exchange(counted_, false)) server_.holder_.figures().done();
+  }
+
   void stand(Standing standing) {
     standing_ = standing;
     if (const auto other = server_.core_.stand(place_, standing)) server_.close(*other);
@@ -170,6 +183,7 @@
     state_ = State::reading;
     parser_.reset();
     call_.reset();
+    idleSince_ = Clock::now();
     bytes_.shrinkTo(in_.capacity());
     stand(Standing::idle);
     arm(server_.limits_.idleFor);
@@ -219,10 +233,8 @@
 
   // A request's first byte.
   void begin() {
-    if (standing_ == Standing::idle) {
-      stand(Standing::unfinished);
-      arm(server_.limits_.wholeWithin);
-    }
+    if (standing_ == Standing::idle || server_.conduct_.idleMost) arm(server_.limits_.wholeWithin);
+    if (standing_ == Standing::idle) stand(Standing::unfinished);
     parser_.emplace();
     parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
@@ -280,6 +292,9 @@
     stand(Standing::owed);
     const auto at = arrivals_.of(received_ - in_.size(), readAt_);
     call_->patience -= std::chrono::duration<double, std::milli>(Clock::now() - at).count();
+    countIn();
+    if (!server_.conduct_.takes)
+      return say(http::status::service_unavailable, "not taking requests", kDrainedRetryAfter);
     state_ = State::held;
     id_ = server_.holder_.nextId();
     server_.holder_.take(id_, *call_, std::move(message), shared_from_this());
@@ -287,7 +302,7 @@
 
   void sayReady(http::verb method) {
     if (method != http::verb::get) return reject({http::status::method_not_allowed, "only GET"});
-    const bool ready = server_.holder_.ready() && !server_.draining_;
+    const bool ready = server_.conduct_.saysReady;
     say(ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready");
   }
 
@@ -327,6 +342,7 @@
 
   void written() {
     body_ = {};
+    countOut();
     if (last_) return linger();
     listen();
     if (in_.size() > 0) parse();
@@ -362,7 +378,9 @@
   std::size_t lingered_ = 0;
   Clock::time_point readAt_;
   irisring::RequestId id_ = 0;
-  bool last_ = false;  // the connection ends with the next answer
+  Clock::time_point idleSince_ = Clock::now();
+  bool counted_ = false;  // among those taken and not ended
+  bool last_ = false;     // the connection ends with the next answer
   bool reading_ = false;
 };
 
@@ -389,6 +407,21 @@
   return std::chrono::duration<double, std::milli>(Clock::now().time_since_epoch()).count();
 }
 
+// Errors are one plain line: what was passed is not for us to listen on.
+void checkPassed(int descriptor) {
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || !listens)
+    throw std::runtime_error("BALANCER_PASSED_SOCKET: descriptor " + std::to_string(descriptor) +
+                             " is not a listening socket");
+}
+
+int copyOf(int descriptor) {
+  const int out = ::fcntl(descriptor, F_DUPFD_CLOEXEC, 0);
+  if (out < 0) throw boost::system::system_error(errno, boost::system::system_category(), "fcntl");
+  return out;
+}
+
 int openSpare() { return ::open("/dev/null", O_RDONLY | O_CLOEXEC); }
 
 }  // namespace
@@ -412,17 +445,29 @@
 }
 
 void ClientServer::start() {
+  if (config_.passedSocket) checkPassed(*config_.passedSocket);
+  listen();
+  started_ = true;
+  accept();
+}
+
+// A passed socket is shared with the platform and with other processes: it is only ever closed here, and a
+// copy of its descriptor at that, so that it can be taken up again.
+void ClientServer::listen() {
   try {
-    acceptor_.open(config_.listen.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    if (config_.passedSocket) {
+      acceptor_.assign(config_.listen.protocol(), copyOf(*config_.passedSocket));
+    } else {
+      acceptor_.open(config_.listen.protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(config_.listen);
+      acceptor_.listen();
+    }
     acceptor_.set_option(tcp::acceptor::receive_buffer_size(kReceiveBuffer));  // connections inherit it
-    acceptor_.bind(config_.listen);
-    acceptor_.listen();
     acceptor_.non_blocking(true);
   } catch (const boost::system::system_error& error) {
     throw std::runtime_error(std::string("cannot listen: ") + error.what());
   }
-  accept();
 }
 
 // At the limit one that may be spared makes room for one that comes, but not before it does; where there is
@@ -519,7 +564,7 @@
   core_.gone(place);
   connections_.erase(place);
   accept();
-  endIfEmpty();
+  if (connections_.empty() && empty_) empty_();
 }
 
 // One line some seconds after something was evicted or turned away, not one for each.
@@ -535,9 +580,28 @@
   });
 }
 
+void ClientServer::follow(const lifecycle::Conduct& conduct) {
+  conduct_ = conduct;
+  if (!conduct.accepts && acceptor_.is_open()) stopAccepting();
+  if (started_ && conduct.accepts && !acceptor_.is_open()) {
+    listen();
+    accept();
+  }
+  if (conduct.idleMost)
+    sweep(std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double, std::milli>(*conduct.idleMost)));
+}
+
+void ClientServer::sweep(Clock::duration idleMost) {
+  const auto since = Clock::now() - idleMost;
+  std::vector<std::shared_ptr<Connection>> all;
+  for (const auto& [place, connection] : connections_) all.push_back(connection);
+  for (const auto& connection : all) connection->endIfIdleSince(since);
+}
+
 void ClientServer::stopAccepting() {
   if (waiting_) add(*std::exchange(waiting_, std::nullopt));
-  for (;;) {
+  while (!config_.passedSocket) {
     Error error;
     tcp::socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
@@ -549,18 +613,7 @@
   pause_.cancel();
   tell_.cancel();
   hold_.cancel();
-  std::vector<std::shared_ptr<Connection>> all;
-  for (const auto& [place, connection] : connections_) all.push_back(connection);
-  for (const auto& connection : all) connection->finishUp();
-}
-
-void ClientServer::whenEmpty(std::function<void()> done) {
-  done_ = std::move(done);
-  endIfEmpty();
-}
-
-void ClientServer::endIfEmpty() {
-  if (connections() == 0 && !acceptor_.is_open() && done_) done_();
+  accepting_ = false;
 }
 
 }  // namespace burlwind
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -16,6 +16,8 @@
 
 #include "admission/core.hpp"
 #include "http/http.hpp"
+#include "lifecycle/core.hpp"
+#include "metrics/figures.hpp"
 #include "node/budget.hpp"
 #include "node/call.hpp"
 
@@ -42,7 +44,6 @@
 class Holder {
  public:
   virtual ~Holder() = default;
-  virtual bool ready() const = 0;
   // Whether a request that the client calls so is held.
   virtual bool holds(std::uint64_t clientsId) const = 0;
   // The asker is answered once, maybe before this returns.
@@ -54,6 +55,8 @@
   // A proxy's question whether a request may go, answered at once; `from` is the address that asks.
   virtual bool isQuestion(std::string_view target) const = 0;
   virtual Answer question(const http::request_header<>& head, const std::string& from) = 0;
+  // Where the fates of requests are counted.
+  virtual metrics::Figures& figures() = 0;
 };
 
 class ClientServer {
@@ -81,12 +84,12 @@
   void start();  // throws std::runtime_error if it cannot listen
   boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
 
-  // From here on every answer ends its connection.
-  void beginDrain() { draining_ = true; }
-  // Takes what the machine has accepted already, then no more; connections without a request are closed.
-  void stopAccepting();
-  // Called as soon as no connection is left.
-  void whenEmpty(std::function<void()> done);
+  // What holds from here on: whether connections are accepted, kept and which of the idle are closed, and
+  // whether requests are taken. Where it says to accept no more, what the machine has accepted already is
+  // taken first, but not from a socket that is shared: what is there is the other process's too.
+  void follow(const lifecycle::Conduct& conduct);
+  // Called each time that no connection is left; not from within `follow`.
+  void whenEmpty(std::function<void()> empty) { empty_ = std::move(empty); }
 
   std::size_t connections() const { return connections_.size(); }
   const admission::Counts& admitted() const { return core_.counts(); }
@@ -95,6 +98,7 @@
  private:
   class Connection;
   using Standing = admission::Standing;
+  using Clock = std::chrono::steady_clock;
 
   void accept();
   void acceptLater();
@@ -103,7 +107,9 @@
   void remove(admission::Id place);
   void close(admission::Id place);
   void tellCounts();
-  void endIfEmpty();
+  void listen();
+  void stopAccepting();
+  void sweep(Clock::duration idleMost);
 
   const Config& config_;
   const Limits limits_;
@@ -119,9 +125,10 @@
   bool telling_ = false;
   std::optional<boost::asio::ip::tcp::socket> waiting_;  // accepted, and no room yet
   boost::asio::steady_timer hold_;                       // how long that may last
-  std::function<void()> done_;
+  std::function<void()> empty_;
+  bool started_ = false;
   bool accepting_ = false;  // an accept is pending
-  bool draining_ = false;
+  lifecycle::Conduct conduct_;
 };
 
 }  // namespace burlwind
--- a/src/node/config.cpp
+++ b/src/node/config.cpp
@@ -79,6 +79,8 @@
   out.name = textOf(file, "name");
   out.listen = parseEndpoint(textOf(file, "listen"));
   out.discovery = parseEndpoint(textOf(file, "discovery"));
+  if (file.contains("operator") && !file["operator"].is_null())
+    out.operators = parseEndpoint(textOf(file, "operator"));
   if (file.contains("seed")) out.seed = parseSeed(textOf(file, "seed"));
   out.sockets = readLimit(file, "sockets", kLeastSockets, out.sockets);
   out.memoryMb = readLimit(file, "memory_mb", kLeastMemoryMb, out.memoryMb);
@@ -92,7 +94,20 @@
 }
 
 void fromEnvironment(const char* variable, const char* key, json& file) {
-  if (const char* value = std::getenv(variable)) file[key] = value;
+  const char* value = std::getenv(variable);
+  if (value && *value) file[key] = value;
+}
+
+// The descriptor that the platform passes, if it does.
+std::optional<int> passedSocket() {
+  const char* value = std::getenv("BALANCER_PASSED_SOCKET");
+  if (!value || !*value) return std::nullopt;
+  const std::string_view text(value);
+  int out = -1;
+  const auto [end, wrong] = std::from_chars(text.data(), text.data() + text.size(), out);
+  if (wrong != std::errc() || end != text.data() + text.size() || out < 0)
+    throw std::runtime_error("BALANCER_PASSED_SOCKET is not the number of a descriptor");
+  return out;
 }
 
 json readFile() {
@@ -127,7 +142,10 @@
 Config readConfig() {
   json file = readFile();
   fromEnvironment("BALANCER_DISCOVERY", "discovery", file);
-  return fromJson(file);
+  fromEnvironment("BALANCER_OPERATOR", "operator", file);
+  Config out = fromJson(file);
+  out.passedSocket = passedSocket();
+  return out;
 }
 
 Config rereadConfig() { return fromJson(readFile()); }
--- a/src/node/config.hpp
+++ b/src/node/config.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +15,8 @@
   std::string name;
   boost::asio::ip::tcp::endpoint listen;
   boost::asio::ip::tcp::endpoint discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> operators;  // where operators call; none: nowhere
+  std::optional<int> passedSocket;  // a descriptor of this process that listens at `listen` already
   std::uint64_t seed = 0;
   unsigned sockets = 1024;  // file descriptors that the process may hold
   unsigned memoryMb = 192;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -26,9 +26,8 @@
 constexpr unsigned kLeastMegabytes = 4;
 constexpr Time kUncheckedRetryAfter = 1000;
 constexpr auto kTellChecksAfter = 10s;
-constexpr double kIdleShare = 0.8;         // of the time that a worker keeps an idle connection
-constexpr auto kAcceptAfterTerm = 500ms;   // connections go on coming for up to 400 ms after SIGTERM
-constexpr auto kAnswerAfterTerm = 3400ms;  // a request held so long is failed: the end may come at 3.7 s
+constexpr double kIdleShare = 0.8;          // of the time that a worker keeps an idle connection
+constexpr unsigned kOperatorsSockets = 20;  // kept back where operators call, whatever clients hold
 
 std::chrono::steady_clock::duration span(Time ms) {
   return std::chrono::duration_cast<std::chrono::steady_clock::duration>(
@@ -40,7 +39,8 @@
 
 // All others: clients keep many connections without a request, and each that must make room costs one later.
 std::size_t clientsSockets(const Config& config) {
-  const std::size_t taken = workersSockets(config) + kSparedSockets;
+  const std::size_t taken =
+      workersSockets(config) + kSparedSockets + (config.operators ? kOperatorsSockets : 0);
   return std::max<std::size_t>(8, config.sockets - std::min<std::size_t>(config.sockets, taken));
 }
 
@@ -105,15 +105,21 @@
     : io_(io),
       config_(config),
       operator_(settings),
+      figures_(config.host.classes),
       budget_(bytesOfMessages(config)),
-      pool_(io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
-            [this](AttemptEnd&& end) { ended(std::move(end)); }),
+      pool_(
+          io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
+          [this](AttemptEnd&& end) { ended(std::move(end)); }, [this] { figures_.attemptWritten(); }),
       server_(io, config_, serverLimits(config, settings), budget_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       answers_(settings.answer),
       out_(io),
       tell_(io),
-      drain_(io) {
+      lifeChanges_(io) {
+  server_.whenEmpty([this] { emptied(); });
+  if (config_.operators)
+    admin_ = std::make_unique<admin::Server>(io, *config_.operators, admin::Server::Limits{},
+                                             [this](admin::Call call) { return called(call); });
   long long from = -1;
   if (!config_.known.empty()) {
     const Roster known = parseRoster(config_.known);
@@ -128,6 +134,7 @@
 Gatekeeper::~Gatekeeper() = default;
 
 void Gatekeeper::start() {
+  if (admin_) admin_->start();
   server_.start();
   discovery_->start();
 }
@@ -155,18 +162,69 @@
       [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); });
 }
 
+// --- Its life ----------------------------------------------------------------------------------------------
+
 void Gatekeeper::drain(std::function<void()> done) {
-  server_.beginDrain();
-  drain_.expires_after(kAcceptAfterTerm);
-  drain_.async_wait([this, done = std::move(done)](const Error& error) {
-    if (error) return;
-    server_.stopAccepting();
-    drain_.expires_after(kAnswerAfterTerm - kAcceptAfterTerm);
-    drain_.async_wait([this](const Error& late) {
-      if (!late) giveUpAll();
+  done_ = std::move(done);
+  live(lifecycle::Event::terminate);
+}
+
+void Gatekeeper::live(lifecycle::Event event) {
+  if (life_.on(clock_.now(), event)) log(std::string("state: ") + lifecycle::nameOf(life_.state()));
+  conduct();
+}
+
+// Follows what holds now, and looks again when time alone changes it.
+void Gatekeeper::conduct() {
+  const Time now = clock_.now();
+  const lifecycle::Conduct is = life_.conduct(now);
+  if (is != conduct_) {
+    conduct_ = is;
+    living_ = true;
+    server_.follow(is);
+    if (is.givesUp) giveUpAll();
+    living_ = false;
+  }
+  if (const auto next = life_.next(now)) {
+    lifeChanges_.expires_after(span(*next - now));
+    lifeChanges_.async_wait([this](const Error& error) {
+      if (!error) conduct();
     });
-    server_.whenEmpty(done);
-  });
+  } else {
+    lifeChanges_.cancel();
+  }
+  if (!conduct_.keeps) emptied();
+}
+
+void Gatekeeper::emptied() {
+  if (living_ || server_.connections() > 0) return;
+  if (life_.on(clock_.now(), lifecycle::Event::empty)) log("state: drained");
+  if (life_.state() == lifecycle::State::ending && !conduct_.accepts && done_) done_();
+}
+
+admin::Reply Gatekeeper::called(admin::Call call) {
+  using lifecycle::State;
+  const bool leaving = life_.state() == State::ending || life_.state() == State::handingOver;
+  admin::Reply out;
+  switch (call) {
+    case admin::Call::ready:
+      if (!conduct_.saysReady) out.status = http::status::service_unavailable;
+      break;
+    case admin::Call::metrics: {
+      const irisring::Fleet fleet = gateway_.fleet(clock_.now());
+      out.body = figures_.text({fleet.listed, fleet.avoided});
+      return out;
+    }
+    case admin::Call::drain:
+      live(lifecycle::Event::drain);
+      break;
+    case admin::Call::undrain:
+      live(lifecycle::Event::undrain);
+      if (leaving) out.status = http::status::conflict;
+      break;
+  }
+  out.body = conduct_.saysReady ? "ready\n" : std::string(lifecycle::nameOf(life_.state())) + "\n";
+  return out;
 }
 
 // --- From the clients ------------------------------------------------------------------------------------
@@ -438,7 +496,7 @@
     pool_.retire(worker);
   }
   gateway_.members(clock_.now(), kind, members);
-  ready_ = ready_ || !listed_.empty();
+  if (!listed_.empty()) live(lifecycle::Event::listed);
 }
 
 // --- What the module asks for ----------------------------------------------------------------------------
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -9,7 +9,10 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "admin/server.hpp"
 #include "irisring/decide.hpp"
+#include "lifecycle/core.hpp"
+#include "metrics/figures.hpp"
 #include "node/client_server.hpp"
 #include "node/config.hpp"
 #include "node/discovery.hpp"
@@ -43,12 +46,16 @@
   // for a check is asked anew. All else that may differ waits for a restart. Throws std::runtime_error, with
   // nothing changed, if a route of the checks names a class or a plan that is not there.
   void reload(const Config& config, const OperatorSettings& settings);
-  // Goes on for a while, finishes what is held, then calls `done`.
+  // SIGTERM: goes on for a while, finishes what is held, then calls `done`.
   void drain(std::function<void()> done);
 
   boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
   const admission::Settings& admission() const { return server_.admission(); }
-  bool ready() const override { return ready_; }
+  bool ready() const { return conduct_.saysReady; }
+  lifecycle::State state() const { return life_.state(); }
+  // Where operators call; only with such an address in the configuration.
+  boost::asio::ip::tcp::endpoint operators() const { return admin_->address(); }
+  const metrics::Figures& counted() const { return figures_; }
   std::size_t held() const { return held_.size(); }
   const auth::Answers& answers() const { return answers_; }
   auth::Counts checks() const { return asking_ ? asking_->core().counts() : auth::Counts{}; }
@@ -79,6 +86,7 @@
     return auth::isQuestion(answers_.settings(), target);
   }
   Answer question(const http::request_header<>& head, const std::string& from) override;
+  metrics::Figures& figures() override { return figures_; }
 
   // Actions
   void send(irisring::RequestId id, irisring::WorkerId worker, irisring::Time timeout) override;
@@ -105,6 +113,11 @@
   void follow(const Config& config);
   void expire(irisring::RequestId id);
   void giveUpAll();
+  // The life of the process, as its core decides it.
+  void live(lifecycle::Event event);
+  void conduct();
+  void emptied();
+  admin::Reply called(admin::Call call);
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
   void answer(irisring::RequestId id, Answer&& answer);
   void release(std::unordered_map<irisring::RequestId, Held>::iterator held);
@@ -113,6 +126,7 @@
   Config config_;
   const OperatorSettings operator_;
   const ModuleClock clock_;
+  metrics::Figures figures_;
   Budget budget_;
   WorkerPool pool_;
   ClientServer server_;
@@ -128,8 +142,12 @@
   bool countingOut_ = false;
   boost::asio::steady_timer tell_;
   bool telling_ = false;
-  boost::asio::steady_timer drain_;
-  bool ready_ = false;
+  lifecycle::Core life_;
+  lifecycle::Conduct conduct_;
+  boost::asio::steady_timer lifeChanges_;
+  bool living_ = false;                   // an event of its life is being followed
+  std::function<void()> done_;            // once it has ended
+  std::unique_ptr<admin::Server> admin_;  // none: operators call nowhere
 };
 
 }  // namespace burlwind
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -206,6 +206,7 @@
                                                 asio::buffer(body.data(), body.size())};
     asio::async_write(socket_, all, guard([this](const Error& error, std::size_t) {
                         writing_ = false;
+                        if (!error) pool_.written_();
                         if (!error || !busy_) return;
                         written_ = false;
                         end(Result::connectFailed);
@@ -310,12 +311,13 @@
 };
 
 WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, Budget& budget,
-                       std::vector<std::string> reportFields, Ended ended)
+                       std::vector<std::string> reportFields, Ended ended, Written written)
     : io_(io),
       limits_(limits),
       budget_(budget),
       reportFields_(std::move(reportFields)),
-      ended_(std::move(ended)) {}
+      ended_(std::move(ended)),
+      written_(std::move(written)) {}
 
 WorkerPool::~WorkerPool() {
   *alive_ = false;
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -47,9 +47,10 @@
     double startedAtMs = 0;  // Unix time of the worker's last start; 0: long ago
   };
   using Ended = std::function<void(AttemptEnd&&)>;
+  using Written = std::function<void()>;  // an attempt's last byte has been handed over
 
   WorkerPool(boost::asio::io_context& io, const Limits& limits, Budget& budget,
-             std::vector<std::string> reportFields, Ended ended);
+             std::vector<std::string> reportFields, Ended ended, Written written);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
   WorkerPool& operator=(const WorkerPool&) = delete;
@@ -90,6 +91,7 @@
   Budget& budget_;
   const std::vector<std::string> reportFields_;
   const Ended ended_;
+  const Written written_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
   std::unordered_map<irisring::RequestId, Shared> busy_;
   std::size_t total_ = 0;
--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -383,6 +383,16 @@
     std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
   }
 
+  Fleet fleet(Time now) const {
+    Fleet out;
+    for (const Worker& w : workers_) {
+      if (w.listed.phase == Phase::gone) continue;
+      ++out.listed;
+      out.avoided += w.listed.phase != Phase::ready || shunned(w, now);
+    }
+    return out;
+  }
+
   std::size_t customersHeld() const { return index_.size(); }
   std::size_t requestsHeld() const { return held_.size(); }
 
@@ -882,6 +892,11 @@
     return w.inFlight >= 2 && now - w.heardAt > kSilent * *std::max_element(base_.begin(), base_.end());
   }
 
+  // Sent to only where there is no other.
+  bool shunned(const Worker& w, Time now) const {
+    return w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now);
+  }
+
   // The most attempts out lately; it fades.
   double mostOut(Time now) const {
     return std::max<double>(inFlight_, toward(mostOut_, 0, now - mostOutAt_, kPoolMemory));
@@ -924,7 +939,7 @@
       double cost = slow(w) * (load(w, now) + 1) * warmth(w, now);
       if (w.listed.zone != set_.zone) cost *= 1 + kZoneWeight * set_.crossZonePrice;
       cost *= 1 + kTie * random_.next();
-      if (w.ejectedUntil > now || (w.ejectFor > 0 && w.inFlight > 0) || silent(w, now)) cost *= kShunned;
+      if (shunned(w, now)) cost *= kShunned;
       if (std::find(held.tried.begin(), held.tried.end(), w.listed.worker) != held.tried.end())
         cost *= kTried;
       if (!best || cost < least) best = &w, least = cost;
@@ -1138,6 +1153,7 @@
   return core_->leave(now, request, metered);
 }
 void Gateway::returned(Time now, CustomerId customer) { core_->returned(now, customer); }
+Fleet Gateway::fleet(Time now) const { return core_->fleet(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
 
--- a/tests/node/flood_test.cpp
+++ b/tests/node/flood_test.cpp
@@ -305,9 +305,11 @@
   openFor(20);
   flood("127.0.0.66", "", 100);
   bool empty = false;
-  server->beginDrain();
-  server->stopAccepting();
   server->whenEmpty([&] { empty = true; });
+  lifecycle::Conduct ends;
+  ends.accepts = ends.keeps = false;
+  ends.idleMost = 0;
+  server->follow(ends);
   until([&] { return empty; }, "all connections have ended");
 }
 
--- a/tests/support/sides.hpp
+++ b/tests/support/sides.hpp
@@ -6,7 +6,6 @@
 namespace burlwind::test {
 
 struct Silent : Holder {  // never answers
-  bool ready() const override { return true; }
   bool holds(std::uint64_t clientsId) const override { return held.contains(clientsId); }
   irisring::RequestId nextId() override { return ++last; }
   void take(irisring::RequestId, const Call& c, ClientMessage&&, const std::shared_ptr<Asker>& a) override {
@@ -17,6 +16,8 @@
   void left(irisring::RequestId) override { ++gone, held.clear(); }
   bool isQuestion(std::string_view) const override { return false; }
   Answer question(const http::request_header<>&, const std::string&) override { return {}; }
+  metrics::Figures& figures() override { return counts; }
+  metrics::Figures counts{{"look", "edit", "order"}};
   irisring::RequestId last = 0;
   int gone = 0;
   Call call;
@@ -29,6 +30,9 @@
   void open(const ClientServer::Limits& limits) {
     config = parseConfig(configJson("127.0.0.1:1").dump());
     server.emplace(io, config, limits, budget, holder);
+    lifecycle::Conduct serving;
+    serving.saysReady = true;
+    server->follow(serving);
     server->start();
   }
   Budget budget{1 << 20};
@@ -40,10 +44,13 @@
 class Pool : public Loopback {
  protected:
   void open(const WorkerPool::Limits& limits) {
-    pool.emplace(io, limits, budget, std::vector<std::string>{"util", "queue"}, [this](AttemptEnd&& end) {
-      EXPECT_FALSE(starting) << "told from within start";
-      ends.push_back(std::move(end));
-    });
+    pool.emplace(
+        io, limits, budget, std::vector<std::string>{"util", "queue"},
+        [this](AttemptEnd&& end) {
+          EXPECT_FALSE(starting) << "told from within start";
+          ends.push_back(std::move(end));
+        },
+        [this] { ++written; });
     pool->place(1, {worker.address(), 0});
   }
   void start(irisring::RequestId id, std::optional<std::chrono::steady_clock::duration> timeout = {}) {
@@ -62,6 +69,7 @@
   Listener worker{io};
   std::optional<WorkerPool> pool;
   std::vector<AttemptEnd> ends;
+  int written = 0;
   bool starting = false;
 };
 
