--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -86,6 +86,7 @@
   Time expires = 0;
   double units = 1;
   unsigned setSize = 1;  // gateways that this customer's requests come through
+  bool whole = true;     // else its body still comes: it loads no worker until `whole` is told
 };
 
 struct Outcome {
@@ -112,6 +113,10 @@
   std::size_t avoided = 0;  // of these: draining, or sent to only where there is no other
 };
 
+// What one process of a gateway hands over to the next: a plain value, of use only to a process of the same
+// build on the same machine.
+using State = std::vector<std::uint64_t>;
+
 // What the module asks of its host.
 class Actions {
  public:
@@ -135,6 +140,8 @@
   void members(Time now, ListKind kind, const std::vector<Member>& list);
   void request(Time now, const Request& request);
   void outcome(Time now, const Outcome& outcome);
+  // The body of a request that was not whole has come to its end, and its time counts from here.
+  void whole(Time now, RequestId id, Time expires);
   void clientLeft(Time now, RequestId id);
   void timer(Time now, std::uint64_t tag);
 
@@ -144,6 +151,18 @@
   Leave leave(Time now, const Request& request, bool metered);
   void returned(Time now, CustomerId customer);
 
+  // Two processes are one gateway while one takes over from the other. Each then does its `part` of what the
+  // gateway may do, over 0 and up to 1; both parts must come to no more than 1. What is there goes with it:
+  // stored units of buckets and ceilings are cut to the part.
+  void actAs(Time now, double part);
+  // What this process knows of customers, workers and the meter, to be taken over by one that does `part`;
+  // this one goes on with the rest, until it is told to act as the whole.
+  State handOver(Time now, double part);
+  // False, with nothing changed, if it does not fit: cut, of another build or of other settings. Workers must
+  // be listed before, since what is known of others is dropped. Attempts out that are told to `returned` as
+  // they end are named in `out`, once each.
+  bool takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out);
+
   Fleet fleet(Time now) const;
   std::size_t customersHeld() const;
   std::size_t requestsHeld() const;
--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -21,10 +21,10 @@
 namespace http = boost::beast::http;
 using Error = boost::system::error_code;
 
-constexpr std::size_t kMostBody = 64 * 1024;  // of a client
-// Of a worker. The protocol has 64 KiB here too, but workers were seen to answer with more, and what a worker
-// has made for a request is its answer; what all answers hold together is bounded by the budget.
-constexpr std::size_t kMostAnswer = 1024 * 1024;
+// Of a message that is held whole; what is longer is passed on while it comes.
+constexpr std::size_t kMostHeld = 64 * 1024;
+// Of any body; what is longer is rejected by its head, or cut off where it has told no length.
+constexpr std::uint64_t kMostBody = 40 * 1024 * 1024;
 constexpr std::size_t kMostHeader = 16 * 1024;
 constexpr std::size_t kReadStep = 4096;
 constexpr std::size_t kReadStepOfBody = 32 * 1024;
@@ -52,6 +52,31 @@
   return part;
 }
 
+// Beast's Body concept: a string without the room that a told length would have it reserve, which can be
+// taken out of the message while more comes.
+struct GrowingBody {
+  using value_type = std::string;
+  static std::uint64_t size(const value_type& body) { return body.size(); }
+  class reader {
+   public:
+    template <bool isRequest, class Fields>
+    reader(http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
+    void init(const boost::optional<std::uint64_t>&, Error& error) { error = {}; }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, Error& error) {
+      const std::size_t before = body_.size();
+      for (const asio::const_buffer part : beast::buffers_range_ref(buffers))
+        body_.append(static_cast<const char*>(part.data()), part.size());
+      error = {};
+      return body_.size() - before;
+    }
+    void finish(Error& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 enum class Feed { head, whole };
 
 // Feeds what has been read; true once the head, or the whole message, is there. What follows stays in the
@@ -92,11 +117,21 @@
   return codings == 0 || beast::iequals(fields["Transfer-Encoding"], "chunked");
 }
 
-template <bool isRequest, class Body>
-void append(std::string& out, const http::message<isRequest, Body>& message) {
-  http::serializer<isRequest, Body> serializer(message);
+// One chunk of a body whose length is not told (RFC 9112, 7.1), and what ends it.
+inline void appendChunk(std::string& out, std::string_view data) {
+  char size[20];
+  const auto end = std::to_chars(size, size + sizeof size, data.size(), 16).ptr;
+  out.append(size, end).append("\r\n").append(data).append("\r\n");
+}
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+// A message's head, also of one whose body is written elsewhere.
+template <bool isRequest>
+void append(std::string& out, const http::message<isRequest, http::empty_body>& message) {
+  http::serializer<isRequest, http::empty_body> serializer(message);
+  serializer.split(true);  // else it would end a chunked body at once
   Error error;
-  while (!serializer.is_done() && !error) {
+  while (!serializer.is_header_done() && !error) {
     std::size_t size = 0;
     serializer.next(error, [&](Error&, const auto& buffers) {
       for (const asio::const_buffer part : beast::buffers_range_ref(buffers)) {
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -30,7 +30,13 @@
 constexpr auto kTellCountsAfter = 10s;
 constexpr int kMostTurnedAtOnce = 64;  // while there are no descriptors
 constexpr std::size_t kLeastIdle = 8;
-constexpr int kMostUnread = 4;  // steps of what one that is turned away has sent already
+// A body that goes on may take longer than a request may else: this after its head, and a second for so many
+// bytes.
+constexpr auto kBodyGrace = 1000ms;
+constexpr double kBodyBytesPerMs = 32;
+constexpr std::size_t kUploadKept = kMostHeld;      // of a long body, and where memory is short
+constexpr std::size_t kUploadKeptLeast = 8 * 1024;  // (it cannot be sent anew then)
+constexpr int kMostUnread = 4;                      // steps of what one that is turned away has sent already
 
 std::string seconds(irisring::Time ms) {
   char text[32];
@@ -91,25 +97,66 @@
 
   void answer(Answer&& answer) override {
     if (state_ != State::held) return;
+    if (uploading_) stopUpload();
     if (call_)
       server_.holder_.figures().ended(call_->klass, metrics::fateOf(static_cast<unsigned>(answer.status)));
     // What was served has been let in; health and rejections come by here too and prove nothing.
     if (standing_ == Standing::owed && answer.status == http::status::ok)
       server_.core_.prove(place_, admission::Proof::letIn);
-    http::response<http::empty_body> head(answer.status, 11);
-    if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
-    for (const auto& [name, value] : answer.headers) head.insert(name, value);
-    if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
-    last_ = last_ || !server_.conduct_.keeps || !server_.core_.keeps(place_);
-    head.keep_alive(!last_);
+    auto head = headOf(answer);
     head.content_length(answer.body.size());
     state_ = State::answering;
     append(out_, head);
-    body_ = std::move(answer.body);
+    if (!headOnly_) body_ = std::move(answer.body);
     bytes_.shrinkTo(in_.capacity() + body_.size());
     write();
   }
 
+  bool begin(Answer&& first, std::optional<std::uint64_t> length, std::size_t window) override {
+    if (state_ != State::held) return false;
+    if (uploading_) stopUpload();
+    // Only its end would tell an HTTP/1.0 client how long it is.
+    byEnd_ = !length && old_;
+    chunked_ = !length && !old_;
+    last_ = last_ || byEnd_;
+    auto head = headOf(first);
+    if (length) head.content_length(*length);
+    if (chunked_) head.chunked(true);
+    state_ = State::passing;
+    window_ = window;
+    append(out_, head);
+    return more(std::move(first.body));
+  }
+
+  bool more(std::string&& piece) override {
+    if (state_ != State::passing) return false;
+    if (chunked_ && !piece.empty())
+      appendChunk(out_, piece);
+    else
+      out_ += piece;
+    write();
+    return behind() < window_;
+  }
+
+  void finish() override {
+    if (state_ != State::passing) return;
+    server_.holder_.figures().ended(call_->klass, metrics::Fate::success);
+    if (standing_ == Standing::owed) server_.core_.prove(place_, admission::Proof::letIn);
+    if (chunked_) out_ += kLastChunk;
+    finished_ = true;
+    if (behind() == 0) return written();
+    write();
+  }
+
+  void breakOff() override {
+    if (state_ != State::passing) return;
+    server_.holder_.figures().ended(call_->klass, metrics::Fate::failure);
+    Error ignored;
+    if (byEnd_) socket_.set_option(asio::socket_base::linger(true, 0), ignored);  // a reset is no end
+    finished_ = true;
+    close();
+  }
+
   std::string from() const override {
     Error error;
     const auto peer = socket_.remote_endpoint(error);
@@ -118,7 +165,7 @@
 
   void close() {
     if (state_ == State::closed) return;
-    const bool held = state_ == State::held;
+    const bool held = state_ == State::held || (state_ == State::passing && !finished_);
     const auto self = shared_from_this();
     abandon();
     server_.remove(place_);
@@ -142,7 +189,21 @@
   }
 
  private:
-  enum class State { reading, held, answering, lingering, closed };
+  enum class State { reading, held, answering, passing, lingering, closed };
+
+  // Of an answer, all but what tells its length.
+  http::response<http::empty_body> headOf(const Answer& answer) {
+    http::response<http::empty_body> head(answer.status, 11);
+    if (!answer.contentType.empty()) head.set(http::field::content_type, answer.contentType);
+    for (const auto& [name, value] : answer.headers) head.insert(name, value);
+    if (answer.retryAfter > 0) head.set(http::field::retry_after, seconds(answer.retryAfter));
+    last_ = last_ || !server_.conduct_.keeps || !server_.core_.keeps(place_);
+    head.keep_alive(!last_);
+    if (old_ && !last_) head.set(http::field::connection, "keep-alive");
+    return head;
+  }
+
+  std::size_t behind() const { return out_.size() + writing_.size(); }
 
   template <class Handler>
   auto guard(Handler handler) {
@@ -174,15 +235,37 @@
   }
 
   void expire() {
-    if (state_ == State::reading && begun()) return reject({http::status::request_timeout, "too slow"});
+    if (bodyComes() && Clock::now() < bodyDue())
+      return arm(std::chrono::ceil<std::chrono::milliseconds>(bodyDue() - Clock::now()));
+    if (uploading_ || (state_ == State::reading && begun()))
+      return cutOff({http::status::request_timeout, "too slow"});
     if (state_ != State::held) close();
   }
 
+  // The head is whole and the body is not.
+  bool bodyComes() const {
+    return uploading_ || (state_ == State::reading && parser_ && parser_->is_header_done());
+  }
+
+  Clock::time_point bodyDue() const {
+    if (uploading_ && !upload_->hasRoom()) return Clock::now() + kBodyGrace;  // it is the worker that is slow
+    return headAt_ + kBodyGrace + bodySpan();
+  }
+
+  // What the body that has come may have taken.
+  Clock::duration bodySpan() const {
+    const auto come = static_cast<double>(upload_ ? upload_->come() : parser_->get().body().size());
+    return std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double, std::milli>(come / kBodyBytesPerMs));
+  }
+
   // Ready for the next request.
   void listen() {
     state_ = State::reading;
     parser_.reset();
     call_.reset();
+    upload_.reset();
+    finished_ = false;
     idleSince_ = Clock::now();
     bytes_.shrinkTo(in_.capacity());
     stand(Standing::idle);
@@ -194,7 +277,8 @@
   void read() {
     reading_ = true;
     if (in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
-    socket_.async_read_some(in_.prepare(kReadStep), guard([this](const Error& error, std::size_t n) {
+    socket_.async_read_some(in_.prepare(uploading_ ? kReadStepOfBody : kReadStep),
+                            guard([this](const Error& error, std::size_t n) {
                               reading_ = false;
                               if (error) return close();
                               in_.commit(n);
@@ -206,15 +290,16 @@
   }
 
   bool wantsMore() const {
+    if (uploading_) return upload_->hasRoom();
+    if (state_ == State::lingering) return lingered_ <= server_.limits_.lingerBytes;
     return state_ == State::reading || (state_ != State::closed && in_.size() < kMostAhead);
   }
 
   void came(std::size_t n) {
-    if (state_ == State::reading) return parse();
+    if (state_ == State::reading || uploading_) return parse();
     if (state_ != State::lingering) return arrivals_.note(received_, readAt_);
     in_.clear();
-    lingered_ += n;
-    if (lingered_ > server_.limits_.lingerBytes) close();
+    lingered_ += n;  // one that just goes on sending is read no further
   }
 
   void parse() {
@@ -226,9 +311,65 @@
       if (!head || !welcome()) return;
     }
     const bool done = feed(*parser_, in_, error);
-    if (error) return reject({statusOf(error), "malformed request"});
-    if (!fits(parser_->get().body().capacity())) return;
-    if (done) handle(parser_->release());
+    if (error) return cutOff({statusOf(error), "malformed request"});
+    if (uploading_) return pass(done);
+    auto& message = parser_->get();
+    if (message.body().size() > kMostHeld) {
+      if (!call_) return reject({http::status::payload_too_large, "the body is too long"});
+      if (!done) return beginUpload();
+    }
+    const std::uint64_t told = parser_->content_length().value_or(0);
+    if (!fits(std::max(message.body().capacity(), static_cast<std::size_t>(told)))) return;
+    if (done) handle(ClientMessage(std::move(message.base()), std::move(message.body())));
+  }
+
+  // A body that is longer than what is held: the request goes on with what has come of it.
+  void beginUpload() {
+    if (!server_.conduct_.takes) return refuseTaking();
+    const auto length = parser_->content_length();
+    const std::size_t keep = bytes_.growTo(in_.capacity() + 2 * kUploadKept) ? kUploadKept : kUploadKeptLeast;
+    upload_ = std::make_shared<Upload>(length ? std::optional<std::uint64_t>(*length) : std::nullopt, keep);
+    upload_->onRoom = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->goOn();
+    };
+    uploading_ = true;
+    state_ = State::held;
+    id_ = server_.holder_.nextId();
+    ClientMessage message;
+    message.base() = parser_->get().base();
+    server_.holder_.take(id_, *call_, std::move(message), shared_from_this(), upload_);
+    if (uploading_) pass(false);
+  }
+
+  void pass(bool done) {
+    upload_->add(std::exchange(parser_->get().body(), {}));
+    if (!done || !uploading_) return;
+    uploading_ = false;
+    timer_.cancel();
+    stand(Standing::owed);
+    countIn();
+    upload_->end();
+    if (state_ == State::held) server_.holder_.whole(id_, call_->patience - waited());
+  }
+
+  void goOn() {
+    if (!uploading_ || reading_ || !wantsMore()) return;
+    headAt_ = Clock::now() - bodySpan();  // it could not go on until now
+    read();
+  }
+
+  // The body is wanted no more: the answer goes out before it has come.
+  void stopUpload() {
+    uploading_ = false;
+    last_ = true;
+    parser_.reset();
+    in_.clear();
+  }
+
+  // An end of the request that its client has earned in the midst of its body.
+  void cutOff(const Rejection& why) {
+    if (uploading_) server_.holder_.left(id_);
+    reject(why);
   }
 
   // A request's first byte.
@@ -244,24 +385,33 @@
   bool welcome() {
     const auto& head = parser_->get();
     last_ = !head.keep_alive();
+    old_ = head.version() < 11;
+    headOnly_ = head.method() == http::verb::head;
+    headAt_ = Clock::now();
     question_ = isQuestion(head);
     if (!isHealth(head) && !question_ && !call(head)) return false;
-    const auto length = parser_->content_length();
-    if (!fits(length ? static_cast<std::size_t>(*length) : 0)) return false;
+    const std::uint64_t length = parser_->content_length().value_or(0);
+    if (length > kMostHeld) {
+      if (!call_) return reject({http::status::payload_too_large, "the body is too long"}), false;
+      beginUpload();
+      if (!uploading_) return false;
+    } else if (!fits(static_cast<std::size_t>(length))) {
+      return false;
+    }
     if (beast::iequals(head[http::field::expect], "100-continue") && !parser_->is_done()) sendContinue();
     return true;
   }
 
-  static bool isHealth(const ClientMessage& message) {
+  static bool isHealth(const http::request_header<>& message) {
     return message.target() == "/health/ready" && plainFraming(message);
   }
 
-  bool isQuestion(const ClientMessage& message) const {
+  bool isQuestion(const http::request_header<>& message) const {
     return server_.holder_.isQuestion(view(message.target())) && plainFraming(message);
   }
 
   // Reads the head as one of the service, or rejects it.
-  bool call(const ClientMessage& message) {
+  bool call(const http::request_header<>& message) {
     const auto read = readCall(message, server_.config_);
     if (const auto* wrong = std::get_if<Rejection>(&read)) return reject(*wrong), false;
     call_ = std::get<Call>(read);
@@ -290,18 +440,25 @@
     if (!message.body().empty() && !call(message)) return;
     timer_.cancel();
     stand(Standing::owed);
-    const auto at = arrivals_.of(received_ - in_.size(), readAt_);
-    call_->patience -= std::chrono::duration<double, std::milli>(Clock::now() - at).count();
+    call_->patience -= waited();
     countIn();
-    if (!server_.conduct_.takes)
-      return say(http::status::service_unavailable, "not taking requests", kDrainedRetryAfter);
+    if (!server_.conduct_.takes) return refuseTaking();
     state_ = State::held;
     id_ = server_.holder_.nextId();
-    server_.holder_.take(id_, *call_, std::move(message), shared_from_this());
+    server_.holder_.take(id_, *call_, std::move(message), shared_from_this(), nullptr);
+  }
+
+  // Since the request's last byte came, which the parser has just taken.
+  irisring::Time waited() {
+    const auto at = arrivals_.of(received_ - in_.size(), readAt_);
+    return std::chrono::duration<double, std::milli>(Clock::now() - at).count();
   }
 
+  void refuseTaking() { say(http::status::service_unavailable, "not taking requests", kDrainedRetryAfter); }
+
   void sayReady(http::verb method) {
-    if (method != http::verb::get) return reject({http::status::method_not_allowed, "only GET"});
+    if (method != http::verb::get && method != http::verb::head)
+      return reject({http::status::method_not_allowed, "only GET"});
     const bool ready = server_.conduct_.saysReady;
     say(ready ? http::status::ok : http::status::service_unavailable, ready ? "ready" : "not ready");
   }
@@ -329,7 +486,7 @@
     if (!writing_.empty()) return;
     writing_.swap(out_);
     const bool whole = state_ == State::answering;
-    if (whole) arm(server_.limits_.writeWithin);
+    if (whole || state_ == State::passing) arm(server_.limits_.writeWithin);
     const std::array<asio::const_buffer, 2> all{asio::buffer(writing_),
                                                 whole ? asio::buffer(body_) : asio::const_buffer{}};
     asio::async_write(socket_, all, guard([this, whole](const Error& error, std::size_t) {
@@ -337,9 +494,17 @@
                         writing_.clear();
                         if (whole) return written();
                         if (!out_.empty()) write();
+                        if (state_ == State::passing) passed();
                       }));
   }
 
+  // Of a long answer, what there was is written.
+  void passed() {
+    if (behind() == 0 && finished_) return written();
+    if (behind() == 0) timer_.cancel();
+    if (behind() < window_ && !finished_) server_.holder_.room(id_);
+  }
+
   void written() {
     body_ = {};
     countOut();
@@ -353,6 +518,7 @@
   // was still sending do not reset what it has not read yet. A client that just goes on sending is cut off.
   void linger() {
     state_ = State::lingering;
+    parser_.reset();
     stand(Standing::ending);
     Error ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -366,9 +532,17 @@
   asio::steady_timer timer_;
   Budget::Share bytes_;
   beast::flat_buffer in_;
-  std::optional<http::request_parser<http::string_body>> parser_;  // from a request's first byte on
-  std::optional<Call> call_;                                       // once its head is read
-  bool question_ = false;                                          // what comes is a proxy's
+  std::optional<http::request_parser<GrowingBody>> parser_;  // from a request's first byte on
+  Clock::time_point headAt_;                                 // its head was whole
+  std::shared_ptr<Upload> upload_;                           // its body, if that is long
+  bool uploading_ = false;                                   // and has not come to its end
+  bool old_ = false;                                         // it is of HTTP/1.0
+  bool headOnly_ = false;                                    // and is told no body
+  // A long answer, while it is passed on.
+  std::size_t window_ = 0;
+  bool chunked_ = false, byEnd_ = false, finished_ = false;
+  std::optional<Call> call_;  // once its head is read
+  bool question_ = false;     // what comes is a proxy's
   std::string out_, writing_, body_;
   State state_ = State::reading;
   const admission::Id place_;
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -20,6 +20,7 @@
 #include "metrics/figures.hpp"
 #include "node/budget.hpp"
 #include "node/call.hpp"
+#include "node/upload.hpp"
 
 namespace burlwind {
 
@@ -37,6 +38,13 @@
   virtual ~Asker() = default;
   // The final answer, once for each request held.
   virtual void answer(Answer&& answer) = 0;
+  // Or a long one, passed on while it comes: its beginning, what follows, and its end, which is visibly not
+  // that of the whole where it breaks off. The first two say whether more is wanted now; else the holder is
+  // told when there is room.
+  virtual bool begin(Answer&& first, std::optional<std::uint64_t> length, std::size_t window) = 0;
+  virtual bool more(std::string&& piece) = 0;
+  virtual void finish() = 0;
+  virtual void breakOff() = 0;
   virtual std::string from() const = 0;  // the client's address
 };
 
@@ -46,10 +54,14 @@
   virtual ~Holder() = default;
   // Whether a request that the client calls so is held.
   virtual bool holds(std::uint64_t clientsId) const = 0;
-  // The asker is answered once, maybe before this returns.
   virtual irisring::RequestId nextId() = 0;
+  // The asker is answered once, maybe before this returns. A long body is an upload that goes on; of what it
+  // is `whole` tells, with the time that the client then still waits.
   virtual void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
-                    const std::shared_ptr<Asker>& asker) = 0;
+                    const std::shared_ptr<Asker>& asker, const std::shared_ptr<Upload>& upload) = 0;
+  virtual void whole(irisring::RequestId id, irisring::Time patience) = 0;
+  // The asker wants more of its long answer.
+  virtual void room(irisring::RequestId id) = 0;
   // The client has gone; no answer is wanted.
   virtual void left(irisring::RequestId id) = 0;
   // A proxy's question whether a request may go, answered at once; `from` is the address that asks.
@@ -68,7 +80,7 @@
     double idleShare = 0.125;       // of the connections: so many may wait between requests, 8 at least
     std::chrono::milliseconds idleFor{8000};  // between requests
     // A request, from its first byte; the first one from the connection's begin. What is not whole by then is
-    // owed an answer or an end within 3 s.
+    // owed an answer or an end within 3 s, unless its body goes on at 32 kB a second or more.
     std::chrono::milliseconds wholeWithin{2500};
     std::chrono::milliseconds writeWithin{10000};
     std::chrono::milliseconds lingerFor{400};
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -24,6 +24,7 @@
 constexpr unsigned kSparedSockets = 24;  // descriptors for the listener, discovery, timers, standard streams
 constexpr unsigned kOwnMegabytes = 12;   // the program, the module's customers, connections without messages
 constexpr unsigned kLeastMegabytes = 4;
+constexpr Time kUploadMost = 30 * 60 * 1000;  // ms that a body may come at most
 constexpr Time kUncheckedRetryAfter = 1000;
 constexpr auto kTellChecksAfter = 10s;
 constexpr double kIdleShare = 0.8;          // of the time that a worker keeps an idle connection
@@ -78,14 +79,20 @@
 
 // Makes what goes on of a client's request, once for all attempts. What concerns only the client's connection
 // stays behind.
-void prepare(ClientMessage& message, std::string& head, std::shared_ptr<const std::string>& body) {
+void prepare(ClientMessage& message, const Upload* upload, std::string& head,
+             std::shared_ptr<const std::string>& body) {
   for (const auto field : {http::field::connection, http::field::keep_alive, http::field::te,
                            http::field::trailer, http::field::transfer_encoding, http::field::upgrade,
                            http::field::expect, http::field::proxy_connection})
     message.erase(field);
   message.erase("Req-Deadline-Ms");
   message.version(11);
-  if (message.method() != http::verb::get) message.content_length(message.body().size());
+  if (upload && upload->length())
+    message.content_length(*upload->length());
+  else if (upload)
+    message.chunked(true);
+  else if (message.method() != http::verb::get)
+    message.content_length(message.body().size());
   body = std::make_shared<const std::string>(std::move(message.body()));
   append(head, http::request<http::empty_body>(std::move(message.base())));
   head.resize(head.size() - 2);  // goes on with the deadline
@@ -107,9 +114,10 @@
       operator_(settings),
       figures_(config.host.classes),
       budget_(bytesOfMessages(config)),
-      pool_(
-          io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
-          [this](AttemptEnd&& end) { ended(std::move(end)); }, [this] { figures_.attemptWritten(); }),
+      pool_(io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
+            {[this](AttemptEnd&& end) { ended(std::move(end)); }, [this] { figures_.attemptWritten(); },
+             [this](LongAnswer&& answer) { return begun(std::move(answer)); },
+             [this](RequestId id, std::string&& piece) { return more(id, std::move(piece)); }}),
       server_(io, config_, serverLimits(config, settings), budget_, *this),
       gateway_(config.settings, config.seed, clock_.now(), *this),
       answers_(settings.answer),
@@ -230,7 +238,7 @@
 // --- From the clients ------------------------------------------------------------------------------------
 
 void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
-                      const std::shared_ptr<Asker>& asker) {
+                      const std::shared_ptr<Asker>& asker, const std::shared_ptr<Upload>& upload) {
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
   held.clientsId = call.id;
@@ -238,18 +246,38 @@
   held.message = std::move(message);
   held.call = call;
   held.asker = asker;
-  held.expires = now + std::max(0.0, call.patience - kWayBack);
-  held.deadline.expires_after(span(held.expires - now));
+  held.upload = upload;
+  held.whole = !upload;
+  // How long a body goes on is the client's side's to bound; the request's time counts from its end.
+  if (upload)
+    held.expires = now + kUploadMost;
+  else
+    waitUntil(id, held, now + std::max(0.0, call.patience - kWayBack));
+  check(id, held);
+}
+
+void Gatekeeper::waitUntil(RequestId id, Held& held, Time expires) {
+  held.expires = expires;
+  held.deadline.expires_after(span(expires - clock_.now()));
   held.deadline.async_wait([this, id](const Error& error) {
     if (!error) expire(id);
   });
-  check(id, held);
+}
+
+void Gatekeeper::whole(RequestId id, Time patience) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return;
+  Held& held = found->second;
+  held.whole = true;
+  const Time now = clock_.now();
+  if (!held.passing) waitUntil(id, held, now + std::max(0.0, patience - kWayBack));
+  gateway_.whole(now, id, held.expires);
 }
 
 void Gatekeeper::admit(RequestId id, const Held& held) {
   const Call& call = held.call;
-  gateway_.request(clock_.now(),
-                   {id, call.klass, call.plan, call.customer, held.expires, call.units, call.setSize});
+  gateway_.request(clock_.now(), {id, call.klass, call.plan, call.customer, held.expires, call.units,
+                                  call.setSize, held.whole});
 }
 
 void Gatekeeper::left(RequestId id) {
@@ -265,7 +293,7 @@
 // The deadline: an attempt that is out has timed out. The answer goes out now, whatever the module says.
 void Gatekeeper::expire(RequestId id) {
   const auto found = held_.find(id);
-  if (found == held_.end()) return;
+  if (found == held_.end() || found->second.passing) return;
   if (found->second.checking) return unchecked(id);
   if (auto end = pool_.giveUp(id, Result::timeout)) {
     end->outcome.finished = false;
@@ -451,8 +479,20 @@
 
 void Gatekeeper::ended(AttemptEnd&& end) {
   Outcome& outcome = end.outcome;
-  const bool mine = held_.contains(outcome.id);
-  outcome.finished = !mine || outcome.result == Result::ok;
+  const auto found = held_.find(outcome.id);
+  const bool mine = found != held_.end();
+  outcome.finished = !mine || outcome.result == Result::ok || end.passed;
+  if (mine && end.passed) {
+    const auto asker = std::move(found->second.asker);
+    release(found);
+    if (outcome.result == Result::ok) {
+      asker->more(std::move(end.body));
+      asker->finish();
+    } else {
+      asker->breakOff();
+    }
+    return gateway_.outcome(clock_.now(), outcome);
+  }
   if (mine && outcome.result == Result::ok) {
     Answer served;
     served.body = std::move(end.body);
@@ -462,6 +502,27 @@
   gateway_.outcome(clock_.now(), outcome);
 }
 
+// The first bytes of a long answer: from here on it is the final one, and its time has been met.
+bool Gatekeeper::begun(LongAnswer&& answer) {
+  const auto found = held_.find(answer.id);
+  if (found == held_.end()) return false;
+  Held& held = found->second;
+  held.passing = true;
+  held.deadline.cancel();
+  Answer served;
+  served.body = std::move(answer.first);
+  served.contentType = std::move(answer.contentType);
+  const auto asker = held.asker;
+  return asker->begin(std::move(served), answer.length, answer.window);
+}
+
+bool Gatekeeper::more(RequestId id, std::string&& piece) {
+  const auto found = held_.find(id);
+  if (found == held_.end()) return false;
+  const auto asker = found->second.asker;
+  return asker->more(std::move(piece));
+}
+
 // --- From discovery --------------------------------------------------------------------------------------
 
 Member Gatekeeper::memberOf(const Instance& instance) const {
@@ -507,11 +568,12 @@
   if (found == held_.end()) return;
   Held& held = found->second;
   const Time left = held.expires - clock_.now();
-  if (left <= 0) return reportMoot(id, held.attempts++, worker);
+  // Of a long body the beginning may be gone: it cannot be sent again.
+  if (left <= 0 || (held.upload && !held.upload->holds(0))) return reportMoot(id, held.attempts++, worker);
   const bool early = timeout > 0 && timeout < left;
-  const Time wait = early ? timeout : left;
-  if (!held.body) prepare(held.message, held.head, held.body);
-  Message message{held.head, held.body};
+  const Time wait = held.whole ? (early ? timeout : left) : held.call.patience - kWayBack;
+  if (held.head.empty()) prepare(held.message, held.upload.get(), held.head, held.body);
+  Message message{held.head, held.body, held.upload};
   message.head +=
       "Req-Deadline-Ms: " + std::to_string(std::max(1L, std::lround(std::floor(wait)))) + "\r\n\r\n";
   pool_.start(id, held.attempts++, worker, std::move(message),
@@ -558,7 +620,9 @@
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   const auto asker = std::move(found->second.asker);
+  const bool passing = found->second.passing;
   release(found);
+  if (passing) return asker->breakOff();
   asker->answer(std::move(answer));
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -57,6 +57,7 @@
   boost::asio::ip::tcp::endpoint operators() const { return admin_->address(); }
   const metrics::Figures& counted() const { return figures_; }
   std::size_t held() const { return held_.size(); }
+  std::size_t bytesHeld() const { return budget_.held(); }  // of messages, over all connections
   const auth::Answers& answers() const { return answers_; }
   auth::Counts checks() const { return asking_ ? asking_->core().counts() : auth::Counts{}; }
   std::size_t listed() const { return listed_.size(); }  // workers that may be sent to
@@ -68,6 +69,9 @@
     ClientMessage message;  // until the first attempt, which makes the next two of it
     std::string head;       // as it goes on, but for the deadline
     std::shared_ptr<const std::string> body;
+    std::shared_ptr<Upload> upload;  // a long body, in place of that
+    bool whole = true;               // all of it has come
+    bool passing = false;            // its long answer has begun to go out: it is the final one
     std::shared_ptr<Asker> asker;
     Call call;
     bool checking = false;  // waits for a verdict: the module has not heard of it
@@ -80,7 +84,9 @@
   bool holds(std::uint64_t clientsId) const override { return clientsIds_.contains(clientsId); }
   irisring::RequestId nextId() override { return ++lastId_; }
   void take(irisring::RequestId id, const Call& call, ClientMessage&& message,
-            const std::shared_ptr<Asker>& asker) override;
+            const std::shared_ptr<Asker>& asker, const std::shared_ptr<Upload>& upload) override;
+  void whole(irisring::RequestId id, irisring::Time patience) override;
+  void room(irisring::RequestId id) override { pool_.resume(id); }
   void left(irisring::RequestId id) override;
   bool isQuestion(std::string_view target) const override {
     return auth::isQuestion(answers_.settings(), target);
@@ -100,6 +106,9 @@
   void told(const Roster& roster, irisring::ListKind kind);
   irisring::Member memberOf(const Instance& instance) const;
   void ended(AttemptEnd&& end);
+  bool begun(LongAnswer&& answer);
+  bool more(irisring::RequestId id, std::string&& piece);
+  void waitUntil(irisring::RequestId id, Held& held, irisring::Time expires);
   void check(irisring::RequestId id, Held& held);
   void decided(irisring::RequestId id, auth::Told told, const auth::VerdictPtr& verdict);
   void admit(irisring::RequestId id, const Held& held);
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -19,6 +19,13 @@
 constexpr double kMostFigure = 1e6;  // of a load report
 constexpr int kMostPercent = 1000000;
 constexpr unsigned kMostInterim = 8;  // 1xx answers ahead of one
+// From so many bytes on an answer that is to be long is passed on. Fewer: what is spoilt at its beginning
+// could not be had elsewhere any more; more: the client's first bytes wait.
+constexpr std::size_t kPassFrom = 8 * 1024;
+constexpr std::size_t kPassBytes = 160 * 1024;      // of memory for one that is passed on, on both sides
+constexpr std::size_t kPassWindow = 64 * 1024;      // bytes that its client may be behind
+constexpr std::size_t kPassWindowLeast = 8 * 1024;  // and where memory is short
+constexpr std::size_t kUploadStep = 32 * 1024;
 
 // The figures of `inflight=7,queue=2,util=0.61` in the settings' order; none unless all are there, each once
 // and such that it can be so. What the module takes in once stays in its means.
@@ -43,7 +50,7 @@
   return countOf(fields, name) == 1 ? view(fields[name]) : std::string_view{};
 }
 
-Result resultOf(const http::response<http::string_body>& answer) {
+Result resultOf(const http::response<GrowingBody>& answer) {
   if (answer.result() == http::status::ok) return Result::ok;
   const bool busy = answer.result() == http::status::service_unavailable ||
                     answer.result() == http::status::gateway_timeout;
@@ -89,8 +96,11 @@
     outcome_.worker = worker;
     startedAt_ = Clock::now();
     giveUpAt_ = timeout ? startedAt_ + *timeout : Clock::time_point::max();
+    patience_ = timeout;
+    if (message.upload) giveUpAt_ = Clock::time_point::max();  // its time counts from its last byte
     out_ = std::move(message);
-    written_ = false;
+    uploaded_ = 0;
+    written_ = passing_ = paused_ = false;
     busy_ = true;
     interim_ = 0;
     await();
@@ -102,7 +112,7 @@
 
   // The end of the attempt that is out, as seen from here, if it is given up now.
   Outcome stop(Result result) {
-    const bool sent = written_ || result == Result::cancelled || result == Result::moot;
+    const bool sent = written_ || passing_ || result == Result::cancelled || result == Result::moot;
     busy_ = false;
     outcome_.result = sent ? result : Result::connectFailed;
     stamp();
@@ -112,6 +122,14 @@
   bool busy() const { return busy_; }
   RequestId request() const { return outcome_.id; }
 
+  // Whether its answer has begun to be passed on.
+  bool passing() const { return passing_; }
+
+  // There is room again for what is passed on.
+  void resume() {
+    if (!closed_ && std::exchange(paused_, false)) take();
+  }
+
   // Whether the worker has ended or spoiled this idle connection and the read has not told yet.
   bool spoiled() {
     char byte;
@@ -124,6 +142,7 @@
   void rest() {
     parser_.reset();
     out_ = {};
+    passing_ = false;
     bytes_.shrinkTo(0);
     giveUpAt_ = Clock::now() + pool_.limits_.idleFor;
     arm(giveUpAt_);
@@ -145,8 +164,13 @@
     };
   }
 
+  static double msSince(Clock::time_point then) {
+    return std::chrono::duration<double, std::milli>(Clock::now() - then).count();
+  }
+
+  // A long answer's time is that of its first bytes.
   void stamp() {
-    outcome_.elapsed = std::chrono::duration<double, std::milli>(Clock::now() - startedAt_).count();
+    if (!passing_) outcome_.elapsed = msSince(startedAt_);
   }
 
   void arm(Clock::time_point at) {
@@ -163,6 +187,7 @@
   void expire() {
     if (!busy_) return pool_.drop(*this);
     if (!up_) return end(Result::connectFailed);
+    if (out_.upload && !written_ && !answering_) return end(Result::connectFailed);
     end(answering_ && Clock::now() < giveUpAt_ ? Result::spoilt : Result::timeout);
   }
 
@@ -170,7 +195,7 @@
   void await() {
     answering_ = false;
     parser_.emplace();
-    parser_->body_limit(kMostAnswer);
+    parser_->body_limit(kMostBody);
     parser_->header_limit(kMostHeader);
   }
 
@@ -199,6 +224,7 @@
   // From here on the request may have run, unless the system tells that its last byte was not written: the
   // system takes it in within this call, however much later the handler runs.
   void write() {
+    if (out_.upload) return writeHead();
     arm(giveUpAt_);
     written_ = writing_ = true;
     const std::string_view body = out_.body ? std::string_view(*out_.body) : std::string_view{};
@@ -206,13 +232,59 @@
                                                 asio::buffer(body.data(), body.size())};
     asio::async_write(socket_, all, guard([this](const Error& error, std::size_t) {
                         writing_ = false;
-                        if (!error) pool_.written_();
+                        if (!error) pool_.events_.written();
                         if (!error || !busy_) return;
                         written_ = false;
                         end(Result::connectFailed);
                       }));
   }
 
+  // A long body: its head, then what has come of it, piece by piece, as the worker takes it.
+  void writeHead() {
+    out_.upload->onMore = [weak = weak_from_this(), id = outcome_.id] {
+      if (const auto self = weak.lock(); self && self->busy_ && self->outcome_.id == id) self->writeMore();
+    };
+    piece_ = std::move(out_.head);
+    writePiece(false);
+  }
+
+  void writeMore() {
+    if (closed_ || writing_ || written_) return;
+    Upload& upload = *out_.upload;
+    const std::string_view next = upload.from(uploaded_).substr(0, kUploadStep);
+    const bool last = upload.whole() && uploaded_ + next.size() == upload.come();
+    if (next.empty() && !last) return arm(Clock::time_point::max());  // the client is awaited, elsewhere
+    uploaded_ += next.size();
+    piece_.clear();
+    if (upload.length()) {
+      piece_ = next;
+    } else {
+      if (!next.empty()) appendChunk(piece_, next);
+      if (last) piece_ += kLastChunk;
+    }
+    writePiece(last);
+  }
+
+  void writePiece(bool last) {
+    writing_ = true;
+    // From here on it may have run, as above.
+    written_ = last;
+    arm(Clock::now() + pool_.limits_.passWithin);
+    asio::async_write(socket_, asio::buffer(piece_), guard([this, last](const Error& error, std::size_t) {
+                        writing_ = false;
+                        if (!error && last) pool_.events_.written();
+                        if (!busy_) return;
+                        if (error) return written_ = false, end(Result::connectFailed);
+                        if (!last) {
+                          out_.upload->taken(uploaded_);
+                          return writeMore();
+                        }
+                        startedAt_ = Clock::now();
+                        if (patience_) giveUpAt_ = startedAt_ + *patience_;
+                        arm(giveUpAt_);
+                      }));
+  }
+
   void read() {
     const bool body = busy_ && parser_->is_header_done();
     if (!body && in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
@@ -220,15 +292,25 @@
                             guard([this](const Error& error, std::size_t n) {
                               in_.commit(n);
                               if (!busy_) return pool_.drop(*this);
-                              error ? end(Result::reset) : take();
+                              if (error) return atEnd(error);
+                              take();
                             }));
   }
 
+  // The connection's end is that of an answer that tells no other, if it was ended in order.
+  void atEnd(const Error& why) {
+    Error error;
+    if (why != asio::error::eof || !parser_->is_header_done() || !parser_->need_eof())
+      return end(Result::reset);
+    parser_->put_eof(error);
+    if (error) return end(Result::reset);
+    answered();
+  }
+
   void take() {
-    if (!answering_) {
-      answering_ = true;
-      arm(std::min(giveUpAt_, Clock::now() + pool_.limits_.answerWithin));
-    }
+    answering_ = true;
+    arm(passing_ ? Clock::now() + pool_.limits_.passWithin
+                 : std::min(giveUpAt_, Clock::now() + pool_.limits_.answerWithin));
     Error error;
     if (!parser_->is_header_done()) {
       const bool head = feed(*parser_, in_, error, Feed::head);
@@ -236,19 +318,55 @@
       if (head && parser_->get().result_int() < 200) return passOver();
     }
     const bool done = feed(*parser_, in_, error);
-    if (error || !bytes_.growTo(parser_->get().body().capacity() + in_.capacity()))
+    if (error) return end(Result::spoilt);
+    if (!done && isLong()) {
+      if (!(passing_ ? passMore() : beginPassing())) return;
+    } else if (!passing_ && !bytes_.growTo(parser_->get().body().capacity() + in_.capacity())) {
       return end(Result::spoilt);
+    }
     if (done) return answered();
     read();
   }
 
-  // Whether the head tells where the answer ends. One that only the connection's end would tell may as well
-  // have been cut short: it is not served.
+  bool isLong() const {
+    if (passing_) return true;
+    const auto& answer = parser_->get();
+    if (answer.result() != http::status::ok || answer.body().size() < kPassFrom) return false;
+    const auto length = parser_->content_length();
+    return !length || *length > kMostHeld;
+  }
+
+  // From here on this is the final answer: what its first byte tells cannot be taken back. Both say whether
+  // to read on; what holds it up then is its client.
+  bool beginPassing() {
+    passing_ = true;
+    outcome_.elapsed = msSince(startedAt_);
+    LongAnswer begun;
+    begun.window = bytes_.growTo(kPassBytes) ? kPassWindow : kPassWindowLeast;
+    begun.id = outcome_.id;
+    begun.contentType = std::string(view(parser_->get()[http::field::content_type]));
+    if (const auto length = parser_->content_length()) begun.length = *length;
+    begun.first = std::exchange(parser_->get().body(), {});
+    return goesOn(pool_.events_.begun(std::move(begun)));
+  }
+
+  bool passMore() {
+    std::string more = std::exchange(parser_->get().body(), {});
+    return more.empty() || goesOn(pool_.events_.more(outcome_.id, std::move(more)));
+  }
+
+  bool goesOn(bool wanted) {
+    if (closed_ || !busy_) return false;
+    if (wanted) return true;
+    paused_ = true;
+    arm(Clock::time_point::max());
+    return false;
+  }
+
+  // Whether the head tells in one way where the answer ends.
   bool readable() {
     const auto& head = parser_->get();
-    if (!plainFraming(head)) return false;
-    if (head.result() == http::status::switching_protocols) return false;
-    return !parser_->need_eof() || head.result_int() < 200;
+    return plainFraming(head) && head.result() != http::status::switching_protocols;
   }
 
   // An interim answer; the one that counts is still to come.
@@ -265,13 +383,15 @@
     AttemptEnd whole;
     outcome_.result = resultOf(answer);
     stamp();
+    whole.passed = passing_;
     const auto percent = number<int>(only(answer, "X-RateLimit-Used"));
     if (percent && *percent >= 0 && *percent <= kMostPercent) outcome_.usePercent = *percent;
     outcome_.report = readReport(only(answer, "Srv-Load"), pool_.reportFields_);
     whole.outcome = outcome_;
     whole.contentType = std::string(view(answer[http::field::content_type]));
     // Kept only if the exchange was a whole and ordinary one: nothing of it is left on either side.
-    const bool good = !writing_ && in_.size() == 0 && answer.keep_alive();
+    const bool sent = !out_.upload || written_;
+    const bool good = sent && !writing_ && in_.size() == 0 && answer.keep_alive() && !parser_->need_eof();
     whole.body = std::move(answer.body());
     busy_ = false;
     const auto self = shared_from_this();
@@ -287,6 +407,7 @@
   void end(Result result) {
     AttemptEnd whole;
     whole.outcome = stop(result);
+    whole.passed = passing_;
     const auto self = shared_from_this();
     pool_.drop(*this);
     pool_.finish(*this, std::move(whole));
@@ -297,8 +418,11 @@
   asio::steady_timer timer_;
   Budget::Share bytes_;
   beast::flat_buffer in_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<GrowingBody>> parser_;
   Message out_;
+  std::string piece_;           // of a long body, as it is written
+  std::uint64_t uploaded_ = 0;  // of its bytes
+  std::optional<Clock::duration> patience_;
   Outcome outcome_;
   Clock::time_point startedAt_, giveUpAt_;
   unsigned interim_ = 0;
@@ -307,17 +431,18 @@
   bool written_ = false;    // the request's last byte: from here on it may have run
   bool writing_ = false;    // the request's bytes are still in use
   bool answering_ = false;  // the answer's first byte has come
+  bool passing_ = false;    // it is long, and passed on while it comes
+  bool paused_ = false;     // for as long as its client takes no more
   bool closed_ = false;
 };
 
 WorkerPool::WorkerPool(asio::io_context& io, const Limits& limits, Budget& budget,
-                       std::vector<std::string> reportFields, Ended ended, Written written)
+                       std::vector<std::string> reportFields, Events events)
     : io_(io),
       limits_(limits),
       budget_(budget),
       reportFields_(std::move(reportFields)),
-      ended_(std::move(ended)),
-      written_(std::move(written)) {}
+      events_(std::move(events)) {}
 
 WorkerPool::~WorkerPool() {
   *alive_ = false;
@@ -340,7 +465,10 @@
   for (auto& [request, connection] : busy_)
     if (connection->worker == id && connection->openedAtMs < place.startedAtMs) lost.push_back(connection);
   for (const Shared& connection : lost) {
-    report(connection->stop(Result::reset));
+    AttemptEnd end;
+    end.passed = connection->passing();
+    end.outcome = connection->stop(Result::reset);
+    report(std::move(end));
     busy_.erase(connection->request());
     drop(*connection);
   }
@@ -363,13 +491,14 @@
     ++total_;
   }
   if (!connection) {
-    Outcome outcome;
+    AttemptEnd end;
+    Outcome& outcome = end.outcome;
     outcome.id = id;
     outcome.attempt = attempt;
     outcome.worker = target;
     // For want of room here the worker is not to blame.
     outcome.result = worker == workers_.end() ? Result::connectFailed : Result::moot;
-    return report(outcome);
+    return report(std::move(end));
   }
   busy_[id] = connection;
   connection->begin(id, attempt, std::move(message), timeout);
@@ -386,6 +515,13 @@
   return end;
 }
 
+void WorkerPool::resume(RequestId id) {
+  const auto found = busy_.find(id);
+  if (found == busy_.end()) return;
+  const Shared connection = found->second;
+  connection->resume();
+}
+
 WorkerPool::Shared WorkerPool::takeIdle(Worker& worker) {
   while (!worker.idle.empty()) {
     const Shared connection = worker.idle.back();
@@ -411,19 +547,16 @@
 }
 
 // Reports an end from a handler of its own: the module is never told anything from within one of its actions.
-void WorkerPool::report(Outcome outcome) {
-  asio::post(io_, [this, alive = alive_, outcome = std::move(outcome)]() mutable {
-    if (!*alive) return;
-    AttemptEnd end;
-    end.outcome = std::move(outcome);
-    ended_(std::move(end));
+void WorkerPool::report(AttemptEnd end) {
+  asio::post(io_, [this, alive = alive_, end = std::move(end)]() mutable {
+    if (*alive) events_.ended(std::move(end));
   });
 }
 
 void WorkerPool::finish(Connection& connection, AttemptEnd&& end) {
   const auto found = busy_.find(end.outcome.id);
   if (found != busy_.end() && found->second.get() == &connection) busy_.erase(found);
-  ended_(std::move(end));
+  events_.ended(std::move(end));
 }
 
 void WorkerPool::keep(const Shared& connection) {
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -15,6 +15,7 @@
 #include "http/http.hpp"
 #include "irisring/decide.hpp"
 #include "node/budget.hpp"
+#include "node/upload.hpp"
 
 namespace burlwind {
 
@@ -23,12 +24,24 @@
   irisring::Outcome outcome;
   std::string body;
   std::string contentType;
+  bool passed = false;  // its answer has begun to be passed on: what comes here is that answer's end
 };
 
-// What an attempt writes. The body is the same for all attempts of a request.
+// The beginning of a long answer, which is passed on while it comes.
+struct LongAnswer {
+  irisring::RequestId id = 0;
+  std::string first;
+  std::string contentType;
+  std::optional<std::uint64_t> length;  // of the whole, if it is told
+  std::size_t window = 0;               // bytes that its client may be behind
+};
+
+// What an attempt writes. The body is the same for all attempts of a request; a long one is an upload, whose
+// beginning is still there.
 struct Message {
   std::string head;
   std::shared_ptr<const std::string> body;
+  std::shared_ptr<Upload> upload = {};
 };
 
 class WorkerPool {
@@ -36,9 +49,12 @@
   struct Limits {
     std::chrono::milliseconds connectTimeout{250};
     std::chrono::milliseconds idleFor{24000};  // shorter than a worker keeps an idle connection
-    // An answer from its first byte to its last: workers write one at once, so one that stops half way does
-    // not go on. Longer: a client waits in vain; shorter: a long answer over a slow line is given up.
-    std::chrono::milliseconds answerWithin{300};
+    // Of an answer that has begun, without a further byte. Longer: a client waits in vain for one that does
+    // not go on; shorter: one that a worker makes bit by bit is given up.
+    std::chrono::milliseconds answerWithin{600};
+    // The same of an answer that is passed on already, and of a worker that takes no more of a body: it
+    // cannot be had elsewhere.
+    std::chrono::milliseconds passWithin{10000};
     std::size_t total = 480;  // connections to all workers
     std::size_t idlePerWorker = 64;
   };
@@ -46,11 +62,16 @@
     boost::asio::ip::tcp::endpoint address;
     double startedAtMs = 0;  // Unix time of the worker's last start; 0: long ago
   };
-  using Ended = std::function<void(AttemptEnd&&)>;
-  using Written = std::function<void()>;  // an attempt's last byte has been handed over
+  struct Events {
+    std::function<void(AttemptEnd&&)> ended;
+    std::function<void()> written;  // an attempt's last byte has been handed over
+    // Both say whether more is wanted now; else `resume` asks for it.
+    std::function<bool(LongAnswer&&)> begun;
+    std::function<bool(irisring::RequestId, std::string&&)> more;
+  };
 
   WorkerPool(boost::asio::io_context& io, const Limits& limits, Budget& budget,
-             std::vector<std::string> reportFields, Ended ended, Written written);
+             std::vector<std::string> reportFields, Events events);
   ~WorkerPool();
   WorkerPool(const WorkerPool&) = delete;
   WorkerPool& operator=(const WorkerPool&) = delete;
@@ -65,6 +86,8 @@
              std::optional<std::chrono::steady_clock::duration> timeout);
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
+  // There is room again for more of this request's long answer.
+  void resume(irisring::RequestId id);
 
   std::size_t connections() const { return total_; }
   std::size_t workers() const { return workers_.size(); }
@@ -80,7 +103,7 @@
   void endLost(irisring::WorkerId id, const Place& place);
   Shared takeIdle(Worker& worker);
   bool makeRoom();
-  void report(irisring::Outcome outcome);
+  void report(AttemptEnd end);
   void finish(Connection& connection, AttemptEnd&& end);
   void keep(const Shared& connection);
   void drop(Connection& connection);
@@ -90,8 +113,7 @@
   const Limits limits_;
   Budget& budget_;
   const std::vector<std::string> reportFields_;
-  const Ended ended_;
-  const Written written_;
+  const Events events_;
   std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
   std::unordered_map<irisring::RequestId, Shared> busy_;
   std::size_t total_ = 0;
--- a/src/operator/operator.hpp
+++ b/src/operator/operator.hpp
@@ -29,7 +29,7 @@
   auth::Asked auth;             // off without checkers
   auth::AnswerSettings answer;  // off without a path
   struct Workers {
-    std::chrono::milliseconds answerWithin{300};  // an answer, from its first byte to its last
+    std::chrono::milliseconds answerWithin{600};  // an answer that has begun, without a further byte
     std::size_t idlePerWorker = 64;               // connections kept between attempts
   } workers;
   struct Discovery {
--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -15,6 +15,8 @@
 #include <stdexcept>
 #include <unordered_map>
 
+#include "words/words.hpp"
+
 namespace irisring {
 namespace {
 
@@ -160,6 +162,10 @@
  public:
   explicit Beat(Time period) : period_(period) {}
   bool known() const { return known_; }
+  template <class Do>
+  void each(Do& go) {
+    go(low_), go(high_), go(misses_), go(known_);
+  }
   // The last time by `now` at which readings came out.
   Time before(Time now) const { return high_ + std::floor((now - high_) / period_) * period_; }
 
@@ -352,6 +358,20 @@
     again(now, held);
   }
 
+  void whole(Time now, RequestId id, Time expires) {
+    const auto found = held_.find(id);
+    if (found == held_.end() || found->second.ask.whole) return;
+    Held& held = found->second;
+    held.ask.whole = true;
+    held.ask.expires = expires;
+    held.arrived = now;
+    const auto flight = out_.find(outKey(id, held.attempts - 1));
+    if (!held.out || flight == out_.end()) return;
+    flight->second.whole = true;
+    held.sentAt = now;
+    if (Worker* worker = find(held.tried.back())) load(now, *worker);
+  }
+
   void clientLeft(Time, RequestId id) { held_.erase(id); }
 
   void timer(Time now, std::uint64_t tag) {
@@ -383,6 +403,63 @@
     std::erase_if(workers_, [](const Worker& w) { return w.listed.phase == Phase::gone && w.inFlight == 0; });
   }
 
+  // A part grows to the whole at once, but what is stored only by its rate.
+  void actAs(Time now, double part) {
+    const double cut = std::min(1.0, part / part_);
+    for (Customer& c : table_) {
+      fill(c, now);
+      c.tokens *= cut, c.ceiling *= cut;
+    }
+    part_ = part;
+  }
+
+  State handOver(Time now, double part) {
+    State out;
+    actAs(now, 1 - part);
+    burlwind::words::Writer pack{out};
+    out = {kStateVersion, base_.size(), set_.plans.size()};
+    eachOwn(pack);
+    pack.list(table_, [&](Customer& c) {
+      Customer theirs = c;
+      theirs.tokens *= part / part_, theirs.ceiling *= part / part_;
+      eachOf(theirs, pack);
+    });
+    pack.list(workers_, [&](Worker& w) { eachOf(w, pack); });
+    return out;
+  }
+
+  bool takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out) {
+    burlwind::words::Reader unpack{state};
+    const std::array<std::uint64_t, kStateHead> head{kStateVersion, base_.size(), set_.plans.size()};
+    if (state.size() < kStateHead || !std::equal(head.begin(), head.end(), state.begin())) return false;
+    unpack.at = kStateHead;
+    Core other(set_, 0, now, actions_);
+    other.eachOwn(unpack);
+    unpack.list(other.table_, kTable, [&](Customer& c) {
+      eachOf(c, unpack);
+      unpack.good = unpack.good && c.plan < set_.plans.size() && c.setSize >= 1 && c.setSize <= set_.gateways;
+    });
+    unpack.list(other.workers_, kMostWorkers, [&](Worker& w) { eachOf(w, unpack); });
+    if (!unpack.whole()) return false;
+    burlwind::words::Reader own{state, kStateHead};
+    eachOwn(own);
+    part_ = part;
+    table_ = std::move(other.table_);
+    index_.clear();
+    for (auto it = table_.begin(); it != table_.end(); ++it) {
+      index_[it->id] = it;
+      out.insert(out.end(), it->open, it->id);
+    }
+    for (Worker& theirs : other.workers_) {
+      Worker* mine = find(theirs.listed.worker);
+      if (!mine || mine->listed.started != theirs.listed.started) continue;
+      theirs.listed = mine->listed;
+      theirs.inFlight = mine->inFlight;
+      *mine = theirs;
+    }
+    return true;
+  }
+
   Fleet fleet(Time now) const {
     Fleet out;
     for (const Worker& w : workers_) {
@@ -399,9 +476,44 @@
  private:
   static constexpr std::uint64_t kAskTag = ~std::uint64_t{0};
 
+  // --- Hand-over: the same lists of fields are read and written, in 64-bit words ------------------------
+
+  static constexpr std::uint64_t kStateVersion = 1;
+  static constexpr std::size_t kStateHead =
+      3;  // words: the version, and how many classes and plans there are
+  static constexpr std::size_t kMostWorkers = 100000;
+
+  template <class Do>
+  static void eachOf(Customer& c, Do& go) {
+    go(c.id), go(c.plan), go(c.setSize), go(c.at), go(c.tokens), go(c.store), go(c.ceiling), go(c.fraction);
+    go(c.reading), go(c.readingAt), go(c.readingGap), go(c.lookedAt), go(c.bornAt), go(c.toldTo),
+        go(c.credit);
+    go(c.units), go(c.newsUnits), go(c.newsTime), go(c.oldUnits), go(c.oldTime), go(c.ownUse), go(c.allUse);
+    go(c.open), go(c.meanOpen), go(c.allOpen), go(c.wantOpen), go(c.slot);
+    for (auto* slots : {&c.sent, &c.taken, &c.in})
+      for (float& slot : *slots) go(slot);
+  }
+
+  template <class Do>
+  static void eachOf(Worker& w, Do& go) {
+    go(w.listed.worker), go(w.listed.started), go(w.others), go(w.limit), go(w.limitAt), go(w.fullFor);
+    go(w.slowSum), go(w.slowCount), go(w.slowAt), go(w.othersAt), go(w.heardAt), go(w.earlyAt), go(w.fails);
+    go(w.ejectedUntil), go(w.ejectFor), go(w.fullUntil), go(w.coldTokens), go(w.coldAt);
+  }
+
+  template <class Do>
+  void eachOwn(Do& go) {
+    for (Time& base : base_) go(base);
+    for (double& misfit : misfit_) go(misfit);
+    go(meanOthers_), beat_.each(go);
+    go(noneToldAt_), go(told_), go(bucketSince_), go(ceilingSince_), go(limit_), go(limitAt_), go(sendGap_);
+    go(pressed_), go(pressedAt_), go(warmRate_), go(warmAt_), go(warmWorkers_);
+  }
+
   struct Flight {  // one attempt under way
     CustomerId customer = 0;
     unsigned klass = 0;
+    bool whole = true;  // else its body still comes: the worker waits for it, and it for nothing
   };
 
   bool readable(const Request& ask) const {
@@ -513,7 +625,7 @@
     const double even = 1.0 / c.setSize;
     const double holds = set_.plans[c.plan].ceilingBurst * even / std::max(c.units, 1e-9);
     const double moved = kCeilingMoved * std::clamp(2 - 2 * holds / kPartEnough, 0.0, 1.0);
-    return (1 - moved) * even + moved * kShareClaimed * share(c);
+    return part_ * ((1 - moved) * even + moved * kShareClaimed * share(c));
   }
 
   double debt(const PlanSettings& plan) const { return kDebt * plan.rate * set_.meterPeriod / 1000; }
@@ -552,7 +664,7 @@
     const PlanSettings& plan = set_.plans[c.plan];
     const Time span = std::max(0.0, now - c.at);
     const double dt = span / 1000;
-    c.tokens = std::min(plan.burst, c.tokens + plan.rate * dt);
+    c.tokens = std::min(plan.burst, c.tokens + part_ * plan.rate * dt);
     const double taken = othersTake(c, c.store, dt);
     c.store = std::min(plan.burst, c.store + plan.rate * dt - taken);
     const double part = ceilingPart(c);
@@ -855,7 +967,7 @@
     const double least = set_.fallMultiple / std::max(set_.fallSpan, 1.0) / set_.gateways;
     const double known = toward(warmRate_, 0, now - warmAt_, kRateTau) / std::max(1u, warmWorkers_);
     w.coldTokens =
-        std::min(1.0, w.coldTokens + kColdMargin * warm * std::max(known, least) * (now - w.coldAt));
+        std::min(1.0, w.coldTokens + part_ * kColdMargin * warm * std::max(known, least) * (now - w.coldAt));
     w.coldAt = now;
     return w.coldTokens >= 1;
   }
@@ -903,7 +1015,7 @@
   }
 
   // One limit for all that this gateway has out; a fraction of one is kept by chance.
-  bool room() { return inFlight_ + random_.next() < limit_; }
+  bool room() { return inFlight_ + random_.next() < part_ * limit_; }
 
   // How slow a worker is, as far as its few answers tell against those of all workers of its kind.
   double slow(const Worker& w) const {
@@ -948,8 +1060,8 @@
   }
 
   void judge(Worker& w, Time now, const Flight& flight, const Outcome& end) {
-    if (w.inFlight > 0) --w.inFlight;
-    if (inFlight_ > 0) --inFlight_;
+    if (flight.whole && w.inFlight > 0) --w.inFlight;
+    if (flight.whole && inFlight_ > 0) --inFlight_;
     if (end.result != Result::timeout && end.result != Result::connectFailed) w.heardAt = now;
     if (!end.report.empty()) noteReport(w, now, end.report);
     const Result result = end.result;
@@ -1053,19 +1165,24 @@
     held.sentAt = now;
     held.out = true;
     held.tried.push_back(worker.listed.worker);
-    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass};
+    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass, held.ask.whole};
     ++held.attempts;
-    ++inFlight_;
-    mostOut_ = mostOut(now);
-    mostOutAt_ = now;
+    if (held.ask.whole) load(now, worker);
     if (sentAt_ > 0) sendGap_ = toward(sendGap_, now - sentAt_, 1, kGapKeep);
     sentAt_ = now;
-    if (++worker.inFlight == 1) worker.heardAt = now;
     worker.coldTokens -= 1;
     if (Customer* customer = peek(held.ask.customer)) noteOpen(*customer, now, 1);
     actions_.send(held.ask.id, worker.listed.worker, timeout);
   }
 
+  // A whole request is with a worker from now on.
+  void load(Time now, Worker& worker) {
+    ++inFlight_;
+    mostOut_ = mostOut(now);
+    mostOutAt_ = now;
+    if (++worker.inFlight == 1) worker.heardAt = now;
+  }
+
   // Another attempt where the class and the time allow one, else the final answer.
   void again(Time now, Held& held) {
     const ClassSettings& klass = set_.classes[held.ask.klass];
@@ -1123,6 +1240,7 @@
   bool told_ = false;                   // any reading has come
   const Time startedAt_;
   Time bucketSince_, ceilingSince_;
+  double part_ = 1;        // of what this gateway may do; less while another process of it does the rest
   unsigned inFlight_ = 0;  // attempts out, at all workers
   double mostOut_ = 0;     // the most of late, as of mostOutAt_
   double limit_ = 0;       // and how many may be
@@ -1147,12 +1265,18 @@
 }
 void Gateway::request(Time now, const Request& request) { core_->request(now, request); }
 void Gateway::outcome(Time now, const Outcome& outcome) { core_->outcome(now, outcome); }
+void Gateway::whole(Time now, RequestId id, Time expires) { core_->whole(now, id, expires); }
 void Gateway::clientLeft(Time now, RequestId id) { core_->clientLeft(now, id); }
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
 Leave Gateway::leave(Time now, const Request& request, bool metered) {
   return core_->leave(now, request, metered);
 }
 void Gateway::returned(Time now, CustomerId customer) { core_->returned(now, customer); }
+void Gateway::actAs(Time now, double part) { core_->actAs(now, part); }
+State Gateway::handOver(Time now, double part) { return core_->handOver(now, part); }
+bool Gateway::takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out) {
+  return core_->takeOver(now, state, part, out);
+}
 Fleet Gateway::fleet(Time now) const { return core_->fleet(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
 std::size_t Gateway::requestsHeld() const { return core_->requestsHeld(); }
--- /dev/null
+++ b/src/words/words.hpp
@@ -0,0 +1,67 @@
+// Plain fields written to and read from a list of 64-bit words, by one list of fields for both ways. Numbers
+// keep their bits; nothing is told of types, so that only the same build reads what it has written. A reader
+// checks what it is given: a list that ends early, a count beyond its bound or a number that is not finite
+// makes it not `good`, and from there on all fields read as 0. Cost: a word a field.
+#pragma once
+
+#include <bit>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace burlwind::words {
+
+using Words = std::vector<std::uint64_t>;
+
+struct Writer {
+  Words& out;
+  void operator()(double& field) { out.push_back(std::bit_cast<std::uint64_t>(field)); }
+  void operator()(float& field) { out.push_back(std::bit_cast<std::uint32_t>(field)); }
+  template <class Field>
+  void operator()(Field& field) {
+    out.push_back(static_cast<std::uint64_t>(field));
+  }
+  // A list's length, then each of its entries.
+  template <class List, class Each>
+  void list(List& entries, Each each) {
+    out.push_back(entries.size());
+    for (auto& entry : entries) each(entry);
+  }
+};
+
+struct Reader {
+  const Words& in;
+  std::size_t at = 0;
+  bool good = true;
+
+  bool whole() const { return good && at == in.size(); }
+  void operator()(double& field) { field = finite(std::bit_cast<double>(next())); }
+  void operator()(float& field) { field = finite(std::bit_cast<float>(static_cast<std::uint32_t>(next()))); }
+  template <class Field>
+  void operator()(Field& field) {
+    field = static_cast<Field>(next());
+  }
+  // Appends what was written, up to `most` entries.
+  template <class List, class Each>
+  void list(List& entries, std::size_t most, Each each) {
+    std::uint64_t n = next();
+    for (good = good && n <= most; good && n > 0; --n) {
+      entries.emplace_back();
+      each(entries.back());
+    }
+  }
+
+ private:
+  std::uint64_t next() {
+    good = good && at < in.size();
+    return good ? in[at++] : 0;
+  }
+  template <class Number>
+  Number finite(Number number) {
+    good = good && std::isfinite(number);
+    return good ? number : 0;
+  }
+};
+
+}  // namespace burlwind::words
--- /dev/null
+++ b/tests/node/long_messages_test.cpp
@@ -0,0 +1,368 @@
+// Long and slow messages over loopback: passed on as they come, in bounded memory, and what that does to the
+// rules.
+#include <algorithm>
+#include <random>
+
+#include "support/loopback.hpp"
+
+namespace burlwind::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Bytes that tell where in a body they stand.
+std::string bodyOf(std::size_t size) {
+  std::string out(size, 0);
+  std::mt19937 random(7);
+  for (char& c : out) c = static_cast<char>('a' + random() % 26);
+  return out;
+}
+
+// The body of a message whose chunks hold no CRLF but their own.
+std::string unchunked(std::string_view text) {
+  std::string out;
+  text.remove_prefix(text.find("\r\n\r\n") + 4);
+  for (;;) {
+    const std::size_t line = text.find("\r\n");
+    if (line == std::string_view::npos) return out + "<cut>";
+    const std::size_t size = std::stoul(std::string(text.substr(0, line)), nullptr, 16);
+    text.remove_prefix(line + 2);
+    if (size == 0) return out;
+    if (text.size() < size + 2) return out + "<cut>";
+    out += text.substr(0, size);
+    text.remove_prefix(size + 2);
+  }
+}
+
+class Long : public Loopback {
+ protected:
+  void open(const OperatorSettings& settings = {}) {
+    json file = configJson(discovery.text(), json::array({entry("s-1", worker.text())}));
+    file["limits"]["memory_mb"] = 32;
+    node.emplace(io, parseConfig(file.dump()), settings);
+    node->start();
+  }
+  PeerPtr ask(const std::string& text) {
+    const auto client = dial(node->address());
+    client->send(text);
+    return client;
+  }
+  void untilSeen(std::size_t n) {
+    until([&] { return worker.count("\r\n\r\n") >= n; }, "a request at the worker");
+  }
+  // A piece at a time, since both ends are in this thread.
+  void sendAll(const PeerPtr& peer, std::string_view text, std::size_t step = 16 * 1024) {
+    for (; !text.empty(); text.remove_prefix(std::min(step, text.size()))) {
+      peer->send(std::string(text.substr(0, step)));
+      io.restart();
+      io.poll();
+    }
+  }
+  std::string post(std::size_t length, const std::string& klass = "order") {
+    Ask what;
+    what.klass = klass;
+    std::string text = what.text();
+    return text.replace(text.find("Content-Length: 0"), 17, "Content-Length: " + std::to_string(length));
+  }
+  std::string postChunked() {
+    Ask what;
+    what.klass = "order";
+    std::string text = what.text();
+    return text.replace(text.find("Content-Length: 0"), 17, "Transfer-Encoding: chunked");
+  }
+  std::uint64_t counted(std::size_t klass, metrics::Fate fate) const {
+    return node->counted().count(klass, fate);
+  }
+
+  Listener discovery{io}, worker{io};
+  std::optional<Gatekeeper> node;
+  const std::string body = bodyOf(1 << 20);
+};
+
+TEST_F(Long, AnAnswerIsPassedOnAsItComes) {
+  open();
+  const auto client = ask(Ask().text());
+  untilSeen(1);
+  const std::string answer = reply("200 OK", body);
+  sendAll(worker.peers[0], answer.substr(0, 40000));
+  until([&] { return client->got.size() > 20000; }, "the beginning, before the end has come");
+  EXPECT_TRUE(client->has("Content-Length: 1048576\r\n"));
+  sendAll(worker.peers[0], answer.substr(40000));
+  until([&] { return client->got.size() > body.size(); }, "the whole");
+  EXPECT_TRUE(client->got.ends_with("\r\n\r\n" + body));
+  EXPECT_EQ(counted(0, metrics::Fate::success), 1u);
+  EXPECT_EQ(node->held(), 0u);
+  client->send(Ask().text());  // on the same connections
+  untilSeen(2);
+  worker.peers[0]->send(reply("200 OK", "short"));
+  until([&] { return client->got.ends_with("short"); }, "the next answer");
+  EXPECT_EQ(worker.peers.size(), 1u);
+}
+
+TEST_F(Long, AnAnswerOfUntoldLengthGoesOnInChunksAndToOldClientsUntilTheEnd) {
+  open();
+  const auto client = ask(Ask().text());
+  std::string old = Ask().text();
+  const auto later =
+      ask(old.replace(old.find("HTTP/1.1"), 8, "HTTP/1.0").replace(old.find("0a1\r\n"), 3, "0a2"));
+  untilSeen(2);
+  for (const auto& peer : worker.peers) {
+    peer->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (std::size_t at = 0; at < body.size(); at += 10000) {
+      std::ostringstream size;
+      size << std::hex << std::min<std::size_t>(10000, body.size() - at);
+      sendAll(peer, size.str() + ";why=not\r\n" + body.substr(at, 10000) + "\r\n");
+    }
+    peer->send("0\r\nTrailer: x\r\n\r\n");
+  }
+  until([&] { return client->got.ends_with("0\r\n\r\n") && later->ended; }, "both answers");
+  EXPECT_EQ(unchunked(client->got), body);
+  EXPECT_TRUE(later->got.ends_with("\r\n\r\n" + body));
+  EXPECT_FALSE(later->has("chunked"));
+}
+
+TEST_F(Long, AnAnswerThatTheConnectionsEndTellsIsServedIfThatIsInOrder) {
+  open();
+  const auto client = ask(Ask().text());
+  untilSeen(1);
+  worker.peers[0]->send("HTTP/1.0 200 OK\r\n\r\nuntil the end");
+  worker.peers[0]->end();
+  until([&] { return client->has("until the end"); }, "the answer");
+  EXPECT_TRUE(client->has("Content-Length: 13\r\n")) << client->got;
+}
+
+// What has begun to go out is the final answer: nothing is sent again, and its client can tell.
+TEST_F(Long, AWorkerThatBreaksOffLeavesAVisiblyIncompleteAnswer) {
+  for (const bool told : {true, false}) {
+    open();
+    const std::size_t before = worker.peers.size();
+    const auto client = ask(Ask().text());
+    until([&] { return worker.peers.size() == before + 1 && worker.peers.back()->has("\r\n\r\n"); },
+          "a request");
+    const auto peer = worker.peers.back();
+    if (told) {
+      sendAll(peer, reply("200 OK", body).substr(0, 100000));
+    } else {
+      peer->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n186a0\r\n");
+      sendAll(peer, body.substr(0, 90000));
+    }
+    until([&] { return client->got.size() > 50000; }, "a part");
+    peer->end();
+    until([&] { return client->ended; }, "the end of the connection");
+    EXPECT_LT(client->got.size(), 110000u);
+    EXPECT_FALSE(client->got.ends_with("0\r\n\r\n"));
+    EXPECT_EQ(client->count("HTTP/1.1 "), 1u);
+    EXPECT_EQ(worker.peers.size(), before + 1);
+    EXPECT_EQ(counted(0, metrics::Fate::failure), 1u);
+    EXPECT_EQ(node->held(), 0u);
+    node.reset();
+  }
+}
+
+// A reader that takes nothing holds its bound of bytes and no more, whatever its worker would still give.
+TEST_F(Long, ManySlowReadersHoldABoundedPart) {
+  open();
+  constexpr std::size_t kReaders = 5;  // within what a gatekeeper sends to a worker that it does not know
+  std::vector<tcp::socket> readers;
+  for (std::size_t i = 0; i < kReaders; ++i) {
+    readers.emplace_back(io, tcp::v4());
+    readers.back().set_option(tcp::socket::receive_buffer_size(4096));
+    readers.back().connect(node->address());
+    Ask what;
+    what.id = "00000000000001" + std::string(i < 10 ? "0" : "") + std::to_string(i);
+    asio::write(readers.back(), asio::buffer(what.text()));
+  }
+  untilSeen(kReaders);
+  const std::string part = body.substr(0, 64 * 1024);
+  std::vector<std::size_t> taken(kReaders, 0);
+  // Non-blocking, each until its worker connection takes no more for a while.
+  for (const auto& peer : worker.peers) peer->send("HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n");
+  std::size_t still = 0;
+  until(
+      [&] {
+        std::size_t moved = 0;
+        for (std::size_t i = 0; i < kReaders; ++i) moved += worker.peers[i]->sendSome(part);
+        still = moved > 0 ? 0 : still + 1;
+        return still > 20;
+      },
+      "nothing moves any more");
+  EXPECT_LE(node->bytesHeld(), kReaders * 200 * 1024);
+  EXPECT_EQ(node->held(), kReaders);
+  readers.clear();
+  until([&] { return node->held() == 0; }, "the readers' ends are seen");
+  EXPECT_EQ(node->bytesHeld(), 0u);
+}
+
+TEST_F(Long, ABodyIsPassedOnAsItComesAndItsTimeCountsFromItsEnd) {
+  open();
+  const auto client = ask(post(body.size()));
+  untilSeen(1);  // before any of the body has come
+  sendAll(client, body);
+  until([&] { return worker.peers[0]->got.ends_with(body.substr(body.size() - 100)); }, "the body");
+  EXPECT_TRUE(worker.peers[0]->got.ends_with("\r\n\r\n" + body));
+  EXPECT_TRUE(worker.peers[0]->has("Content-Length: 1048576\r\n"));
+  until([&] { return node->counted().attempts() == 1; }, "the attempt is whole");
+  worker.peers[0]->send(reply("200 OK", "taken"));
+  until([&] { return client->has("taken"); }, "the answer");
+  EXPECT_EQ(counted(2, metrics::Fate::success), 1u);
+}
+
+TEST_F(Long, ABodyInChunksGoesOnInChunks) {
+  open();
+  const auto client = ask(postChunked());
+  for (std::size_t at = 0; at < body.size(); at += 7000) {
+    std::ostringstream size;
+    size << std::hex << std::min<std::size_t>(7000, body.size() - at);
+    sendAll(client, size.str() + ";a=\"b\"\r\n" + body.substr(at, 7000) + "\r\n");
+  }
+  client->send("0\r\nTrailer: x\r\n\r\n");
+  until([&] { return !worker.peers.empty() && worker.peers[0]->got.ends_with("0\r\n\r\n"); },
+        "the end of the body");
+  EXPECT_EQ(unchunked(worker.peers[0]->got), body);
+  EXPECT_EQ(worker.peers[0]->count("Transfer-Encoding: chunked\r\n"), 1u);
+  EXPECT_EQ(worker.peers[0]->count("Content-Length"), 0u);
+  worker.peers[0]->send(reply("200 OK", "taken"));
+  until([&] { return client->has("taken"); }, "the answer");
+}
+
+// Not whole at the worker, so it has not run; and as long as its beginning is there it is sent anew.
+TEST_F(Long, ABodyIsSentAnewWhileItsBeginningIsHeldAndElseRefused) {
+  open();
+  const auto client = ask(post(body.size()));
+  untilSeen(1);
+  sendAll(client, body.substr(0, 30000));
+  until([&] { return worker.peers[0]->got.ends_with(body.substr(29900, 100)); }, "a part of the body");
+  worker.peers[0]->end();
+  until([&] { return worker.peers.size() == 2 && worker.peers[1]->got.ends_with(body.substr(29900, 100)); },
+        "all of it at another attempt");
+  EXPECT_TRUE(worker.peers[1]->got.ends_with("\r\n\r\n" + body.substr(0, 30000)));
+  sendAll(client, body.substr(30000, 300000));
+  until([&] { return worker.peers[1]->got.ends_with(body.substr(329900, 100)); }, "more than is held");
+  worker.peers[1]->end();
+  until([&] { return client->has("\r\n\r\n"); }, "the answer");
+  EXPECT_TRUE(client->has("HTTP/1.1 429") && client->has("Retry-After: ") && client->has("Connection: close"))
+      << client->got;
+  EXPECT_EQ(worker.peers.size(), 2u);
+  EXPECT_EQ(counted(2, metrics::Fate::busy), 1u);
+}
+
+TEST_F(Long, ABodyThatStandsStillIsCutOffAndTheWorkerNeverHasItWhole) {
+  OperatorSettings settings;
+  settings.clients.wholeWithin = 100ms;
+  open(settings);
+  const auto client = ask(post(body.size()));
+  untilSeen(1);
+  sendAll(client, body.substr(0, 10000));
+  until([&] { return client->has("HTTP/1.1 408"); }, "the end of its time");
+  until([&] { return worker.peers[0]->ended; }, "the attempt's connection ends");
+  EXPECT_EQ(node->held(), 0u);
+  EXPECT_EQ(node->counted().attempts(), 0u);
+}
+
+TEST_F(Long, AClientThatGoesInTheMidstOfItsBodyEndsTheAttempt) {
+  open();
+  const auto client = ask(post(body.size()));
+  untilSeen(1);
+  client->end();
+  until([&] { return worker.peers[0]->ended && node->held() == 0; }, "the attempt's end");
+}
+
+TEST_F(Long, ContinueIsSentForALongBodyAndARefusalInItsPlace) {
+  open();
+  std::string text = post(body.size());
+  text.insert(text.find("\r\n\r\n") + 2, "Expect: 100-continue\r\n");
+  const auto client = ask(text);
+  until([&] { return client->has("HTTP/1.1 100 Continue\r\n\r\n"); }, "the word to go on");
+  std::string poor = text;
+  poor.replace(poor.find("X-Tier: large"), 13, "X-Tier: small");
+  poor.replace(poor.find("00a1"), 4, "00a2");
+  poor.replace(poor.find("b4d65521"), 8, "b4d65522");
+  const auto refused = ask(poor);
+  until([&] { return refused->has("\r\n\r\n"); }, "a refusal");
+  EXPECT_TRUE(refused->got.starts_with("HTTP/1.1 429")) << refused->got;
+}
+
+// A crowd of long bodies that come slowly loads no worker: ordinary requests go on.
+TEST_F(Long, BodiesThatStillComeDoNotCountAsLoad) {
+  open();
+  std::vector<PeerPtr> slow;
+  for (int i = 0; i < 30; ++i) {
+    std::string text = post(body.size());
+    text.replace(text.find("00a1"), 4, "01" + std::string(i < 10 ? "0" : "") + std::to_string(i));
+    slow.push_back(ask(text));
+    untilSeen(slow.size());
+  }
+  const auto client = ask(Ask().text());
+  untilSeen(31);
+  worker.peers.back()->send(reply("200 OK", "served"));
+  until([&] { return client->has("served"); }, "an ordinary answer");
+}
+
+// One exchange each, cut in two at every byte on both sides.
+TEST_F(Long, AnyPieceOfAnyFormIsReadAlike) {
+  open();
+  Ask order;
+  order.klass = "order";
+  std::string chunked = postChunked();
+  chunked += "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nT: r\r\n\r\n";
+  order.body = "abcde";
+  const std::vector<std::string> requests{Ask().text(), order.text(), chunked};
+  const std::vector<std::string> answers{
+      reply("200 OK", "fghij"),
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;e\r\nfghij\r\n0\r\n\r\n",
+      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + reply("200 OK", "fghij")};
+  const auto client = dial(node->address());
+  std::size_t asked = 0;
+  for (std::size_t form = 0; form < requests.size(); ++form) {
+    const std::string& request = requests[form];
+    const std::string& answer = answers[form];
+    for (std::size_t cutAt = 1; cutAt < std::max(request.size(), answer.size()); ++cutAt) {
+      ++asked;
+      sendAll(client, request.substr(0, cutAt));
+      sendAll(client, request.substr(std::min(cutAt, request.size())));
+      const std::string end = form == 0 ? "\r\n\r\n" : "abcde";
+      until([&] { return worker.peers.size() == 1 && worker.peers[0]->got.ends_with(end); }, "the request");
+      worker.peers[0]->got.clear();
+      sendAll(worker.peers[0], answer.substr(0, cutAt));
+      sendAll(worker.peers[0], answer.substr(std::min(cutAt, answer.size())));
+      until([&] { return client->got.ends_with("\r\n\r\nfghij"); }, "the answer");
+      client->got.clear();
+    }
+  }
+  EXPECT_EQ(counted(0, metrics::Fate::success) + counted(2, metrics::Fate::success), asked);
+}
+
+TEST_F(Long, OldClientsAndHeadsAreAnsweredInTheirForm) {
+  open();
+  const auto old = ask("GET /health/ready HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  until([&] { return old->has("ready\n"); }, "an answer");
+  EXPECT_TRUE(old->has("Connection: keep-alive\r\n")) << old->got;
+  const auto head = ask("HEAD /health/ready HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n");
+  until([&] { return head->ended; }, "an answer");
+  EXPECT_TRUE(head->got.ends_with("\r\n\r\n") && head->has("Content-Length: 6\r\n")) << head->got;
+  std::string text = Ask().text();
+  const auto none = ask(text.replace(0, 3, "HEAD"));
+  until([&] { return none->ended; }, "a rejection");
+  EXPECT_TRUE(none->has("HTTP/1.1 400") && none->got.ends_with("\r\n\r\n")) << none->got;
+}
+
+TEST_F(Long, AmbiguousFramingIsRefusedAndTheConnectionEnds) {
+  open();
+  for (const std::string& wrong : {std::string("Content-Length: 70000\r\nTransfer-Encoding: chunked"),
+                                   std::string("Content-Length: 70000\r\nContent-Length: 70001"),
+                                   std::string("Transfer-Encoding: chunked, x")}) {
+    std::string text = post(0);
+    const auto client = ask(text.replace(text.find("Content-Length: 0"), 17, wrong));
+    until([&] { return client->ended; }, "the end");
+    EXPECT_TRUE(client->has("HTTP/1.1 400")) << wrong;
+  }
+  // In the midst of a long body: the attempt ends with it, never whole.
+  const auto client = ask(postChunked() + "186a0\r\n");
+  sendAll(client, body.substr(0, 100000) + "\r\nnonsense\r\n");
+  until([&] { return client->has("HTTP/1.1 400"); }, "a rejection");
+  until([&] { return worker.peers.back()->ended; }, "the attempt's end");
+  EXPECT_EQ(node->counted().attempts(), 0u);
+}
+
+}  // namespace
+}  // namespace burlwind::test
