A new process takes over from the old one over a Unix socket, and both are one gatekeeper

Needed: with a passed socket two processes run side by side, and each took itself for the whole gatekeeper: a ceiling, a bucket and a cap counted twice, an ejected worker was met anew.

The module exports and takes a plain value (handOver, takeOver, actAs): each process does its part of rates, ceilings, limits and cold ramps, 0.75 and 0.25, until the lease ends; attempts that are out stay counted until their end is told. A process that hangs is not waited for longer than 1 s; the new one then does half for 5 s. Message budgets are halved for the overlap. src/words reads and writes plain fields by one list. Not yet: descriptors are not told to the admission table.

Tests: the ceiling over both processes, cut and spoilt frames at every byte, a death on either side, two new ones at once, a stale socket, an upgrade of an upgrade.

--- a/src/node/budget.hpp
+++ b/src/node/budget.hpp
@@ -11,6 +11,8 @@
   Budget(const Budget&) = delete;
   Budget& operator=(const Budget&) = delete;
   std::size_t held() const { return held_; }
+  // What is held already stays; nothing more fits until it is less.
+  void setMost(std::size_t most) { most_ = most; }
 
   // What one connection holds; given back at its end.
   class Share {
@@ -40,7 +42,7 @@
   };
 
  private:
-  const std::size_t most_;
+  std::size_t most_;
   std::size_t held_ = 0;
 };
 
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -57,6 +57,23 @@
   }
 }
 
+std::string rosterText(const std::map<std::string, Instance>& instances) {
+  json list = json::array();
+  for (const auto& [id, instance] : instances) {
+    const std::string host = instance.address.address().is_v6()
+                                 ? "[" + instance.address.address().to_string() + "]"
+                                 : instance.address.address().to_string();
+    list.push_back({{"instanceId", id},
+                    {"hostPort", host + ":" + std::to_string(instance.address.port())},
+                    {"zone", instance.zone},
+                    {"machineType", instance.kind},
+                    {"cell", instance.cell},
+                    {"lifecycle", instance.phase == irisring::Phase::ready ? "Ready" : "Terminating"},
+                    {"startedAtMs", instance.startedAtMs}});
+  }
+  return json{{"generation", -1}, {"reset", true}, {"instances", list}}.dump();
+}
+
 // One watch after another: connect, ask for what changed since the last version, read lines until the
 // connection ends, breaks or falls silent, wait, begin again.
 class Discovery::Watch : public std::enable_shared_from_this<Watch> {
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,6 +33,9 @@
 // Throws std::runtime_error with one plain line.
 Roster parseRoster(std::string_view json);
 
+// The same list again, whole: what parseRoster reads.
+std::string rosterText(const std::map<std::string, Instance>& instances);
+
 class Discovery {
  public:
   using Told = std::function<void(const Roster&)>;
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <cmath>
 #include <cstdio>
+#include <cstdlib>
 
 #include "checked_toml/checked_toml.hpp"
 
@@ -143,8 +144,17 @@
 
 void Gatekeeper::start() {
   if (admin_) admin_->start();
-  server_.start();
   discovery_->start();
+  if (config_.passedSocket)
+    join();
+  else
+    serve();
+}
+
+void Gatekeeper::serve() {
+  server_.start();
+  serving_ = true;
+  if (!listed_.empty()) live(lifecycle::Event::listed);
 }
 
 void Gatekeeper::reload(const Config& config, const OperatorSettings& settings) {
@@ -167,7 +177,10 @@
 void Gatekeeper::watch(const asio::ip::tcp::endpoint& agent, long long from) {
   discovery_ = std::make_unique<Discovery>(
       io_, agent, from, Discovery::Limits{operator_.discovery.silence, operator_.discovery.backoffMost},
-      [this](const Roster& roster) { told(roster, roster.reset ? ListKind::full : ListKind::delta); });
+      [this](const Roster& roster) {
+        heardDiscovery_ = true;
+        told(roster, roster.reset ? ListKind::full : ListKind::delta);
+      });
 }
 
 // --- Its life ----------------------------------------------------------------------------------------------
@@ -210,6 +223,79 @@
   if (life_.state() == lifecycle::State::ending && !conduct_.accepts && done_) done_();
 }
 
+// --- Two processes of one gatekeeper
+// ---------------------------------------------------------------------------
+
+void Gatekeeper::join() {
+  const char* folder = std::getenv("TMPDIR");
+  handover::Link::Host host;
+  host.serve = [this] { serve(); };
+  host.resume = [this] { live(lifecycle::Event::alone); };
+  host.give = [this] { return handOver(); };
+  host.take = [this](handover::Snapshot&& snapshot) { return takeOver(std::move(snapshot)); };
+  host.ended = [this](std::uint64_t customer) {
+    const auto found = outElsewhere_.find(customer);
+    if (found == outElsewhere_.end()) return;
+    if (--found->second == 0) outElsewhere_.erase(found);
+    gateway_.returned(clock_.now(), customer);
+  };
+  host.part = [this](double part) { actAs(part); };
+  host.log = [this](const std::string& line) { log(line); };
+  link_ = std::make_unique<handover::Link>(io_, handover::pathIn(folder ? folder : "", config_.name),
+                                           handover::Link::Limits{}, std::move(host));
+  link_->start();
+}
+
+// What must be alike for what one process knows to mean the same to the other.
+std::string Gatekeeper::handedOverSettings() const {
+  std::string out = config_.name;
+  for (const auto* names :
+       {&config_.host.classes, &config_.host.plans, &config_.host.zones, &config_.host.kinds})
+    for (const std::string& name : *names) out += "|" + name;
+  for (const irisring::PlanSettings& plan : config_.settings.plans)
+    out += "|" + std::to_string(plan.rate) + "," + std::to_string(plan.burst) + "," +
+           std::to_string(plan.ceilingRate) + "," + std::to_string(plan.ceilingBurst);
+  return out;
+}
+
+handover::Snapshot Gatekeeper::handOver() {
+  live(lifecycle::Event::takenOver);
+  pool_.closeAllIdle();
+  handover::Snapshot out;
+  out.settings = handedOverSettings();
+  out.roster = rosterText(instances_);
+  out.descriptors = server_.connections() + pool_.connections() + kSparedSockets;
+  out.module = gateway_.handOver(clock_.now(), handover::kTakes);
+  budget_.setMost(bytesOfMessages(config_) / 2);
+  return out;
+}
+
+bool Gatekeeper::takeOver(handover::Snapshot&& snapshot) {
+  if (snapshot.settings != handedOverSettings()) return false;
+  std::vector<irisring::CustomerId> out;
+  try {
+    // What discovery itself has told is newer.
+    if (!heardDiscovery_ && !snapshot.roster.empty()) told(parseRoster(snapshot.roster), ListKind::cached);
+  } catch (const std::runtime_error&) {
+    return false;
+  }
+  if (!gateway_.takeOver(clock_.now(), snapshot.module, handover::kTakes, out)) return false;
+  for (const irisring::CustomerId customer : out) ++outElsewhere_[customer];
+  return true;
+}
+
+// Of what the gatekeeper may do and hold; what the other process had out is over when it is gone.
+void Gatekeeper::actAs(double part) {
+  gateway_.actAs(clock_.now(), part);
+  budget_.setMost(part < 1 ? bytesOfMessages(config_) / 2 : bytesOfMessages(config_));
+  if (part >= 1) returnAll();
+}
+
+void Gatekeeper::returnAll() {
+  for (const auto& [customer, times] : std::exchange(outElsewhere_, {}))
+    for (unsigned i = 0; i < times; ++i) gateway_.returned(clock_.now(), customer);
+}
+
 admin::Reply Gatekeeper::called(admin::Call call) {
   using lifecycle::State;
   const bool leaving = life_.state() == State::ending || life_.state() == State::handingOver;
@@ -482,6 +568,7 @@
   const auto found = held_.find(outcome.id);
   const bool mine = found != held_.end();
   outcome.finished = !mine || outcome.result == Result::ok || end.passed;
+  if (link_ && mine) link_->tellEnded(found->second.call.customer);
   if (mine && end.passed) {
     const auto asker = std::move(found->second.asker);
     release(found);
@@ -537,6 +624,13 @@
 }
 
 void Gatekeeper::told(const Roster& roster, ListKind kind) {
+  if (kind != ListKind::delta) instances_.clear();
+  for (const Instance& instance : roster.instances) {
+    if (instance.phase == irisring::Phase::gone)
+      instances_.erase(instance.id);
+    else
+      instances_[instance.id] = instance;
+  }
   std::vector<Member> members;
   std::unordered_set<WorkerId> unnamed;
   if (kind != ListKind::delta) unnamed = listed_;
@@ -557,7 +651,7 @@
     pool_.retire(worker);
   }
   gateway_.members(clock_.now(), kind, members);
-  if (!listed_.empty()) live(lifecycle::Event::listed);
+  if (serving_ && !listed_.empty()) live(lifecycle::Event::listed);
 }
 
 // --- What the module asks for ----------------------------------------------------------------------------
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -4,12 +4,14 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 
 #include "admin/server.hpp"
+#include "handover/link.hpp"
 #include "irisring/decide.hpp"
 #include "lifecycle/core.hpp"
 #include "metrics/figures.hpp"
@@ -55,6 +57,8 @@
   lifecycle::State state() const { return life_.state(); }
   // Where operators call; only with such an address in the configuration.
   boost::asio::ip::tcp::endpoint operators() const { return admin_->address(); }
+  // With another process of this gatekeeper; only where a socket is passed.
+  const handover::Link& link() const { return *link_; }
   const metrics::Figures& counted() const { return figures_; }
   std::size_t held() const { return held_.size(); }
   std::size_t bytesHeld() const { return budget_.held(); }  // of messages, over all connections
@@ -126,6 +130,14 @@
   void live(lifecycle::Event event);
   void conduct();
   void emptied();
+  // Where two processes are one gatekeeper: what they tell each other.
+  void join();
+  void serve();
+  handover::Snapshot handOver();
+  bool takeOver(handover::Snapshot&& snapshot);
+  void actAs(double part);
+  void returnAll();
+  std::string handedOverSettings() const;
   admin::Reply called(admin::Call call);
   void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
   void answer(irisring::RequestId id, Answer&& answer);
@@ -140,6 +152,8 @@
   WorkerPool pool_;
   ClientServer server_;
   std::unordered_set<irisring::WorkerId> listed_;
+  std::map<std::string, Instance> instances_;  // the list as it was last told
+  bool heardDiscovery_ = false;                // itself, and not what was known of it
   std::unordered_map<irisring::RequestId, Held> held_;
   std::unordered_set<std::uint64_t> clientsIds_;  // of what is held
   irisring::RequestId lastId_ = 0;
@@ -157,6 +171,10 @@
   bool living_ = false;                   // an event of its life is being followed
   std::function<void()> done_;            // once it has ended
   std::unique_ptr<admin::Server> admin_;  // none: operators call nowhere
+  bool serving_ = false;                  // it accepts, or has
+  std::unordered_map<irisring::CustomerId, unsigned>
+      outElsewhere_;                      // attempts of the process that handed over
+  std::unique_ptr<handover::Link> link_;  // none: no socket is passed, and nobody takes over
 };
 
 }  // namespace burlwind
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -577,6 +577,10 @@
     std::erase_if(found->second.idle, [&](const Shared& other) { return other.get() == &connection; });
 }
 
+void WorkerPool::closeAllIdle() {
+  for (auto& [id, worker] : workers_) closeIdle(worker);
+}
+
 void WorkerPool::closeIdle(Worker& worker) {
   const auto idle = std::move(worker.idle);
   worker.idle.clear();
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -86,6 +86,7 @@
              std::optional<std::chrono::steady_clock::duration> timeout);
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
+  void closeAllIdle();
   // There is room again for more of this request's long answer.
   void resume(irisring::RequestId id);
 
