Answers that are read slowly load no worker; upgrades of real processes under load

At fault: a long answer counted as out at its worker until its slow reader had it all. Ruled out: descriptors (128 of 1,024), memory, CPU, the quota. Now the module is told when a long answer has begun (Gateway::answering): the worker is heard and relieved, while caps on attempts out count on until the end. Test: 30 slow readers, and an ordinary request.

Upgrades of the program under load found the part of the limit on attempts out too small in an old process that still has its clients: it refused them. The limit is no rule and both share one traffic; it is no longer divided. What the test's clients first took for turned back were these refusals.

--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -596,6 +596,7 @@
   Held& held = found->second;
   held.passing = true;
   held.deadline.cancel();
+  gateway_.answering(clock_.now(), answer.id);
   Answer served;
   served.body = std::move(answer.first);
   served.contentType = std::move(answer.contentType);
--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 
 #include "words/words.hpp"
 
@@ -367,9 +368,20 @@
     held.arrived = now;
     const auto flight = out_.find(outKey(id, held.attempts - 1));
     if (!held.out || flight == out_.end()) return;
-    flight->second.whole = true;
     held.sentAt = now;
-    if (Worker* worker = find(held.tried.back())) load(now, *worker);
+    if (Worker* worker = find(held.tried.back())) load(now, flight->second, *worker);
+  }
+
+  // What reads a long answer slowly holds up no worker: were it counted, two such readers would have a worker
+  // taken for silent.
+  void answering(Time now, RequestId id) {
+    const auto found = held_.find(id);
+    if (found == held_.end() || !found->second.out) return;
+    const auto flight = out_.find(outKey(id, found->second.attempts - 1));
+    Worker* worker = find(found->second.tried.back());
+    if (flight == out_.end() || !worker) return;
+    worker->heardAt = now;
+    unload(flight->second, *worker);
   }
 
   void clientLeft(Time, RequestId id) { held_.erase(id); }
@@ -513,7 +525,7 @@
   struct Flight {  // one attempt under way
     CustomerId customer = 0;
     unsigned klass = 0;
-    bool whole = true;  // else its body still comes: the worker waits for it, and it for nothing
+    bool loads = false;  // its worker: not while its body still comes, nor once its long answer has begun
   };
 
   bool readable(const Request& ask) const {
@@ -1014,8 +1026,9 @@
     return std::max<double>(inFlight_, toward(mostOut_, 0, now - mostOutAt_, kPoolMemory));
   }
 
-  // One limit for all that this gateway has out; a fraction of one is kept by chance.
-  bool room() { return inFlight_ + random_.next() < part_ * limit_; }
+  // One limit for all that this gateway has out; a fraction of one is kept by chance. Two processes of it
+  // keep to it each: they share one traffic, and what is out at the one is over when the other's is many.
+  bool room() { return inFlight_ + random_.next() < limit_; }
 
   // How slow a worker is, as far as its few answers tell against those of all workers of its kind.
   double slow(const Worker& w) const {
@@ -1059,9 +1072,8 @@
     return best;
   }
 
-  void judge(Worker& w, Time now, const Flight& flight, const Outcome& end) {
-    if (flight.whole && w.inFlight > 0) --w.inFlight;
-    if (flight.whole && inFlight_ > 0) --inFlight_;
+  void judge(Worker& w, Time now, Flight flight, const Outcome& end) {
+    unload(flight, w);
     if (end.result != Result::timeout && end.result != Result::connectFailed) w.heardAt = now;
     if (!end.report.empty()) noteReport(w, now, end.report);
     const Result result = end.result;
@@ -1165,9 +1177,9 @@
     held.sentAt = now;
     held.out = true;
     held.tried.push_back(worker.listed.worker);
-    out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass, held.ask.whole};
+    Flight& flight = out_[outKey(held.ask.id, held.attempts)] = Flight{held.ask.customer, held.ask.klass};
     ++held.attempts;
-    if (held.ask.whole) load(now, worker);
+    if (held.ask.whole) load(now, flight, worker);
     if (sentAt_ > 0) sendGap_ = toward(sendGap_, now - sentAt_, 1, kGapKeep);
     sentAt_ = now;
     worker.coldTokens -= 1;
@@ -1176,13 +1188,20 @@
   }
 
   // A whole request is with a worker from now on.
-  void load(Time now, Worker& worker) {
+  void load(Time now, Flight& flight, Worker& worker) {
+    flight.loads = true;
     ++inFlight_;
     mostOut_ = mostOut(now);
     mostOutAt_ = now;
     if (++worker.inFlight == 1) worker.heardAt = now;
   }
 
+  void unload(Flight& flight, Worker& worker) {
+    if (!std::exchange(flight.loads, false)) return;
+    if (worker.inFlight > 0) --worker.inFlight;
+    if (inFlight_ > 0) --inFlight_;
+  }
+
   // Another attempt where the class and the time allow one, else the final answer.
   void again(Time now, Held& held) {
     const ClassSettings& klass = set_.classes[held.ask.klass];
@@ -1266,6 +1285,7 @@
 void Gateway::request(Time now, const Request& request) { core_->request(now, request); }
 void Gateway::outcome(Time now, const Outcome& outcome) { core_->outcome(now, outcome); }
 void Gateway::whole(Time now, RequestId id, Time expires) { core_->whole(now, id, expires); }
+void Gateway::answering(Time now, RequestId id) { core_->answering(now, id); }
 void Gateway::clientLeft(Time now, RequestId id) { core_->clientLeft(now, id); }
 void Gateway::timer(Time now, std::uint64_t tag) { core_->timer(now, tag); }
 Leave Gateway::leave(Time now, const Request& request, bool metered) {
--- a/tests/node/long_messages_test.cpp
+++ b/tests/node/long_messages_test.cpp
@@ -298,6 +298,27 @@
   until([&] { return client->has("served"); }, "an ordinary answer");
 }
 
+// Nor does an answer that is read slowly: neither its worker nor the gatekeeper is taken for full, or silent.
+TEST_F(Long, AnswersThatAreReadSlowlyDoNotCountAsLoad) {
+  open();
+  std::vector<PeerPtr> readers;
+  for (int i = 0; i < 30; ++i) {
+    Ask what;
+    what.id = "00000000000001" + std::string(i < 10 ? "0" : "") + std::to_string(i);
+    readers.push_back(ask(what.text()));
+    untilSeen(readers.size());
+    sendAll(worker.peers.back(), reply("200 OK", body).substr(0, 20000));
+    until([&] { return readers.back()->got.size() > 10000; }, "its beginning");
+  }
+  EXPECT_EQ(node->held(), 30u);
+  Ask what;
+  what.id = "0000000000000200";
+  const auto client = ask(what.text());
+  untilSeen(31);
+  worker.peers.back()->send(reply("200 OK", "served"));
+  until([&] { return client->has("served"); }, "an ordinary answer");
+}
+
 // One exchange each, cut in two at every byte on both sides.
 TEST_F(Long, AnyPieceOfAnyFormIsReadAlike) {
   open();
