--- a/src/admission/core.hpp
+++ b/src/admission/core.hpp
@@ -103,6 +103,8 @@
   // Room is wanted for another reason (descriptors have run out): who is to go, if any may. It is held no
   // longer.
   std::optional<Id> spare();
+  // From here on so many connections at most; what is held beyond that stays, and makes room as others come.
+  void limit(std::size_t connections) { settings_.connections = connections; }
   // One was turned away by the host, for a reason of its own.
   void turned(Turned why) { ++counts_.turned[static_cast<std::size_t>(why)]; }
   // All ignore an id that is not held.
@@ -164,7 +166,7 @@
   Share shareOf(const Source& source, std::size_t rank) const;
   void forgetOldest();
 
-  const Settings settings_;
+  Settings settings_;
   std::unordered_map<Id, Entry> entries_;
   std::unordered_map<Key, Source, SourceHash> sources_;
   std::array<std::set<Share>, kRanks> shares_;
--- a/src/node/client_server.hpp
+++ b/src/node/client_server.hpp
@@ -103,6 +103,9 @@
   // Called each time that no connection is left; not from within `follow`.
   void whenEmpty(std::function<void()> empty) { empty_ = std::move(empty); }
 
+  // From here on so many connections at most, or as many as the limits say.
+  void limit(std::size_t connections) { core_.limit(std::min(connections, limits_.connections)); }
+
   std::size_t connections() const { return connections_.size(); }
   const admission::Counts& admitted() const { return core_.counts(); }
   const admission::Settings& admission() const { return core_.settings(); }
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -28,7 +28,8 @@
 constexpr Time kUploadMost = 30 * 60 * 1000;  // ms that a body may come at most
 constexpr Time kUncheckedRetryAfter = 1000;
 constexpr auto kTellChecksAfter = 10s;
-constexpr double kIdleShare = 0.8;          // of the time that a worker keeps an idle connection
+constexpr double kIdleShare = 0.8;  // of the time that a worker keeps an idle connection
+constexpr std::size_t kLeastClients = 8;
 constexpr unsigned kOperatorsSockets = 20;  // kept back where operators call, whatever clients hold
 
 std::chrono::steady_clock::duration span(Time ms) {
@@ -43,7 +44,7 @@
 std::size_t clientsSockets(const Config& config) {
   const std::size_t taken =
       workersSockets(config) + kSparedSockets + (config.operators ? kOperatorsSockets : 0);
-  return std::max<std::size_t>(8, config.sockets - std::min<std::size_t>(config.sockets, taken));
+  return std::max<std::size_t>(kLeastClients, config.sockets - std::min<std::size_t>(config.sockets, taken));
 }
 
 // Half of what the program itself does not need, since what is held is not all that it takes to hold it.
@@ -267,6 +268,7 @@
   out.descriptors = server_.connections() + pool_.connections() + kSparedSockets;
   out.module = gateway_.handOver(clock_.now(), handover::kTakes);
   budget_.setMost(bytesOfMessages(config_) / 2);
+  pool_.limit(workersSockets(config_) / 2);
   return out;
 }
 
@@ -281,13 +283,28 @@
   }
   if (!gateway_.takeOver(clock_.now(), snapshot.module, handover::kTakes, out)) return false;
   for (const irisring::CustomerId customer : out) ++outElsewhere_[customer];
+  descriptorsElsewhere_ = snapshot.descriptors;
   return true;
 }
 
 // Of what the gatekeeper may do and hold; what the other process had out is over when it is gone.
 void Gatekeeper::actAs(double part) {
   gateway_.actAs(clock_.now(), part);
-  budget_.setMost(part < 1 ? bytesOfMessages(config_) / 2 : bytesOfMessages(config_));
+  const std::size_t clients = clientsSockets(config_), workers = workersSockets(config_);
+  if (part >= 1) {
+    budget_.setMost(bytesOfMessages(config_));
+    server_.limit(clients);
+    pool_.limit(workers);
+  } else {
+    // The other one held so many when it handed over, and takes no more; if it has not told, half is taken
+    // for its.
+    const std::size_t others = descriptorsElsewhere_ > 0 ? descriptorsElsewhere_ : config_.sockets / 2;
+    const std::size_t left = config_.sockets - std::min<std::size_t>(others, config_.sockets);
+    const std::size_t own = workers / 2 + kSparedSockets + kOperatorsSockets;
+    budget_.setMost(bytesOfMessages(config_) / 2);
+    server_.limit(std::max<std::size_t>(kLeastClients, left - std::min(left, own)));
+    pool_.limit(workers / 2);
+  }
   if (part >= 1) returnAll();
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -52,6 +52,7 @@
   void drain(std::function<void()> done);
 
   boost::asio::ip::tcp::endpoint address() const { return server_.address(); }
+  std::size_t connections() const { return server_.connections(); }  // of clients
   const admission::Settings& admission() const { return server_.admission(); }
   bool ready() const { return conduct_.saysReady; }
   lifecycle::State state() const { return life_.state(); }
@@ -171,6 +172,7 @@
   bool living_ = false;                   // an event of its life is being followed
   std::function<void()> done_;            // once it has ended
   std::unique_ptr<admin::Server> admin_;  // none: operators call nowhere
+  std::size_t descriptorsElsewhere_ = 0;  // that the process which handed over held then
   bool serving_ = false;                  // it accepts, or has
   std::unordered_map<irisring::CustomerId, unsigned>
       outElsewhere_;                      // attempts of the process that handed over
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -536,7 +536,7 @@
 
 // At the limit the connection that has stood idle longest at some worker makes room.
 bool WorkerPool::makeRoom() {
-  if (total_ < limits_.total) return true;
+  if (total_ < most_) return true;
   for (auto& [id, worker] : workers_) {
     if (worker.idle.empty()) continue;
     const Shared oldest = worker.idle.front();
--- a/src/node/worker_pool.hpp
+++ b/src/node/worker_pool.hpp
@@ -87,6 +87,8 @@
   // Gives the attempt of this request up and closes its connection; `ended` is not called for it.
   std::optional<AttemptEnd> giveUp(irisring::RequestId id, irisring::Result result);
   void closeAllIdle();
+  // From here on so many connections at most, or as many as the limits say.
+  void limit(std::size_t total) { most_ = std::min(total, limits_.total); }
   // There is room again for more of this request's long answer.
   void resume(irisring::RequestId id);
 
@@ -118,6 +120,7 @@
   std::unordered_map<irisring::WorkerId, Worker> workers_;  // those that may be sent to
   std::unordered_map<irisring::RequestId, Shared> busy_;
   std::size_t total_ = 0;
+  std::size_t most_ = limits_.total;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/tests/handover/takeover_test.cpp
+++ b/tests/handover/takeover_test.cpp
@@ -84,6 +84,24 @@
         "the third one serves");
 }
 
+// What the old one holds is not the new one's to take; when it is gone, it is.
+TEST_F(TakeOver, DescriptorsAreCountedOverBoth) {
+  auto old = begin();
+  std::vector<PeerPtr> crowd;
+  for (int i = 0; i < 60; ++i) {
+    crowd.push_back(dial(platform.local_endpoint()));
+    crowd.back()->send("GET /health/re");
+    until([&] { return old->connections() == crowd.size(); }, "a connection that does not go on");
+  }
+  auto fresh = begin();
+  until([&] { return fresh->ready(); }, "the new one serves");
+  const std::size_t few = fresh->admission().connections;
+  EXPECT_LE(few + 60 + 256 / 3, 256u);  // of 256 in all
+  old.reset();
+  until([&] { return fresh->admission().connections > few; }, "all are its own");
+  EXPECT_EQ(fresh->admission().connections, 256u - 256 / 3 - 24 - 20);
+}
+
 TEST_F(TakeOver, TheOldOneGoesOnIfTheNewOneDies) {
   auto old = begin();
   auto fresh = begin();
--- a/tests/node/daily_test.cpp
+++ b/tests/node/daily_test.cpp
@@ -171,6 +171,23 @@
   EXPECT_TRUE(held->has("served"));
 }
 
+// More clients than there is room for, each half way through a request: operators are answered all the same.
+TEST_F(Daily, OperatorsAreAnsweredWhileTheClientsSideIsFull) {
+  open();
+  const std::size_t room = node->admission().connections;
+  EXPECT_LE(room + 256 / 3 + 24 + 20, 256u);  // kept back from the descriptors that there are
+  std::vector<PeerPtr> crowd;
+  for (std::size_t i = 0; i < room + 50; ++i) {
+    crowd.push_back(dial(node->address()));
+    crowd.back()->send("GET /health/re");
+    io.restart();
+    io.poll();
+  }
+  until([&] { return node->connections() == room; }, "a full table");
+  expectFigure("inflight=0");
+  EXPECT_TRUE(call("POST /drain").starts_with("HTTP/1.1 200"));
+}
+
 // The platform's socket: accepted on, and still listening when the gatekeeper is gone.
 TEST_F(Daily, AcceptsOnAPassedSocketAndLeavesItListening) {
   tcp::acceptor platform(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
