--- a/bench/message_cost.cpp
+++ b/bench/message_cost.cpp
@@ -185,7 +185,7 @@
     more = false;
     for (unsigned i = 0; i < readers; ++i) {
       Error error;
-      const std::size_t n = got[i] < kLong ? sockets[i].read_some(asio::buffer(piece), error) : 0;
+      const std::size_t n = got[i] <= kLong ? sockets[i].read_some(asio::buffer(piece), error) : 0;
       got[i] += n;
       more = more || n > 0;
     }
--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -142,8 +142,8 @@
   void outcome(Time now, const Outcome& outcome);
   // The body of a request that was not whole has come to its end, and its time counts from here.
   void whole(Time now, RequestId id, Time expires);
-  // The answer of the attempt that is out has begun and is long: the worker has done its work. The attempt stays
-  // out until its end is told.
+  // The answer of the attempt that is out has begun and is long: the worker has done its work. The attempt
+  // stays out until its end is told.
   void answering(Time now, RequestId id);
   void clientLeft(Time now, RequestId id);
   void timer(Time now, std::uint64_t tag);
--- a/src/node/budget.hpp
+++ b/src/node/budget.hpp
@@ -1,6 +1,7 @@
 // The bytes of messages that the program holds, over all connections, and the most that they may come to.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 
 namespace burlwind {
@@ -28,6 +29,10 @@
       set(bytes);
       return true;
     }
+    // The same for what could do with less: only while half of all is free for what cannot.
+    bool growFreely(std::size_t bytes) {
+      return budget_.held_ - mine_ + bytes <= budget_.most_ / 2 && growTo(std::max(bytes, mine_));
+    }
     void shrinkTo(std::size_t bytes) {
       if (bytes < mine_) set(bytes);
     }
--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -277,7 +277,7 @@
   void read() {
     reading_ = true;
     if (in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
-    socket_.async_read_some(in_.prepare(uploading_ ? kReadStepOfBody : kReadStep),
+    socket_.async_read_some(in_.prepare(uploading_ && upload_->roomy() ? kReadStepOfBody : kReadStep),
                             guard([this](const Error& error, std::size_t n) {
                               reading_ = false;
                               if (error) return close();
@@ -327,7 +327,8 @@
   void beginUpload() {
     if (!server_.conduct_.takes) return refuseTaking();
     const auto length = parser_->content_length();
-    const std::size_t keep = bytes_.growTo(in_.capacity() + 2 * kUploadKept) ? kUploadKept : kUploadKeptLeast;
+    const std::size_t keep =
+        bytes_.growFreely(in_.capacity() + 2 * kUploadKept) ? kUploadKept : kUploadKeptLeast;
     upload_ = std::make_shared<Upload>(length ? std::optional<std::uint64_t>(*length) : std::nullopt, keep);
     upload_->onRoom = [weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->goOn();
--- a/src/node/upload.hpp
+++ b/src/node/upload.hpp
@@ -17,6 +17,8 @@
 
 class Upload {
  public:
+  static constexpr std::size_t kRoomy = 64 * 1024;
+
   Upload(std::optional<std::uint64_t> length, std::size_t keep) : length_(length), keep_(keep) {}
   Upload(const Upload&) = delete;
   Upload& operator=(const Upload&) = delete;
@@ -35,6 +37,7 @@
     whole_ = true;
     tell(onMore);
   }
+  bool roomy() const { return keep_ >= kRoomy; }  // large steps are no waste
   bool hasRoom() const { return bytes_.size() < keep_; }
   std::function<void()> onRoom;
 
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -100,7 +100,7 @@
     if (message.upload) giveUpAt_ = Clock::time_point::max();  // its time counts from its last byte
     out_ = std::move(message);
     uploaded_ = 0;
-    written_ = passing_ = paused_ = false;
+    written_ = passing_ = paused_ = tight_ = false;
     busy_ = true;
     interim_ = 0;
     await();
@@ -288,7 +288,7 @@
   void read() {
     const bool body = busy_ && parser_->is_header_done();
     if (!body && in_.size() == 0 && in_.capacity() > 2 * kReadStep) in_.shrink_to_fit();
-    socket_.async_read_some(in_.prepare(body ? kReadStepOfBody : kReadStep),
+    socket_.async_read_some(in_.prepare(body && !tight_ ? kReadStepOfBody : kReadStep),
                             guard([this](const Error& error, std::size_t n) {
                               in_.commit(n);
                               if (!busy_) return pool_.drop(*this);
@@ -342,7 +342,8 @@
     passing_ = true;
     outcome_.elapsed = msSince(startedAt_);
     LongAnswer begun;
-    begun.window = bytes_.growTo(kPassBytes) ? kPassWindow : kPassWindowLeast;
+    tight_ = !bytes_.growFreely(kPassBytes);
+    begun.window = tight_ ? kPassWindowLeast : kPassWindow;
     begun.id = outcome_.id;
     begun.contentType = std::string(view(parser_->get()[http::field::content_type]));
     if (const auto length = parser_->content_length()) begun.length = *length;
@@ -432,6 +433,7 @@
   bool writing_ = false;    // the request's bytes are still in use
   bool answering_ = false;  // the answer's first byte has come
   bool passing_ = false;    // it is long, and passed on while it comes
+  bool tight_ = false;      // with little memory
   bool paused_ = false;     // for as long as its client takes no more
   bool closed_ = false;
 };
--- a/tests/node/long_messages_test.cpp
+++ b/tests/node/long_messages_test.cpp
@@ -319,6 +319,32 @@
   until([&] { return client->has("served"); }, "an ordinary answer");
 }
 
+// Long answers take half of the memory for messages at most, then go on in small steps: short requests have
+// room.
+TEST_F(Long, ManyLongAnswersLeaveRoomForShortRequests) {
+  open();
+  std::vector<PeerPtr> readers;
+  const std::size_t half = (32 - 12) * (std::size_t{1} << 20) / 4;
+  const auto reader = [&] {
+    Ask what;
+    const std::string number = std::to_string(1000 + readers.size());
+    what.id = std::string(16 - number.size(), '0') + number;
+    readers.push_back(ask(what.text()));
+    untilSeen(readers.size());
+    sendAll(worker.peers.back(), reply("200 OK", body).substr(0, 20000));
+    until([&] { return readers.back()->got.size() > 10000; }, "its beginning");
+  };
+  while (readers.size() < 75) reader();  // more than fit with a window each
+  EXPECT_LE(node->bytesHeld(), half + readers.size() * 40 * 1024);
+  EXPECT_LT(node->bytesHeld(), 2 * half);
+  Ask what;
+  what.klass = "order", what.id = "0000000000000200", what.body = body.substr(0, 60000);
+  const auto client = ask(what.text());
+  until([&] { return client->has("\r\n\r\n") || worker.peers.back()->got.ends_with(what.body); },
+        "it goes on");
+  EXPECT_FALSE(client->has("503")) << client->got;
+}
+
 // One exchange each, cut in two at every byte on both sides.
 TEST_F(Long, AnyPieceOfAnyFormIsReadAlike) {
   open();
