Coming back is a state of its own: src/recovery; what a stop made stale goes to nobody

Need: nobody could say what a gatekeeper knows after a start, or how long until it is whole; and one that is stopped and wakes went on as if no time had passed. Ruled out: late timers of requests held before the stop, which expire first and are answered once.

A handler of SIGCONT sets a flag that is looked at before each event; after a stop the whole list is asked for anew, what the module sends waits for it for 0.25 s at most and is sent only to workers that are listed as they were, requests count from the begin of the stop, and outcomes are measured without it. Tries at discovery are drawn apart.

--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <stdexcept>
 
 #include "http/http.hpp"
@@ -19,7 +20,7 @@
 using namespace std::chrono_literals;
 
 constexpr auto kConnectWithin = 1000ms;
-constexpr auto kBackoffFirst = 50ms;
+constexpr recovery::Time kBackoffFirst = 50;  // ms
 constexpr std::size_t kMostLine = std::size_t{8} << 20;
 
 irisring::Phase phaseOf(const std::string& lifecycle) {
@@ -87,7 +88,14 @@
 
  public:
   Watch(asio::io_context& io, const tcp::endpoint& agent, long long from, const Limits& limits, Told told)
-      : socket_(io), timer_(io), agent_(agent), limits_(limits), generation_(from), told_(std::move(told)) {}
+      : socket_(io),
+        timer_(io),
+        agent_(agent),
+        limits_(limits),
+        generation_(from),
+        told_(std::move(told)),
+        draws_(static_cast<std::minstd_rand::result_type>(limits.seed ^ limits.seed >> 32)),
+        backoff_(kBackoffFirst, static_cast<recovery::Time>(limits.backoffMost.count())) {}
 
   void open() {
     if (stopped_) return;
@@ -168,7 +176,7 @@
       if (line.find_first_not_of(" \r\t") == std::string_view::npos) continue;  // a heartbeat
       const Roster roster = parseRoster(line);
       generation_ = roster.generation;
-      backoff_ = kBackoffFirst;
+      backoff_.reset();
       told_(roster);
       if (stopped_) return;
     }
@@ -182,8 +190,9 @@
     if (stopped_) return;
     if (why != lastWhy_) std::fprintf(stderr, "burlwind: discovery: %s, trying again\n", why);
     lastWhy_ = why;
-    timer_.expires_after(backoff_);
-    backoff_ = std::min(2 * backoff_, limits_.backoffMost);
+    const double draw = std::generate_canonical<double, 30>(draws_);
+    timer_.expires_after(std::chrono::duration_cast<asio::steady_timer::duration>(
+        std::chrono::duration<double, std::milli>(backoff_.next(draw))));
     timer_.async_wait(guard([this](const Error& error, std::size_t) {
       if (!error) open();
     }));
@@ -198,7 +207,8 @@
   beast::flat_buffer in_;
   std::string out_, line_;
   std::optional<http::response_parser<http::string_body>> parser_;
-  std::chrono::milliseconds backoff_ = kBackoffFirst;
+  std::minstd_rand draws_;
+  recovery::Backoff backoff_;
   std::string_view lastWhy_;
   unsigned round_ = 0;
   bool stopped_ = false;
--- a/src/node/discovery.hpp
+++ b/src/node/discovery.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "irisring/decide.hpp"
+#include "recovery/core.hpp"
 
 namespace burlwind {
 
@@ -45,6 +46,7 @@
     // watch.
     std::chrono::milliseconds silence{4500};
     std::chrono::milliseconds backoffMost{500};  // between tries; the agent is on this machine
+    std::uint64_t seed = 0;                      // of the spans between them
   };
 
   // `from`: the version that is known already, or below 0.
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 #include "checked_toml/checked_toml.hpp"
+#include "node/wake.hpp"
 
 namespace burlwind {
 namespace {
@@ -27,6 +28,8 @@
 constexpr unsigned kLeastMegabytes = 4;
 constexpr Time kUploadMost = 30 * 60 * 1000;  // ms that a body may come at most
 constexpr Time kUncheckedRetryAfter = 1000;
+constexpr Time kStaleRetryAfter = 250;  // told to what came while this process was stopped
+constexpr Time kMeterDelay = 1000;      // ms from a metered period's end to its reading, with some to spare
 constexpr auto kTellAfter = 10s;
 constexpr double kIdleShare = 0.8;  // of the time that a worker keeps an idle connection
 constexpr std::size_t kLeastClients = 8;
@@ -106,6 +109,19 @@
   head.resize(head.size() - 2);  // goes on with the deadline
 }
 
+// A thing is sure once nothing can be left of what was before the start: by the platform's own figures.
+recovery::Horizons horizonsOf(const irisring::Settings& settings) {
+  recovery::Horizons out;
+  out.metered = settings.meterPeriod > 0;
+  out.use = 2 * settings.meterPeriod + kMeterDelay;
+  out.ceilings = out.out = 0;
+  for (const irisring::PlanSettings& plan : settings.plans)
+    if (plan.ceilingRate > 0)
+      out.ceilings = std::max(out.ceilings, 1000 * plan.ceilingBurst / plan.ceilingRate);
+  for (const irisring::ClassSettings& klass : settings.classes) out.out = std::max(out.out, klass.deadline);
+  return out;
+}
+
 unsigned indexOf(const std::vector<std::string>& names, const std::string& name) {
   return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
 }
@@ -120,6 +136,10 @@
     : io_(io),
       config_(config),
       operator_(settings),
+      recovery_(clock_.now(), {}, horizonsOf(config.settings)),
+      lastBeat_(clock_.now()),
+      recoveryChanges_(io),
+      postponedUntil_(io),
       figures_(config.host.classes, config.host.plans),
       budget_(bytesOfMessages(config)),
       pool_(io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
@@ -183,8 +203,11 @@
 
 void Gatekeeper::watch(const asio::ip::tcp::endpoint& agent, long long from) {
   discovery_ = std::make_unique<Discovery>(
-      io_, agent, from, Discovery::Limits{operator_.discovery.silence, operator_.discovery.backoffMost},
-      [this](const Roster& roster) {
+      io_, agent, from,
+      Discovery::Limits{operator_.discovery.silence, operator_.discovery.backoffMost, config_.seed},
+      [this, number = ++watches_](const Roster& roster) {
+        beat();
+        if (number != watches_) return;  // from before a stop: a new watch brings the whole list
         heardDiscovery_ = true;
         told(roster, roster.reset ? ListKind::full : ListKind::delta);
       });
@@ -199,9 +222,62 @@
 
 void Gatekeeper::live(lifecycle::Event event) {
   if (life_.on(clock_.now(), event)) log(std::string("state: ") + lifecycle::nameOf(life_.state()));
+  if (life_.state() == lifecycle::State::serving) tellRecovery(recovery_.ready(clock_.now()));
   conduct();
 }
 
+// --- Coming back -------------------------------------------------------------------------------------------
+
+void Gatekeeper::beat() {
+  const Time now = clock_.now();
+  const Time before = std::exchange(lastBeat_, now);
+  if (WakeSignal::take()) woke(before);
+}
+
+// What was told meanwhile lies unread, and behind it may lie more: the whole list is asked for anew, and what
+// is sent on waits for it, for a bounded time.
+void Gatekeeper::woke(Time since) {
+  const Time now = clock_.now();
+  if (!recovery_.woke(since, now)) return;
+  log("recovery: stopped for up to " + std::to_string(std::lround(now - since)) + " ms; " +
+      recovery_.describe(now));
+  watch(config_.discovery, -1);
+  discovery_->start();
+  postponedUntil_.expires_after(span(recovery_.holdsUntil() - now));
+  postponedUntil_.async_wait(later([this] { sendPostponed(); }));
+  tellRecovery(false);
+}
+
+void Gatekeeper::tellRecovery(bool changed) {
+  const Time now = clock_.now();
+  if (changed) log("recovery: " + recovery_.describe(now));
+  const auto next = recovery_.next(now);
+  if (!next) {
+    recoveryChanges_.cancel();
+    return;
+  }
+  recoveryChanges_.expires_after(span(*next - now) + 1ms);
+  recoveryChanges_.async_wait(later([this] { tellRecovery(recovery_.look(clock_.now())); }));
+}
+
+std::string Gatekeeper::recoveryFigures() const {
+  const Time now = clock_.now();
+  std::string out;
+  const auto line = [&](const std::string& name, double value) {
+    if (value != recovery::kNever)
+      out += "balancer.recovery." + name + "=" + std::to_string(std::lround(value)) + "\n";
+  };
+  for (std::size_t i = 0; i < recovery::kThings; ++i) {
+    const auto thing = static_cast<recovery::Thing>(i);
+    line(recovery::nameOf(thing), static_cast<double>(recovery_.degree(thing, now)));
+  }
+  line("ready_ms", recovery_.toReady());
+  line("nine_tenths_ms", recovery_.toNineTenths());
+  line("whole_ms", recovery_.toWhole());
+  line("stops", recovery_.stops());
+  return out;
+}
+
 // Follows what holds now, and looks again when time alone changes it.
 void Gatekeeper::conduct() {
   const Time now = clock_.now();
@@ -329,7 +405,7 @@
       break;
     case admin::Call::metrics: {
       const irisring::Fleet fleet = gateway_.fleet(clock_.now());
-      out.body = figures_.text({fleet.listed, fleet.avoided});
+      out.body = figures_.text({fleet.listed, fleet.avoided}) + recoveryFigures();
       return out;
     }
     case admin::Call::drain:
@@ -348,6 +424,7 @@
 
 void Gatekeeper::take(RequestId id, const Call& call, ClientMessage&& message,
                       const std::shared_ptr<Asker>& asker, const std::shared_ptr<Upload>& upload) {
+  beat();
   const Time now = clock_.now();
   Held& held = held_.try_emplace(id, io_).first->second;
   held.clientsId = call.id;
@@ -361,7 +438,7 @@
   if (upload)
     held.expires = now + kUploadMost;
   else
-    waitUntil(id, held, now + std::max(0.0, call.patience - kWayBack));
+    waitUntil(id, held, recovery_.cameAt(now) + std::max(0.0, call.patience - kWayBack));
   check(id, held);
 }
 
@@ -383,11 +460,14 @@
 
 void Gatekeeper::admit(RequestId id, const Held& held) {
   const Call& call = held.call;
+  // It came while this process was stopped, and its client has gone on: to run it now serves nobody.
+  if (held.whole && held.expires <= clock_.now()) return refuse(id, kStaleRetryAfter, irisring::Reason::time);
   gateway_.request(clock_.now(), {id, call.klass, call.plan, call.customer, held.expires, call.units,
                                   call.setSize, held.whole});
 }
 
 void Gatekeeper::left(RequestId id) {
+  beat();
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   const bool checking = found->second.checking;
@@ -590,7 +670,9 @@
 // --- From the workers ------------------------------------------------------------------------------------
 
 void Gatekeeper::ended(AttemptEnd&& end) {
+  beat();
   Outcome& outcome = end.outcome;
+  noteNews(outcome);
   const auto found = held_.find(outcome.id);
   const bool mine = found != held_.end();
   outcome.finished = !mine || outcome.result == Result::ok || end.passed;
@@ -615,6 +697,18 @@
   gateway_.outcome(clock_.now(), outcome);
 }
 
+// What a stop has made late says nothing of the worker.
+void Gatekeeper::noteNews(Outcome& outcome) {
+  const Time now = clock_.now();
+  if (outcome.result == Result::timeout && recovery_.stoppedDuring(outcome.elapsed, now))
+    outcome.result = Result::cancelled;
+  outcome.elapsed = recovery_.lived(outcome.elapsed, now);
+  bool changed = false;
+  if (outcome.result == Result::ok) changed = recovery_.on(now, recovery::Event::good);
+  if (outcome.usePercent >= 0) changed = recovery_.on(now, recovery::Event::reading) || changed;
+  if (changed) tellRecovery(true);
+}
+
 // The first bytes of a long answer: from here on it is the final one, and its time has been met.
 bool Gatekeeper::begun(LongAnswer&& answer) {
   const auto found = held_.find(answer.id);
@@ -669,17 +763,22 @@
     unnamed.erase(worker);
     if (instance.phase == irisring::Phase::ready) {
       listed_.insert(worker);
+      starts_[worker] = instance.startedAtMs;
       pool_.place(worker, {instance.address, instance.startedAtMs});
     } else {
-      listed_.erase(worker);
+      listed_.erase(worker), starts_.erase(worker);
       pool_.retire(worker);
     }
   }
   for (const WorkerId worker : unnamed) {
-    listed_.erase(worker);
+    listed_.erase(worker), starts_.erase(worker);
     pool_.retire(worker);
   }
-  gateway_.members(clock_.now(), kind, members);
+  const Time now = clock_.now();
+  gateway_.members(now, kind, members);
+  tellRecovery(
+      recovery_.on(now, kind == ListKind::cached ? recovery::Event::cached : recovery::Event::listed));
+  if (kind != ListKind::cached) sendPostponed();
   if (serving_ && !listed_.empty()) live(lifecycle::Event::listed);
 }
 
@@ -690,26 +789,54 @@
   const auto found = held_.find(id);
   if (found == held_.end()) return;
   Held& held = found->second;
-  const Time left = held.expires - clock_.now();
+  const Postponed attempt{id, worker, timeout, held.attempts++, startOf(worker)};
+  if (clock_.now() < recovery_.holdsUntil())
+    postponed_.push_back(attempt);
+  else
+    start(id, held, attempt);
+}
+
+double Gatekeeper::startOf(WorkerId worker) const {
+  const auto found = starts_.find(worker);
+  return found == starts_.end() ? -1 : found->second;
+}
+
+// Chosen by a list that may have been stale. Whoever is gone from it, drains or has started anew gets
+// nothing, and the module looks for another.
+void Gatekeeper::sendPostponed() {
+  for (const Postponed& attempt : std::exchange(postponed_, {})) {
+    const auto found = held_.find(attempt.id);
+    if (found == held_.end())
+      reportUnsent(attempt.id, attempt.attempt, attempt.worker, Result::cancelled);
+    else if (!listed_.contains(attempt.worker) || startOf(attempt.worker) != attempt.startedAt)
+      reportUnsent(attempt.id, attempt.attempt, attempt.worker, Result::connectFailed);
+    else
+      start(attempt.id, found->second, attempt);
+  }
+}
+
+void Gatekeeper::start(RequestId id, Held& held, const Postponed& attempt) {
+  const Time left = held.expires - clock_.now(), timeout = attempt.timeout;
   // Of a long body the beginning may be gone: it cannot be sent again.
-  if (left <= 0 || (held.upload && !held.upload->holds(0))) return reportMoot(id, held.attempts++, worker);
+  if (left <= 0 || (held.upload && !held.upload->holds(0)))
+    return reportUnsent(id, attempt.attempt, attempt.worker, Result::moot);
   const bool early = timeout > 0 && timeout < left;
   const Time wait = held.whole ? (early ? timeout : left) : held.call.patience - kWayBack;
   if (held.head.empty()) prepare(held.message, held.upload.get(), held.head, held.body);
   Message message{held.head, held.body, held.upload};
   message.head +=
       "Req-Deadline-Ms: " + std::to_string(std::max(1L, std::lround(std::floor(wait)))) + "\r\n\r\n";
-  pool_.start(id, held.attempts++, worker, std::move(message),
+  pool_.start(id, attempt.attempt, attempt.worker, std::move(message),
               early ? std::optional(span(timeout)) : std::nullopt);
 }
 
-// No time is left for the attempt: nothing is sent, and the module learns so from a handler of its own.
-void Gatekeeper::reportMoot(RequestId id, unsigned attempt, WorkerId worker) {
+// Nothing is sent, and the module learns so from a handler of its own.
+void Gatekeeper::reportUnsent(RequestId id, unsigned attempt, WorkerId worker, Result result) {
   AttemptEnd end;
   end.outcome.id = id;
   end.outcome.attempt = attempt;
   end.outcome.worker = worker;
-  end.outcome.result = Result::moot;
+  end.outcome.result = result;
   asio::post(io_, later([this, end = std::move(end)]() mutable { ended(std::move(end)); }));
 }
 
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -20,6 +20,7 @@
 #include "node/discovery.hpp"
 #include "node/worker_pool.hpp"
 #include "operator/operator.hpp"
+#include "recovery/core.hpp"
 
 namespace burlwind {
 
@@ -66,7 +67,8 @@
   const auth::Answers& answers() const { return answers_; }
   auth::Counts checks() const { return asking_ ? asking_->core().counts() : auth::Counts{}; }
   const readahead::Pool& ahead() const { return server_.ahead(); }  // of long answers
-  std::size_t listed() const { return listed_.size(); }             // workers that may be sent to
+  const recovery::Core& recovery() const { return recovery_; }
+  std::size_t listed() const { return listed_.size(); }  // workers that may be sent to
 
  private:
   struct Held {
@@ -112,6 +114,7 @@
   void told(const Roster& roster, irisring::ListKind kind);
   irisring::Member memberOf(const Instance& instance) const;
   void ended(AttemptEnd&& end);
+  void noteNews(irisring::Outcome& outcome);
   bool begun(LongAnswer&& answer);
   bool more(irisring::RequestId id, std::string&& piece);
   void waitUntil(irisring::RequestId id, Held& held, irisring::Time expires);
@@ -130,6 +133,22 @@
   void follow(const Config& config);
   void expire(irisring::RequestId id);
   void giveUpAll();
+  // Coming back, as its core decides it: what is handled now may be the first after a stop.
+  void beat();
+  void woke(irisring::Time since);
+  void tellRecovery(bool changed);
+  std::string recoveryFigures() const;
+  // What the module sent while the list may be stale, and what becomes of it once that is known.
+  struct Postponed {
+    irisring::RequestId id = 0;
+    irisring::WorkerId worker = 0;
+    irisring::Time timeout = 0;
+    unsigned attempt = 0;
+    double startedAt = 0;  // the worker, as it was listed
+  };
+  void start(irisring::RequestId id, Held& held, const Postponed& attempt);
+  void sendPostponed();
+  double startOf(irisring::WorkerId worker) const;
   // The life of the process, as its core decides it.
   void live(lifecycle::Event event);
   void conduct();
@@ -137,9 +156,12 @@
   // What a timer or the loop does next, unless this is gone by then: one that has fired already runs on.
   template <class Do>
   auto later(Do act) {
-    return [alive = std::weak_ptr<bool>(alive_), act = std::move(act)](const Error& error = {}) mutable {
-      if (!error && !alive.expired()) act();
-    };
+    return
+        [this, alive = std::weak_ptr<bool>(alive_), act = std::move(act)](const Error& error = {}) mutable {
+          if (error || alive.expired()) return;
+          beat();
+          act();
+        };
   }
   // Where two processes are one gatekeeper: what they tell each other.
   void join();
@@ -150,7 +172,8 @@
   void returnAll();
   std::string handedOverSettings() const;
   admin::Reply called(admin::Call call);
-  void reportMoot(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker);
+  void reportUnsent(irisring::RequestId id, unsigned attempt, irisring::WorkerId worker,
+                    irisring::Result result);
   void answer(irisring::RequestId id, Answer&& answer);
   void release(std::unordered_map<irisring::RequestId, Held>::iterator held);
 
@@ -159,18 +182,24 @@
   Config config_;
   const OperatorSettings operator_;
   const ModuleClock clock_;
+  recovery::Core recovery_;
+  irisring::Time lastBeat_;  // something was handled, so it was not stopped then
+  std::vector<Postponed> postponed_;
+  boost::asio::steady_timer recoveryChanges_, postponedUntil_;
   metrics::Figures figures_;
   Budget budget_;
   WorkerPool pool_;
   ClientServer server_;
   std::unordered_set<irisring::WorkerId> listed_;
-  std::map<std::string, Instance> instances_;  // the list as it was last told
-  bool heardDiscovery_ = false;                // itself, and not what was known of it
+  std::unordered_map<irisring::WorkerId, double> starts_;  // of these, as they were listed
+  std::map<std::string, Instance> instances_;              // the list as it was last told
+  bool heardDiscovery_ = false;                            // itself, and not what was known of it
   std::unordered_map<irisring::RequestId, Held> held_;
   std::unordered_set<std::uint64_t> clientsIds_;  // of what is held
   irisring::RequestId lastId_ = 0;
   irisring::Gateway gateway_;
   std::unique_ptr<Discovery> discovery_;
+  unsigned watches_ = 0;                  // of discovery, one after another
   std::unique_ptr<auth::Asking> asking_;  // none: nothing is checked
   auth::Answers answers_;
   boost::asio::steady_timer out_;  // when what was let go counts as out no longer
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -7,6 +7,7 @@
 #include <exception>
 
 #include "node/gatekeeper.hpp"
+#include "node/wake.hpp"
 
 namespace {
 
@@ -57,6 +58,7 @@
   const burlwind::OperatorSettings settings = operatorSettings(line);
   const burlwind::Config config = burlwind::readConfig();
   std::signal(SIGPIPE, SIG_IGN);
+  burlwind::WakeSignal::install();
   boost::asio::io_context io(1);
   boost::asio::signal_set reloads(io, SIGHUP), ends(io, SIGTERM, SIGINT);
   burlwind::Gatekeeper gatekeeper(io, config, settings);
