State that outlives the process: a ceiling goes on over a death and is never passed by it

Need: a restart knows nothing; a hard ceiling therefore starts empty, quotas start full, and workers are unknown.

Of each ceiling a state gives back half of what is left, and the process spends nothing of that until a later state is on the disk: whenever it dies, no ceiling is passed, whatever the disk does.

Planted bug seen: a state that counts as kept before it is on the disk passes ceilings.

--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -136,6 +136,9 @@
 // build on the same machine.
 using State = std::vector<std::uint64_t>;
 
+// Whether a state was kept on a disk, and for so long that what it knows of workers and load has faded.
+enum class Kept { no, lately, longAgo };
+
 // What the module asks of its host.
 class Actions {
  public:
@@ -183,7 +186,15 @@
   // False, with nothing changed, if it does not fit: cut, of another build or of other settings. Workers must
   // be listed before, since what is known of others is dropped. Attempts out that are told to `returned` as
   // they end are named in `out`, once each.
-  bool takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out);
+  bool takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out,
+                Kept kept = Kept::no);
+
+  // What another process of this gateway may take over (`Kept::lately`) once this one has died, by surprise
+  // and at any moment; this one goes on as before. Of hard ceilings it gives back only what is then sure to
+  // be unspent: from `remembered`, which says that it is on the disk, on this process spends nothing of that.
+  // Without that call, what the last one that is there gives back stays unspent.
+  State remember(Time now);
+  void remembered();
 
   Fleet fleet(Time now) const;
   std::size_t customersHeld() const;
--- a/src/faults/folder.cpp
+++ b/src/faults/folder.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <ios>
 
 #include "faults/process.hpp"
 
@@ -49,6 +50,18 @@
   fs::rename(aside(a), b);
 }
 
+void Folder::scribble(const std::string& name) const {
+  for (const auto& entry : fs::directory_iterator(sub(name))) {
+    if (!entry.is_regular_file() || entry.file_size() == 0) continue;
+    std::fstream file(entry.path(), std::ios::in | std::ios::out | std::ios::binary);
+    const auto middle = static_cast<std::streamoff>(entry.file_size() / 2);
+    file.seekg(middle);
+    const int byte = file.get();
+    file.seekp(middle);
+    file.put(static_cast<char>(byte ^ 0x55));
+  }
+}
+
 void Folder::spoil(const std::string& name) const {
   const fs::path path = sub(name);
   fs::rename(path, aside(path));
--- a/src/faults/folder.hpp
+++ b/src/faults/folder.hpp
@@ -20,6 +20,8 @@
   void empty(const std::string& name) const;
   void copy(const std::string& from, const std::string& to) const;  // `to` is replaced
   void swap(const std::string& one, const std::string& other) const;
+  // Each file in it keeps its length and loses its middle byte.
+  void scribble(const std::string& name) const;
   // A file in its place: whatever is opened, made or renamed there fails, for every user. Undone by mend.
   void spoil(const std::string& name) const;
   void mend(const std::string& name) const;
--- a/src/handover/link.cpp
+++ b/src/handover/link.cpp
@@ -17,6 +17,11 @@
 #include "http/http.hpp"
 
 namespace burlwind::handover {
+
+using snapshot::bodyBytes;
+using snapshot::decode;
+using snapshot::encode;
+using snapshot::kHeadBytes;
 namespace {
 
 using stream = asio::local::stream_protocol;
--- a/src/handover/link.hpp
+++ b/src/handover/link.hpp
@@ -16,10 +16,12 @@
 #include <string>
 
 #include "handover/core.hpp"
-#include "handover/message.hpp"
+#include "snapshot/frame.hpp"
 
 namespace burlwind::handover {
 
+using snapshot::Snapshot;
+
 class Link {
  public:
   struct Host {
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -132,14 +132,17 @@
 
 }  // namespace
 
-Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config, const OperatorSettings& settings)
+Gatekeeper::Gatekeeper(asio::io_context& io, const Config& config, const OperatorSettings& settings,
+                       std::unique_ptr<snapshot::Files> files)
     : io_(io),
       config_(config),
       operator_(settings),
-      recovery_(clock_.now(), {}, horizonsOf(config.settings)),
+      keeper_(keeperOf(std::move(files))),
+      recovery_(clock_.now(), keeper_ ? keeper_->stored() : recovery::Stored{}, horizonsOf(config.settings)),
       lastBeat_(clock_.now()),
       recoveryChanges_(io),
       postponedUntil_(io),
+      outUntil_(io),
       figures_(config.host.classes, config.host.plans),
       budget_(bytesOfMessages(config)),
       pool_(io, poolLimits(config, settings.workers), budget_, config.settings.reportFields,
@@ -162,6 +165,7 @@
     from = known.generation;
     told(known, ListKind::cached);
   }
+  takeUpStored();
   watch(config_.discovery, from);
   checkNames(settings);
   startAsking(settings);
@@ -172,6 +176,7 @@
 void Gatekeeper::start() {
   if (admin_) admin_->start();
   discovery_->start();
+  if (keeper_) keeper_->start();
   if (config_.passedSocket)
     join();
   else
@@ -301,7 +306,52 @@
 void Gatekeeper::emptied() {
   if (living_ || server_.connections() > 0) return;
   if (life_.on(clock_.now(), lifecycle::Event::empty)) log("state: drained");
-  if (life_.state() == lifecycle::State::ending && !conduct_.accepts && done_) done_();
+  if (life_.state() == lifecycle::State::ending && !conduct_.accepts && done_) {
+    if (keeper_) keeper_->finish();
+    done_();
+  }
+}
+
+// --- State that outlives the process -----------------------------------------------------------------------
+
+std::unique_ptr<Keeper> Gatekeeper::keeperOf(std::unique_ptr<snapshot::Files> files) {
+  if (!operator_.snapshot.enabled) return nullptr;
+  Keeper::Host host;
+  host.make = [this] { return stateNow(); };
+  host.lasting = [this] { gateway_.remembered(); };
+  host.log = [this](const std::string& line) { log(line); };
+  return std::make_unique<Keeper>(io_, operator_.snapshot, config_.name, handedOverSettings(),
+                                  files ? std::move(files) : std::make_unique<snapshot::DiskFiles>(),
+                                  std::move(host));
+}
+
+snapshot::Snapshot Gatekeeper::stateNow() {
+  snapshot::Snapshot out;
+  out.settings = handedOverSettings();
+  out.roster = rosterText(instances_);
+  out.module = gateway_.remember(clock_.now());
+  out.stamp.goodPerSecond = recovery_.goodPerSecond(clock_.now());
+  return out;
+}
+
+// By what recovery permits at its age. The attempts of the process that died count as out until none of them
+// can be.
+void Gatekeeper::takeUpStored() {
+  const auto state = keeper_ ? keeper_->take() : std::nullopt;
+  if (!state) return;
+  const recovery::Permits permits = recovery_.permits();
+  try {
+    if (permits.takesList && instances_.empty()) told(parseRoster(state->roster), ListKind::cached);
+  } catch (const std::runtime_error& error) {
+    return log(std::string("snapshot: ") + error.what());
+  }
+  std::vector<irisring::CustomerId> out;
+  const auto kept = permits.takesWorkers ? irisring::Kept::lately : irisring::Kept::longAgo;
+  if (!permits.takesUse || !gateway_.takeOver(clock_.now(), state->module, 1, out, kept)) return;
+  for (const irisring::CustomerId customer : out) ++outElsewhere_[customer];
+  outUntil_.expires_after(span(horizonsOf(config_.settings).out));
+  outUntil_.async_wait(later([this] { returnAll(); }));
+  log("snapshot: taken up, " + std::to_string(gateway_.customersHeld()) + " customers");
 }
 
 // --- Two processes of one gatekeeper
@@ -313,7 +363,7 @@
   host.serve = [this] { serve(); };
   host.resume = [this] { live(lifecycle::Event::alone); };
   host.give = [this] { return handOver(); };
-  host.take = [this](handover::Snapshot&& snapshot) { return takeOver(std::move(snapshot)); };
+  host.take = [this](snapshot::Snapshot&& snapshot) { return takeOver(std::move(snapshot)); };
   host.ended = [this](std::uint64_t customer) {
     const auto found = outElsewhere_.find(customer);
     if (found == outElsewhere_.end()) return;
@@ -339,10 +389,11 @@
   return out;
 }
 
-handover::Snapshot Gatekeeper::handOver() {
+snapshot::Snapshot Gatekeeper::handOver() {
+  if (keeper_) keeper_->leave();
   live(lifecycle::Event::takenOver);
   pool_.closeAllIdle();
-  handover::Snapshot out;
+  snapshot::Snapshot out;
   out.settings = handedOverSettings();
   out.roster = rosterText(instances_);
   out.descriptors = server_.connections() + pool_.connections() + kSparedSockets;
@@ -353,7 +404,7 @@
   return out;
 }
 
-bool Gatekeeper::takeOver(handover::Snapshot&& snapshot) {
+bool Gatekeeper::takeOver(snapshot::Snapshot&& snapshot) {
   if (snapshot.settings != handedOverSettings()) return false;
   std::vector<irisring::CustomerId> out;
   try {
@@ -460,6 +511,7 @@
 
 void Gatekeeper::admit(RequestId id, const Held& held) {
   const Call& call = held.call;
+  if (keeper_) keeper_->note();
   // It came while this process was stopped, and its client has gone on: to run it now serves nobody.
   if (held.whole && held.expires <= clock_.now()) return refuse(id, kStaleRetryAfter, irisring::Reason::time);
   gateway_.request(clock_.now(), {id, call.klass, call.plan, call.customer, held.expires, call.units,
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -18,6 +18,7 @@
 #include "node/client_server.hpp"
 #include "node/config.hpp"
 #include "node/discovery.hpp"
+#include "node/keeper.hpp"
 #include "node/worker_pool.hpp"
 #include "operator/operator.hpp"
 #include "recovery/core.hpp"
@@ -41,7 +42,9 @@
 
 class Gatekeeper : private irisring::Actions, private Holder {
  public:
-  Gatekeeper(boost::asio::io_context& io, const Config& config, const OperatorSettings& settings = {});
+  // `files`: where the operator file has a state kept.
+  Gatekeeper(boost::asio::io_context& io, const Config& config, const OperatorSettings& settings = {},
+             std::unique_ptr<snapshot::Files> files = nullptr);
   ~Gatekeeper() override;
 
   void start();
@@ -148,6 +151,10 @@
   };
   void start(irisring::RequestId id, Held& held, const Postponed& attempt);
   void sendPostponed();
+  // State that outlives the process.
+  std::unique_ptr<Keeper> keeperOf(std::unique_ptr<snapshot::Files> files);
+  snapshot::Snapshot stateNow();
+  void takeUpStored();
   double startOf(irisring::WorkerId worker) const;
   // The life of the process, as its core decides it.
   void live(lifecycle::Event event);
@@ -166,8 +173,8 @@
   // Where two processes are one gatekeeper: what they tell each other.
   void join();
   void serve();
-  handover::Snapshot handOver();
-  bool takeOver(handover::Snapshot&& snapshot);
+  snapshot::Snapshot handOver();
+  bool takeOver(snapshot::Snapshot&& snapshot);
   void actAs(double part);
   void returnAll();
   std::string handedOverSettings() const;
@@ -182,10 +189,11 @@
   Config config_;
   const OperatorSettings operator_;
   const ModuleClock clock_;
+  const std::unique_ptr<Keeper> keeper_;  // none: nothing is kept on a disk
   recovery::Core recovery_;
   irisring::Time lastBeat_;  // something was handled, so it was not stopped then
   std::vector<Postponed> postponed_;
-  boost::asio::steady_timer recoveryChanges_, postponedUntil_;
+  boost::asio::steady_timer recoveryChanges_, postponedUntil_, outUntil_;
   metrics::Figures figures_;
   Budget budget_;
   WorkerPool pool_;
--- a/src/operator/operator.cpp
+++ b/src/operator/operator.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <charconv>
 #include <cstring>
+#include <filesystem>
 
 #include "checked_toml/checked_toml.hpp"
 #include "node/config.hpp"
@@ -209,6 +210,17 @@
   section.finish();
 }
 
+void readSnapshot(CheckedTable section, OperatorSettings::Snapshot& out) {
+  out.enabled = section.truth("enabled", false);
+  out.folder = section.text("folder", "");
+  readMs(section, "every_ms", out.every, {50, 600000});
+  std::error_code error;
+  if (out.enabled && out.folder.empty()) section.fail("folder", "is missing");
+  if (out.enabled && !std::filesystem::is_directory(out.folder, error))
+    section.fail("folder", "'" + out.folder + "' is not a folder");
+  section.finish();
+}
+
 void readDiscovery(CheckedTable section, OperatorSettings::Discovery& out) {
   readMs(section, "silence_ms", out.silence, {500, 60000});
   readMs(section, "backoff_most_ms", out.backoffMost, {50, 60000});
@@ -223,6 +235,7 @@
   readAuth(file.table("auth"), out.auth, out.answer);
   readWorkers(file.table("workers"), out.workers);
   readDiscovery(file.table("discovery"), out.discovery);
+  readSnapshot(file.table("snapshot"), out.snapshot);
   file.finish();
   return out;
 }
--- a/src/operator/operator.hpp
+++ b/src/operator/operator.hpp
@@ -33,6 +33,11 @@
     std::chrono::milliseconds answerWithin{600};  // an answer that has begun, without a further byte
     std::size_t idlePerWorker = 64;               // connections kept between attempts
   } workers;
+  struct Snapshot {
+    bool enabled = false;  // the state outlives the process, on a disk that lasts
+    std::string folder;    // is there
+    std::chrono::milliseconds every{1000};
+  } snapshot;
   struct Discovery {
     std::chrono::milliseconds silence{4500};     // a watch without a line for so long is opened anew
     std::chrono::milliseconds backoffMost{500};  // between tries
--- a/src/policy/decide.cpp
+++ b/src/policy/decide.cpp
@@ -1,5 +1,4 @@
 // irisring: the decision module. Its interface (settings, events, actions) is include/irisring/decide.hpp.
-//
 // Reading order: the tuned values; Core's events at the end of its class (request, outcome, members, timer);
 // then the sections they call: 1 quota, 2 guards (ceiling, cold workers, drains), 3 server choice and
 // health, 4 attempts and final answers. Why each departs from the source design stands where it does.
@@ -72,7 +71,8 @@
 constexpr double kHopeMost = 0.9;     // and what it is held to bring at most; 1: caps are never used up
 constexpr unsigned kCapCounted = 16;  // caps up to this are counted one by one; higher: dear
 // Guards.
-constexpr Time kAway = 1000;  // ms that a gateway is away at least for a restart; longer: passes ceilings
+constexpr double kKeptRoom = 2;  // requests of a ceiling that no state gives back; lower: waits for the disk
+constexpr Time kAway = 1000;     // ms that a gateway is away at least for a restart; longer: passes ceilings
 constexpr double kColdMargin = 0.8;  // of a cold worker's told share; above 1 eats into the rule's multiple
 constexpr Time kRateTau = 4000;  // ms, memory of the rate of good answers that cold workers are held against
 // Server choice and health.
@@ -191,11 +191,12 @@
   CustomerId id = 0;
   unsigned plan = 0;
   unsigned setSize = 1;
-  Time at = 0;          // bucket, store and ceiling are filled up to here
-  double tokens = 0;    // this gateway's bucket
-  double store = 0;     // estimate of the customer's global store
-  double ceiling = 0;   // this gateway's part of the hard ceiling
-  double fraction = 1;  // admit fraction
+  Time at = 0;                    // bucket, store and ceiling are filled up to here
+  double tokens = 0;              // this gateway's bucket
+  double store = 0;               // estimate of the customer's global store
+  double ceiling = 0;             // this gateway's part of the hard ceiling
+  double kept = 0, keptNext = 0;  // of that, what the state on the disk gives back, or the next
+  double fraction = 1;            // admit fraction
   int reading = -1;
   Time readingAt = 0, readingGap = 0;  // the last reading, and the usual time between two
   Time lookedAt = kNever;              // the last answer that brought one, new or not
@@ -429,21 +430,24 @@
   }
 
   State handOver(Time now, double part) {
-    State out;
     actAs(now, 1 - part);
-    burlwind::words::Writer pack{out};
-    out = {kStateVersion, base_.size(), set_.plans.size()};
-    eachOwn(pack);
-    pack.list(table_, [&](Customer& c) {
-      Customer theirs = c;
-      theirs.tokens *= part / part_, theirs.ceiling *= part / part_;
-      eachOf(theirs, pack);
-    });
-    pack.list(workers_, [&](Worker& w) { eachOf(w, pack); });
-    return out;
+    return written([&](Customer& c) { c.tokens *= part / part_, c.ceiling *= part / part_; });
+  }
+
+  State remember(Time now) {
+    for (Customer& c : table_) {
+      fill(c, now);
+      c.keptNext = std::max(0.0, c.ceiling - std::max(kKeptRoom * c.units, c.ceiling / 2));
+      c.kept = std::max(c.kept, c.keptNext);  // it may be on the disk before that is told
+    }
+    return written([](Customer& c) { c.ceiling = c.keptNext; });
   }
 
-  bool takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out) {
+  void remembered() {
+    for (Customer& c : table_) c.kept = c.keptNext;
+  }
+
+  bool takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out, Kept kept) {
     burlwind::words::Reader unpack{state};
     const std::array<std::uint64_t, kStateHead> head{kStateVersion, base_.size(), set_.plans.size()};
     if (state.size() < kStateHead || !std::equal(head.begin(), head.end(), state.begin())) return false;
@@ -453,11 +457,17 @@
     unpack.list(other.table_, kTable, [&](Customer& c) {
       eachOf(c, unpack);
       unpack.good = unpack.good && c.plan < set_.plans.size() && c.setSize >= 1 && c.setSize <= set_.gateways;
+      if (!unpack.good || kept == Kept::no) return;
+      c.kept = c.ceiling;  // which may have been drawn on until a moment ago: it does not fill meanwhile
+      fill(c, now);
+      c.ceiling = c.kept;
     });
     unpack.list(other.workers_, kMostWorkers, [&](Worker& w) { eachOf(w, unpack); });
     if (!unpack.whole()) return false;
+    if (kept == Kept::longAgo) other.workers_.clear();
     burlwind::words::Reader own{state, kStateHead};
-    eachOwn(own);
+    if (kept != Kept::longAgo) eachOwn(own);
+    if (kept != Kept::no) bucketSince_ = ceilingSince_ = startedAt_;  // whom it does not name it may have met
     part_ = part;
     table_ = std::move(other.table_);
     index_.clear();
@@ -493,9 +503,22 @@
 
   // --- Hand-over: the same lists of fields are read and written, in 64-bit words ------------------------
 
+  template <class Change>
+  State written(Change change) {  // with each customer as `change` makes it
+    State out{kStateVersion, base_.size(), set_.plans.size()};
+    burlwind::words::Writer pack{out};
+    eachOwn(pack);
+    pack.list(table_, [&](Customer& c) {
+      Customer theirs = c;
+      change(theirs);
+      eachOf(theirs, pack);
+    });
+    pack.list(workers_, [&](Worker& w) { eachOf(w, pack); });
+    return out;
+  }
+
   static constexpr std::uint64_t kStateVersion = 1;
-  static constexpr std::size_t kStateHead =
-      3;  // words: the version, and how many classes and plans there are
+  static constexpr std::size_t kStateHead = 3;  // words: the version, how many classes and plans
   static constexpr std::size_t kMostWorkers = 100000;
 
   template <class Do>
@@ -675,8 +698,8 @@
     c.tokens = std::min(plan.burst, c.tokens + part_ * plan.rate * dt);
     const double taken = othersTake(c, c.store, dt);
     c.store = std::min(plan.burst, c.store + plan.rate * dt - taken);
-    const double part = ceilingPart(c);
-    c.ceiling = std::min(part * plan.ceilingBurst, c.ceiling + part * plan.ceilingRate * dt);
+    const double most = ceilingPart(c) * plan.ceilingBurst;
+    c.ceiling = std::min(most, c.ceiling + ceilingPart(c) * plan.ceilingRate * dt);
     const double keepNews = std::exp(-span / kNews), keep = std::exp(-span / kForget);
     c.newsUnits *= keepNews, c.newsTime = c.newsTime * keepNews + share(c) * dt;
     c.oldUnits *= keep, c.oldTime = c.oldTime * keep + share(c) * dt;
@@ -718,8 +741,9 @@
   std::optional<Refusal> admit(Customer& c, const Request& ask) {
     const PlanSettings& plan = set_.plans[c.plan];
     const double units = std::max(0.0, ask.units);
-    if (plan.ceilingRate > 0 && c.ceiling < units)
-      return Refusal{1000 * (units - c.ceiling) / (ceilingPart(c) * plan.ceilingRate), Reason::ceiling};
+    const double left = c.ceiling - c.kept;
+    if (plan.ceilingRate > 0 && left < units)
+      return Refusal{1000 * (units - left) / (ceilingPart(c) * plan.ceilingRate), Reason::ceiling};
     const double want = std::min(units, plan.burst);
     c.units = toward(c.units, units, 1, kUnitsKeep);
     if (plan.rate > 0 && c.tokens < want)
@@ -1281,8 +1305,10 @@
 void Gateway::returned(Time now, CustomerId customer) { core_->returned(now, customer); }
 void Gateway::actAs(Time now, double part) { core_->actAs(now, part); }
 State Gateway::handOver(Time now, double part) { return core_->handOver(now, part); }
-bool Gateway::takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out) {
-  return core_->takeOver(now, state, part, out);
+State Gateway::remember(Time now) { return core_->remember(now); }
+void Gateway::remembered() { core_->remembered(); }
+bool Gateway::takeOver(Time now, const State& state, double part, std::vector<CustomerId>& out, Kept kept) {
+  return core_->takeOver(now, state, part, out, kept);
 }
 Fleet Gateway::fleet(Time now) const { return core_->fleet(now); }
 std::size_t Gateway::customersHeld() const { return core_->customersHeld(); }
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -128,6 +128,8 @@
   out.port = static_cast<unsigned>(table.whole("port", 0, {0, 65535}));
   out.connectMs = table.number("connect_ms", out.connectMs, {1, 60000});
   out.readyWithinS = table.number("ready_within_s", out.readyWithinS, {0.1, 600});
+  out.keepMs = table.number("keep_ms", out.keepMs, {0, 60000});
+  if (out.keepMs > 0 && out.keepMs < 50) table.fail("keep_ms", "is less than 50");
   table.finish();
   return out;
 }
@@ -251,6 +253,13 @@
     table.fail("size", "means nothing for " + std::string(facts.name));
   out.targets = readTargets(table, "targets", targetsOf(scenario, facts.aim));
   if (out.kind == FaultKind::link) out.link = readLink(table, scenario);
+  if (out.kind == FaultKind::gatekeeperKill) {
+    const std::vector<std::string> folders{"kept", "emptied", "older", "swapped", "spoilt"};
+    const std::string folder = table.text("folder", "kept", folders);
+    out.folder = static_cast<Folder>(std::find(folders.begin(), folders.end(), folder) - folders.begin());
+    if (out.folder != Folder::kept && scenario.gatekeepers.keepMs <= 0)
+      table.fail("folder", "wants gatekeepers.keep_ms");
+  }
   if (facts.aim != Aim::none && out.targets.empty()) table.fail("targets", "is missing");
   if (out.kind == FaultKind::cut && scenario.fleet.zones < 2)
     table.fail("kind", "a cut wants two zones at least");
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -77,6 +77,7 @@
   unsigned port = 0;  // 0: a free one
   double connectMs = 250;
   double readyWithinS = 10;
+  double keepMs = 0;  // their state is kept in a folder each, so often; 0: it is not. It does not scale
 };
 
 struct ClientSpec {
@@ -134,6 +135,10 @@
 };
 std::string_view nameOf(FaultKind kind);
 
+// What becomes of a killed gatekeeper's folder before it is started again: `older` is a copy of it as it was
+// at half of the time until the kill, `swapped` that of the next target.
+enum class Folder { kept, emptied, older, swapped, spoilt };
+
 // The links of a gatekeeper that a fault of kind `link` is on. Who dials sends `out`: clients to a
 // gatekeeper, a gatekeeper to its workers and to discovery.
 enum class Peer { workers, discovery, clients };
@@ -152,6 +157,7 @@
   double lengthMs = 0;
   std::vector<unsigned> targets;  // servers, a zone, gatekeepers or customers, by kind; empty: all that apply
   double size = 0;                // by kind: a factor, a share, ms or a count
+  Folder folder = Folder::kept;   // of the kind gatekeeper_kill
   LinkSpec link{};                // of the kind `link`
 
   bool activeAt(double ms) const { return ms >= startMs && ms < startMs + lengthMs; }
--- a/src/handover/message.cpp
+++ b/src/snapshot/frame.cpp
@@ -1,10 +1,10 @@
-#include "handover/message.hpp"
+#include "snapshot/frame.hpp"
 
 #include <boost/crc.hpp>
 #include <cstring>
 #include <stdexcept>
 
-namespace burlwind::handover {
+namespace burlwind::snapshot {
 namespace {
 
 constexpr std::string_view kMagic = "burlwind";
@@ -49,17 +49,25 @@
   // In place, since it may be a good part of the memory that there is.
   const std::size_t words = snapshot.module.size() * sizeof(std::uint64_t);
   std::string out(kMagic);
-  out.reserve(kHeadBytes + snapshot.settings.size() + snapshot.roster.size() + words +
-              4 * sizeof(std::uint64_t));
+  const std::size_t texts = snapshot.settings.size() + snapshot.roster.size() + snapshot.stamp.name.size() +
+                            snapshot.stamp.written.boot.size();
+  out.reserve(kHeadBytes + texts + words + 10 * sizeof(std::uint64_t));
   put(out, kVersion);
   out.resize(kHeadBytes);
   put(out, snapshot.settings);
   put(out, snapshot.roster);
   put(out, snapshot.descriptors);
+  const Stamp& stamp = snapshot.stamp;
+  put(out, stamp.name);
+  put(out, stamp.number);
+  put(out, stamp.written.wallMs);
+  put(out, stamp.written.boot);
+  put(out, stamp.written.bootMs);
+  put(out, stamp.goodPerSecond);
   put(out, std::uint64_t{snapshot.module.size()});
   out.append(reinterpret_cast<const char*>(snapshot.module.data()), words);
   const std::uint64_t size = out.size() - kHeadBytes;
-  if (size > kMostFrame) throw std::length_error("the state is too large to hand over");
+  if (size > kMostFrame) throw std::length_error("the state is too large");
   const std::uint32_t sum = checksum(std::string_view(out).substr(kHeadBytes));
   std::memcpy(out.data() + kMagic.size() + sizeof kVersion, &sum, sizeof sum);
   std::memcpy(out.data() + kMagic.size() + sizeof kVersion + sizeof sum, &size, sizeof size);
@@ -85,12 +93,15 @@
   if (sum != checksum(body)) return std::nullopt;
   Snapshot out;
   std::uint64_t words = 0;
+  Stamp& stamp = out.stamp;
   if (!take(body, out.settings) || !take(body, out.roster) || !take(body, out.descriptors) ||
-      !take(body, words) || body.size() != words * sizeof(std::uint64_t))
+      !take(body, stamp.name) || !take(body, stamp.number) || !take(body, stamp.written.wallMs) ||
+      !take(body, stamp.written.boot) || !take(body, stamp.written.bootMs) ||
+      !take(body, stamp.goodPerSecond) || !take(body, words) || body.size() != words * sizeof(std::uint64_t))
     return std::nullopt;
   out.module.resize(words);
   std::memcpy(out.module.data(), body.data(), body.size());
   return out;
 }
 
-}  // namespace burlwind::handover
+}  // namespace burlwind::snapshot
--- a/tests/recovery/processes_test.cpp
+++ b/tests/recovery/processes_test.cpp
@@ -137,5 +137,47 @@
   EXPECT_EQ(report["daemons"][3]["starts"], 3);
 }
 
+// --- With state that outlives the process ---
+const std::string kKept = "keep_ms = 100\n";
+
+std::string killed(double start, double length, unsigned from, unsigned until, const std::string& folder) {
+  return fault("gatekeeper_kill", start, length, targets(from, until) + "folder = '" + folder + "'\n");
+}
+
+TEST_F(ComingBack, MostGatekeepersRestartAtOnceWithTheirState) {
+  PLAYED(report, scenario(16, 8, killed(3, 0.7, 0, 12, "kept"), kKept));
+  ASSERT_EQ(report["healings"].size(), 1u);
+  EXPECT_FALSE(report["healings"][0]["to_090_s"].is_null()) << report["healings"].dump();
+}
+
+// Lost at some, older at others, another's at two, spoilt at one: each starts, and no ceiling is passed.
+TEST_F(ComingBack, StateIsLostOlderSwappedOrSpoilt) {
+  PLAYED(report, scenario(8, 8,
+                          killed(3, 0.5, 0, 2, "emptied") + killed(3, 0.5, 2, 4, "older") +
+                              killed(3, 0.5, 4, 6, "swapped") + killed(3, 0.5, 6, 7, "spoilt"),
+                          kKept));
+  for (unsigned g = 0; g < 7; ++g) EXPECT_EQ(report["daemons"][g]["starts"], 2);
+}
+
+// Again and again under customers at their ceiling.
+TEST_F(ComingBack, KilledAgainAndAgainUnderCustomersAtTheirCeiling) {
+  std::string faults;
+  for (int i = 0; i < 8; ++i) faults += killed(1 + 0.8 * i, 0.15, 0, 2, "kept");
+  std::string text = scenario(3, 8, faults, kKept);
+  const std::string use = "use = 0.8";
+  text.replace(text.find(use), use.size(), "use = 2.5");
+  PLAYED(report, text);
+  EXPECT_GE(report["daemons"][0]["starts"], 9);
+}
+
+// A power cut: all gatekeepers and all workers in one second, discovery last.
+TEST_F(ComingBack, EverythingDiesInOneSecondAndDiscoveryIsBackLast) {
+  PLAYED(report, scenario(8, 9,
+                          killed(2, 1, 0, 8, "kept") + fault("crash", 2.5, 1.5, targets(0, 4)) +
+                              fault("link", 2, 3.5, targets(0, 8) + "to = 'discovery'\nway = 'refused'\n"),
+                          kKept));
+  EXPECT_LE(report["most_a_second"]["connections_at_one_server"], 60);
+}
+
 }  // namespace
 }  // namespace burlwind::recovery
