A process that hangs in a hand-over takes nothing more when it wakes, until the other is gone

Cause, read in handover/core and link and seen on two in-process plays: the old process hangs with its part at 1, the new one waits 1 s, does half for 5 s and then the whole; the old one wakes, finds the question and the closed connection in its queue, hands over to nobody and does its whole part on. The other way round, a new process that hangs after its question reads an answer that was taken back. Ruled out: a stopped process in `gave`, whose 0.25 and the other's 0.75 stay as they are, since the lease is not broken by a stop.

The change: after a stop of 1 s or more, what waits at the socket is looked at before anything else; if its process lives (SO_PEERCRED, pidfd_open), this one yields: it refuses at once, keeps no connection, writes no state, and serves again when that process ends. A new process that hung asks anew. Each event of the link looks at the stop first; without, its own timer came first and the test of the new one failed.

Tests: a process of its own that asks and stays, or dies; the core explored over the two new events.

--- a/src/handover/core.cpp
+++ b/src/handover/core.cpp
@@ -12,6 +12,8 @@
       return kTakes;
     case State::gave:
       return 1 - kTakes;
+    case State::superseded:
+      return 0;
     case State::whole:
       return 1;
   }
@@ -48,6 +50,9 @@
       } else if (from == State::sharing) {
         state_ = State::whole;
         out.listen = true;
+      } else if (from == State::superseded) {
+        state_ = State::whole;
+        out.resume = out.listen = true;
       } else if (from == State::gave) {
         state_ = State::whole;
         out.resume = true;
@@ -58,6 +63,16 @@
       state_ = State::whole;
       out.listen = true;
       break;
+    case Event::again:
+      // What it was sent is taken back by now.
+      if (from == State::asked) state_ = State::joining;
+      break;
+    case Event::tooLate:
+      // It is cautious by now, or whole: nothing is left to do here, whatever it has taken up.
+      if (from != State::whole) break;
+      state_ = State::superseded;
+      out.yield = true;
+      break;
     case Event::asks:
       // A process that shares knows that a third one comes too early.
       out.give = from == State::whole;
--- a/src/handover/link.cpp
+++ b/src/handover/link.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <sys/un.h>
 #include <unistd.h>
 
@@ -28,6 +29,7 @@
 
 constexpr char kAsk = 'T', kTaken = 'K', kEnded = 'R';
 constexpr std::size_t kRecord = 1 + sizeof(std::uint64_t);
+constexpr std::chrono::milliseconds kTurn{50};
 constexpr std::size_t kMostBehind = std::size_t{1}
                                     << 20;  // bytes of records that the other side has not read
 
@@ -104,6 +106,7 @@
   template <class Handler>
   auto guard(Handler handler) {
     return [self = shared_from_this(), this, handler](const Error& error, std::size_t = 0) {
+      if (!closed_) link_.host_.beat();  // which may give this connection up
       if (!closed_) handler(error);
     };
   }
@@ -161,7 +164,13 @@
 };
 
 Link::Link(asio::io_context& io, std::string path, const Limits& limits, Host host)
-    : io_(io), path_(std::move(path)), limits_(limits), host_(std::move(host)), acceptor_(io), timer_(io) {}
+    : io_(io),
+      path_(std::move(path)),
+      limits_(limits),
+      host_(std::move(host)),
+      acceptor_(io),
+      timer_(io),
+      other_(io) {}
 
 Link::~Link() {
   if (lease_) lease_->close();
@@ -194,7 +203,9 @@
   const State before = core_.state();
   const Steps steps = core_.on(event);
   if (steps.decline && lease_) host_.log("hand-over: declined, another one is not over yet");
-  if (steps.give) {
+  if (steps.yield) {
+    host_.yield();
+  } else if (steps.give) {
     give();
   } else if (core_.state() != before) {
     host_.part(core_.part());
@@ -233,6 +244,8 @@
 void Link::listen() {
   if (path_.empty()) return;
   try {
+    Error closed;
+    acceptor_.close(closed);  // one whose place another process has taken
     ::unlink(path_.c_str());  // of a process that is no more
     acceptor_.open();
     const mode_t before = ::umask(0077);
@@ -249,10 +262,52 @@
   accept();
 }
 
+// What asked meanwhile waits to be accepted, and may have closed its end; who it was is known all the same.
+void Link::woke(std::chrono::milliseconds gap) {
+  if (gap < limits_.answer) return;
+  if (core_.state() == State::asked) {  // the other one has waited in vain, and serves: asked anew
+    lease_->close();
+    lease_.reset();
+    follow(Event::again);
+    return start();
+  }
+  if (!acceptor_.is_open()) return;
+  staleUntil_ = std::chrono::steady_clock::now() + kTurn;
+  for (int peer;
+       (peer = ::accept4(acceptor_.native_handle(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK)) >= 0;) {
+    tooLate(peer);
+    ::close(peer);
+  }
+}
+
+// Only a process that is there: one that died has not gone on. pidfd_open(2) is readable when it ends.
+void Link::tooLate(int peer) {
+  ucred who{};
+  socklen_t size = sizeof who;
+  if (::getsockopt(peer, SOL_SOCKET, SO_PEERCRED, &who, &size) != 0 || who.uid != ::geteuid()) return;
+  if (who.pid <= 0 || who.pid == ::getpid() || core_.state() != State::whole) return;
+  const int other = static_cast<int>(::syscall(SYS_pidfd_open, who.pid, 0));
+  if (other < 0) return;
+  Error ignored;
+  other_.close(ignored);
+  other_.assign(other);
+  host_.log("hand-over: another process has gone on while this one was stopped; nothing more is taken here");
+  follow(Event::tooLate);
+  other_.async_wait(asio::posix::stream_descriptor::wait_read, [this](const Error& error) {
+    if (error) return;
+    Error none;
+    other_.close(none);
+    follow(Event::otherGone);
+  });
+}
+
 void Link::accept() {
   acceptor_.async_accept([this](const Error& error, stream::socket socket) {
     if (error) return;
-    if (!lease_ && ofThisUser(socket.native_handle())) {
+    host_.beat();
+    if (std::chrono::steady_clock::now() < staleUntil_) {
+      tooLate(socket.native_handle());
+    } else if (!lease_ && ofThisUser(socket.native_handle())) {
       lease_ = std::make_shared<Lease>(*this, std::move(socket));
       lease_->awaitAsk();
     } else {
--- a/src/handover/link.hpp
+++ b/src/handover/link.hpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
@@ -26,6 +27,8 @@
  public:
   struct Host {
     std::function<void()> serve;                  // begin to accept
+    std::function<void()> yield;                  // take nothing more
+    std::function<void()> beat;                   // before anything is read: it may be the first after a stop
     std::function<void()> resume;                 // accept again
     std::function<Snapshot()> give;               // hand over, and accept no more
     std::function<bool(Snapshot&&)> take;         // false, and nothing changed, if it does not fit
@@ -47,6 +50,8 @@
 
   // Looks for a process that serves; `serve` is called once, maybe before this returns.
   void start();
+  // This process was stopped for so long: whoever asked meanwhile has gone on without it.
+  void woke(std::chrono::milliseconds gap);
   // An attempt that was out when this process handed over has ended.
   void tellEnded(std::uint64_t customer);
   State state() const { return core_.state(); }
@@ -57,6 +62,7 @@
   void give();
   void listen();
   void accept();
+  void tooLate(int peer);
   void taken(std::string&& frame);
 
   boost::asio::io_context& io_;
@@ -66,6 +72,9 @@
   Core core_;
   boost::asio::local::stream_protocol::acceptor acceptor_;
   boost::asio::steady_timer timer_;
+  std::chrono::steady_clock::time_point
+      staleUntil_{};                             // what is accepted until then asked while it was stopped
+  boost::asio::posix::stream_descriptor other_;  // the process that has gone on: readable when it is gone
   std::shared_ptr<Lease> lease_;
 };
 
--- a/src/lifecycle/core.cpp
+++ b/src/lifecycle/core.cpp
@@ -61,6 +61,7 @@
     case Event::empty:
       return state_ == State::draining ? State::drained : state_;
     case Event::takenOver:
+    case Event::yield:
       return State::handingOver;
     case Event::alone:
       return state_ != State::handingOver ? state_ : listed_ ? State::serving : State::starting;
@@ -72,8 +73,9 @@
 
 bool Core::on(Time now, Event event) {
   if (event == Event::listed) listed_ = true;
-  if (event == Event::takenOver) replaced_ = true;
-  if (event == Event::alone && state_ != State::ending) replaced_ = false;
+  if (event == Event::takenOver || event == Event::yield) replaced_ = true;
+  if (event == Event::yield) yields_ = true;
+  if (event == Event::alone && state_ != State::ending) replaced_ = yields_ = false;
   const State to = after(event);
   if (to == state_) return false;
   if (to != State::drained) since_ = now;
@@ -98,11 +100,13 @@
       break;
     case State::handingOver:
       out.keeps = out.accepts = false;
+      out.takes = !yields_;
       out.idleMost = idleMost(passed, 0);
       break;
     case State::ending:
       out.keeps = false;
       out.accepts = !replaced_ && passed < kAcceptsAfterTerm;
+      out.takes = !yields_;
       out.idleMost = idleMost(passed, replaced_ ? 0 : kAcceptsAfterTerm);
       out.givesUp = passed >= kAnswersAfterTerm;
       break;
--- a/src/lifecycle/core.hpp
+++ b/src/lifecycle/core.hpp
@@ -29,6 +29,7 @@
   undrain,    // an operator's
   empty,      // no client's connection is left
   takenOver,  // by another process
+  yield,      // another process has gone on without this one
   alone,      // that process is gone before this one was told to end
   terminate
 };
@@ -63,6 +64,7 @@
   State state_ = State::starting;
   bool listed_ = false;
   bool replaced_ = false;  // another process accepts
+  bool yields_ = false;    // and takes this one for dead
   Time since_ = 0;         // of the drain, the hand-over or the end
 };
 
--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -246,6 +246,7 @@
   if (!recovery_.woke(since, now)) return;
   log("recovery: stopped for up to " + std::to_string(std::lround(now - since)) + " ms; " +
       recovery_.describe(now));
+  if (link_) link_->woke(std::chrono::milliseconds(std::lround(now - since)));
   watch(config_.discovery, -1);
   discovery_->start();
   postponedUntil_.expires_after(span(recovery_.holdsUntil() - now));
@@ -362,6 +363,11 @@
   handover::Link::Host host;
   host.serve = [this] { serve(); };
   host.resume = [this] { live(lifecycle::Event::alone); };
+  host.yield = [this] {
+    if (keeper_) keeper_->leave();
+    live(lifecycle::Event::yield);
+  };
+  host.beat = [this] { beat(); };
   host.give = [this] { return handOver(); };
   host.take = [this](snapshot::Snapshot&& snapshot) { return takeOver(std::move(snapshot)); };
   host.ended = [this](std::uint64_t customer) {
--- a/tests/handover/core_test.cpp
+++ b/tests/handover/core_test.cpp
@@ -9,8 +9,9 @@
 namespace burlwind::handover {
 namespace {
 
-constexpr Event kEvents[] = {Event::nobody,    Event::found,       Event::state, Event::noState,
-                             Event::otherGone, Event::overlapEnds, Event::asks};
+constexpr Event kEvents[] = {Event::nobody,  Event::found,     Event::state,
+                             Event::noState, Event::otherGone, Event::overlapEnds,
+                             Event::asks,    Event::tooLate,   Event::again};
 
 Core after(std::initializer_list<Event> events) {
   Core core;
@@ -82,7 +83,9 @@
       const Steps steps = next.core.on(event);
       next.served += steps.serve;
       EXPECT_TRUE(!steps.give || whole);
-      EXPECT_EQ(steps.resume, way.core.state() == State::gave && event == Event::otherGone);
+      const bool waits = way.core.state() == State::gave || way.core.state() == State::superseded;
+      EXPECT_EQ(steps.resume, waits && event == Event::otherGone);
+      EXPECT_EQ(steps.yield, whole && event == Event::tooLate);
       ways.push({next, depth + 1});
     }
   }
--- a/tests/handover/takeover_test.cpp
+++ b/tests/handover/takeover_test.cpp
@@ -1,12 +1,18 @@
 // Two processes of one gatekeeper over loopback: the platform's socket, a Unix socket in a folder of their
 // own.
 #include <sys/socket.h>
+#include <sys/un.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <boost/asio/local/stream_protocol.hpp>
+#include <csignal>
 #include <cstdlib>
+#include <cstring>
 #include <filesystem>
+#include <thread>
 
+#include "node/wake.hpp"
 #include "support/loopback.hpp"
 
 namespace burlwind::test {
@@ -161,5 +167,91 @@
   until([&] { return client->has("served"); }, "an answer");
 }
 
+// The old one hangs while another process asks, waits in vain, and goes on without it.
+class HungOld : public TakeOver {
+ protected:
+  void TearDown() override {
+    if (child > 0) kill(child, SIGKILL), waitpid(child, nullptr, 0);
+    TakeOver::TearDown();
+  }
+  // A process of its own that asks, and then is there.
+  void askFromAnother() {
+    int told[2];
+    ASSERT_EQ(pipe(told), 0);
+    child = fork();
+    if (child == 0) {
+      sockaddr_un at{};
+      at.sun_family = AF_UNIX;
+      std::strncpy(at.sun_path, socket().c_str(), sizeof at.sun_path - 1);
+      const int to = ::socket(AF_UNIX, SOCK_STREAM, 0);
+      const bool asked =
+          ::connect(to, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0 && ::write(to, "T", 1) == 1;
+      ::close(to);
+      [[maybe_unused]] const auto said = ::write(told[1], asked ? "y" : "n", 1);
+      for (;;) pause();
+    }
+    char answer = 0;
+    ASSERT_EQ(::read(told[0], &answer, 1), 1);
+    EXPECT_EQ(answer, 'y');
+    ::close(told[0]), ::close(told[1]);
+  }
+  pid_t child = 0;
+};
+
+TEST_F(HungOld, TakesNothingMoreWhenItWakesAndServesAgainIfTheOtherDies) {
+  WakeSignal::install();
+  auto old = begin();
+  const auto client = ask("00000000000000a1");
+  untilSeen(1);
+  answerAll("before");
+  until([&] { return client->has("before"); }, "an answer");
+  askFromAnother();
+  Ask next;
+  next.id = "00000000000000a2";
+  client->send(next.text());
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));  // the stop: longer than the other one waits
+  raise(SIGCONT);
+  until([&] { return client->has("503"); }, "a refusal");
+  EXPECT_EQ(worker.count("\r\n\r\n"), 1u);
+  EXPECT_EQ(old->state(), lifecycle::State::handingOver);
+  EXPECT_EQ(old->link().state(), handover::State::superseded);
+  kill(child, SIGKILL);
+  until([&] { return old->ready(); }, "the old one serves again");
+  const auto later = ask("00000000000000a3");
+  untilSeen(2);
+  answerAll("after");
+  until([&] { return later->has("after"); }, "an answer");
+}
+
+TEST_F(HungOld, OneThatAskedAndDiedHasNotGoneOn) {
+  WakeSignal::install();
+  auto old = begin();
+  askFromAnother();
+  kill(child, SIGKILL), waitpid(child, nullptr, 0), child = 0;
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  raise(SIGCONT);
+  const auto client = ask("00000000000000a1");
+  untilSeen(1);
+  answerAll("served");
+  until([&] { return client->has("served"); }, "an answer");
+  EXPECT_TRUE(old->ready());
+}
+
+// The new one hangs between its question and the answer: by then that is taken back.
+TEST_F(TakeOver, ANewOneThatHungAsksAnew) {
+  WakeSignal::install();
+  asio::local::stream_protocol::acceptor old(io, asio::local::stream_protocol::endpoint(socket()));
+  auto fresh = begin();
+  asio::local::stream_protocol::socket first(io), second(io);
+  old.accept(first);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  raise(SIGCONT);
+  bool again = false;
+  old.async_accept(second, [&](const Error& error) { again = !error; });
+  const auto client = dial(platform.local_endpoint());  // something to handle
+  until([&] { return again; }, "another question");
+  EXPECT_EQ(fresh->link().state(), handover::State::asked);
+}
+
 }  // namespace
 }  // namespace burlwind::test
