Who is refused in a process's first second is told to come back at times drawn apart

Need: those refused for want of workers after a mass restart were all told 250 ms, and came back as the crowd that they had been. The change: in the first second after a start or a stop recovery's core draws the time between the module's and the longest Retry-After; what is refused for a quota is told what it was. No answer is held back. Result: of 300 refused in a tenth of a second at most 60 come back in one tenth (150 and more without the draw, which the test shows).

--- a/src/node/gatekeeper.cpp
+++ b/src/node/gatekeeper.cpp
@@ -122,6 +122,12 @@
   return out;
 }
 
+bool forWantOfWorkers(irisring::Reason reason) {
+  using irisring::Reason;
+  return reason == Reason::limit || reason == Reason::nobody || reason == Reason::full ||
+         reason == Reason::cold;
+}
+
 unsigned indexOf(const std::vector<std::string>& names, const std::string& name) {
   return static_cast<unsigned>(std::find(names.begin(), names.end(), name) - names.begin());
 }
@@ -139,6 +145,7 @@
       operator_(settings),
       keeper_(keeperOf(std::move(files))),
       recovery_(clock_.now(), keeper_ ? keeper_->stored() : recovery::Stored{}, horizonsOf(config.settings)),
+      draws_(static_cast<std::minstd_rand::result_type>(config.seed ^ config.seed >> 32)),
       lastBeat_(clock_.now()),
       recoveryChanges_(io),
       postponedUntil_(io),
@@ -903,6 +910,9 @@
   refusal.status = http::status::too_many_requests;
   refusal.body = "refused: try again later\n";
   refusal.retryAfter = retryAfter;
+  if (forWantOfWorkers(reason))
+    refusal.retryAfter = recovery_.comeBack(retryAfter, config_.settings.maxRetryAfter,
+                                            std::generate_canonical<double, 30>(draws_), clock_.now());
   refusal.why = reason;
   answer(id, std::move(refusal));
 }
--- a/src/node/gatekeeper.hpp
+++ b/src/node/gatekeeper.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -191,6 +192,7 @@
   const ModuleClock clock_;
   const std::unique_ptr<Keeper> keeper_;  // none: nothing is kept on a disk
   recovery::Core recovery_;
+  std::minstd_rand draws_;   // of the times at which who is refused is to come back
   irisring::Time lastBeat_;  // something was handled, so it was not stopped then
   std::vector<Postponed> postponed_;
   boost::asio::steady_timer recoveryChanges_, postponedUntil_, outUntil_;
--- a/src/recovery/core.hpp
+++ b/src/recovery/core.hpp
@@ -82,10 +82,11 @@
 constexpr Time kListMost = 24 * 3600e3;
 constexpr Time kUseMost = 3600e3;
 constexpr Time kWorkersMost = 30e3;
-constexpr Time kHold = 250;         // after a stop, until the list has been heard of
-constexpr Time kStopLeast = 250;    // a gap that is a stop and not a late timer
-constexpr Time kTurn = 50;          // after a stop, what is read may have come while it lasted
-constexpr Time kAnyway = 60e3;      // without news a thing is sure by then: what was learned of it has faded
+constexpr Time kHold = 250;       // after a stop, until the list has been heard of
+constexpr Time kCrowd = 1000;     // after a start or a stop, in which those who are refused are many at once
+constexpr Time kStopLeast = 250;  // a gap that is a stop and not a late timer
+constexpr Time kTurn = 50;        // after a stop, what is read may have come while it lasted
+constexpr Time kAnyway = 60e3;    // without news a thing is sure by then: what was learned of it has faded
 constexpr double kRateKeep = 1000;  // ms, memory of the rate of good answers
 
 class Core {
@@ -116,6 +117,14 @@
   // When time alone changes a degree, if it does: to be asked again then.
   std::optional<Time> next(Time now) const;
 
+  // When who is refused for want of workers is to come back: after `wait`, and in the first second drawn from
+  // there up to `most` (0: twice the wait), so that a crowd that came in one moment does not come back in
+  // one.
+  Time comeBack(Time wait, Time most, double draw, Time now) const {
+    if (now - freshSince_ >= kCrowd) return wait;
+    return wait + draw * std::max(0.0, (most > 0 ? most : 2 * wait) - wait);
+  }
+
   // Since the start; kNever: not yet. Nine tenths only where the rate before is known.
   Time toReady() const { return toReady_; }
   Time toNineTenths() const { return toNineTenths_; }
--- a/tests/recovery/core_test.cpp
+++ b/tests/recovery/core_test.cpp
@@ -149,6 +149,29 @@
   EXPECT_EQ(core.lived(400, 4500), 400);
 }
 
+// 300 clients that are refused in the first tenth of a second, told to come back after 250 ms, 1 s at most.
+TEST(Recovery, WhoIsRefusedInTheFirstSecondDoesNotComeBackInOneMoment) {
+  const Core core(0, stored(Found::none), kHorizons);
+  faults::Random random(7, "refused");
+  const auto most = [&](bool drawn) {
+    std::vector<int> tenths(20);
+    for (int i = 0; i < 300; ++i) {
+      const Time now = i / 3.0;
+      ++tenths[static_cast<std::size_t>((now + core.comeBack(250, 1000, drawn ? random.unit() : 0, now)) /
+                                        100)];
+    }
+    return *std::max_element(tenths.begin(), tenths.end());
+  };
+  EXPECT_GE(most(false), 140);  // 300 over one tenth of a second
+  EXPECT_LE(most(true), 60);    // over 0.75 s
+  // Bounds, and later on as the module says.
+  EXPECT_EQ(core.comeBack(250, 1000, 0, 999), 250);
+  EXPECT_LE(core.comeBack(250, 1000, 0.999999, 999), 1000);
+  EXPECT_EQ(core.comeBack(250, 0, 0.5, 0), 375);
+  EXPECT_EQ(core.comeBack(2000, 1000, 0.5, 0), 2000);
+  EXPECT_EQ(core.comeBack(250, 1000, 0.5, kCrowd), 250);
+}
+
 TEST(Backoff, GrowsToItsBoundAndIsDrawnFromItsUpperHalf) {
   Backoff backoff{50, 500};
   EXPECT_DOUBLE_EQ(backoff.next(0), 25);
