--- a/tests/recovery/kept_state_test.cpp
+++ b/tests/recovery/kept_state_test.cpp
@@ -5,9 +5,12 @@
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <functional>
+#include <thread>
 
 #include "faults/failing_files.hpp"
 #include "faults/folder.hpp"
+#include "faults/log_watch.hpp"
 #include "faults/process.hpp"
 #include "support/loopback.hpp"
 
@@ -162,5 +165,119 @@
   EXPECT_GE(on.files, 1u);
 }
 
+// The program itself, ended or stopped at named points of its coming back: lines of its log.
+class ComesBack : public KeptState {
+ protected:
+  void SetUp() override {
+    {
+      tcp::acceptor free(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+      at = free.local_endpoint();
+    }
+    json config = configJson(discovery.text(), workers());
+    config["listen"] = "127.0.0.1:" + std::to_string(at.port());
+    std::ofstream(folder.path() + "/config.json") << config.dump();
+    std::ofstream(folder.path() + "/operator.toml")
+        << "[snapshot]\nenabled = true\nfolder = \"" + folder.sub("kept") + "\"\nevery_ms = 50\n";
+  }
+  void start() {
+    process.start(std::string(BURLWIND_PROGRAM) + " --operator " + folder.path() + "/operator.toml",
+                  {{"BALANCER_CONFIG", folder.path() + "/config.json"}});
+  }
+  // Runs until this is in its log; whoever watches acts at that moment.
+  void startUntil(const std::string& point, const std::function<void()>& then) {
+    bool seen = false;
+    faults::LogWatch watch(io, process.logPath(), [&](const std::string& line) {
+      if (seen || line.find(point) == std::string::npos) return;
+      seen = true;
+      then();
+    });
+    start();
+    until([&] { return seen; }, point.c_str());
+  }
+  void untilEnded() {
+    until([&] { return process.ended().has_value(); }, "its end");
+  }
+  void untilServes() {
+    const std::size_t before = worker.count("\r\n\r\n");
+    PeerPtr client;
+    until(
+        [&] {
+          if (!client || client->ended) {
+            tcp::socket socket(io);
+            Error refused;
+            socket.connect(at, refused);
+            if (refused) return false;
+            client = std::make_shared<Peer>(std::move(socket));
+            client->read();
+            client->send(Ask().text());
+          }
+          return worker.count("\r\n\r\n") > before;
+        },
+        "a request at the worker");
+    worker.peers.back()->send(reply("200 OK", "served"));
+    until([&] { return client->has("served"); }, "its answer");
+  }
+
+  tcp::endpoint at;
+  faults::Process process{{"n0", folder.path() + "/log"}};
+};
+
+const char* const kPoints[] = {"snapshot: /", "recovery: list doubtful", "state: serving", "ready after"};
+
+TEST_F(ComesBack, KilledAtEachPointOfItItComesBackAllTheSame) {
+  start();
+  untilServes();
+  until([&] { return fs::exists(folder.path() + "/kept/n0.state.0"); }, "a first state");
+  for (const char* point : kPoints) {
+    process.signal(SIGKILL);
+    untilEnded();
+    startUntil(point, [&] { process.signal(SIGKILL); });
+    untilEnded();
+    start();
+    untilServes();
+    EXPECT_NE(process.logSinceStart().find("snapshot: taken up"), std::string::npos) << point;
+  }
+}
+
+TEST_F(ComesBack, StoppedAtEachPointOfItItGoesOn) {
+  start();
+  untilServes();
+  for (const char* point : kPoints) {
+    process.signal(SIGKILL);
+    untilEnded();
+    startUntil(point, [&] {
+      process.stop();
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));  // the stop
+      process.wake();
+    });
+    untilServes();
+  }
+}
+
+// The disk is full from the first byte: it serves, says so, and says when that is over.
+TEST_F(ComesBack, OnAFullDiskItServesAndSaysSo) {
+  faults::Process small({"n0", folder.path() + "/log.small", 1024, 4096});
+  folder.spoil("kept");
+  small.start(std::string(BURLWIND_PROGRAM) + " --operator " + folder.path() + "/operator.toml",
+              {{"BALANCER_CONFIG", folder.path() + "/config.json"}});
+  until([&] { return small.ended().has_value(); }, "that it says so and starts nothing");
+  EXPECT_NE(small.logEnd().find("snapshot.folder: '" + folder.path() + "/kept' is not a folder"),
+            std::string::npos)
+      << small.logEnd();
+  folder.mend("kept");
+  start();
+  untilServes();
+  folder.spoil("kept");  // while it runs
+  bool said = false, again = false;
+  faults::LogWatch watch(io, process.logPath(), [&](const std::string& line) {
+    said = said || line.find("trying again") != std::string::npos;
+    again = again || line.find("snapshot: written again") != std::string::npos;
+  });
+  untilServes();
+  until([&] { return said; }, "the line that says so");
+  folder.mend("kept");
+  until([&] { return again; }, "the line that says that it is over");
+}
+
 }  // namespace
 }  // namespace burlwind::test
--- a/tests/recovery/processes_test.cpp
+++ b/tests/recovery/processes_test.cpp
@@ -179,5 +179,36 @@
   EXPECT_LE(report["most_a_second"]["connections_at_one_server"], 60);
 }
 
+// Keyed requests whose gatekeeper dies under them: their repeat comes to another one, and nothing has an
+// effect twice where that must not be.
+TEST_F(ComingBack, KeyedRequestsGoOnAtAnotherGatekeeper) {
+  std::string text = scenario(
+      4, 8, killed(1.5, 0.3, 0, 2, "kept") + killed(3, 0.3, 1, 3, "kept") + killed(4.5, 0.3, 2, 4, "emptied"),
+      kKept);
+  const std::string unsafe = "repeat = 'unsafe'\nshare = 0.4\nwork_ms = 40\n";
+  text.replace(text.find(unsafe), unsafe.size(),
+               "repeat = 'keyed'\nscope = 'all'\nwindow_ms = 4000\nshare = 2\nwork_ms = 120\n");
+  PLAYED(report, text);
+  EXPECT_GT(report["service"]["taken"], 0);
+}
+
+// Discovery is away as they come back, and then short of room.
+TEST_F(ComingBack, DiscoveryIsDownAndThenOverbooked) {
+  PLAYED(report,
+         scenario(12, 9,
+                  fault("gatekeeper_kill", 2, 0.5, targets(0, 9)) +
+                      fault("link", 1.9, 2.6, targets(0, 9) + "to = 'discovery'\nway = 'refused'\n") +
+                      fault("link", 4.5, 3,
+                            targets(0, 9) + "to = 'discovery'\nbytes_per_s = 800\ndelay_ms = 200\n")));
+  EXPECT_LE(report["most_a_second"]["connections_at_discovery"], 12 + 9);
+}
+
+// Checkers are asked by all that come back, and none is overrun by what each lets out at its start.
+TEST_F(ComingBack, CheckersAreNotOverrunByThoseWhoComeBack) {
+  PLAYED(report, "" + scenario(12, 8, fault("gatekeeper_kill", 3, 0.7, targets(0, 9))) +
+                     "[checkers]\ncount = 2\ndelay_ms = 5\n");
+  EXPECT_LE(report["service"]["most_checks_at_one_checker"], 40);
+}
+
 }  // namespace
 }  // namespace burlwind::recovery
