A timer of the keeper that has fired finds no keeper that is gone

Seen: two of 69 sanitized tests failed under 16 at once, with a read after the keeper's end in Keeper::write. Cause: a cancelled wait that has fired already runs on with no error; ruled out: the writer's thread, which is joined before the store goes. The handlers now hold a token that ends with the keeper, as the gatekeeper's do. The daemon ends its loop first and could not meet it.

--- a/src/node/keeper.cpp
+++ b/src/node/keeper.cpp
@@ -59,8 +59,8 @@
     writer_.put(last_, [this, state] { return keep(*state); });
   }
   timer_.expires_after(operators_.every);
-  timer_.async_wait([this](const Error& error) {
-    if (!error) write();
+  timer_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](const Error& error) {
+    if (!error && !alive.expired()) write();
   });
 }
 
@@ -74,11 +74,12 @@
 }
 
 void Keeper::waitForEnd() {
-  ends_.async_wait(asio::posix::stream_descriptor::wait_read, [this](const Error& error) {
-    if (error) return;
-    ended();
-    waitForEnd();
-  });
+  ends_.async_wait(asio::posix::stream_descriptor::wait_read,
+                   [this, alive = std::weak_ptr<bool>(alive_)](const Error& error) {
+                     if (error || alive.expired()) return;
+                     ended();
+                     waitForEnd();
+                   });
 }
 
 void Keeper::ended() {
--- a/src/node/keeper.hpp
+++ b/src/node/keeper.hpp
@@ -60,6 +60,7 @@
   unsigned long last_ = 0, written_ = 0;  // by number: made, and on the disk
   bool dirty_ = true, out_ = false, stopped_ = false;
   std::string lastError_;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // handlers that have fired run on
 };
 
 }  // namespace burlwind
