A watch on the other process that has fired finds no link that is gone

Found on reading the change once more: the wait for the end of the process that has gone on held the link by a bare pointer, as the keeper's timer did. It holds the same kind of token now.

--- a/src/handover/link.cpp
+++ b/src/handover/link.cpp
@@ -293,12 +293,13 @@
   other_.assign(other);
   host_.log("hand-over: another process has gone on while this one was stopped; nothing more is taken here");
   follow(Event::tooLate);
-  other_.async_wait(asio::posix::stream_descriptor::wait_read, [this](const Error& error) {
-    if (error) return;
-    Error none;
-    other_.close(none);
-    follow(Event::otherGone);
-  });
+  other_.async_wait(asio::posix::stream_descriptor::wait_read,
+                    [this, alive = std::weak_ptr<bool>(alive_)](const Error& error) {
+                      if (error || alive.expired()) return;
+                      Error none;
+                      other_.close(none);
+                      follow(Event::otherGone);
+                    });
 }
 
 void Link::accept() {
--- a/src/handover/link.hpp
+++ b/src/handover/link.hpp
@@ -76,6 +76,7 @@
       staleUntil_{};                             // what is accepted until then asked while it was stopped
   boost::asio::posix::stream_descriptor other_;  // the process that has gone on: readable when it is gone
   std::shared_ptr<Lease> lease_;
+  const std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // handlers that have fired run on
 };
 
 // The socket's path in `folder`, for a gatekeeper of this name; empty if it would be too long for one.
