--- /dev/null
+++ b/src/address/configuration.cpp
@@ -0,0 +1,182 @@
+#include "address/configuration.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <set>
+
+#include "address/json.hpp"
+#include "address/settings.hpp"
+
+namespace burlwind::address {
+namespace {
+
+// "r12" is 12; a plain number is taken as well, since the first version's parent is written 0.
+std::uint64_t version(const Reader& field) {
+  if (field.value().is<double>()) {
+    const double out = field.number();
+    if (out < 0 || out != std::floor(out)) field.fail("is no version");
+    return out < 0 ? 0 : static_cast<std::uint64_t>(out);
+  }
+  const std::string text = field.text();
+  const char* from = text.data() + (text.starts_with('r') ? 1 : 0);
+  std::uint64_t out = 0;
+  const auto [end, error] = std::from_chars(from, text.data() + text.size(), out);
+  if (error != std::errc() || end != text.data() + text.size()) field.fail("is no version such as r12");
+  return out;
+}
+
+double time(const Reader& at, const char* name, double usual) {
+  if (!at.has(name)) return usual;
+  const Reader field = at.at(name);
+  const auto out = milliseconds(field.text());
+  if (!out) field.fail("is no time such as \"1500ms\"");
+  return out.value_or(usual);
+}
+
+std::vector<std::string> texts(const Reader& at, const char* name) {
+  std::vector<std::string> out;
+  if (!at.has(name)) return out;
+  for (const Reader& item : at.at(name).items()) out.push_back(item.text());
+  return out;
+}
+
+double atLeastNothing(const Reader& at, const char* name) {
+  if (!at.has(name)) return 0;
+  const double out = at.at(name).number();
+  if (out < 0) at.at(name).fail("is below 0");
+  return out;
+}
+
+std::string lower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
+Route readRoute(const Reader& at) {
+  Route out;
+  out.name = at.at("name").text();
+  out.host = lower(at.at("hostname").text());
+  if (out.host.empty()) at.at("hostname").fail("is empty");
+  out.prefix = at.at("pathPrefix").text();
+  if (!out.prefix.starts_with('/') || !out.prefix.ends_with('/'))
+    at.at("pathPrefix").fail("does not begin and end with a slash");
+  const std::string kind = at.at("kind").text();
+  if (kind != "safe" && kind != "unsafe") at.at("kind").fail("is neither safe nor unsafe");
+  out.safe = kind == "safe";
+  out.timeout = time(at, "timeout", 0);
+  out.target = time(at, "target", 0);
+  if (at.has("priority")) out.priority = static_cast<int>(at.at("priority").number());
+  if (at.has("tries")) out.tries = static_cast<unsigned>(std::clamp(at.at("tries").number(), 1.0, 100.0));
+  if (at.has("public")) out.open = at.at("public").truth();
+  out.homes = texts(at, "homeRegions");
+  if (at.has("split")) {
+    for (const Reader& part : at.at("split").items()) {
+      Part p{part.at("backend").text(), part.at("weight").number()};
+      if (p.weight < 0) part.at("weight").fail("is below 0");
+      out.parts.push_back(std::move(p));
+    }
+    if (out.parts.empty()) at.at("split").fail("names no service");
+  } else {
+    out.parts.push_back({at.at("backend").text(), 1});
+  }
+  return out;
+}
+
+Service readService(const Reader& at) {
+  Service out;
+  out.name = at.at("name").text();
+  out.healthPath = at.has("healthPath") ? at.at("healthPath").text() : "/health";
+  out.connections = static_cast<unsigned>(std::min(1e6, atLeastNothing(at, "maxConns")));
+  out.coldFor = time(at, "coldFor", 0);
+  out.coldRate = atLeastNothing(at, "coldRateS");
+  return out;
+}
+
+Tenant readTenant(const Reader& at) {
+  Tenant out;
+  out.name = at.at("name").text();
+  out.keys = texts(at, "apiKeys");
+  if (at.has("priority")) out.priority = static_cast<int>(at.at("priority").number());
+  out.rate = atLeastNothing(at, "ratePerS");
+  out.burst = atLeastNothing(at, "burst");
+  out.homes = texts(at, "homeRegions");
+  return out;
+}
+
+void checkTogether(const Configuration& c, const Reader& root) {
+  std::set<std::string> services;
+  for (const Service& s : c.services) services.insert(s.name);
+  std::set<std::pair<std::string, std::string>> places;
+  for (std::size_t i = 0; i < c.routes.size(); ++i) {
+    const Route& route = c.routes[i];
+    const std::string at = "[" + std::to_string(i) + "] ";
+    for (const Part& part : route.parts)
+      if (!services.contains(part.service))
+        root.at("routes").fail(at + "names the unknown service " + part.service);
+    if (!places.emplace(route.host, route.prefix).second)
+      root.at("routes").fail(at + "has host and prefix of another route");
+  }
+}
+
+}  // namespace
+
+void Configuration::index() {
+  routesOf_.clear(), keys_.clear(), services_.clear();
+  for (std::size_t i = 0; i < routes.size(); ++i) routesOf_[routes[i].host].push_back(i);
+  for (auto& [host, all] : routesOf_)
+    std::stable_sort(all.begin(), all.end(),
+                     [&](auto a, auto b) { return routes[a].prefix.size() > routes[b].prefix.size(); });
+  for (std::size_t i = 0; i < tenants.size(); ++i)
+    for (const std::string& key : tenants[i].keys) keys_[key] = i;
+  for (std::size_t i = 0; i < services.size(); ++i) services_[services[i].name] = i;
+}
+
+const Route* Configuration::routeOf(std::string_view host, std::string_view path) const {
+  if (const auto colon = host.find(':'); colon != std::string_view::npos) host = host.substr(0, colon);
+  const auto all = routesOf_.find(lower(std::string(host)));
+  if (all == routesOf_.end()) return nullptr;
+  for (const std::size_t i : all->second)
+    if (path.starts_with(routes[i].prefix)) return &routes[i];
+  return nullptr;
+}
+
+const Tenant* Configuration::tenantOf(std::string_view key) const {
+  const auto found = keys_.find(std::string(key));
+  return found == keys_.end() ? nullptr : &tenants[found->second];
+}
+
+const Service* Configuration::serviceOf(std::string_view name) const {
+  const auto found = services_.find(std::string(name));
+  return found == services_.end() ? nullptr : &services[found->second];
+}
+
+ConfigurationRead readConfiguration(std::string_view text) {
+  ConfigurationRead out;
+  const auto json = parseJson(text, out.fault);
+  if (!json) return out.fault = "the configuration " + out.fault, out;
+  auto read = std::make_shared<Configuration>();
+  const Reader root(*json, "", out.fault);
+  if (!json->is<picojson::object>()) return out.fault = "the configuration is not a table", out;
+  read->version = version(root.at("generation"));
+  read->parent = root.has("parentVersion") ? version(root.at("parentVersion")) : 0;
+  for (const Reader& item : root.at("backends").items()) read->services.push_back(readService(item));
+  for (const Reader& item : root.at("routes").items()) read->routes.push_back(readRoute(item));
+  if (root.has("customers"))
+    for (const Reader& item : root.at("customers").items()) read->tenants.push_back(readTenant(item));
+  if (root.has("limits")) {
+    const Reader limits = root.at("limits");
+    if (limits.has("maxHeaderBytes"))
+      read->limits.header = static_cast<std::size_t>(atLeastNothing(limits, "maxHeaderBytes"));
+    if (limits.has("maxBodyBytes"))
+      read->limits.body = static_cast<std::uint64_t>(atLeastNothing(limits, "maxBodyBytes"));
+    read->limits.headerRead = time(limits, "headerRead", read->limits.headerRead);
+    read->limits.idle = time(limits, "idle", read->limits.idle);
+  }
+  if (out.fault.empty()) checkTogether(*read, root);
+  if (!out.fault.empty()) return out;
+  read->index();
+  out.configuration = std::move(read);
+  return out;
+}
+
+}  // namespace burlwind::address
--- /dev/null
+++ b/src/address/settings.cpp
@@ -0,0 +1,144 @@
+#include "address/settings.hpp"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+#include "address/json.hpp"
+
+namespace burlwind::address {
+
+std::optional<double> milliseconds(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || !(value >= 0) || !std::isfinite(value)) return std::nullopt;
+  const std::string_view unit = text.substr(static_cast<std::size_t>(end - text.data()));
+  if (unit == "ms") return value;
+  if (unit == "s") return value * 1000;
+  return std::nullopt;
+}
+
+std::optional<Endpoint> endpointOf(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return std::nullopt;
+  Endpoint out{std::string(text.substr(0, colon)), 0};
+  const auto port = text.substr(colon + 1);
+  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), out.port);
+  if (error != std::errc() || end != port.data() + port.size() || out.port == 0) return std::nullopt;
+  return out;
+}
+
+namespace {
+
+double time(const Reader& at, const char* name, double usual) {
+  if (!at.has(name)) return usual;
+  const Reader field = at.at(name);
+  const auto out = milliseconds(field.text());
+  if (!out) field.fail("is no time such as \"1500ms\" or \"2.5s\"");
+  return out.value_or(usual);
+}
+
+double figure(const Reader& at, const char* name, double usual) {
+  return at.has(name) ? at.at(name).number() : usual;
+}
+
+std::optional<Endpoint> endpoint(const Reader& at, const char* name) {
+  if (!at.has(name)) return std::nullopt;
+  const Reader field = at.at(name);
+  const auto out = endpointOf(field.text());
+  if (!out) field.fail("is no address such as 10.1.0.22:8389");
+  return out;
+}
+
+void readSelf(const Reader& self, Settings& out) {
+  out.name = self.at("nodeName").text();
+  out.ip = self.at("ipAddress").text();
+  out.zone = self.at("zone").text();
+  out.region = self.at("region").text();
+  if (self.has("firstBoot")) out.firstBoot = self.at("firstBoot").truth();
+  if (self.has("counted")) out.counted = self.at("counted").truth();
+  if (self.has("dataFolder")) out.dataFolder = self.at("dataFolder").text();
+  if (!self.has("limits")) return;
+  out.memoryMb = figure(self.at("limits"), "memoryMb", 0);
+  out.descriptors = static_cast<unsigned>(figure(self.at("limits"), "fileHandles", 0));
+}
+
+void readNetwork(const Reader& network, Settings& out) {
+  const Reader bind = network.at("bind");
+  out.front = endpoint(bind, "front");
+  out.readiness = endpoint(bind, "readiness");
+  out.control = endpoint(bind, "control");
+  out.directory = endpoint(bind, "directory");
+  const Reader ports = network.at("internalPorts");
+  const auto both = ports.items();
+  if (both.size() != 2) ports.fail("is not the first and the last port");
+  if (both.size() == 2) {
+    const double from = both[0].number(), until = both[1].number();
+    if (from < 1 || until > 65535 || until < from + 1) ports.fail("holds no two ports");
+    out.portFrom = static_cast<std::uint16_t>(from), out.portUntil = static_cast<std::uint16_t>(until);
+  }
+  for (const Reader& seed : network.at("seedNodes").items()) {
+    const auto at = endpointOf(seed.text());
+    if (!at) seed.fail("is no address such as 10.1.0.24:8383");
+    if (at) out.seeds.push_back(*at);
+  }
+  const Reader zones = network.at("zones");
+  for (const auto& [zone, region] : zones.fields())
+    if (region.is<std::string>()) out.regionOf[zone] = region.get<std::string>();
+}
+
+void readBounds(const Reader& at, Bounds& out) {
+  out.apply = time(at, "apply", out.apply);
+  out.drain = time(at, "drain", out.drain);
+  out.evacuate = time(at, "evacuate", out.evacuate);
+  out.ack = time(at, "ack", out.ack);
+  out.quiet = time(at, "quiet", out.quiet);
+  out.grace = time(at, "grace", out.grace);
+  out.lossSlack = time(at, "lossSlack", out.lossSlack);
+  out.retryRatio = figure(at, "retryRatio", out.retryRatio);
+  out.retryWindow = time(at, "retryWindow", out.retryWindow);
+  out.retrySlack = figure(at, "retrySlack", out.retrySlack);
+  out.quotaWindow = time(at, "quotaWindow", out.quotaWindow);
+  out.quotaExcess = figure(at, "quotaExcess", out.quotaExcess);
+  out.quotaSlack = figure(at, "quotaSlack", out.quotaSlack);
+  out.coldExcess = figure(at, "coldExcess", out.coldExcess);
+  out.coldSlack = figure(at, "coldSlack", out.coldSlack);
+  out.reuseAfter = time(at, "reuseAfter", out.reuseAfter);
+  out.ttlMost = time(at, "ttl_max", out.ttlMost);
+}
+
+}  // namespace
+
+SettingsRead readSettings(std::string_view text) {
+  SettingsRead out;
+  const auto json = parseJson(text, out.fault);
+  if (!json) return out.fault = "the file " + out.fault, out;
+  Settings read;
+  const Reader root(*json, "", out.fault);
+  readSelf(root.at("self"), read);
+  readNetwork(root.at("network"), read);
+  if (root.has("provider") && root.at("provider").has("cloudApi")) {
+    const Reader cloud = root.at("provider").at("cloudApi");
+    read.platform = endpoint(cloud, "address");
+    read.platformRate = figure(cloud, "ratePerS", 0);
+    read.platformLag = time(cloud, "maxLag", 0);
+  }
+  const Reader settings = root.at("settings");
+  if (settings.has("tolerance"))
+    read.bearsMachines =
+        static_cast<unsigned>(std::max(0.0, figure(settings.at("tolerance"), "machines", 1)));
+  readBounds(settings.at("bounds"), read.bounds);
+  if (out.fault.empty()) out.settings = std::move(read);
+  return out;
+}
+
+SettingsRead readSettingsFile(const std::string& path) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) return {std::nullopt, "cannot read " + path};
+  const std::string text((std::istreambuf_iterator<char>(in)), {});
+  SettingsRead out = readSettings(text);
+  if (!out.settings) out.fault = path + ": " + out.fault;
+  return out;
+}
+
+}  // namespace burlwind::address
--- /dev/null
+++ b/src/ballot/core.cpp
@@ -0,0 +1,317 @@
+#include "ballot/core.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace burlwind::ballot {
+namespace {
+
+bool newer(std::uint64_t termA, std::uint64_t indexA, std::uint64_t termB, std::uint64_t indexB) {
+  return std::pair(termA, indexA) > std::pair(termB, indexB);
+}
+
+}  // namespace
+
+Core::Core(Record record, Pace pace, unsigned seats, double (*draw)(void*), void* drawer, Time now)
+    : record_(std::move(record)), pace_(pace), seats_(seats), draw_(draw), drawer_(drawer) {
+  rest(now);
+}
+
+void Core::rest(Time now) {
+  electAt_ = now + pace_.electLeast + draw_(drawer_) * (pace_.electMost - pace_.electLeast);
+}
+
+bool Core::isMember(Id id) const {
+  const auto has = [id](const std::vector<Member>& all) {
+    return std::any_of(all.begin(), all.end(), [id](const Member& m) { return m.id == id; });
+  };
+  return has(record_.members) || has(record_.former);
+}
+
+template <class Holds>
+bool Core::majority(const std::vector<Member>& of, Holds holds) const {
+  const auto n = std::count_if(of.begin(), of.end(), [&](const Member& m) { return holds(m.id); });
+  return 2 * static_cast<std::size_t>(n) > of.size();
+}
+
+template <class Holds>
+bool Core::quorum(Holds holds) const {
+  return majority(record_.members, holds) && (record_.former.empty() || majority(record_.former, holds));
+}
+
+std::set<Id> Core::everyone() const {
+  std::set<Id> out;
+  for (const Member& m : record_.members) out.insert(m.id);
+  for (const Member& m : record_.former) out.insert(m.id);
+  for (const auto& [id, m] : applicants_) out.insert(id);
+  out.erase(record_.self);
+  return out;
+}
+
+void Core::follow(std::uint64_t term, Id leader, Time now, std::vector<Effect>& out) {
+  const bool led = role_ == Role::leader;
+  role_ = Role::follower;
+  led_ = inFlight_ = false;
+  if (term > record_.term) {
+    record_.term = term, record_.votedFor = 0;
+    out.push_back(Persist{});
+  }
+  leader_ = leader;
+  rest(now);
+  if (led) out.push_back(Stepped{});
+}
+
+std::vector<Effect> Core::tick(Time now) {
+  std::vector<Effect> out;
+  if (role_ == Role::leader) {
+    // One that no majority has answered for so long leads nobody; it wakes from a stop here as well.
+    const bool heard = quorum([&](Id id) {
+      return id == record_.self || now - std::max(peers_[id].heard, wonAt_) < pace_.electLeast;
+    });
+    if (!heard) {
+      follow(record_.term, 0, now, out);
+    } else if (now >= beatAt_) {
+      beat(now, out);
+      changeMembers(now, out);
+    }
+  } else if (now >= electAt_) {
+    if (member() && !record_.members.empty())
+      stand(now, out);
+    else
+      rest(now);
+  }
+  return out;
+}
+
+// A trial first: who can't win does not push the others' term up.
+void Core::stand(Time now, std::vector<Effect>& out) {
+  role_ = Role::trial;
+  leader_ = 0;
+  votes_ = {record_.self};
+  rest(now);
+  for (const Id id : everyone())
+    out.push_back(
+        Send{id, pouch::VoteAsk{record_.term + 1, record_.self, record_.lastTerm, record_.index, true}});
+  countVotes(now, out);
+}
+
+void Core::elect(Time now, std::vector<Effect>& out) {
+  role_ = Role::candidate;
+  ++record_.term;
+  record_.votedFor = record_.self;
+  out.push_back(Persist{});
+  votes_ = {record_.self};
+  rest(now);
+  for (const Id id : everyone())
+    out.push_back(
+        Send{id, pouch::VoteAsk{record_.term, record_.self, record_.lastTerm, record_.index, false}});
+  countVotes(now, out);
+}
+
+void Core::countVotes(Time now, std::vector<Effect>& out) {
+  if (!quorum([&](Id id) { return votes_.contains(id); })) return;
+  if (role_ == Role::trial) return elect(now, out);
+  if (role_ == Role::candidate) lead(now, out);
+}
+
+void Core::lead(Time now, std::vector<Effect>& out) {
+  role_ = Role::leader;
+  leader_ = record_.self;
+  wonAt_ = now;
+  peers_.clear();
+  applicants_.clear();
+  begin(now, out);  // its state under its own term: what was there before is committed by this or not at all
+}
+
+void Core::begin(Time now, std::vector<Effect>& out) {
+  inFlight_ = true;
+  record_.lastTerm = record_.term;
+  ++record_.index;
+  for (const Id id : everyone()) peers_[id].sentWhole = -1e9;
+  beat(now, out);  // before the own write: both disks work at the same time
+  out.push_back(Persist{});
+  advance(now, out);
+}
+
+void Core::beat(Time now, std::vector<Effect>& out) {
+  beatAt_ = now + pace_.beat;
+  ++round_;
+  for (const Id id : everyone()) sendTo(id, now, out);
+}
+
+void Core::sendTo(Id to, Time now, std::vector<Effect>& out) {
+  Peer& peer = peers_[to];
+  pouch::Append m{record_.term, record_.self, round_, record_.lastTerm, record_.index, committed_, false,
+                  {},           {},           {}};
+  const bool has = peer.lastTerm == record_.lastTerm && peer.index == record_.index;
+  if (!has && now - peer.sentWhole > 3 * pace_.beat) {
+    m.whole = true;
+    m.members = record_.members, m.former = record_.former, m.state = record_.state;
+    peer.sentWhole = now;
+  }
+  out.push_back(Send{to, std::move(m)});
+}
+
+// Called where an acknowledgement or the own write may have completed a majority.
+void Core::advance(Time now, std::vector<Effect>& out) {
+  const auto answered = [&](std::uint64_t round) {
+    return quorum([&](Id id) { return id == record_.self || peers_[id].round >= round; });
+  };
+  std::uint64_t best = confirmed_;
+  for (const auto& [id, peer] : peers_)
+    if (peer.round > best && answered(peer.round)) best = peer.round;
+  if (record_.members.size() == 1 && record_.former.empty()) best = round_;
+  if (best > confirmed_) {
+    confirmed_ = best;
+    out.push_back(Confirmed{best});
+  }
+  if (!inFlight_) return;
+  const bool held = quorum([&](Id id) {
+    return id == record_.self ||
+           (peers_[id].lastTerm == record_.lastTerm && peers_[id].index == record_.index);
+  });
+  if (!held) return;
+  inFlight_ = false;
+  committed_ = record_.index;
+  out.push_back(Committed{});
+  if (!std::exchange(led_, true)) out.push_back(Led{});
+  if (!record_.former.empty()) {  // both majorities have the new members: the old ones are done with
+    record_.former.clear();
+    begin(now, out);
+  }
+}
+
+// One at a time: first who has a lost disk at a member's address, then who stands where a member is gone or
+// goes, then an empty seat.
+void Core::changeMembers(Time now, std::vector<Effect>& out) {
+  if (!mayPropose()) return;
+  std::erase_if(applicants_,
+                [&](const auto& a) { return isMember(a.first) || now - peers_[a.first].heard > pace_.gone; });
+  for (const auto& [id, applicant] : applicants_) {
+    auto& members = record_.members;
+    auto seat =
+        std::find_if(members.begin(), members.end(), [&](const Member& m) { return m.ip == applicant.ip; });
+    if (seat == members.end())
+      seat = std::find_if(members.begin(), members.end(), [&](const Member& m) {
+        if (m.id == record_.self) return false;
+        const Peer& peer = peers_[m.id];
+        return peer.leaving || now - std::max(peer.heard, wonAt_) > pace_.gone;
+      });
+    if (seat == members.end() && members.size() >= seats_) continue;
+    record_.former = members;
+    if (seat == members.end())
+      members.push_back(applicant);
+    else
+      *seat = applicant;
+    return begin(now, out);
+  }
+}
+
+std::vector<Effect> Core::join(const Member& member, Time now) {
+  std::vector<Effect> out;
+  if (role_ != Role::leader || isMember(member.id) || member.id == 0) return out;
+  applicants_[member.id] = member;
+  peers_[member.id].heard = now;
+  return out;
+}
+
+std::vector<Effect> Core::leave(Id member, Time now) {
+  std::vector<Effect> out;
+  if (role_ != Role::leader) return out;
+  peers_[member].leaving = true;
+  changeMembers(now, out);
+  return out;
+}
+
+std::vector<Effect> Core::propose(std::string state, Time now) {
+  assert(mayPropose());
+  std::vector<Effect> out;
+  record_.state = std::move(state);
+  begin(now, out);
+  return out;
+}
+
+std::uint64_t Core::confirm(Time now, std::vector<Effect>& out) {
+  beat(now, out);
+  const std::uint64_t mine = round_;
+  advance(now, out);
+  return mine;
+}
+
+std::vector<Effect> Core::receive(const Message& message, Time now) {
+  std::vector<Effect> out;
+  std::visit([&](const auto& m) { on(m, now, out); }, message);
+  return out;
+}
+
+void Core::on(const pouch::Append& m, Time now, std::vector<Effect>& out) {
+  if (m.term < record_.term) {
+    ++late_;
+    out.push_back(Send{m.from, pouch::AppendSay{record_.term, record_.self, 0, 0, 0}});
+    return;
+  }
+  follow(m.term, m.from, now, out);
+  heard_ = now;
+  if (m.whole && newer(m.lastTerm, m.index, record_.lastTerm, record_.index)) {
+    record_.lastTerm = m.lastTerm, record_.index = m.index;
+    record_.members = m.members, record_.former = m.former, record_.state = m.state;
+    out.push_back(Persist{});
+  }
+  committed_ = std::max(committed_, std::min(m.committed, record_.index));
+  out.push_back(
+      Send{m.from, pouch::AppendSay{record_.term, record_.self, m.round, record_.lastTerm, record_.index}});
+}
+
+void Core::on(const pouch::AppendSay& m, Time now, std::vector<Effect>& out) {
+  if (m.term > record_.term) return follow(m.term, 0, now, out);
+  if (role_ != Role::leader || m.term < record_.term) {
+    ++late_;
+    return;
+  }
+  Peer& peer = peers_[m.from];
+  peer.heard = now;
+  if (m.round < peer.round) {
+    ++late_;
+    return;
+  }
+  peer.round = m.round;
+  peer.lastTerm = m.lastTerm, peer.index = m.index;
+  advance(now, out);
+}
+
+void Core::on(const pouch::VoteAsk& m, Time now, std::vector<Effect>& out) {
+  const bool hasAll = !newer(record_.lastTerm, record_.index, m.lastTerm, m.index);
+  // Who hears a leader, or is one, takes part in no election against it.
+  const bool content = role_ == Role::leader || now - heard_ < pace_.electLeast;
+  if (m.trial) {
+    const bool granted = m.term > record_.term && hasAll && !content;
+    out.push_back(Send{m.from, pouch::VoteSay{granted ? m.term : record_.term, record_.self, true, granted}});
+    return;
+  }
+  if (m.term > record_.term && !content) follow(m.term, 0, now, out);
+  const bool granted = m.term == record_.term && hasAll && !content &&
+                       (record_.votedFor == 0 || record_.votedFor == m.from) &&
+                       (role_ == Role::follower || role_ == Role::trial);
+  if (granted && record_.votedFor == 0) {
+    role_ = Role::follower;
+    record_.votedFor = m.from;
+    out.push_back(Persist{});
+    rest(now);
+  }
+  out.push_back(Send{m.from, pouch::VoteSay{record_.term, record_.self, false, granted}});
+}
+
+void Core::on(const pouch::VoteSay& m, Time now, std::vector<Effect>& out) {
+  if (!m.granted && m.term > record_.term) return follow(m.term, 0, now, out);
+  const bool fits = m.trial ? role_ == Role::trial && m.term == record_.term + 1
+                            : role_ == Role::candidate && m.term == record_.term;
+  if (!fits || !m.granted) {
+    ++late_;
+    return;
+  }
+  votes_.insert(m.from);
+  countVotes(now, out);
+}
+
+}  // namespace burlwind::ballot
--- /dev/null
+++ b/src/counter/server.hpp
@@ -0,0 +1,61 @@
+// A small HTTP/1.1 server for the calls of clients' lookups, operators and the platform: one coroutine a
+// connection, one dispatch on method and path segments by its owner. Bodies are held whole, up to kMostBody;
+// a connection that is idle or slow for kIdle is closed. `dropAll` ends every connection without an answer:
+// who has stood still must not act on what was sent before it woke.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace burlwind::counter {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+struct Call {
+  std::string method;
+  std::vector<std::string> segments;         // of the path, decoded
+  std::map<std::string, std::string> query;  // decoded
+  std::string body;
+  bool is(std::string_view verb, std::initializer_list<std::string_view> path) const;
+  std::string asked(const char* name) const;
+};
+// Takes "/api/rpc?call=x" apart.
+Call callOf(std::string_view method, std::string_view target);
+
+struct Reply {
+  explicit Reply(int s, std::string b = {}) : status(s), body(std::move(b)) {}
+  int status;
+  std::string body;  // JSON, or nothing
+};
+
+class Server {
+ public:
+  using Handler = std::function<asio::awaitable<Reply>(Call)>;
+  Server(asio::io_context& io, Handler handler);
+  ~Server();
+  boost::system::error_code listen(const std::string& ip, std::uint16_t port);
+  void close();  // takes no more connections
+  void dropAll();
+
+ private:
+  struct Connection;
+  asio::awaitable<void> accept();
+  asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
+  asio::io_context& io_;
+  Handler handler_;
+  Tcp::acceptor acceptor_;
+  std::set<std::shared_ptr<Connection>> connections_;
+};
+
+std::string message(std::string_view text);  // {"message":"..."}
+
+}  // namespace burlwind::counter
--- /dev/null
+++ b/src/courier/courier.cpp
@@ -0,0 +1,515 @@
+#include "courier/courier.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include "counter/server.hpp"
+#include "program/log.hpp"
+#include "program/start.hpp"
+
+namespace burlwind::courier {
+namespace {
+
+using asio::redirect_error;
+using asio::use_awaitable;
+using program::now;
+
+constexpr double kTick = 100;          // ms
+constexpr double kStopped = 1000;      // ms between two ticks: this process stood still
+constexpr double kTokensWithin = 350;  // ms that a request waits for word of its tenant's store
+constexpr double kAccepts = 2000;      // ms after SIGTERM
+constexpr double kReport = 10000;      // ms between two lines of figures
+constexpr double kLeast = 20;          // ms that a worker must have, else it isn't asked
+
+std::chrono::microseconds span(double ms) { return std::chrono::microseconds(static_cast<long>(ms * 1000)); }
+
+// Fields that concern one connection alone, and those that this program writes itself.
+bool ownField(beast::string_view name, bool request) {
+  static const char* const both[] = {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+                                     "TE",         "Trailer",    "Upgrade",          "Content-Length"};
+  static const char* const asked[] = {"Api-Key", "Tenant", "Time-Left-Ms", "Target-Server", "Expect"};
+  static const char* const told[] = {"Server-Load", "Not-Run", "Server-Id"};
+  const auto in = [&](const auto& names) {
+    return std::any_of(std::begin(names), std::end(names),
+                       [&](const char* n) { return beast::iequals(name, n); });
+  };
+  return in(both) || (request ? in(asked) : in(told));
+}
+
+template <class Fields>
+void copyFields(std::string& out, const Fields& fields, bool request) {
+  http::token_list named(fields[http::field::connection]);
+  for (const auto& field : fields) {
+    if (ownField(field.name_string(), request) || named.exists(field.name_string())) continue;
+    out.append(field.name_string().data(), field.name_string().size());
+    out.append(": ").append(field.value().data(), field.value().size()).append("\r\n");
+  }
+}
+
+std::string seconds(double ms) {
+  char text[32];
+  std::snprintf(text, sizeof text, "%.2f", ms / 1000);
+  return text;
+}
+
+}  // namespace
+
+struct Courier::Client {
+  Client(Tcp::socket s, asio::io_context& io) : socket(std::move(s)), timer(io) {}
+  Tcp::socket socket;
+  asio::steady_timer timer;
+  beast::flat_buffer in;
+  bool idle = true;
+  void close() {
+    Error ignored;
+    socket.close(ignored);
+    timer.cancel();
+  }
+};
+
+struct Courier::Job {
+  http::request<http::string_body> request;
+  std::shared_ptr<const address::Configuration> configuration;  // in force when it came
+  const address::Route* route = nullptr;
+  const address::Tenant* tenant = nullptr;
+  std::string service;
+  double came = 0, until = 0;  // ms; its time is over
+  // The answer, once it stands.
+  int status = 0;
+  std::string body;
+  double retryAfter = -1;  // ms
+  std::optional<http::response<http::string_body>> answer;
+
+  void end(int code, std::string_view text = {}, double after = -1) {
+    status = code, body = counter::message(text), retryAfter = after;
+  }
+};
+
+Courier::Courier(asio::io_context& io, address::Settings settings)
+    : io_(io),
+      settings_(std::move(settings)),
+      sessions_(io, settings_,
+                {[this](const pouch::News& n) { takeNews(n); },
+                 [this](const pouch::Workers& w) { sorting_.take(w, now()); },
+                 [this](const pouch::Cores& c) {
+                   unsigned all = 0;
+                   for (const auto& [zone, count] : c.couriers) all += count;
+                   sorting_.setCouriers(c.couriers);
+                   purse_.setCouriers(all);
+                   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, all);
+                 },
+                 [this](const pouch::TokensSay& t) { takeTokens(t); },
+                 [this] {
+                   return pouch::Status{ready(), index_, sorting_.number()};
+                 }}),
+      workers_(io),
+      sorting_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
+               settings_.bounds.coldSlack),
+      front_(io),
+      timer_(io) {
+  std::random_device device;
+  random_.seed(std::uint64_t{device()} << 32 | device());
+  budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, 64);
+}
+
+bool Courier::ready() const { return configuration_ && sorting_.size() > 0 && !leaving_; }
+
+Error Courier::start() {
+  Error error;
+  const auto open = [&](Tcp::acceptor& acceptor, const address::Endpoint& endpoint, int backlog) {
+    const Tcp::endpoint at(asio::ip::make_address(endpoint.ip, error), endpoint.port);
+    if (!error) acceptor.open(at.protocol(), error);
+    if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error) acceptor.bind(at, error);
+    if (!error) acceptor.listen(backlog, error);
+  };
+  open(front_, *settings_.front, 1024);
+  if (error) return error;
+  asio::co_spawn(io_, accept(), asio::detached);
+  lastTick_ = now();
+  sessions_.start();
+  tick();
+  return error;
+}
+
+// --- News ---
+void Courier::takeNews(const pouch::News& news) {
+  if (news.index <= index_ || news.configuration.empty()) return;
+  auto read = address::readConfiguration(news.configuration);
+  if (!read.configuration) {
+    program::error("news does not read", {{"why", read.fault}});
+    return;
+  }
+  const bool first = !configuration_;
+  configuration_ = std::move(read.configuration);
+  index_ = news.index;
+  for (const auto& service : configuration_->services)
+    sorting_.setService(service.name, {service.coldRate, service.coldFor});
+  sorting_.setEvacuated({news.evacuated.begin(), news.evacuated.end()}, now());
+  program::info(
+      "in force",
+      {{"version", configuration_->version}, {"index", index_}, {"evacuated", news.evacuated.size()}});
+  if (first) sessions_.tellStatus();
+}
+
+// --- Quotas ---
+void Courier::askTokens() {
+  auto wishes = purse_.wishes(now());
+  if (wishes.empty()) return;
+  sessions_.tell(pouch::frame(pouch::TokensAsk{++asks_, {}, 0, std::move(wishes)}));
+}
+
+void Courier::takeTokens(const pouch::TokensSay& say) {
+  for (const pouch::Lot& lot : say.lots) {
+    purse_.granted(lot, now());
+    for (auto& [tenant, timer] : waiting_)
+      if (tenant == lot.tenant) timer->cancel();
+  }
+}
+
+asio::awaitable<bool> Courier::frank(Job& job) {
+  if (!job.tenant || job.tenant->rate <= 0) co_return true;
+  const auto& tenant = *job.tenant;
+  const double chance = std::uniform_real_distribution<double>(0, 1)(random_);
+  auto admit = purse_.admit(tenant.name, tenant.rate, tenant.burst, chance, now());
+  if (admit == franking::Admit::wait) {
+    askTokens();
+    asio::steady_timer timer(io_);
+    timer.expires_after(span(kTokensWithin));
+    const auto mine = waiting_.insert(waiting_.end(), {tenant.name, &timer});
+    Error ignored;
+    co_await timer.async_wait(redirect_error(use_awaitable, ignored));
+    waiting_.erase(mine);
+    admit = purse_.again(tenant.name, tenant.rate, now());
+  }
+  if (admit == franking::Admit::yes) co_return true;
+  job.end(429, "over the quota", 500 + 500 * chance);
+  co_return false;
+}
+
+// --- One request ---
+bool Courier::route(Job& job) {
+  const auto& request = job.request;
+  const std::string_view target = view(request.target());
+  job.configuration = configuration_;
+  if (!job.configuration) return job.end(503, "no configuration yet", 300), false;
+  if (!target.starts_with('/')) return job.end(400, "no such target"), false;
+  job.route =
+      job.configuration->routeOf(view(request[http::field::host]), target.substr(0, target.find('?')));
+  if (!job.route) return job.end(404, "no such route"), false;
+  if (!job.configuration->tenants.empty() && !job.route->open) {
+    const auto key = request.find("Api-Key");
+    job.tenant = key == request.end() ? nullptr : job.configuration->tenantOf(view(key->value()));
+    if (!job.tenant) return job.end(401, "no such key"), false;
+  }
+  double within = job.route->timeout > 0 ? job.route->timeout : 60000;
+  if (const auto told = number<double>(view(request["Time-Left-Ms"])); told && *told >= 0)
+    within = std::min(within, *told);
+  job.until = job.came + within;
+  double sum = 0;
+  for (const auto& part : job.route->parts) sum += part.weight;
+  double draw = std::uniform_real_distribution<double>(0, sum)(random_);
+  for (const auto& part : job.route->parts) {
+    if (part.weight <= 0) continue;
+    job.service = part.service;
+    if ((draw -= part.weight) < 0) break;
+  }
+  if (job.service.empty()) return job.end(503, "no service has a weight", 500), false;
+  return true;
+}
+
+asio::awaitable<void> Courier::handle(Job& job) {
+  if (!route(job)) co_return;
+  const bool franked = co_await frank(job);
+  if (franked) co_await forward(job);
+}
+
+std::string Courier::outgoing(const Job& job, const std::string& worker, double left) const {
+  const auto& request = job.request;
+  std::string out;
+  out.reserve(512 + request.body().size());
+  out.append(view(request.method_string()))
+      .append(" ")
+      .append(view(request.target()))
+      .append(" HTTP/1.1\r\n");
+  copyFields(out, request, true);
+  out.append("Time-Left-Ms: ").append(std::to_string(static_cast<long>(std::max(1.0, left)))).append("\r\n");
+  out.append("Target-Server: ").append(worker).append("\r\n");
+  if (job.tenant) out.append("Tenant: ").append(job.tenant->name).append("\r\n");
+  if (!request.body().empty() || request.count(http::field::content_length) || request.chunked())
+    out.append("Content-Length: ").append(std::to_string(request.body().size())).append("\r\n");
+  return out.append("\r\n").append(request.body());
+}
+
+// What an answer, or none, says of the worker.
+void Courier::note(const Job&, const std::string& worker, const Answer& answer) {
+  const double at = now();
+  switch (answer.end) {
+    case End::answer:
+      sorting_.answered(worker, answer.took, at);
+      break;
+    case End::notRun:
+      if (answer.full)
+        sorting_.full(worker, at);
+      else
+        sorting_.released(worker);
+      break;
+    case End::elsewhere:
+      sorting_.failed(worker, true, at);
+      workers_.forget(worker);
+      break;
+    case End::unreachable:
+      sorting_.failed(worker, true, at);
+      break;
+    case End::broken:
+    case End::late:
+      sorting_.failed(worker, false, at);
+      break;
+  }
+  std::string_view load = view(answer.response["Server-Load"]);
+  if (!load.empty() && answer.end == End::answer) {
+    const auto running = number<double>(cut(load, ','));
+    const auto waiting = number<double>(cut(load, ','));
+    if (running && waiting) sorting_.load(worker, *running, *waiting, at);
+  }
+  if (const auto cold = address::milliseconds(view(answer.response["Cold-Ms"])))
+    sorting_.cold(worker, *cold, at);
+}
+
+asio::awaitable<void> Courier::forward(Job& job) {
+  const bool safe = job.route->safe;
+  std::vector<std::string> tried;
+  unsigned arrivals = 0, connects = 0;
+  bool mayHaveRun = false;
+  const auto giveUp = [&](std::string_view why, double after) {
+    if (mayHaveRun)
+      job.end(now() >= job.until - kLeast ? 504 : 502, why);
+    else
+      job.end(503, why, after);
+  };
+  budget_.first(job.service);
+  while (true) {
+    const double left = job.until - now();
+    if (left < kLeast) {
+      giveUp("its time is over", -1);
+      co_return;
+    }
+    if (arrivals >= std::max(1u, job.route->tries) || connects >= 4) {
+      giveUp("no worker took it", 200);
+      co_return;
+    }
+    if (arrivals > 0 && !budget_.take(job.service)) {
+      giveUp("no further try in the budget", 300);
+      co_return;
+    }
+    sorting::Ask ask;
+    ask.service = job.service;
+    ask.aim = job.route->target > 0 ? job.route->target : 1000;
+    ask.homes = &job.route->homes;
+    if (job.tenant) ask.otherHomes = &job.tenant->homes;
+    ask.tried = &tried;
+    ask.repeatable = safe;
+    const auto choice = sorting_.choose(ask, std::uniform_real_distribution<double>(0, 1)(random_), now());
+    if (choice.id.empty()) {
+      if (choice.why == sorting::Why::nobody)
+        giveUp("no worker may serve it", 500);
+      else
+        giveUp("all workers are busy", 250);
+      co_return;
+    }
+    Outgoing out;
+    out.id = choice.id;
+    out.address = choice.address;
+    out.text = outgoing(job, choice.id, left);
+    out.tryId = view(job.request["Try-Id"]);
+    out.head = job.request.method() == http::verb::head;
+    out.answerWithin = left;
+    // A repeatable request does not wait for one worker alone while another may still answer in time.
+    if (safe && arrivals + 1 < job.route->tries && left > 800)
+      out.answerWithin = std::min(left - 300, std::max(6 * sorting_.usual(job.service), 0.45 * left));
+    sorting_.sent(choice.id, now());
+    Answer answer = co_await workers_.exchange(std::move(out));
+    note(job, choice.id, answer);
+    tried.push_back(choice.id);
+    if (answer.end == End::answer) {
+      const int status = static_cast<int>(answer.response.result_int());
+      // A worker's own 503 and the like, where it does not say that it has not run, may have run.
+      const bool promise = status == 429 || status == 503 || status == 408 || status == 421;
+      if (promise) {
+        mayHaveRun = true, ++arrivals;
+        if (!safe) {
+          giveUp("a worker failed", -1);
+          co_return;
+        }
+        continue;
+      }
+      job.status = status;
+      job.answer = std::move(answer.response);
+      co_return;
+    }
+    if (answer.end == End::unreachable) {
+      ++connects;
+      continue;
+    }
+    ++arrivals;
+    if (answer.end == End::broken || answer.end == End::late) {
+      mayHaveRun = true;
+      if (!safe) {
+        giveUp("a worker did not answer", -1);
+        co_return;
+      }
+    }
+  }
+}
+
+// --- Clients ---
+asio::awaitable<void> Courier::accept() {
+  asio::steady_timer pause(io_);
+  while (front_.is_open()) {
+    Error error;
+    Tcp::socket socket = co_await front_.async_accept(redirect_error(use_awaitable, error));
+    if (!front_.is_open()) co_return;
+    if (error) {
+      pause.expires_after(std::chrono::milliseconds(20));
+      co_await pause.async_wait(redirect_error(use_awaitable, error));
+      continue;
+    }
+    socket.set_option(Tcp::no_delay(true), error);
+    auto client = std::make_shared<Client>(std::move(socket), io_);
+    clients_.insert(client);
+    asio::co_spawn(io_, serve(client), asio::detached);
+  }
+}
+
+asio::awaitable<void> Courier::serve(ClientPtr c) {
+  Error error;
+  const auto within = [&c](double ms) {
+    c->timer.expires_after(span(ms));
+    c->timer.async_wait([weak = std::weak_ptr<Client>(c)](const Error& stopped) {
+      const auto client = weak.lock();
+      if (!stopped && client) client->close();
+    });
+  };
+  for (bool goOn = true; goOn && c->socket.is_open();) {
+    const address::ClientLimits limits = configuration_ ? configuration_->limits : address::ClientLimits{};
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header));
+    parser.body_limit(std::min<std::uint64_t>(limits.body, kMostBody));
+    c->idle = c->in.size() == 0;
+    bool begun = !c->idle, told = false;
+    within(begun ? limits.headerRead : limits.idle);
+    while (!parser.is_done()) {
+      if (c->in.size() && feed(parser, c->in, error)) break;
+      if (error) break;
+      if (parser.is_header_done() && !told &&
+          beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        told = true;
+        static const std::string go = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(c->socket, asio::buffer(go), redirect_error(use_awaitable, error));
+      }
+      const std::size_t n =
+          co_await c->socket.async_read_some(c->in.prepare(kReadStep), redirect_error(use_awaitable, error));
+      if (error) break;
+      c->in.commit(n);
+      if (!begun) begun = true, c->idle = false, within(limits.headerRead + 20000);
+    }
+    c->timer.cancel();
+    if (!c->socket.is_open()) break;
+    Job job;
+    job.came = now();
+    if (error) {
+      if (error.category() != http::make_error_code(http::error::bad_version).category()) break;
+      if (error == http::error::end_of_stream || error == http::error::partial_message) break;
+      job.end(error == http::error::header_limit ? 431
+              : error == http::error::body_limit ? 413
+                                                 : 400,
+              error.message());
+      goOn = false;
+    } else {
+      job.request = parser.release();
+      goOn = job.request.keep_alive();
+      if (!plainFraming(job.request)) job.end(400, "its length is told in two ways"), goOn = false;
+      ++working_;
+      if (!job.status) co_await handle(job);
+      --working_;
+    }
+    ++counts_[job.status];
+    goOn = goOn && !leaving_;
+    std::string out = "HTTP/1.1 " + std::to_string(job.status) + " ";
+    if (job.answer) {
+      out.append(view(job.answer->reason())).append("\r\n");
+      copyFields(out, *job.answer, false);
+      const bool head = job.request.method() == http::verb::head;
+      if (head && job.answer->count(http::field::content_length))
+        out.append("Content-Length: ")
+            .append(view((*job.answer)[http::field::content_length]))
+            .append("\r\n");
+      else if (job.status != 204 && job.status != 304)
+        out.append("Content-Length: ").append(std::to_string(job.answer->body().size())).append("\r\n");
+      if (!goOn) out.append("Connection: close\r\n");
+      out.append("\r\n").append(job.answer->body());
+    } else {
+      out.append(view(http::obsolete_reason(static_cast<http::status>(job.status)))).append("\r\n");
+      if (const auto id = job.request["Try-Id"]; !id.empty())
+        out.append("Try-Id: ").append(view(id)).append("\r\n");
+      if (job.retryAfter >= 0) out.append("Retry-After: ").append(seconds(job.retryAfter)).append("\r\n");
+      if (!goOn) out.append("Connection: close\r\n");
+      out.append("Content-Type: application/json\r\nContent-Length: ")
+          .append(std::to_string(job.body.size()));
+      out.append("\r\n\r\n").append(job.body);
+    }
+    within(10000);
+    co_await asio::async_write(c->socket, asio::buffer(out), redirect_error(use_awaitable, error));
+    c->timer.cancel();
+    if (error) break;
+  }
+  c->close();
+  clients_.erase(c);
+}
+
+// --- Time ---
+void Courier::tick() {
+  const double at = now();
+  if (at - lastTick_ > kStopped) program::warn("stood still", {{"ms", at - lastTick_}});
+  lastTick_ = at;
+  sessions_.tick(at);
+  purse_.setTouch(sessions_.inTouch(at), at);
+  askTokens();
+  workers_.sweep(at);
+  report(at);
+  if (leaving_) {
+    if (at - leaveAt_ > kAccepts && front_.is_open()) {
+      Error ignored;
+      front_.close(ignored);
+    }
+    if (!front_.is_open())
+      for (const auto& client : std::set<ClientPtr>(clients_))
+        if (client->idle) client->close();
+    if (!front_.is_open() && (clients_.empty() || at - leaveAt_ > settings_.bounds.grace - 300))
+      return io_.stop();
+  }
+  timer_.expires_after(span(kTick));
+  timer_.async_wait([this](const Error& error) {
+    if (!error) tick();
+  });
+}
+
+void Courier::report(double at) {
+  if (at < reportAt_) return;
+  reportAt_ = at + kReport;
+  for (const auto& [status, count] : std::exchange(counts_, {}))
+    program::info("answers", {{"status", status}, {"count", count}});
+}
+
+void Courier::leave() {
+  if (leaving_) return;
+  leaving_ = true;
+  leaveAt_ = now();
+  sessions_.tellStatus();
+}
+
+}  // namespace burlwind::courier
--- /dev/null
+++ b/src/courier/courier.hpp
@@ -0,0 +1,76 @@
+// The data plane of one edge machine: takes clients' requests, decides each at once, sends it to a worker and
+// answers truthfully. Decisions stand in franking (quotas, budget), sorting (choice of worker) and address
+// (routes, keys); here they meet the sockets.
+//
+// What a status promises: 429, 503, 408 and 421 are sent only for requests that have run nowhere and never
+// will; what may have run and has no whole answer gets 502 or 504. Nothing that is given up is held.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+#include "address/configuration.hpp"
+#include "address/settings.hpp"
+#include "courier/session.hpp"
+#include "courier/worker_side.hpp"
+#include "franking/budget.hpp"
+#include "franking/purse.hpp"
+#include "sorting/core.hpp"
+
+namespace burlwind::courier {
+
+class Courier {
+ public:
+  Courier(asio::io_context& io, address::Settings settings);
+  Error start();  // takes its addresses; nothing is served before it has a configuration
+  void leave();   // SIGTERM: serves what it has, takes little more, ends the loop
+  bool ready() const;
+
+ private:
+  struct Client;
+  using ClientPtr = std::shared_ptr<Client>;
+  struct Job;  // one request on its way
+  asio::awaitable<void> accept();
+  asio::awaitable<void> serve(ClientPtr client);
+  asio::awaitable<void> handle(Job& job);
+  asio::awaitable<bool> frank(Job& job);
+  asio::awaitable<void> forward(Job& job);
+  bool route(Job& job);
+  std::string outgoing(const Job& job, const std::string& worker, double left) const;
+  void note(const Job& job, const std::string& worker, const Answer& answer);
+  void takeNews(const pouch::News& news);
+  void askTokens();
+  void takeTokens(const pouch::TokensSay& say);
+  void tick();
+  void report(double now);
+
+  asio::io_context& io_;
+  const address::Settings settings_;
+  std::shared_ptr<const address::Configuration> configuration_;
+  std::uint64_t index_ = 0;  // of the news in force
+  Sessions sessions_;
+  WorkerSide workers_;
+  sorting::Core sorting_;
+  franking::Purse purse_;
+  franking::TryBudget budget_;
+  Tcp::acceptor front_;
+  asio::steady_timer timer_;
+  std::list<std::pair<std::string, asio::steady_timer*>> waiting_;  // for word of a tenant's store
+  std::mt19937_64 random_;
+  std::set<ClientPtr> clients_;
+  std::size_t working_ = 0;
+  std::uint64_t asks_ = 0;
+  double lastTick_ = 0, askAt_ = 0, reportAt_ = 0, leaveAt_ = 0;
+  bool leaving_ = false;
+  std::map<int, std::uint64_t> counts_;  // answers by status
+};
+
+}  // namespace burlwind::courier
--- /dev/null
+++ b/src/courier/main.cpp
@@ -0,0 +1,68 @@
+// courier: the proxy on every edge machine.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "counter/server.hpp"
+#include "courier/courier.hpp"
+#include "program/log.hpp"
+#include "program/start.hpp"
+
+namespace burlwind::courier {
+namespace {
+
+class Program {
+ public:
+  Program(asio::io_context& io, address::Settings settings)
+      : io_(io),
+        readiness_(*settings.readiness),
+        courier_(io, std::move(settings)),
+        ready_(io, [this](counter::Call call) { return answer(std::move(call)); }),
+        signals_(io, SIGTERM, SIGINT, SIGHUP) {}
+
+  int run() {
+    Error error = courier_.start();
+    if (!error) error = ready_.listen(readiness_.ip, readiness_.port);
+    if (error) {
+      program::error("cannot listen", {{"why", error.message()}});
+      return 1;
+    }
+    program::info("starts");
+    wait();
+    io_.run();
+    program::info("ended");
+    return 0;
+  }
+
+ private:
+  asio::awaitable<counter::Reply> answer(counter::Call call) {
+    if (!call.is("GET", {"api", "ready"})) co_return counter::Reply(404, counter::message("no such call"));
+    co_return counter::Reply(courier_.ready() ? 200 : 503, "");
+  }
+  void wait() {
+    signals_.async_wait([this](const Error& error, int number) {
+      if (error) return;
+      if (number != SIGHUP) {
+        program::info("ends", {{"signal", number}});
+        courier_.leave();
+      }
+      wait();
+    });
+  }
+  asio::io_context& io_;
+  const address::Endpoint readiness_;
+  Courier courier_;
+  counter::Server ready_;
+  asio::signal_set signals_;
+};
+
+}  // namespace
+}  // namespace burlwind::courier
+
+int main(int argc, const char** argv) {
+  using namespace burlwind;
+  auto started =
+      program::start(argc, argv, "courier", "- carries clients' requests to workers", {.front = true});
+  if (!started.settings) return started.status;
+  boost::asio::io_context io{1};
+  return courier::Program(io, std::move(*started.settings)).run();
+}
--- /dev/null
+++ b/src/franking/purse.hpp
@@ -0,0 +1,70 @@
+// What one courier may let in of each tenant: decisions only.
+//
+// In touch with the registries: a stock of tokens, asked for ahead of need. The stock is the local bucket of
+// the design; it follows what comes here, up to kAhead of it, and is given up when a tenant has been still
+// for kStill. A tenant new here begins with a wish of burst / gatekeepers. Where the vault says that the
+// store is empty, the admit fraction trims: each reading u multiplies it by 100 / u, within [0.05, 1]; it
+// climbs back within kClimb without readings. Out of touch: a part of its own, rate / n, which nobody else is
+// given (see vault.hpp). It holds no more than half a second of it. The table is an LRU of kTable tenants; an
+// evicted one comes back with nothing and asks.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "pouch/messages.hpp"
+
+namespace burlwind::franking {
+
+constexpr std::size_t kTable = 4096;
+constexpr double kAhead = 0.6;         // seconds of demand in stock
+constexpr double kStill = 3000;        // ms
+constexpr double kClimb = 3000;        // ms from the floor back to 1
+constexpr double kFloor = 0.05;        // of the fraction
+constexpr double kEmptyFor = 150;      // ms that "the store is empty" is believed
+constexpr double kAnswerWithin = 600;  // ms until an ask counts as lost
+
+enum class Admit { yes, wait, no };
+
+class Purse {
+ public:
+  void setTouch(bool inTouch, double now);
+  void setCouriers(unsigned known) { couriers_ = known ? known : 1; }
+
+  // One request of a tenant with a limit (rate above 0). wait: ask now and try again when told. `chance`: a
+  // number drawn from 0 to 1.
+  Admit admit(const std::string& tenant, double rate, double burst, double chance, double now);
+  // One that waited: no second count of its coming.
+  Admit again(const std::string& tenant, double rate, double now);
+  // What to ask for, now; `urgent`: also where the stock would do for a while. Empty: nothing.
+  std::vector<pouch::Wish> wishes(double now);
+  void granted(const pouch::Lot& lot, double now);
+  double fraction(const std::string& tenant) const;
+  double stock(const std::string& tenant) const;
+
+ private:
+  struct Account {
+    std::string tenant;
+    double rate = 0, burst = 0;
+    double stock = 0;
+    double came = 0, cameAt = 0;  // requests a second, of late
+    double own = 0, ownAt = 0;    // the part out of touch
+    double askedAt = -1e18;       // an ask is under way since
+    double emptyAt = -1e18;       // the store was told empty
+    double fraction = 1, fractionAt = 0;
+    bool fresh = true;
+    unsigned short waits = 0;  // requests that wait for an answer
+  };
+  Account& account(const std::string& tenant, double rate, double burst, double now);
+  bool spend(Account& a, double now);
+  double target(const Account& a) const;
+  std::list<Account> table_;  // latest first
+  std::unordered_map<std::string, std::list<Account>::iterator> index_;
+  bool inTouch_ = false;
+  unsigned couriers_ = 1;
+};
+
+}  // namespace burlwind::franking
--- /dev/null
+++ b/src/franking/vault.cpp
@@ -0,0 +1,34 @@
+#include "franking/vault.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace burlwind::franking {
+namespace {
+constexpr double kBurstPart = 0.8;  // of the burst; the rest is what couriers hold in stock
+}
+
+Vault::Given Vault::take(const std::string& tenant, const Limit& limit, double want, double asked,
+                         double now) {
+  Given out;
+  if (limit.rate <= 0) return out.granted = want, out;
+  const auto [found, fresh] = stores_.try_emplace(tenant);
+  Store& store = found->second;
+  if (fresh) store.at = from_;
+  const double most = std::max(1.0, limit.burst * kBurstPart);
+  store.level = std::min(most, store.level + limit.rate * reach_ * std::max(0.0, now - store.at) / 1000);
+  store.at = std::max(store.at, now);
+  out.granted = std::max(0.0, std::min(want, std::floor(store.level)));
+  store.level -= out.granted;
+  out.empty = out.granted < want;
+  // Demand: each courier tells what came to it about ten times a second; the sum over a second's reports.
+  store.sum += asked;
+  if (now - store.sumFrom >= 1000) {
+    store.demand = store.sum * 100 / std::max(1000.0, std::min(now - store.sumFrom, 2000.0));
+    store.sum = 0, store.sumFrom = now;
+  }
+  out.use = static_cast<int>(std::min(10000.0, 100 * store.demand / limit.rate));
+  return out;
+}
+
+}  // namespace burlwind::franking
--- /dev/null
+++ b/src/franking/vault.hpp
@@ -0,0 +1,50 @@
+// The quota of all gatekeepers together, as the holder of the quota duty keeps it: decisions only.
+//
+// A tenant's bucket refills at its rate and holds its burst; couriers take tokens out of it ahead of need,
+// and one token lets one request in, once. What couriers hold in stock is bounded by them (Purse), so in any
+// window w no more than rate x w + burst + stock is let in, however requests spread over couriers; a courier
+// that dies loses its stock, which lets nothing in.
+//
+// Couriers out of reach of the registries have parts of their own: rate / n each, n couriers known. They may
+// spend it from the moment they lose touch; the vault takes it off the refill from the moment it knows, one
+// silence later, which is what the rule's slack bears. A new holder starts with empty buckets: the one before
+// may have given out the burst just now.
+// Cost: one map entry a tenant; a constant for each wish.
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+namespace burlwind::franking {
+
+struct Limit {
+  double rate = 0, burst = 0;  // requests a second, requests
+};
+
+class Vault {
+ public:
+  void clear(double now) {  // takes the duty
+    stores_.clear();
+    from_ = now;
+  }
+  // Of the known couriers, those in touch: the refill is theirs alone.
+  void setReach(double part) { reach_ = part; }
+
+  struct Given {
+    double granted = 0;
+    int use = 0;
+    bool empty = false;
+  };
+  // asked: requests a second that came for the tenant to the courier that wishes.
+  Given take(const std::string& tenant, const Limit& limit, double want, double asked, double now);
+
+ private:
+  struct Store {
+    double level = 0, at = 0;
+    double demand = 0, sum = 0, sumFrom = 0;  // asked of late, a second
+  };
+  std::unordered_map<std::string, Store> stores_;
+  double from_ = 0, reach_ = 1;
+};
+
+}  // namespace burlwind::franking
--- /dev/null
+++ b/src/pigeonhole/ledger.hpp
@@ -0,0 +1,39 @@
+// What the stores agree on, and what an operator's order makes of it: decisions only. An order is judged
+// against the agreed state alone, by the one replica that leads, in the order in which it came.
+//
+// A configuration that has been taken is known again by number and digest (the last kRemembered of them): the
+// same one sent again is answered 200, also after others have followed it.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "address/configuration.hpp"
+#include "pouch/messages.hpp"
+
+namespace burlwind::pigeonhole {
+
+constexpr std::size_t kRemembered = 128;
+
+struct State {
+  std::string configuration;  // as sent
+  std::uint64_t version = 0;
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> taken;  // version, digest
+  std::set<std::string> evacuated;                             // zones
+  MSGPACK_DEFINE(configuration, version, taken, evacuated)
+};
+std::string pack(const State& state);
+bool unpack(const std::string& bytes, State& out);  // an empty text is the empty state
+
+struct Judged {
+  int status = 0;        // 200, 400, 412
+  std::string text;      // why not
+  bool changes = false;  // the state is another one now
+};
+Judged apply(State& state, const pouch::Propose& order);
+
+}  // namespace burlwind::pigeonhole
--- /dev/null
+++ b/src/pigeonhole/main.cpp
@@ -0,0 +1,446 @@
+// pigeonhole: the store of configuration and evacuations. Wires the agreement (src/ballot), the disk and the
+// links to the other stores and to the registries; all decisions stand in ballot and ledger.
+//
+// Disk writes block the loop on purpose: a replica whose disk stalls says nothing meanwhile, so that another
+// one leads, and what it wakes with is old by number.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <deque>
+#include <random>
+#include <thread>
+
+#include "ballot/core.hpp"
+#include "pigeonhole/ledger.hpp"
+#include "pigeonhole/store.hpp"
+#include "pouch/link.hpp"
+#include "program/log.hpp"
+#include "program/start.hpp"
+#include "rounds/lease.hpp"
+
+namespace burlwind::pigeonhole {
+namespace {
+
+namespace asio = boost::asio;
+using pouch::Arrived;
+using pouch::Link;
+using program::now;
+using LinkPtr = std::shared_ptr<Link>;
+
+constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr double kStopped = 1000;       // ms between two ticks: this process stood still
+constexpr double kJoinPause = 300;      // ms
+constexpr double kVouchPause = 300;     // ms
+constexpr double kWriteWithin = 10000;  // ms, until a process whose disk refuses all ends
+
+std::uint64_t drawId() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32 | device()) | 1;
+}
+
+// At the first start of all, and then alone, the seeds are the members; each finds the others' ids by their
+// addresses. The top bit keeps these ids apart from drawn ones.
+std::uint64_t firstId(const std::string& ip) {
+  std::uint64_t hash = 1469598103934665603ull;
+  for (const char c : ip) hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211ull;
+  return hash | std::uint64_t{1} << 63;
+}
+
+class Pigeonhole {
+ public:
+  Pigeonhole(asio::io_context& io, address::Settings settings)
+      : io_(io),
+        settings_(std::move(settings)),
+        store_(settings_.dataFolder),
+        acceptor_(io),
+        timer_(io),
+        signals_(io, SIGTERM, SIGINT, SIGHUP),
+        random_(drawId()) {}
+
+  int run() {
+    if (!load()) return 1;
+    if (const auto error =
+            acceptor_.listen(settings_.ip, settings_.portFrom, [this](LinkPtr l) { take(l); })) {
+      program::error("cannot listen", {{"port", settings_.portFrom}, {"why", error.message()}});
+      return 1;
+    }
+    for (const auto& seed : settings_.seeds) dial(seed.ip);
+    for (const auto& m : core_->record().members) dial(m.ip);
+    lastTick_ = now();
+    tick();
+    wait();
+    io_.run();
+    return status_;
+  }
+
+ private:
+  bool load() {
+    std::string bytes;
+    if (const auto error = store_.open(bytes)) {
+      program::error("cannot open the store", {{"folder", settings_.dataFolder}, {"why", error.message()}});
+      return false;
+    }
+    ballot::Record record;
+    bool known = false;
+    if (!bytes.empty()) try {
+        msgpack::unpack(bytes.data(), bytes.size()).get().convert(record);
+        known = true;
+      } catch (const std::exception& fault) {
+        program::error("the record does not read", {{"why", fault.what()}});
+        return false;
+      }
+    if (!known) begin(record);
+    if (!unpack(record.state, state_)) {
+      program::error("the state does not read", {});
+      return false;
+    }
+    program::info("starts", {{"id", std::to_string(record.self)},
+                             {"empty", !known},
+                             {"term", record.term},
+                             {"index", record.index},
+                             {"version", state_.version},
+                             {"members", record.members.size()}});
+    core_.emplace(std::move(record), ballot::Pace{}, 2 * settings_.bearsMachines + 1, &Pigeonhole::draw, this,
+                  now());
+    return known || persist();
+  }
+
+  void begin(ballot::Record& record) {
+    record.self = drawId() & ~(std::uint64_t{1} << 63);
+    if (!settings_.firstBoot) return;
+    bool seed = false;
+    std::vector<pouch::Member> members;
+    for (const auto& s : settings_.seeds) {
+      members.push_back({firstId(s.ip), s.ip});
+      seed = seed || s.ip == settings_.ip;
+    }
+    if (!seed) return;
+    record.self = firstId(settings_.ip);
+    record.members = std::move(members);
+  }
+
+  static double draw(void* self) {
+    return std::uniform_real_distribution<double>(0, 1)(static_cast<Pigeonhole*>(self)->random_);
+  }
+
+  bool persist() {
+    msgpack::sbuffer out;
+    msgpack::pack(out, core_->record());
+    const std::string record(out.data(), out.size());
+    const double from = now();
+    for (std::error_code error; (error = store_.write(record));) {
+      // What can't be kept must not be said: nothing else goes on meanwhile, as while a disk stalls.
+      program::error("cannot write", {{"why", error.message()}});
+      if (now() - from > kWriteWithin) {
+        status_ = 1;
+        io_.stop();
+        return false;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    if (now() - from > 200) program::warn("slow disk", {{"ms", now() - from}});
+    return true;
+  }
+
+  // --- Effects ---
+  void carryOut(const std::vector<ballot::Effect>& effects) {
+    for (const auto& effect : effects) {
+      if (std::holds_alternative<ballot::Persist>(effect)) {
+        if (!persist()) return;
+      } else if (const auto* send = std::get_if<ballot::Send>(&effect)) {
+        std::visit([&](const auto& m) { tell(send->to, m); }, send->message);
+      } else if (std::holds_alternative<ballot::Committed>(effect)) {
+        committed();
+      } else if (std::holds_alternative<ballot::Led>(effect)) {
+        led();
+      } else if (std::holds_alternative<ballot::Stepped>(effect)) {
+        stepped();
+      } else if (const auto* confirmed = std::get_if<ballot::Confirmed>(&effect)) {
+        confirmedRound(confirmed->round);
+      }
+    }
+  }
+
+  template <class Message>
+  void tell(std::uint64_t id, const Message& message) {
+    const auto ip = ipOf(id);
+    const auto found = dialers_.find(ip);
+    if (found != dialers_.end() && found->second->link()) found->second->link()->tell(message);
+  }
+  std::string ipOf(std::uint64_t id) const {
+    for (const auto* all : {&core_->record().members, &core_->record().former})
+      for (const auto& m : *all)
+        if (m.id == id) return m.ip;
+    const auto found = ips_.find(id);
+    return found == ips_.end() ? std::string() : found->second;
+  }
+
+  void committed() {
+    unpack(core_->record().state, state_);
+    for (auto& [number, link, outcome] : std::exchange(underWay_, {}))
+      if (const auto l = link.lock()) l->tell(pouch::Outcome{number, outcome.status, outcome.text});
+    for (const auto& m : core_->record().members) dial(m.ip);
+    pushNews();
+    asio::post(io_, [this] { proposeNext(); });
+  }
+
+  void led() {
+    program::info("leads", {{"term", core_->record().term}, {"index", core_->record().index}});
+    lease_.lead(now());
+    vouchAt_ = 0;
+  }
+
+  void stepped() {
+    program::info("leads no more", {{"term", core_->record().term}});
+    // Whether what was under way lasts is not known here: the links' ends say so, as no clear answer.
+    underWay_.clear(), orders_.clear(), reads_.clear(), leases_.clear();
+    for (auto& [link, reader] : readers_) link->close();
+  }
+
+  void confirmedRound(std::uint64_t round) {
+    if (!core_->leads()) return;
+    std::erase_if(reads_, [&](auto& read) {
+      if (read.round > round) return false;
+      if (const auto l = read.link.lock()) l->tell(pouch::Outcome{read.number, 200, state_.configuration});
+      return true;
+    });
+    std::erase_if(leases_, [&](auto& ask) {
+      if (ask.round > round) return false;
+      const double span = lease_.ask(ask.ip, now());
+      if (const auto l = ask.link.lock())
+        l->tell(pouch::LeaseSay{ask.number, span, core_->record().term * 1000000 + lease_.epoch()});
+      return true;
+    });
+    if (now() < vouchAt_) return;
+    vouchAt_ = now() + kVouchPause;
+    const pouch::Vouch vouch{core_->record().term, core_->committed(), lease_.holder(now()), storeIps()};
+    for (auto& [link, reader] : readers_) link->tell(vouch);
+  }
+
+  // --- Readers: the registries ---
+  struct Reader {
+    std::string ip;
+  };
+  std::vector<std::string> storeIps() const {
+    std::vector<std::string> out;
+    for (const auto& m : core_->record().members) out.push_back(m.ip);
+    return out;
+  }
+  pouch::News news() const {
+    return {core_->record().term,
+            core_->committed(),
+            state_.configuration,
+            {state_.evacuated.begin(), state_.evacuated.end()},
+            storeIps()};
+  }
+  void pushNews() {
+    if (!core_->leads()) return;
+    const std::string frame = pouch::frame(news());
+    for (auto& [link, reader] : readers_) link->send(frame);
+  }
+
+  void order(const LinkPtr& link, pouch::Propose propose) {
+    if (!core_->leads()) return link->tell(pouch::Outcome{propose.number, 503, "does not lead"});
+    orders_.push_back({std::move(propose), link});
+    proposeNext();
+  }
+
+  // All that waits becomes one entry, each order judged on top of those before it.
+  void proposeNext() {
+    if (orders_.empty() || !core_->mayPropose()) return;
+    State next = state_;
+    bool changes = false;
+    auto waiting = std::exchange(orders_, {});
+    for (auto& [propose, link] : waiting) {
+      const Judged judged = apply(next, propose);
+      program::info("order", {{"what", propose.what}, {"status", judged.status}, {"text", judged.text}});
+      changes = changes || judged.changes;
+      underWay_.push_back({propose.number, link, judged});
+    }
+    // What changes nothing is answered only once this replica is known to lead still.
+    carryOut(core_->propose(pack(next), now()));
+  }
+
+  void onReader(const LinkPtr& link, const Arrived& arrived) {
+    if (pouch::Propose m; arrived.kind == pouch::kPropose && arrived.read(m))
+      return order(link, std::move(m));
+    if (pouch::Read m; arrived.kind == pouch::kRead && arrived.read(m)) {
+      if (!core_->leads()) return link->tell(pouch::Outcome{m.number, 503, "does not lead"});
+      std::vector<ballot::Effect> out;
+      const std::uint64_t round = core_->confirm(now(), out);
+      reads_.push_back({round, m.number, link, {}});
+      carryOut(out);
+    } else if (pouch::LeaseAsk m2; arrived.kind == pouch::kLeaseAsk && arrived.read(m2)) {
+      if (core_->leads()) leases_.push_back({core_->nextRound(), m2.number, link, m2.ip});
+    }
+  }
+
+  // --- The other stores ---
+  void dial(const std::string& ip) {
+    if (ip == settings_.ip || dialers_.contains(ip)) return;
+    auto dialer = std::make_shared<pouch::Dialer>(io_, ip, settings_.portFrom);
+    dialers_[ip] = dialer;
+    dialer->start([this](LinkPtr link) { link->tell(hello()); }, nullptr, nullptr);
+  }
+
+  pouch::Hello hello() const {
+    return {"pigeonhole",
+            settings_.name,
+            settings_.ip,
+            settings_.zone,
+            settings_.region,
+            core_->record().self,
+            {}};
+  }
+
+  void take(const LinkPtr& link) {
+    inbound_.insert(link);
+    link->start(
+        [this, weak = std::weak_ptr<Link>(link)](const Arrived& arrived) {
+          if (const auto l = weak.lock()) arrivedOn(l, arrived);
+        },
+        [this, weak = std::weak_ptr<Link>(link)] {
+          if (const auto l = weak.lock()) readers_.erase(l), inbound_.erase(l);
+        });
+  }
+
+  void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
+    seeStop();
+    if (!link->open()) return;
+    if (readers_.contains(link)) return onReader(link, arrived);
+    switch (arrived.kind) {
+      case pouch::kHello:
+        if (pouch::Hello m; arrived.read(m)) greet(link, m);
+        break;
+      case pouch::kAppend:
+        feed<pouch::Append>(arrived);
+        break;
+      case pouch::kAppendSay:
+        feed<pouch::AppendSay>(arrived);
+        break;
+      case pouch::kVoteAsk:
+        feed<pouch::VoteAsk>(arrived);
+        break;
+      case pouch::kVoteSay:
+        feed<pouch::VoteSay>(arrived);
+        break;
+      case pouch::kJoin:
+        if (pouch::Join m; arrived.read(m)) {
+          ips_[m.member.id] = m.member.ip;
+          dial(m.member.ip);
+          carryOut(core_->join(m.member, now()));
+        }
+        break;
+      case pouch::kLeave:
+        if (pouch::Leave m; arrived.read(m)) carryOut(core_->leave(m.from, now()));
+        break;
+      default:
+        link->close();
+    }
+  }
+
+  template <class Message>
+  void feed(const Arrived& arrived) {
+    if (Message m; arrived.read(m)) carryOut(core_->receive(m, now()));
+  }
+
+  void greet(const LinkPtr& link, const pouch::Hello& m) {
+    if (m.role == "pigeonhole") {
+      ips_[m.life] = m.ip;
+      dial(m.ip);
+      return;
+    }
+    readers_[link] = {m.ip};
+    if (core_->leads()) link->tell(news());
+    vouchAt_ = 0;
+  }
+
+  // --- Time ---
+  // Who has stood still answers nothing that came before it woke: orders may have been sent again meanwhile,
+  // and taken back.
+  void seeStop() {
+    const double at = now();
+    const bool stopped = at - lastTick_ > kStopped;
+    lastTick_ = at;
+    if (!stopped) return;
+    program::warn("stood still", {});
+    carryOut(core_->tick(at));
+    for (auto& [link, reader] : readers_) link->close();
+  }
+
+  void tick() {
+    seeStop();
+    const double at = now();
+    carryOut(core_->tick(at));
+    if ((!core_->member() || !core_->leaderIsKnown(at)) && at >= joinAt_) {
+      joinAt_ = at + kJoinPause;
+      const pouch::Join join{{core_->record().self, settings_.ip}};
+      for (auto& [ip, dialer] : dialers_)
+        if (dialer->link()) dialer->link()->tell(join);
+    }
+    timer_.expires_after(kTick);
+    timer_.async_wait([this](const pouch::Error& error) {
+      if (!error) tick();
+    });
+  }
+
+  void wait() {
+    signals_.async_wait([this](const pouch::Error& error, int number) {
+      if (error) return;
+      if (number == SIGHUP) return wait();
+      program::info("ends", {{"signal", number}});
+      const pouch::Leave leave{core_->record().self};
+      for (auto& [ip, dialer] : dialers_)
+        if (dialer->link()) dialer->link()->tell(leave);
+      endTimer_.expires_after(std::chrono::milliseconds(300));
+      endTimer_.async_wait([this](const pouch::Error&) { io_.stop(); });
+    });
+  }
+
+  struct Pending {
+    std::uint64_t number;
+    std::weak_ptr<Link> link;
+    Judged outcome;
+  };
+  struct Order {
+    pouch::Propose propose;
+    std::weak_ptr<Link> link;
+  };
+  struct Asked {
+    std::uint64_t round, number;
+    std::weak_ptr<Link> link;
+    std::string ip;
+  };
+
+  asio::io_context& io_;
+  const address::Settings settings_;
+  Store store_;
+  std::optional<ballot::Core> core_;
+  State state_;  // committed
+  rounds::LeaseGrantor lease_;
+  pouch::Acceptor acceptor_;
+  asio::steady_timer timer_, endTimer_{io_};
+  asio::signal_set signals_;
+  std::mt19937_64 random_;
+  std::map<std::string, std::shared_ptr<pouch::Dialer>> dialers_;  // by ip
+  std::map<std::uint64_t, std::string> ips_;
+  std::set<LinkPtr> inbound_;
+  std::map<LinkPtr, Reader> readers_;
+  std::deque<Order> orders_;
+  std::vector<Pending> underWay_;
+  std::vector<Asked> reads_, leases_;
+  double lastTick_ = 0, joinAt_ = 0, vouchAt_ = 0;
+  int status_ = 0;
+};
+
+}  // namespace
+}  // namespace burlwind::pigeonhole
+
+int main(int argc, const char** argv) {
+  using namespace burlwind;
+  auto started = program::start(argc, argv, "pigeonhole",
+                                "- keeps the configuration, agreed with the other stores", {.disk = true});
+  if (!started.settings) return started.status;
+  boost::asio::io_context io{1};
+  return pigeonhole::Pigeonhole(io, std::move(*started.settings)).run();
+}
--- /dev/null
+++ b/src/postmaster/main.cpp
@@ -0,0 +1,506 @@
+// postmaster: the registry. Wires sessions of couriers, the other registries, the stores, the platform's
+// list, the quota duty and the calls from outside; what they mean is decided in registry, rounds, franking
+// and, for orders, by the store that leads.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+#include "address/configuration.hpp"
+#include "counter/server.hpp"
+#include "franking/vault.hpp"
+#include "postmaster/platform_list.hpp"
+#include "postmaster/registry.hpp"
+#include "pouch/link.hpp"
+#include "program/log.hpp"
+#include "program/start.hpp"
+#include "rounds/lease.hpp"
+
+namespace burlwind::postmaster {
+namespace {
+
+namespace asio = boost::asio;
+using counter::Call;
+using counter::Reply;
+using pouch::Arrived;
+using pouch::Error;
+using pouch::Link;
+using program::now;
+using LinkPtr = std::shared_ptr<Link>;
+
+constexpr double kTick = 100;
+constexpr double kBeat = 400;      // to couriers and other registries
+constexpr double kSilent = 1500;   // a courier that says nothing for so long is gone
+constexpr double kVouched = 1000;  // the leader's word counts so long
+constexpr double kStopped = 1000;  // between two ticks: this process stood still
+constexpr double kReadList = 400;  // between two readings of the platform's list
+constexpr double kListWithin = 1500;
+constexpr double kLeaseAsk = 400;
+constexpr double kLeaderWithin = 700;  // an order waits so long for a leader
+constexpr double kOrderWithin = 3000;
+constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
+
+class Postmaster {
+ public:
+  Postmaster(asio::io_context& io, address::Settings settings)
+      : io_(io),
+        settings_(std::move(settings)),
+        registry_(settings_.ip, settings_.regionOf),
+        acceptor_(io),
+        control_(io, [this](Call c) { return controlCall(std::move(c)); }),
+        directory_(io, [this](Call c) { return directoryCall(std::move(c)); }),
+        timer_(io),
+        wake_(io),
+        signals_(io, SIGTERM, SIGINT, SIGHUP) {
+    std::random_device device;
+    life_ = (std::uint64_t{device()} << 32 | device()) | 1;
+  }
+
+  int run() {
+    Error error = acceptor_.listen(settings_.ip, port(), [this](LinkPtr l) { take(l); });
+    if (!error) error = control_.listen(settings_.control->ip, settings_.control->port);
+    if (!error) error = directory_.listen(settings_.directory->ip, settings_.directory->port);
+    if (error) {
+      program::error("cannot listen", {{"why", error.message()}});
+      return 1;
+    }
+    program::info("starts", {{"ip", settings_.ip}, {"zone", settings_.zone}});
+    for (const auto& seed : settings_.seeds) meet(seed.ip);
+    meet(settings_.ip);
+    if (settings_.platform) asio::co_spawn(io_, readList(), asio::detached);
+    lastTick_ = now();
+    tick();
+    wait();
+    io_.run();
+    return 0;
+  }
+
+ private:
+  std::uint16_t port() const { return static_cast<std::uint16_t>(settings_.portFrom + 1); }
+
+  pouch::Hello hello() const {
+    return {"postmaster", settings_.name, settings_.ip, settings_.zone, settings_.region, life_, {}};
+  }
+
+  // --- Stores and other registries: a machine of the core has one of each ---
+  struct StoreSide {
+    std::shared_ptr<pouch::Dialer> dialer;
+  };
+  void meet(const std::string& ip) {
+    if (!stores_.contains(ip)) {
+      auto dialer = std::make_shared<pouch::Dialer>(io_, ip, settings_.portFrom);
+      stores_[ip] = dialer;
+      dialer->start([this](LinkPtr link) { link->tell(hello()); },
+                    [this, ip](const Arrived& arrived) { onStore(ip, arrived); },
+                    [this, ip] { lostStore(ip); });
+    }
+    if (ip != settings_.ip && !others_.contains(ip)) {
+      auto dialer = std::make_shared<pouch::Dialer>(io_, ip, port());
+      others_[ip] = dialer;
+      dialer->start(
+          [this](LinkPtr link) {
+            link->tell(hello());
+            link->tell(pouch::Sessions{true, registry_.own()});
+            if (duty_.holds(now())) link->tell(registry_.whole(now()));
+          },
+          [this](const Arrived& arrived) { onAnswer(arrived); }, nullptr);
+    }
+  }
+
+  void lostStore(const std::string& ip) {
+    if (leader_ == ip) leader_.clear();
+    for (auto& [number, waiting] : waiting_)
+      if (waiting->at == ip) finish(*waiting, 503, "the store is gone");
+  }
+
+  void onStore(const std::string& ip, const Arrived& arrived) {
+    seeStop();
+    if (pouch::News m; arrived.kind == pouch::kNews && arrived.read(m)) {
+      leader_ = ip, leaderTerm_ = m.term;
+      takeNews(std::move(m));
+    } else if (pouch::Vouch v; arrived.kind == pouch::kVouch && arrived.read(v)) {
+      if (v.term < leaderTerm_) return;
+      leader_ = ip, leaderTerm_ = v.term;
+      if (v.index <= news_.index) vouchedAt_ = now();
+      holder_ = v.holder;
+      for (const std::string& store : v.stores) meet(store);
+      wake_.cancel();
+    } else if (pouch::Outcome o; arrived.kind == pouch::kOutcome && arrived.read(o)) {
+      if (const auto found = waiting_.find(o.number); found != waiting_.end())
+        finish(*found->second, o.status, o.text);
+    } else if (pouch::LeaseSay l; arrived.kind == pouch::kLeaseSay && arrived.read(l)) {
+      leaseSaid(l);
+    }
+  }
+
+  void takeNews(pouch::News news) {
+    if (news.index < news_.index) return;
+    vouchedAt_ = now();
+    for (const std::string& store : news.stores) meet(store);
+    const bool same = news.configuration == news_.configuration && news.evacuated == news_.evacuated;
+    if (news.configuration != news_.configuration)
+      configuration_ = address::readConfiguration(news.configuration).configuration;
+    news_ = std::move(news);
+    wake_.cancel();
+    if (same) return;
+    program::info("news",
+                  {{"index", news_.index}, {"version", configuration_ ? configuration_->version : 0}});
+    const std::string frame = pouch::frame(news_);
+    for (auto& [link, session] : sessions_) link->send(frame);
+  }
+
+  // --- The duties: one registry reads the platform's list and keeps the quotas ---
+  void askLease(double at) {
+    if (at < leaseAt_ || leader_.empty()) return;
+    leaseAt_ = at + kLeaseAsk;
+    if (!holder_.empty() && holder_ != settings_.ip) return;
+    const auto link = stores_[leader_]->link();
+    if (!link) return;
+    leaseAsked_ = {++numbers_, at};
+    link->tell(pouch::LeaseAsk{numbers_, settings_.ip});
+  }
+
+  void leaseSaid(const pouch::LeaseSay& m) {
+    if (m.number != leaseAsked_.first || m.span <= 0) return;
+    const bool held = duty_.holds(now()) && epoch_ == m.term;
+    duty_.granted(leaseAsked_.second, m.span);
+    epoch_ = m.term;
+    if (held) return;
+    program::info("takes the duties", {{"epoch", epoch_}});
+    vault_.clear(now());
+    wake_.cancel();
+  }
+
+  asio::awaitable<void> readList() {
+    PlatformList list(io_, *settings_.platform);
+    asio::steady_timer pause(io_);
+    std::string told;
+    while (true) {
+      Error ignored;
+      pause.expires_after(std::chrono::milliseconds(static_cast<int>(kReadList)));
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      if (!duty_.holds(now())) continue;
+      std::string why;
+      const auto all = co_await list.read(kListWithin, why);
+      if (!all) {
+        if (why != told) program::warn("the platform's list", {{"why", why}});
+        told = why;
+        continue;
+      }
+      told.clear();
+      if (!duty_.holds(now())) continue;
+      if (const auto change = registry_.listed(epoch_, *all, now())) {
+        program::info("workers", {{"number", change->number},
+                                  {"put", change->put.size()},
+                                  {"gone", change->gone.size()},
+                                  {"all", all->size()}});
+        const std::string frame = pouch::frame(*change);
+        for (auto& [ip, dialer] : others_)
+          if (dialer->link()) dialer->link()->send(frame);
+        for (auto& [link, session] : sessions_) link->send(frame);
+      }
+    }
+  }
+
+  // --- Links that others dial: couriers and registries ---
+  struct Session {
+    pouch::Seat seat;
+    double heard = 0;
+    std::uint64_t index = 0, workers = 0;  // acknowledged
+  };
+
+  void take(const LinkPtr& link) {
+    inbound_.insert(link);
+    link->start(
+        [this, weak = std::weak_ptr<Link>(link)](const Arrived& arrived) {
+          if (const auto l = weak.lock()) arrivedOn(l, arrived);
+        },
+        [this, weak = std::weak_ptr<Link>(link)] {
+          if (const auto l = weak.lock()) ended(l);
+        });
+  }
+
+  void ended(const LinkPtr& link) {
+    if (const auto found = sessions_.find(link); found != sessions_.end()) {
+      program::info("session ends", {{"courier", found->second.seat.name}});
+      registry_.unseat(found->second.seat.name, found->second.seat.life, now());
+      sessions_.erase(found);
+      tellSessions(true);
+    }
+    registries_.erase(link);
+    inbound_.erase(link);
+  }
+
+  void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
+    seeStop();
+    if (!link->open()) return;
+    if (arrived.kind == pouch::kHello) {
+      if (pouch::Hello m; arrived.read(m)) greet(link, m);
+    } else if (const auto session = sessions_.find(link); session != sessions_.end()) {
+      onCourier(link, session->second, arrived);
+    } else if (const auto other = registries_.find(link); other != registries_.end()) {
+      onRegistry(link, other->second, arrived);
+    } else {
+      link->close();
+    }
+  }
+
+  void greet(const LinkPtr& link, const pouch::Hello& m) {
+    if (m.role == "postmaster") {
+      registries_[link] = m.ip;
+      cores_[m.ip] = {m.ip, m.zone, m.region};
+      meet(m.ip);
+      return;
+    }
+    // The newest session of a courier is the one that counts.
+    for (auto& [other, session] : sessions_)
+      if (session.seat.name == m.name && other != link) other->close();
+    Session& session = sessions_[link];
+    session.seat = {m.name, m.front, m.zone, m.region, false, m.life};
+    session.heard = now();
+    program::info("session", {{"courier", m.name}});
+    link->tell(coresNow());
+    if (news_.index > 0) link->tell(news_);
+    if (registry_.number() > 0) link->tell(registry_.whole(now()));
+    link->tell(pouch::Beat{vouched()});
+  }
+
+  pouch::Cores coresNow() {
+    pouch::Cores out;
+    cores_[settings_.ip] = {settings_.ip, settings_.zone, settings_.region};
+    for (const auto& [ip, core] : cores_) out.cores.push_back(core);
+    out.couriers = registry_.counts(now()).byZone;
+    return out;
+  }
+
+  bool vouched() const { return now() - vouchedAt_ < kVouched; }
+
+  void onCourier(const LinkPtr& link, Session& session, const Arrived& arrived) {
+    session.heard = now();
+    if (pouch::Status m; arrived.kind == pouch::kStatus && arrived.read(m)) {
+      const bool changed = session.seat.ready != m.ready;
+      session.index = m.index, session.workers = m.workers;
+      session.seat.ready = m.ready;
+      registry_.seat(session.seat, now());
+      if (changed) tellSessions(true);
+    } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
+      t.courier = session.seat.name, t.life = session.seat.life;
+      if (duty_.holds(now()))
+        link->tell(grant(t));
+      else if (const auto holder = others_.find(holder_); holder != others_.end() && holder->second->link())
+        holder->second->link()->tell(t);
+    }
+  }
+
+  void onRegistry(const LinkPtr& link, const std::string& ip, const Arrived& arrived) {
+    if (pouch::Sessions s; arrived.kind == pouch::kSessions && arrived.read(s)) {
+      registry_.heard(ip, s, now());
+    } else if (pouch::Workers w; arrived.kind == pouch::kWorkers && arrived.read(w)) {
+      const auto taken = registry_.take(w, now());
+      if (taken == Registry::Taken::gap) return link->close();  // dialled anew, it begins with a whole one
+      if (taken != Registry::Taken::news) return;
+      const std::string frame = pouch::frame(w);
+      for (auto& [courier, session] : sessions_) courier->send(frame);
+    } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
+      if (duty_.holds(now())) link->tell(grant(t));
+    }
+  }
+
+  // What the holder of the quotas answers on the link that asked it.
+  void onAnswer(const Arrived& arrived) {
+    pouch::TokensSay m;
+    if (arrived.kind != pouch::kTokensSay || !arrived.read(m)) return;
+    for (auto& [link, session] : sessions_)
+      if (session.seat.name == m.courier && session.seat.life == m.life) return link->tell(m);
+  }
+
+  pouch::TokensSay grant(const pouch::TokensAsk& ask) {
+    pouch::TokensSay out{ask.number, ask.courier, ask.life, {}};
+    if (!configuration_) return out;
+    const auto counts = registry_.counts(now());
+    vault_.setReach(counts.known ? static_cast<double>(counts.live) / counts.known : 1);
+    for (const pouch::Wish& wish : ask.wishes) {
+      const auto tenant = std::find_if(configuration_->tenants.begin(), configuration_->tenants.end(),
+                                       [&](const auto& t) { return t.name == wish.tenant; });
+      if (tenant == configuration_->tenants.end()) continue;
+      const auto given =
+          vault_.take(wish.tenant, {tenant->rate, tenant->burst}, wish.want, wish.asked, now());
+      out.lots.push_back({wish.tenant, given.granted, given.use, given.empty});
+    }
+    return out;
+  }
+
+  void tellSessions(bool whole) {
+    const std::string frame =
+        pouch::frame(pouch::Sessions{whole, whole ? registry_.own() : std::vector<pouch::Seat>()});
+    for (auto& [ip, dialer] : others_)
+      if (dialer->link()) dialer->link()->send(frame);
+  }
+
+  // --- Calls from outside ---
+  struct Waiting {
+    explicit Waiting(asio::io_context& io) : timer(io) {}
+    asio::steady_timer timer;
+    std::string at;
+    int status = 0;
+    std::string text;
+  };
+
+  void finish(Waiting& waiting, int status, const std::string& text) {
+    if (waiting.status) return;
+    waiting.status = status, waiting.text = text;
+    waiting.timer.cancel();
+  }
+
+  // Asks the store that leads; 503 where none answers in time: the caller can't know what has become of it.
+  template <class Make>
+  asio::awaitable<std::pair<int, std::string>> askLeader(Make make) {
+    const double until = now() + kLeaderWithin;
+    asio::steady_timer pause(io_);
+    while (true) {
+      Error ignored;
+      const auto store = stores_.find(leader_);
+      if (store != stores_.end() && store->second->link() && vouched()) {
+        auto waiting = std::make_shared<Waiting>(io_);
+        const std::uint64_t number = ++numbers_;
+        waiting->at = leader_;
+        waiting_[number] = waiting;
+        store->second->link()->tell(make(number));
+        waiting->timer.expires_after(std::chrono::milliseconds(static_cast<int>(kOrderWithin)));
+        co_await waiting->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        waiting_.erase(number);
+        if (waiting->status && waiting->status != 503) co_return std::pair(waiting->status, waiting->text);
+      }
+      if (now() >= until) co_return std::pair(503, std::string("no majority of the stores answers"));
+      pause.expires_after(std::chrono::milliseconds(50));
+      co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+  }
+
+  asio::awaitable<Reply> order(std::string what, std::string body) {
+    const auto [status, text] = co_await askLeader([&](std::uint64_t number) {
+      return pouch::Propose{number, what, body};
+    });
+    co_return Reply(status, counter::message(text));
+  }
+
+  asio::awaitable<Reply> controlCall(Call call) {
+    if (!call.is("POST", {"api", "rpc"})) co_return Reply(404, counter::message("no such call"));
+    const std::string name = call.asked("call");
+    if (name == "config.replace") co_return co_await order("config", std::move(call.body));
+    if (name == "evacuate.begin" || name == "evacuate.finish") {
+      const std::string zone = call.asked("of");
+      if (!settings_.regionOf.contains(zone)) co_return Reply(400, counter::message("no such zone: " + zone));
+      co_return co_await order(name == "evacuate.begin" ? "evacuate" : "return", zone);
+    }
+    if (name == "config.read") {
+      const auto [status, text] =
+          co_await askLeader([](std::uint64_t number) { return pouch::Read{number}; });
+      if (status != 200) co_return Reply(status, counter::message(text));
+      if (text.empty()) co_return Reply(404, counter::message("no configuration yet"));
+      co_return Reply(200, text);
+    }
+    co_return Reply(404, counter::message("no such call: " + name));
+  }
+
+  asio::awaitable<Reply> directoryCall(Call call) {
+    if (!call.is("GET", {"api", "lookup"})) co_return Reply(404, counter::message("no such call"));
+    const auto all =
+        registry_.addresses(call.asked("region"), call.asked("zone"), kLeastAddresses, kMostAddresses);
+    if (all.empty()) co_return Reply(503, counter::message("no gatekeeper is ready"));
+    std::string out = "{\"addresses\":[";
+    for (std::size_t i = 0; i < all.size(); ++i) out += (i ? ",\"" : "\"") + all[i] + "\"";
+    co_return Reply(200, out + "],\"ttl\":\"2s\"}");
+  }
+
+  // --- Time ---
+  // What was sent before this process woke from a stop may have been sent again elsewhere, and taken back:
+  // nothing of it is acted on.
+  void seeStop() {
+    const double at = now();
+    const bool stopped = at - lastTick_ > kStopped;
+    lastTick_ = at;
+    if (!stopped) return;
+    program::warn("stood still", {});
+    vouchedAt_ = -1e18;
+    control_.dropAll();
+    for (auto& [number, waiting] : waiting_) finish(*waiting, 503, "stood still");
+  }
+
+  void tick() {
+    seeStop();
+    const double at = now();
+    askLease(at);
+    registry_.sweep(at);
+    for (auto& [link, session] : sessions_)
+      if (at - session.heard > kSilent) link->close();
+    if (at >= beatAt_) {
+      beatAt_ = at + kBeat;
+      const std::string beat = pouch::frame(pouch::Beat{vouched()});
+      for (auto& [link, session] : sessions_) link->send(beat);
+      tellSessions(false);
+      const auto counts = registry_.counts(at).byZone;
+      if (counts != told_) {
+        told_ = counts;
+        const std::string frame = pouch::frame(coresNow());
+        for (auto& [link, session] : sessions_) link->send(frame);
+      }
+    }
+    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kTick)));
+    timer_.async_wait([this](const Error& error) {
+      if (!error) tick();
+    });
+  }
+
+  void wait() {
+    signals_.async_wait([this](const Error& error, int number) {
+      if (error) return;
+      if (number == SIGHUP) return wait();
+      program::info("ends", {{"signal", number}});
+      control_.close(), directory_.close();
+      endTimer_.expires_after(std::chrono::milliseconds(400));
+      endTimer_.async_wait([this](const Error&) { io_.stop(); });
+    });
+  }
+
+  asio::io_context& io_;
+  const address::Settings settings_;
+  std::uint64_t life_ = 0;
+  Registry registry_;
+  pouch::News news_;
+  std::shared_ptr<const address::Configuration> configuration_;
+  rounds::LeaseHolder duty_;
+  franking::Vault vault_;
+  std::uint64_t epoch_ = 0;
+  pouch::Acceptor acceptor_;
+  counter::Server control_, directory_;
+  asio::steady_timer timer_, wake_, endTimer_{io_};
+  asio::signal_set signals_;
+  std::map<std::string, std::shared_ptr<pouch::Dialer>> stores_, others_;  // by ip
+  std::map<std::string, pouch::Core> cores_;
+  std::set<LinkPtr> inbound_;
+  std::map<LinkPtr, Session> sessions_;
+  std::map<LinkPtr, std::string> registries_;
+  std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
+  std::pair<std::uint64_t, double> leaseAsked_;
+  std::map<std::string, unsigned> told_;
+  std::string leader_, holder_;
+  std::uint64_t leaderTerm_ = 0, numbers_ = 0;
+  double lastTick_ = 0, beatAt_ = 0, vouchedAt_ = -1e18, leaseAt_ = 0;
+};
+
+}  // namespace
+}  // namespace burlwind::postmaster
+
+int main(int argc, const char** argv) {
+  using namespace burlwind;
+  auto started = program::start(argc, argv, "postmaster",
+                                "- knows workers and couriers; takes the calls of operators and look-ups",
+                                {.control = true});
+  if (!started.settings) return started.status;
+  boost::asio::io_context io{1};
+  return postmaster::Postmaster(io, std::move(*started.settings)).run();
+}
--- /dev/null
+++ b/src/postmaster/platform_list.hpp
@@ -0,0 +1,36 @@
+// Reads the platform's list of workers: all its pages, over one kept connection.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "address/settings.hpp"
+#include "pouch/messages.hpp"
+
+namespace burlwind::postmaster {
+
+class PlatformList {
+ public:
+  PlatformList(boost::asio::io_context& io, address::Endpoint at)
+      : at_(std::move(at)), socket_(io), timer_(io) {}
+  using Workers = std::map<std::string, pouch::Worker>;
+  // Nothing where it can't be read whole; `why` says so. At most `within` ms.
+  boost::asio::awaitable<std::optional<Workers>> read(double within, std::string& why);
+  std::size_t calls() const { return calls_; }
+
+ private:
+  boost::asio::awaitable<std::optional<std::string>> get(std::string target, std::string& why);
+  const address::Endpoint at_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::size_t calls_ = 0;
+};
+
+// One page; false where it does not read. `next`: the page after it, empty on the last.
+bool readPage(const std::string& body, PlatformList::Workers& into, std::string& next, std::string& fault);
+
+}  // namespace burlwind::postmaster
--- /dev/null
+++ b/src/postmaster/registry.cpp
@@ -0,0 +1,150 @@
+#include "postmaster/registry.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace burlwind::postmaster {
+namespace {
+constexpr double kColdMoved = 600;  // ms by which a cold span must move to be news
+}
+
+void Registry::note(double now, std::string what, std::string who) {
+  journal_.push_back({now, std::move(what), std::move(who)});
+  if (journal_.size() > kJournal) journal_.pop_front();
+}
+
+void Registry::refold(double now) {
+  seats_.clear();
+  const auto put = [&](const pouch::Seat& seat) {
+    const auto [found, fresh] = seats_.try_emplace(seat.name, seat);
+    // Two registries may hold sessions of one courier while it moves: ready at one is ready.
+    if (!fresh && (seat.life != found->second.life ? false : seat.ready)) found->second = seat;
+    known_[seat.name] = {seat.zone, now};
+  };
+  for (const auto& [name, seat] : own_) put(seat);
+  for (const auto& [registry, others] : others_)
+    for (const pouch::Seat& seat : others.seats) put(seat);
+}
+
+void Registry::seat(const pouch::Seat& seat, double now) {
+  const auto found = own_.find(seat.name);
+  if (found != own_.end() && found->second == seat) return;
+  if (found == own_.end() || found->second.ready != seat.ready)
+    note(now, seat.ready ? "courier ready" : "courier seated", seat.name);
+  own_[seat.name] = seat;
+  refold(now);
+}
+
+void Registry::unseat(const std::string& name, std::uint64_t life, double now) {
+  const auto found = own_.find(name);
+  if (found == own_.end() || found->second.life != life) return;
+  note(now, "courier gone", name);
+  own_.erase(found);
+  refold(now);
+}
+
+std::vector<pouch::Seat> Registry::own() const {
+  std::vector<pouch::Seat> out;
+  for (const auto& [name, seat] : own_) out.push_back(seat);
+  return out;
+}
+
+void Registry::heard(const std::string& registry, const pouch::Sessions& told, double now) {
+  Others& others = others_[registry];
+  others.heard = now;
+  if (!told.whole) return;
+  others.seats = told.seats;
+  refold(now);
+}
+
+bool Registry::sweep(double now) {
+  bool changed = false;
+  for (auto& [registry, others] : others_)
+    if (!others.seats.empty() && now - others.heard > kOthersSilent) {
+      note(now, "registry silent", registry);
+      others.seats.clear();
+      changed = true;
+    }
+  if (changed) refold(now);
+  for (const auto& [name, seat] : seats_) known_[name] = {seat.zone, now};
+  return std::erase_if(known_, [&](const auto& k) { return now - k.second.second > kRemembered; }) > 0 ||
+         changed;
+}
+
+Registry::Counts Registry::counts(double) const {
+  Counts out;
+  out.live = static_cast<unsigned>(seats_.size());
+  out.known = static_cast<unsigned>(known_.size());
+  for (const auto& [name, place] : known_) ++out.byZone[place.first];
+  return out;
+}
+
+std::vector<std::string> Registry::addresses(const std::string& region, const std::string& zone,
+                                             std::size_t least, std::size_t most) const {
+  std::vector<std::string> out;
+  const auto add = [&](auto fits) {
+    for (const auto& [name, seat] : seats_)
+      if (seat.ready && fits(seat) && out.size() < most) out.push_back(seat.front);
+  };
+  add([&](const pouch::Seat& s) { return s.zone == zone; });
+  if (out.size() < least) add([&](const pouch::Seat& s) { return s.region == region && s.zone != zone; });
+  if (out.empty()) add([](const pouch::Seat&) { return true; });
+  return out;
+}
+
+std::optional<pouch::Workers> Registry::listed(std::uint64_t epoch,
+                                               const std::map<std::string, pouch::Worker>& all, double now) {
+  pouch::Workers out;
+  for (const auto& [id, worker] : all) {
+    const auto found = workers_.find(id);
+    const double coldUntil = worker.coldLeft > 0 ? now + worker.coldLeft : 0;
+    const bool colder = coldUntil > (found == workers_.end() ? 0 : found->second.coldUntil) + kColdMoved;
+    if (found != workers_.end() && found->second.worker.draining == worker.draining &&
+        found->second.worker.address == worker.address && !colder)
+      continue;
+    if (found == workers_.end() || found->second.worker.draining != worker.draining)
+      note(now, worker.draining ? "worker drains" : "worker listed", id);
+    workers_[id] = {worker, coldUntil};
+    out.put.push_back(worker);
+  }
+  for (auto it = workers_.begin(); it != workers_.end();) {
+    if (all.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    note(now, "worker gone", it->first);
+    out.gone.push_back(it->first);
+    it = workers_.erase(it);
+  }
+  const bool begins = epoch != epoch_;
+  if (out.put.empty() && out.gone.empty() && !begins) return std::nullopt;
+  out.before = number_;
+  epoch_ = epoch;
+  ++number_;
+  if (begins) return whole(now);
+  out.term = epoch_, out.number = number_;
+  return out;
+}
+
+Registry::Taken Registry::take(const pouch::Workers& told, double now) {
+  if (std::pair(told.term, told.number) <= std::pair(epoch_, number_)) return Taken::old;
+  if (!told.whole && (told.term != epoch_ || told.before != number_)) return Taken::gap;
+  if (told.whole) workers_.clear();
+  for (const pouch::Worker& w : told.put) workers_[w.id] = {w, w.coldLeft > 0 ? now + w.coldLeft : 0};
+  for (const std::string& id : told.gone) workers_.erase(id);
+  epoch_ = told.term, number_ = told.number;
+  return Taken::news;
+}
+
+pouch::Workers Registry::whole(double now) const {
+  pouch::Workers out;
+  out.term = epoch_, out.number = number_, out.whole = true;
+  for (const auto& [id, known] : workers_) {
+    out.put.push_back(known.worker);
+    out.put.back().coldLeft = std::max(0.0, known.coldUntil - now);
+  }
+  return out;
+}
+
+}  // namespace burlwind::postmaster
--- /dev/null
+++ b/src/postmaster/registry.hpp
@@ -0,0 +1,87 @@
+// The registry's knowledge: decisions only. Events are appended to a journal in memory; cells, the directory
+// and the list of workers are views folded from it.
+//
+// A cell for each zone keeps the couriers that are seated there, by their own registry's sessions or by what
+// another registry has told of its own. A seat stands while its session does; what another registry told
+// stands while that one is heard. The newest life of a name counts.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pouch/messages.hpp"
+
+namespace burlwind::postmaster {
+
+constexpr double kOthersSilent = 1800;  // ms until a registry's sessions are no longer believed
+constexpr double kRemembered = 20000;   // ms that a courier that is gone still counts as known
+constexpr std::size_t kJournal = 256;   // events kept
+
+struct Event {
+  double at = 0;
+  std::string what, who;
+};
+
+class Registry {
+ public:
+  Registry(std::string self, std::map<std::string, std::string> regionOf)
+      : self_(std::move(self)), regionOf_(std::move(regionOf)) {}
+
+  // --- Seats ---
+  void seat(const pouch::Seat& seat, double now);  // opened, or changed
+  void unseat(const std::string& name, std::uint64_t life, double now);
+  std::vector<pouch::Seat> own() const;
+  void heard(const std::string& registry, const pouch::Sessions& told, double now);
+  // True where views may have changed.
+  bool sweep(double now);
+
+  struct Counts {
+    unsigned live = 0, known = 0;
+    std::map<std::string, unsigned> byZone;  // known
+  };
+  Counts counts(double now) const;
+  // Addresses for a client in that zone: its zone's couriers that are ready; where there are fewer than
+  // `least`, its region's as well; where there are none, all.
+  std::vector<std::string> addresses(const std::string& region, const std::string& zone, std::size_t least,
+                                     std::size_t most) const;
+
+  // --- Workers ---
+  struct Known {
+    pouch::Worker worker;
+    double coldUntil = 0;
+  };
+  // The list as the platform tells it now; the difference to what was there, where there is one.
+  std::optional<pouch::Workers> listed(std::uint64_t epoch, const std::map<std::string, pouch::Worker>& all,
+                                       double now);
+  // From the registry that reads the list. `gap`: what is between is missing, a whole one is needed.
+  enum class Taken { news, old, gap };
+  Taken take(const pouch::Workers& told, double now);
+  pouch::Workers whole(double now) const;
+  std::uint64_t number() const { return number_; }
+  const std::map<std::string, Known>& workers() const { return workers_; }
+
+  const std::deque<Event>& journal() const { return journal_; }
+
+ private:
+  struct Others {
+    std::vector<pouch::Seat> seats;
+    double heard = 0;
+  };
+  void note(double now, std::string what, std::string who);
+  void refold(double now);
+  const std::string self_;
+  const std::map<std::string, std::string> regionOf_;
+  std::map<std::string, pouch::Seat> own_;                       // by name
+  std::map<std::string, Others> others_;                         // by registry
+  std::map<std::string, pouch::Seat> seats_;                     // the view: newest life of each name
+  std::map<std::string, std::pair<std::string, double>> known_;  // name -> zone, last seen
+  std::map<std::string, Known> workers_;
+  std::uint64_t epoch_ = 0, number_ = 0;
+  std::deque<Event> journal_;
+};
+
+}  // namespace burlwind::postmaster
--- /dev/null
+++ b/src/pouch/messages.hpp
@@ -0,0 +1,224 @@
+// What the system's own processes tell each other, as plain data. Times are spans in ms as they stood when
+// the message was sent: clocks of two machines are never compared.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+namespace burlwind::pouch {
+
+enum Kind {
+  kHello = 1,
+  kAppend,
+  kAppendSay,
+  kVoteAsk,
+  kVoteSay,
+  kJoin,
+  kLeave,
+  kNews,
+  kVouch,
+  kPropose,
+  kOutcome,
+  kRead,
+  kLeaseAsk,
+  kLeaseSay,
+  kSessions,
+  kWorkers,
+  kCores,
+  kStatus,
+  kTokensAsk,
+  kTokensSay,
+  kBeat
+};
+
+// --- Who speaks ---
+struct Hello {
+  static constexpr Kind kKind = kHello;
+  std::string role, name, ip, zone, region;
+  std::uint64_t life = 0;  // drawn at the process's start
+  std::string front;       // a courier's address for clients
+  MSGPACK_DEFINE(role, name, ip, zone, region, life, front)
+};
+
+// --- Stores among themselves (src/ballot) ---
+struct Member {
+  std::uint64_t id = 0;
+  std::string ip;
+  bool operator==(const Member&) const = default;
+  MSGPACK_DEFINE(id, ip)
+};
+struct Append {  // with `state` where `whole`; else a heartbeat
+  static constexpr Kind kKind = kAppend;
+  std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0, committed = 0;
+  bool whole = false;
+  std::vector<Member> members, former;
+  std::string state;
+  MSGPACK_DEFINE(term, from, round, lastTerm, index, committed, whole, members, former, state)
+};
+struct AppendSay {
+  static constexpr Kind kKind = kAppendSay;
+  std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0;
+  MSGPACK_DEFINE(term, from, round, lastTerm, index)
+};
+struct VoteAsk {
+  static constexpr Kind kKind = kVoteAsk;
+  std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
+  bool trial = false;  // asks whether it would be granted; binds nobody
+  MSGPACK_DEFINE(term, from, lastTerm, index, trial)
+};
+struct VoteSay {
+  static constexpr Kind kKind = kVoteSay;
+  std::uint64_t term = 0, from = 0;
+  bool trial = false, granted = false;
+  MSGPACK_DEFINE(term, from, trial, granted)
+};
+struct Join {
+  static constexpr Kind kKind = kJoin;
+  Member member;
+  MSGPACK_DEFINE(member)
+};
+struct Leave {
+  static constexpr Kind kKind = kLeave;
+  std::uint64_t from = 0;
+  MSGPACK_DEFINE(from)
+};
+
+// --- A store and its readers ---
+struct News {  // the agreed state, committed
+  static constexpr Kind kKind = kNews;
+  std::uint64_t term = 0, index = 0;
+  std::string configuration;  // as the operator sent it; empty before the first
+  std::vector<std::string> evacuated;
+  std::vector<std::string> stores;  // ips
+  MSGPACK_DEFINE(term, index, configuration, evacuated, stores)
+};
+struct Vouch {  // the leader has just heard a majority
+  static constexpr Kind kKind = kVouch;
+  std::uint64_t term = 0, index = 0;
+  std::string holder;  // of the duties' lease: ip; empty: nobody
+  std::vector<std::string> stores;
+  MSGPACK_DEFINE(term, index, holder, stores)
+};
+struct Propose {
+  static constexpr Kind kKind = kPropose;
+  std::uint64_t number = 0;
+  std::string what;  // "config", "evacuate", "return"
+  std::string body;  // the configuration, or the zone
+  MSGPACK_DEFINE(number, what, body)
+};
+struct Read {
+  static constexpr Kind kKind = kRead;
+  std::uint64_t number = 0;
+  MSGPACK_DEFINE(number)
+};
+struct Outcome {
+  static constexpr Kind kKind = kOutcome;
+  std::uint64_t number = 0;
+  int status = 0;  // as HTTP has it
+  std::string text;
+  MSGPACK_DEFINE(number, status, text)
+};
+struct LeaseAsk {
+  static constexpr Kind kKind = kLeaseAsk;
+  std::uint64_t number = 0;
+  std::string ip;
+  MSGPACK_DEFINE(number, ip)
+};
+struct LeaseSay {  // granted: for `span` from when the question was sent
+  static constexpr Kind kKind = kLeaseSay;
+  std::uint64_t number = 0;
+  double span = 0;
+  std::uint64_t term = 0;
+  MSGPACK_DEFINE(number, span, term)
+};
+
+// --- Registries among themselves ---
+struct Seat {  // a courier's session as its registry tells it
+  std::string name, front, zone, region;
+  bool ready = false;
+  std::uint64_t life = 0;
+  bool operator==(const Seat&) const = default;
+  MSGPACK_DEFINE(name, front, zone, region, ready, life)
+};
+struct Sessions {
+  static constexpr Kind kKind = kSessions;
+  bool whole = false;  // else nothing has changed since the last
+  std::vector<Seat> seats;
+  MSGPACK_DEFINE(whole, seats)
+};
+
+// --- The list of workers ---
+struct Worker {
+  std::string id, service, address, zone;
+  unsigned slots = 0;
+  bool draining = false;
+  double coldLeft = 0;  // ms
+  MSGPACK_DEFINE(id, service, address, zone, slots, draining, coldLeft)
+};
+struct Workers {  // whole, or the difference from `before`
+  static constexpr Kind kKind = kWorkers;
+  std::uint64_t term = 0, number = 0, before = 0;
+  bool whole = false;
+  std::vector<Worker> put;
+  std::vector<std::string> gone;
+  MSGPACK_DEFINE(term, number, before, whole, put, gone)
+};
+
+// --- A registry and its couriers ---
+struct Core {
+  std::string ip, zone, region;
+  MSGPACK_DEFINE(ip, zone, region)
+};
+struct Cores {
+  static constexpr Kind kKind = kCores;
+  std::vector<Core> cores;
+  std::map<std::string, unsigned> couriers;  // by zone
+  MSGPACK_DEFINE(cores, couriers)
+};
+struct Status {
+  static constexpr Kind kKind = kStatus;
+  bool ready = false;
+  std::uint64_t index = 0, workers = 0;  // what is in force there
+  MSGPACK_DEFINE(ready, index, workers)
+};
+struct Beat {
+  static constexpr Kind kKind = kBeat;
+  bool vouched = false;  // the registry has heard the store's leader of late
+  MSGPACK_DEFINE(vouched)
+};
+
+// --- Quotas ---
+struct Wish {
+  std::string tenant;
+  double want = 0;   // requests, in stock beyond what is held
+  double asked = 0;  // requests a second that came
+  MSGPACK_DEFINE(tenant, want, asked)
+};
+struct TokensAsk {
+  static constexpr Kind kKind = kTokensAsk;
+  std::uint64_t number = 0;
+  std::string courier;
+  std::uint64_t life = 0;
+  std::vector<Wish> wishes;
+  MSGPACK_DEFINE(number, courier, life, wishes)
+};
+struct Lot {
+  std::string tenant;
+  double granted = 0;
+  int use = 0;         // percent of the rate that all ask for
+  bool empty = false;  // the store has nothing left
+  MSGPACK_DEFINE(tenant, granted, use, empty)
+};
+struct TokensSay {
+  static constexpr Kind kKind = kTokensSay;
+  std::uint64_t number = 0;
+  std::string courier;
+  std::uint64_t life = 0;
+  std::vector<Lot> lots;
+  MSGPACK_DEFINE(number, courier, life, lots)
+};
+
+}  // namespace burlwind::pouch
--- /dev/null
+++ b/src/program/start.cpp
@@ -0,0 +1,74 @@
+#include "program/start.hpp"
+
+#include <popt.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+
+#include "program/log.hpp"
+
+namespace burlwind::program {
+namespace {
+
+std::string missing(const address::Settings& s, Needs needs) {
+  if (needs.front && !s.front) return "network.bind.front: not there";
+  if (needs.front && !s.readiness) return "network.bind.readiness: not there";
+  if (needs.control && !s.control) return "network.bind.control: not there";
+  if (needs.control && !s.directory) return "network.bind.directory: not there";
+  if (needs.disk && s.dataFolder.empty()) return "self.dataFolder: not there";
+  return {};
+}
+
+}  // namespace
+
+double now() {
+  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Started start(int argc, const char** argv, const char* program, const char* summary, Needs needs) {
+  Started out;
+  int version = 0, check = 0;
+  const char* path = nullptr;
+  const poptOption options[] = {{"settings", 's', POPT_ARG_STRING, &path, 0,
+                                 "settings file (JSON); else BURLWIND_NODE_FILE names it", "FILE"},
+                                {"check", 0, POPT_ARG_NONE, &check, 0,
+                                 "read the settings, say what is wrong, end with 0 or 2", nullptr},
+                                {"version", 0, POPT_ARG_NONE, &version, 0, "print the version", nullptr},
+                                POPT_AUTOHELP POPT_TABLEEND};
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+      poptGetContext(program, argc, argv, options, 0), poptFreeContext);
+  poptSetOtherOptionHelp(context.get(), summary);
+  const int rc = poptGetNextOpt(context.get());
+  const char* extra = poptGetArg(context.get());
+  if (rc < -1 || extra) {
+    std::fprintf(stderr, "%s: %s: %s\n", program,
+                 extra ? extra : poptBadOption(context.get(), POPT_BADOPTION_NOALIAS),
+                 extra ? "what is this for? see --help" : poptStrerror(rc));
+    return out.status = 2, out;
+  }
+  if (version) return std::printf("%s %s\n", program, BURLWIND_VERSION), out;
+  const char* told = std::getenv("BURLWIND_NODE_FILE");
+  out.settingsPath = path ? path : told ? told : "";
+  std::free(const_cast<char*>(path));
+  address::SettingsRead read;
+  if (out.settingsPath.empty())
+    read.fault = "no settings: give --settings FILE or set BURLWIND_NODE_FILE";
+  else
+    read = address::readSettingsFile(out.settingsPath);
+  if (read.settings)
+    if (const std::string lacks = missing(*read.settings, needs); !lacks.empty())
+      read.fault = out.settingsPath + ": " + lacks;
+  if (!read.fault.empty()) {
+    std::fprintf(stderr, "%s: %s\n", program, read.fault.c_str());
+    return out.status = 2, out;
+  }
+  if (check) return std::printf("%s: settings are good\n", program), out;
+  startLog(program, read.settings->name);
+  out.settings = std::move(read.settings);
+  return out;
+}
+
+}  // namespace burlwind::program
--- /dev/null
+++ b/src/program/start.hpp
@@ -0,0 +1,25 @@
+// How each program of the system starts: its command line (popt), its settings file, its log. Exit codes: 0
+// ended as asked, 1 could not go on, 2 the command line or the settings are wrong.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "address/settings.hpp"
+
+namespace burlwind::program {
+
+struct Started {
+  std::optional<address::Settings> settings;  // nothing: end with `status`
+  std::string settingsPath;
+  int status = 0;
+};
+// `needs`: what the program can't do without, told as a fault where the settings lack it.
+struct Needs {
+  bool front = false, control = false, disk = false;
+};
+Started start(int argc, const char** argv, const char* program, const char* summary, Needs needs);
+
+double now();  // ms, steady
+
+}  // namespace burlwind::program
--- /dev/null
+++ b/src/sorting/core.hpp
@@ -0,0 +1,111 @@
+// Choice of worker: decisions only, no I/O, time and draws handed in.
+//
+// A worker's cost is what an answer from it would take: its own pace, the queue that is held to be there (own
+// requests out, and the load it told of late, fading), and how far it is, in time and in what bytes between
+// zones cost. The cheapest is taken, ties by chance. Left out: draining ones, evacuated zones, foreign
+// regions where homes bind, those that failed of late (unless nothing else is left), those that said they are
+// full, and cold ones whose allowance for the second is used.
+//
+// Cold workers: only couriers of a worker's own zone send to it while it is cold, each the rule's bound for a
+// second divided by the couriers known there, counted as sent. With no courier known there, those of its
+// region do.
+// Cost: a pass over a service's workers for each choice.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "pouch/messages.hpp"
+
+namespace burlwind::sorting {
+
+struct Ask {
+  std::string service;
+  double aim = 1000;                                // ms
+  const std::vector<std::string>* homes = nullptr;  // both bind where both are there; empty: anywhere
+  const std::vector<std::string>* otherHomes = nullptr;
+  const std::vector<std::string>* tried = nullptr;  // ids that this request has been to
+  bool repeatable = false;
+};
+
+struct ServiceRule {
+  double coldRate = 0, coldFor = 0;  // requests a second, ms
+};
+
+struct Place {
+  std::string zone, region;
+};
+
+enum class Why { found, nobody, full, cold, failing };
+
+class Core {
+ public:
+  Core(Place self, std::map<std::string, std::string> regionOf, double coldExcess, double coldSlack)
+      : self_(std::move(self)),
+        regionOf_(std::move(regionOf)),
+        coldExcess_(coldExcess),
+        coldSlack_(coldSlack) {}
+
+  // --- What is known ---
+  void take(const pouch::Workers& told, double now);  // whole, or a difference that joins
+  std::uint64_t number() const { return number_; }
+  void setCouriers(std::map<std::string, unsigned> byZone) { couriers_ = std::move(byZone); }
+  void setService(const std::string& name, ServiceRule rule) { rules_[name] = rule; }
+  // Zones that get nothing. Those taken back are held to be cold from now on.
+  void setEvacuated(const std::set<std::string>& zones, double now);
+
+  // --- Choice ---
+  struct Choice {
+    std::string id;  // empty: nobody, see why
+    std::string address;
+    Why why = Why::nobody;
+  };
+  Choice choose(const Ask& ask, double draw, double now);
+
+  // --- What happened: after choose, one of ended/refused/failed for each sent ---
+  void sent(const std::string& id, double now);
+  void answered(const std::string& id, double took, double now);  // ms from sending
+  void load(const std::string& id, double running, double waiting, double now);
+  void full(const std::string& id, double now);                      // did not run it: full
+  void failed(const std::string& id, bool unreachable, double now);  // no answer, or none that can be read
+  void released(const std::string& id);  // gives back `sent` where none of these fits
+  void cold(const std::string& id, double left, double now);
+
+  std::size_t size() const { return workers_.size(); }
+  double usual(const std::string& service) const;  // ms of an answer
+
+ private:
+  struct State {
+    pouch::Worker worker;
+    std::string region;
+    double out = 0;
+    double told = 0, toldAt = -1e18;  // load by others, when it was told
+    double pace = 0;                  // ms of an answer; 0: none yet
+    unsigned fails = 0;
+    double shunnedUntil = -1e18, fullUntil = -1e18, coldUntil = -1e18, fullPause = 0;
+    std::deque<double> coldSent;
+  };
+  bool allowed(const State& s, const Ask& ask) const;
+  bool mayWarm(State& s, double now);
+  double cost(const State& s, const Ask& ask, double now) const;
+  void put(const pouch::Worker& w, double now);
+  State* find(const std::string& id);
+  const Place self_;
+  const std::map<std::string, std::string> regionOf_;
+  const double coldExcess_, coldSlack_;
+  std::unordered_map<std::string, State> workers_;
+  std::unordered_map<std::string, std::vector<std::string>> byService_;
+  std::unordered_map<std::string, double> usual_;
+  std::unordered_map<std::string, ServiceRule> rules_;
+  std::map<std::string, unsigned> couriers_;
+  std::set<std::string> evacuated_;
+  std::uint64_t term_ = 0, number_ = 0;
+};
+
+}  // namespace burlwind::sorting
