Sooner back after a loss of everything: elections, lists and quotas at a start

Cause: after all power was lost the first trials for leadership came before the links were up, and the next one 0.7 to 1.3 s later; the workers' list waited for a lease, which a new leader grants after 1.6 s; quotas waited for a holder. Now trials follow soon until a leader was heard in this life, a registry without a list reads one for itself, and couriers go by their own parts where nobody answers for quotas.

--- a/src/ballot/core.cpp
+++ b/src/ballot/core.cpp
@@ -18,8 +18,13 @@
   rest(now);
 }
 
+// After a start there is most likely no leader to wait for, and the others come up one by one: tries follow
+// soon, until the first leader has been heard. They are trials, which do no harm where there is one.
 void Core::rest(Time now) {
-  electAt_ = now + pace_.electLeast + draw_(drawer_) * (pace_.electMost - pace_.electLeast);
+  const bool first = heard_ < 0;
+  const Time least = first ? pace_.firstLeast : pace_.electLeast,
+             most = first ? pace_.firstMost : pace_.electMost;
+  electAt_ = now + least + draw_(drawer_) * (most - least);
 }
 
 bool Core::isMember(Id id) const {
@@ -118,7 +123,7 @@
 void Core::lead(Time now, std::vector<Effect>& out) {
   role_ = Role::leader;
   leader_ = record_.self;
-  wonAt_ = now;
+  wonAt_ = heard_ = now;
   peers_.clear();
   applicants_.clear();
   begin(now, out);  // its state under its own term: what was there before is committed by this or not at all
--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -196,7 +196,7 @@
   const auto& request = job.request;
   const std::string_view target = view(request.target());
   job.configuration = configuration_;
-  if (!job.configuration) return job.end(503, "no configuration yet", 300), false;
+  if (!job.configuration) return job.end(503, "no configuration yet", 600), false;
   if (!target.starts_with('/')) return job.end(400, "no such target"), false;
   job.route =
       job.configuration->routeOf(view(request[http::field::host]), target.substr(0, target.find('?')));
@@ -477,7 +477,8 @@
   if (at - lastTick_ > kStopped) program::warn("stood still", {{"ms", at - lastTick_}});
   lastTick_ = at;
   sessions_.tick(at);
-  purse_.setTouch(sessions_.inTouch(at), at);
+  // Where nobody answers for the quotas, each courier has its own part alone.
+  purse_.setTouch(sessions_.inTouch(at) && !purse_.unanswered(at), at);
   askTokens();
   workers_.sweep(at);
   report(at);
--- a/src/faults/folder.cpp
+++ b/src/faults/folder.cpp
@@ -40,7 +40,14 @@
 
 void Folder::copy(const std::string& from, const std::string& to) const {
   empty(to);
-  fs::copy(sub(from), sub(to), fs::copy_options::recursive);
+  // The process may be writing there: a file that it renames away meanwhile is passed over, as a copy by
+  // another program would.
+  for (const auto& entry : fs::directory_iterator(sub(from))) {
+    std::error_code error;
+    fs::copy(entry.path(), fs::path(sub(to)) / entry.path().filename(), fs::copy_options::recursive, error);
+    if (error && error != std::errc::no_such_file_or_directory)
+      throw fs::filesystem_error("cannot copy", entry.path(), error);
+  }
 }
 
 void Folder::swap(const std::string& one, const std::string& other) const {
--- a/src/franking/purse.cpp
+++ b/src/franking/purse.cpp
@@ -19,6 +19,7 @@
     table_.push_front({});
     table_.front().tenant = tenant;
     table_.front().cameAt = table_.front().ownAt = now;
+    if (!inTouch_) table_.front().own = burst / couriers_;
     index_[tenant] = table_.begin();
   }
   Account& a = table_.front();
@@ -37,7 +38,7 @@
   if (a.stock >= 1) return a.stock -= 1, true;
   if (inTouch_) return false;
   const double part = a.rate / couriers_;
-  a.own = std::min(std::max(1.0, part / 2), a.own + part * (now - a.ownAt) / 1000);
+  a.own = std::min(std::max({1.0, part / 2, a.burst / couriers_}), a.own + part * (now - a.ownAt) / 1000);
   a.ownAt = now;
   if (a.own < 1) return false;
   return a.own -= 1, true;
@@ -75,7 +76,6 @@
 
 std::vector<pouch::Wish> Purse::wishes(double now) {
   std::vector<pouch::Wish> out;
-  if (!inTouch_) return out;
   for (Account& a : table_) {
     if (now - a.cameAt > kStill) {
       a.stock = 0, a.fresh = true;
@@ -87,12 +87,16 @@
     const double want = std::ceil(std::max(most, 1.0) - a.stock + a.waits);
     if (want < 1) continue;
     a.askedAt = now;
+    if (asked_ <= told_) asked_ = now;
     out.push_back({a.tenant, want, a.came * std::exp(-(now - a.cameAt) / kTau)});
   }
   return out;
 }
 
+bool Purse::unanswered(double now) const { return asked_ > told_ && now - asked_ > kAnswerWithin; }
+
 void Purse::granted(const pouch::Lot& lot, double now) {
+  told_ = now;
   const auto found = index_.find(lot.tenant);
   if (found == index_.end()) return;
   Account& a = *found->second;
--- a/src/franking/purse.hpp
+++ b/src/franking/purse.hpp
@@ -25,7 +25,7 @@
 constexpr double kClimb = 3000;        // ms from the floor back to 1
 constexpr double kFloor = 0.05;        // of the fraction
 constexpr double kEmptyFor = 150;      // ms that "the store is empty" is believed
-constexpr double kAnswerWithin = 600;  // ms until an ask counts as lost
+constexpr double kAnswerWithin = 500;  // ms until an ask counts as lost
 
 enum class Admit { yes, wait, no };
 
@@ -33,6 +33,8 @@
  public:
   void setTouch(bool inTouch, double now);
   void setCouriers(unsigned known) { couriers_ = known ? known : 1; }
+  // An ask has gone unanswered for longer than one that is answered takes.
+  bool unanswered(double now) const;
 
   // One request of a tenant with a limit (rate above 0). wait: ask now and try again when told. `chance`: a
   // number drawn from 0 to 1.
@@ -64,7 +66,8 @@
   std::list<Account> table_;  // latest first
   std::unordered_map<std::string, std::list<Account>::iterator> index_;
   bool inTouch_ = false;
-  unsigned couriers_ = 1;
+  unsigned couriers_ = 32;  // until told: more than there may be, so that parts are too small at worst
+  double asked_ = -1e18, told_ = -1e18;
 };
 
 }  // namespace burlwind::franking
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -32,11 +32,12 @@
 using LinkPtr = std::shared_ptr<Link>;
 
 constexpr double kTick = 100;
-constexpr double kBeat = 400;      // to couriers and other registries
-constexpr double kSilent = 1500;   // a courier that says nothing for so long is gone
-constexpr double kVouched = 1000;  // the leader's word counts so long
-constexpr double kStopped = 1000;  // between two ticks: this process stood still
-constexpr double kReadList = 400;  // between two readings of the platform's list
+constexpr double kBeat = 400;       // to couriers and other registries
+constexpr double kSilent = 1500;    // a courier that says nothing for so long is gone
+constexpr double kVouched = 1000;   // the leader's word counts so long
+constexpr double kStopped = 1000;   // between two ticks: this process stood still
+constexpr double kReadList = 400;   // between two readings of the platform's list
+constexpr double kFirstList = 100;  // until the first, and between tries of it
 constexpr double kListWithin = 1500;
 constexpr double kLeaseAsk = 400;
 constexpr double kLeaderWithin = 700;  // an order waits so long for a leader
@@ -124,7 +125,7 @@
     } else if (pouch::Vouch v; arrived.kind == pouch::kVouch && arrived.read(v)) {
       if (v.term < leaderTerm_) return;
       leader_ = ip, leaderTerm_ = v.term;
-      if (v.index <= news_.index) vouchedAt_ = now();
+      if (v.index <= news_.index) heardLeader();
       holder_ = v.holder;
       for (const std::string& store : v.stores) meet(store);
       wake_.cancel();
@@ -138,7 +139,7 @@
 
   void takeNews(pouch::News news) {
     if (news.index < news_.index) return;
-    vouchedAt_ = now();
+    heardLeader();
     for (const std::string& store : news.stores) meet(store);
     const bool same = news.configuration == news_.configuration && news.evacuated == news_.evacuated;
     if (news.configuration != news_.configuration)
@@ -152,6 +153,14 @@
     for (auto& [link, session] : sessions_) link->send(frame);
   }
 
+  void heardLeader() {
+    const bool before = vouched();
+    vouchedAt_ = now();
+    if (before) return;
+    const std::string beat = pouch::frame(pouch::Beat{true});
+    for (auto& [link, session] : sessions_) link->send(beat);
+  }
+
   // --- The duties: one registry reads the platform's list and keeps the quotas ---
   void askLease(double at) {
     if (at < leaseAt_ || leader_.empty()) return;
@@ -180,9 +189,11 @@
     std::string told;
     while (true) {
       Error ignored;
-      pause.expires_after(std::chrono::milliseconds(static_cast<int>(kReadList)));
+      // Who starts with no list at all reads it once for itself: leases may be a while in coming.
+      const bool first = registry_.number() == 0;
+      pause.expires_after(std::chrono::milliseconds(static_cast<int>(first ? kFirstList : kReadList)));
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-      if (!duty_.holds(now())) continue;
+      if (!duty_.holds(now()) && registry_.number() > 0) continue;
       std::string why;
       const auto all = co_await list.read(kListWithin, why);
       if (!all) {
@@ -191,15 +202,16 @@
         continue;
       }
       told.clear();
-      if (!duty_.holds(now())) continue;
-      if (const auto change = registry_.listed(epoch_, *all, now())) {
+      const bool holds = duty_.holds(now());
+      if (!holds && registry_.number() > 0) continue;
+      if (const auto change = registry_.listed(holds ? epoch_ : 0, *all, now())) {
         program::info("workers", {{"number", change->number},
                                   {"put", change->put.size()},
                                   {"gone", change->gone.size()},
                                   {"all", all->size()}});
         const std::string frame = pouch::frame(*change);
         for (auto& [ip, dialer] : others_)
-          if (dialer->link()) dialer->link()->send(frame);
+          if (holds && dialer->link()) dialer->link()->send(frame);
         for (auto& [link, session] : sessions_) link->send(frame);
       }
     }
--- a/src/postmaster/registry.cpp
+++ b/src/postmaster/registry.cpp
@@ -122,7 +122,7 @@
   out.before = number_;
   epoch_ = epoch;
   ++number_;
-  if (begins) return whole(now);
+  if (begins || out.before == 0) return whole(now);
   out.term = epoch_, out.number = number_;
   return out;
 }
--- a/src/rehearsal/main.cpp
+++ b/src/rehearsal/main.cpp
@@ -23,6 +23,7 @@
   std::string scenario, trace, report, html, tracePath, daemon, judged;
   std::uint64_t seed = 0;
   bool seeded = false;
+  bool rules = false;
 };
 
 // The folder of the shipped scenarios: beside the program when built here, else the installed one.
@@ -72,7 +73,7 @@
   if (!line.report.empty()) write(line.report, jsonReport(trace, verdict));
   if (!line.html.empty()) write(line.html, htmlReport(trace, verdict));
   if (verdict.crashed()) return broken;
-  if (verdict.tooSlow) return tooSlow;
+  if (verdict.tooSlow && !line.rules) return tooSlow;
   return verdict.held() ? held : broken;
 }
 
@@ -157,6 +158,8 @@
   CLI::Option* seed = runs->add_option("--seed", line.seed, "draw arrivals and servers by this number");
   outputs(runs);
   runs->add_option("--trace", line.tracePath, "write what was seen, to be judged again")->type_name("FILE");
+  runs->add_flag("--rules", line.rules,
+                 "the exit status tells of the rules alone: each allows for the kit's own lateness");
   runs->add_option("--daemon", line.daemon, "the daemon's shell command (burlwind beside this program)")
       ->type_name("COMMAND");
   CLI::App* checks = app.add_subcommand("check", "read a scenario and say what is wrong with it");
