--- /dev/null
+++ b/tests/system/ballot_test.cpp
@@ -0,0 +1,235 @@
+// The agreement of the stores: each loss that it promises to bear, drawn as a timeline, and random plays.
+#include "timeline.hpp"
+
+namespace burlwind::timeline {
+namespace {
+
+TEST_CASE("three begin, one leads, what is put is held by all") {
+  Stores s(3);
+  s.play(R"(
+    0     start  start  start
+    2000  put=x
+    2600  has=x  has=x  has=x
+  )");
+  CHECK(s.everythingAcknowledgedIsHeld());
+}
+
+TEST_CASE("nobody leads without a majority") {
+  Stores s(3);
+  s.play(R"(
+    0     start  .      .
+    8000  follows
+  )");
+}
+
+TEST_CASE("a leader that is frozen through its time and woken among writes changes nothing") {
+  Stores s(3, 7);
+  s.play(R"(
+    0     start  start  start
+    2000  put=a
+  )");
+  const unsigned old = *s.leader();
+  s.act(old, "freeze");
+  s.run(2500);
+  REQUIRE(s.leader());
+  CHECK(*s.leader() != old);
+  CHECK(s.put("b"));
+  s.act(old, "thaw");
+  s.run(50);
+  CHECK(s.put("c"));
+  s.run(1000);
+  s.act(old, "follows");
+  s.act(old, "has=a,b,c");
+}
+
+TEST_CASE("one-way cuts: a leader that is not heard, one that does not hear") {
+  for (const char* way : {"mute", "deaf"}) {
+    CAPTURE(way);
+    Stores s(3, 3);
+    s.play("0 start start start");
+    s.play("2000 put=a");
+    const unsigned old = *s.leader();
+    s.act(old, way);
+    s.run(4000);
+    REQUIRE(s.leader());
+    CHECK(*s.leader() != old);
+    CHECK(s.put("b"));
+    s.act(old, "heal");
+    s.run(2500);
+    CHECK(s.put("c"));
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+}
+
+TEST_CASE("a follower that hears nobody does not push a leader away when it is back") {
+  Stores s(3, 5);
+  s.play("0 start start start");
+  s.play("2000 put=a");
+  const unsigned leader = *s.leader();
+  const auto term = s.core(leader).record().term;
+  const unsigned other = (leader + 1) % 3;
+  s.act(other, "cut");
+  s.run(5000);
+  s.act(other, "heal");
+  s.run(2000);
+  CHECK(*s.leader() == leader);
+  CHECK(s.core(leader).record().term == term);
+}
+
+TEST_CASE("who acknowledged loses its disk and the others their power, in each order of return") {
+  const char* const orders[] = {"0 1 2", "0 2 1", "1 0 2", "1 2 0", "2 0 1", "2 1 0"};
+  for (const char* order : orders)
+    for (unsigned lost = 0; lost < 3; ++lost) {
+      CAPTURE(order);
+      CAPTURE(lost);
+      Stores s(3, 11 + lost);
+      s.play("0 start start start");
+      s.play("2000 put=a");
+      const unsigned slow = (*s.leader() + 2) % 3;
+      s.act(slow, "cut");  // the last change is at two alone
+      s.run(100);
+      CHECK(s.put("b"));
+      s.act(slow, "heal");
+      const unsigned gone = (*s.leader() + lost) % 3;
+      for (unsigned i = 0; i < 3; ++i) s.act(i, i == gone && i != slow ? "wipe" : "kill");
+      std::istringstream turns(order);
+      for (unsigned i; turns >> i;) {
+        s.run(700);
+        s.act(i, "start");
+      }
+      s.run(5000);
+      CHECK(s.put("c"));
+      CHECK(s.everythingAcknowledgedIsHeld());
+      for (unsigned i = 0; i < 3; ++i) CHECK(s.core(i).member());
+    }
+}
+
+TEST_CASE("one with an empty disk has no vote until it is a member again") {
+  Stores s(3, 2);
+  s.play(R"(
+    0     start  start  start
+    2000  put=a
+    2200  kill   .      .
+    2300  .      kill   .
+    2400  .      wipe   .
+    2500  .      start  .
+    9000  .      stranger follows
+    9000  start  .      .
+    14000 .      member .
+    14000 put=b
+  )");
+  CHECK(s.everythingAcknowledgedIsHeld());
+}
+
+TEST_CASE("a member is replaced by an empty one at another address, planned and not") {
+  for (const bool planned : {false, true}) {
+    CAPTURE(planned);
+    Stores s(3, 4);
+    s.play("0 start start start");
+    s.play("2000 put=a");
+    const unsigned gone = planned ? (*s.leader() + 1) % 3 : *s.leader();
+    if (planned) s.act(gone, "leave");
+    s.act(gone, "renew");
+    s.run(1200);
+    s.act(gone, "start");
+    s.run(6000);
+    CHECK(s.core(gone).member());
+    CHECK(s.put("b"));
+    // and now another one may go
+    s.act((gone + 1) % 3, "kill");
+    s.run(3000);
+    CHECK(s.put("c"));
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+}
+
+TEST_CASE("a disk that stalls under the leader: another one leads, and nothing is lost") {
+  Stores s(3, 9);
+  s.play("0 start start start");
+  s.play("2000 put=a");
+  const unsigned old = *s.leader();
+  s.act(old, "slow=6000");
+  s.act(0, "try=b");
+  s.run(3000);
+  CHECK(s.put("c"));
+  s.act(old, "slow=0");
+  s.run(5000);
+  CHECK(s.put("d"));
+  CHECK(s.everythingAcknowledgedIsHeld());
+}
+
+TEST_CASE("of five, two may be lost with their disks") {
+  Stores grown(5, 6, 5);
+  grown.play("0 start start start start start");
+  grown.play("2000 put=a");
+  const unsigned one = *grown.leader(), two = (one + 1) % 5;
+  grown.act(one, "wipe");
+  grown.act(two, "wipe");
+  grown.run(1500);
+  grown.act(one, "start");
+  grown.act(two, "start");
+  grown.run(6000);
+  CHECK(grown.core(one).member());
+  CHECK(grown.core(two).member());
+  CHECK(grown.put("b"));
+  CHECK(grown.everythingAcknowledgedIsHeld());
+}
+
+// Kills, freezes, cuts both ways, slow disks and wipes, never more wiped at once than may be lost; each
+// failure says its seed.
+TEST_CASE("random plays: nothing acknowledged is lost, no two leaders of a term") {
+  for (unsigned seed = 1; seed <= 400; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    Stores s(3, seed);
+    s.play("0 start start start");
+    int wiped = -1;
+    for (int turn = 0; turn < 40; ++turn) {
+      const unsigned i = random() % 3;
+      switch (random() % 9) {
+        case 0:
+          s.act(i, "kill");
+          break;
+        case 1:
+        case 2:
+          if (!s.up(i)) s.act(i, "start");
+          break;
+        case 3:
+          s.act(i, "freeze");
+          break;
+        case 4:
+          s.act(i, "thaw");
+          break;
+        case 5:
+          s.act(i, random() % 2 ? "mute" : "deaf");
+          break;
+        case 6:
+          s.act(i, "heal");
+          break;
+        case 7:
+          s.act(i, random() % 3 ? "slow=0" : "slow=300");
+          break;
+        case 8:
+          // The one before must be whole again.
+          if (wiped >= 0 && !(s.up(wiped) && s.core(wiped).member() && s.leader())) break;
+          if (wiped >= 0 && !s.everythingAcknowledgedIsHeld()) break;
+          if (wiped < 0 || s.core(wiped).record().index == s.core(*s.leader()).record().index)
+            s.act(i, random() % 2 ? "wipe" : "renew"), wiped = static_cast<int>(i);
+          break;
+      }
+      s.put("v" + std::to_string(turn), 100 + random() % 900);
+    }
+    for (unsigned i = 0; i < 3; ++i) {
+      s.act(i, "heal");
+      s.act(i, "thaw");
+      s.act(i, "slow=0");
+      if (!s.up(i)) s.act(i, "start");
+    }
+    s.run(8000);
+    CHECK(s.put("last"));
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+}
+
+}  // namespace
+}  // namespace burlwind::timeline
--- /dev/null
+++ b/tests/system/franking_test.cpp
@@ -0,0 +1,188 @@
+// Quotas, budget and leases over many couriers, in virtual time: what the rules bound is counted over all of
+// them, also those that are cut off, die or restart.
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+
+#include "franking/budget.hpp"
+#include "franking/purse.hpp"
+#include "franking/vault.hpp"
+#include "rounds/lease.hpp"
+
+namespace burlwind::franking {
+namespace {
+
+// Couriers, one vault, an answer 30 ms after its question. Each letter of a row is what a courier is for half
+// a second: '.' in touch, 'x' cut off, 'r' restarted at its begin, 'd' dead.
+struct Quotas {
+  Quotas(std::vector<std::string> rows, Limit l)
+      : limit(l), columns(std::move(rows)), purses(columns.size()) {}
+  // `asked`: requests a second that come to each courier.
+  void play(const std::vector<double>& asked, unsigned seed) {
+    std::mt19937 random(seed);
+    std::uniform_real_distribution<double> draw(0, 1);
+    for (Purse& p : purses) p.setCouriers(static_cast<unsigned>(columns.size()));
+    const double length = 500.0 * static_cast<double>(columns[0].size());
+    double live = 0;
+    for (double now = 0; now < length; now += 5) {
+      const auto slot = static_cast<std::size_t>(now / 500);
+      live = 0;
+      for (std::size_t c = 0; c < purses.size(); ++c) {
+        const char is = columns[c][slot], was = slot ? columns[c][slot - 1] : '.';
+        if (is == 'r' && std::fmod(now, 500.0) < 5) {
+          purses[c] = Purse{};
+          purses[c].setCouriers(static_cast<unsigned>(columns.size()));
+        }
+        // The vault hears of a loss one silence later.
+        live += is != 'd' && (is != 'x' || was != 'x');
+        purses[c].setTouch(is == '.' || is == 'r', now);
+        if (is == 'd') continue;
+        if (draw(random) < asked[c] * 0.005) come(c, draw(random), now);
+        if (std::fmod(now, 100.0) < 5 && is != 'x') ask(c, now);
+      }
+      vault.setReach(live / static_cast<double>(purses.size()));
+      while (!answers.empty() && answers.front().at <= now) {
+        auto a = answers.front();
+        answers.pop_front();
+        purses[a.to].granted(a.lot, now);
+      }
+      count(now);
+    }
+  }
+  void come(std::size_t c, double chance, double now) {
+    ++came;
+    const auto admit = purses[c].admit("t", limit.rate, limit.burst, chance, now);
+    bool in = admit == Admit::yes;
+    if (admit == Admit::wait) ask(c, now), in = purses[c].again("t", limit.rate, now) == Admit::yes;
+    if (!in) return;
+    ++let;
+    times.push_back(now);
+  }
+  void ask(std::size_t c, double now) {
+    for (const auto& wish : purses[c].wishes(now)) {
+      const auto given = vault.take(wish.tenant, limit, wish.want, wish.asked, now);
+      answers.push_back({now + 30, c, {wish.tenant, given.granted, given.use, given.empty}});
+    }
+  }
+  void count(double now) {
+    while (!times.empty() && now - times.front() > 5000) times.pop_front();
+    most = std::max(most, times.size());
+  }
+  struct Said {
+    double at;
+    std::size_t to;
+    pouch::Lot lot;
+  };
+  const Limit limit;
+  const std::vector<std::string> columns;
+  std::vector<Purse> purses;
+  Vault vault;
+  std::deque<Said> answers;
+  std::deque<double> times;
+  std::size_t most = 0, came = 0, let = 0;
+};
+
+double ruleOf(const Limit& l) { return (l.rate * 5 + l.burst) * 1.1 + 20; }
+
+TEST_CASE("a hot tenant stays inside its quota, whoever is cut off, dies or restarts") {
+  const Limit limit{40, 40};
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Quotas q({"............................", "......xxxxxxxxxxxxxxxx......", "......xxxxxxxx..............",
+              "........ddddr..ddr..........", "..........r...r...r.........", "............................"},
+             limit);
+    q.play({60, 60, 30, 60, 80, 20}, seed);
+    CHECK(static_cast<double>(q.most) <= ruleOf(limit));
+    CHECK(static_cast<double>(q.let) > 0.75 * limit.rate * 14);
+  }
+}
+
+TEST_CASE("a tenant inside its quota is hardly ever refused, evenly spread or not") {
+  for (const auto& asked : {std::vector<double>{6, 6, 6, 6}, std::vector<double>{20, 2, 1, 1}}) {
+    Quotas q({"....................", "....................", "....................", "...................."},
+             {40, 40});
+    q.play(asked, 3);
+    CHECK(q.let >= q.came * 0.95);
+  }
+}
+
+TEST_CASE("cut off, a courier goes on by its own part; with no holder all do, and the quota holds") {
+  const Limit limit{40, 40};
+  Quotas q({"....xxxxxxxxxxxxxxxx", "....xxxxxxxxxxxxxxxx", "....xxxxxxxxxxxxxxxx", "....xxxxxxxxxxxxxxxx"},
+           limit);
+  q.play({30, 30, 30, 30}, 5);
+  CHECK(static_cast<double>(q.most) <= ruleOf(limit));
+  CHECK(static_cast<double>(q.let) > 0.8 * limit.rate * 9);
+}
+
+TEST_CASE("a new holder does not give out the burst again") {
+  Vault vault;
+  const Limit limit{10, 50};
+  vault.clear(1000);
+  CHECK(vault.take("t", limit, 50, 50, 1000).granted == 0);
+  CHECK(vault.take("t", limit, 50, 50, 2000).granted == 10);
+}
+
+TEST_CASE("the admit fraction falls with the reading, has a floor, and climbs back") {
+  Purse purse;
+  purse.setTouch(true, 0);
+  purse.admit("t", 10, 10, 0, 0);
+  purse.granted({"t", 0, 400, true}, 10);
+  CHECK(purse.fraction("t") == doctest::Approx(0.25));
+  for (int i = 0; i < 10; ++i) purse.granted({"t", 0, 1000, true}, 20 + i);
+  CHECK(purse.fraction("t") >= 0.05);
+  CHECK(purse.fraction("t") < 0.06);
+  purse.granted({"t", 0, 100, true}, 5000);
+  CHECK(purse.fraction("t") == doctest::Approx(1));
+}
+
+TEST_CASE("an evicted tenant comes back with nothing and asks") {
+  Purse purse;
+  purse.setTouch(true, 0);
+  purse.admit("first", 10, 10, 0, 0);
+  purse.granted({"first", 5, 10, false}, 1);
+  CHECK(purse.stock("first") == 5);
+  for (std::size_t i = 0; i < kTable; ++i) purse.admit("t" + std::to_string(i), 10, 10, 0, 2);
+  CHECK(purse.stock("first") == 0);
+  CHECK(purse.admit("first", 10, 10, 0, 3) == Admit::wait);
+}
+
+TEST_CASE("further tries of all couriers stay inside the budget, with one restart of each") {
+  constexpr unsigned kCouriers = 11;
+  constexpr double kSlack = 62;
+  std::vector<TryBudget> budgets(kCouriers);
+  double firsts = 0, further = 0;
+  for (int life = 0; life < 2; ++life)
+    for (TryBudget& b : budgets) {
+      if (life) b = TryBudget{};
+      b.set(0.2, kSlack, kCouriers);
+      for (int i = 0; i < 40; ++i) {
+        b.first("s"), ++firsts;
+        while (b.take("s")) ++further;
+      }
+    }
+  CHECK(further <= 0.2 * firsts + kSlack);
+  CHECK(further > 0.1 * firsts);
+}
+
+TEST_CASE("a lease is held by one, stops before it ends, and a new leader waits it out") {
+  rounds::LeaseGrantor leader;
+  rounds::LeaseHolder a, b;
+  leader.lead(0);
+  CHECK(leader.ask("a", 100) == 0);  // the one before may have granted it just now
+  a.granted(1590, leader.ask("a", 1600));
+  CHECK(a.holds(1700));
+  CHECK(leader.ask("b", 1700) == 0);
+  CHECK_FALSE(a.holds(3000));  // renewed by nobody: it has stopped
+  CHECK(leader.ask("b", 3000) == 0);
+  rounds::LeaseGrantor next;
+  next.lead(3000);
+  CHECK(next.ask("b", 3100) == 0);
+  b.granted(4600, next.ask("b", 4610));
+  CHECK(b.holds(4700));
+  CHECK_FALSE(a.holds(4700));
+}
+
+}  // namespace
+}  // namespace burlwind::franking
--- /dev/null
+++ b/tests/system/sorting_test.cpp
@@ -0,0 +1,129 @@
+// Choice of worker: what may not be chosen is never chosen, and load and distance decide among the rest.
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "sorting/core.hpp"
+
+namespace burlwind::sorting {
+namespace {
+
+struct Fixture {
+  Core core{{"a1", "A"}, {{"a1", "A"}, {"a2", "A"}, {"b1", "B"}}, 1.5, 5};
+  std::mt19937 random{3};
+  std::uint64_t number = 0;
+  void list(std::vector<pouch::Worker> all, double now = 0) {
+    pouch::Workers w;
+    w.whole = true, w.term = 1, w.number = ++number, w.put = std::move(all);
+    core.take(w, now);
+  }
+  static pouch::Worker worker(const char* id, const char* zone, bool draining = false, double cold = 0) {
+    return {id, "s", std::string("10.0.0.1:") + "80", zone, 3, draining, cold};
+  }
+  Core::Choice choose(double now = 0, const std::vector<std::string>* homes = nullptr) {
+    Ask ask;
+    ask.service = "s";
+    ask.homes = homes;
+    return core.choose(ask, std::uniform_real_distribution<double>(0, 1)(random), now);
+  }
+};
+
+TEST_CASE_FIXTURE(Fixture, "near first, further when the near ones are busy") {
+  list({worker("near", "a1"), worker("far", "a2"), worker("foreign", "b1")});
+  CHECK(choose().id == "near");
+  for (int i = 0; i < 12; ++i) core.sent("near", 0);
+  CHECK(choose().id == "far");
+  for (int i = 0; i < 12; ++i) core.sent("far", 0);
+  CHECK(choose().id == "foreign");
+}
+
+TEST_CASE_FIXTURE(Fixture, "never a draining one, an evacuated zone, a region that is no home") {
+  list({worker("near", "a1", true), worker("far", "a2"), worker("foreign", "b1")});
+  CHECK(choose().id == "far");
+  core.setEvacuated({"a2"}, 0);
+  CHECK(choose().id == "foreign");
+  const std::vector<std::string> homes{"A"};
+  CHECK(choose(0, &homes).id.empty());
+  CHECK(choose(0, &homes).why == Why::nobody);
+}
+
+TEST_CASE_FIXTURE(Fixture, "couriers of a zone together stay under a cold worker's bound") {
+  constexpr double kRate = 4.1, kBound = kRate * 1.5 + 5;
+  std::vector<Core> couriers;
+  for (int i = 0; i < 3; ++i) {
+    couriers.emplace_back(Place{"a1", "A"}, std::map<std::string, std::string>{{"a1", "A"}, {"b1", "B"}}, 1.5,
+                          5.0);
+    couriers.back().setCouriers({{"a1", 3}, {"b1", 2}});
+    couriers.back().setService("s", {kRate, 3000});
+    pouch::Workers w;
+    w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
+    couriers.back().take(w, 0);
+  }
+  std::deque<double> sent;
+  std::size_t most = 0;
+  for (double now = 0; now < 2900; now += 3)
+    for (Core& c : couriers) {
+      Ask ask;
+      ask.service = "s";
+      if (c.choose(ask, 0.5, now).id.empty()) continue;
+      c.sent("cold", now);
+      sent.push_back(now);
+      while (now - sent.front() > 1000) sent.pop_front();
+      most = std::max(most, sent.size());
+    }
+  CHECK(static_cast<double>(most) <= kBound);
+  CHECK(static_cast<double>(most) >= 3);
+  // Nobody sends there from elsewhere.
+  Core other{{"b1", "B"}, {{"a1", "A"}, {"b1", "B"}}, 1.5, 5};
+  other.setCouriers({{"a1", 3}, {"b1", 2}});
+  other.setService("s", {kRate, 3000});
+  pouch::Workers w;
+  w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
+  other.take(w, 0);
+  Ask ask;
+  ask.service = "s";
+  CHECK(other.choose(ask, 0.5, 10).why == Why::cold);
+}
+
+TEST_CASE_FIXTURE(Fixture, "a zone that is taken back is cold until it can't be any more") {
+  core.setCouriers({{"a1", 2}});
+  core.setService("s", {2, 3000});
+  list({worker("one", "a1")});
+  core.setEvacuated({"a1"}, 0);
+  CHECK(choose(10).id.empty());
+  core.setEvacuated({}, 1000);
+  unsigned sent = 0;
+  for (double now = 1001; now < 1900; now += 10)
+    if (!choose(now).id.empty()) core.sent("one", now), ++sent;
+  CHECK(sent <= 4);
+  CHECK(choose(4100).id == "one");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a worker that can't be reached is left alone for a while, and tried again") {
+  list({worker("one", "a1"), worker("two", "a2")});
+  core.sent("one", 0);
+  core.failed("one", true, 0);
+  CHECK(choose(1).id == "two");
+  CHECK(choose(2000).id == "one");
+}
+
+TEST_CASE_FIXTURE(Fixture, "one that says it is full gets nothing for a moment") {
+  list({worker("one", "a1"), worker("two", "a2")});
+  core.sent("one", 0);
+  core.full("one", 0);
+  CHECK(choose(1).id == "two");
+  CHECK(choose(500).id == "one");
+}
+
+TEST_CASE_FIXTURE(Fixture, "a difference that is taken on top leaves the rest as it was") {
+  list({worker("one", "a1"), worker("two", "a2")});
+  pouch::Workers w;
+  w.before = number, w.number = ++number, w.term = 1;
+  w.gone = {"one"}, w.put = {worker("three", "a1")};
+  core.take(w, 0);
+  CHECK(core.size() == 2);
+  CHECK(choose().id == "three");
+}
+
+}  // namespace
+}  // namespace burlwind::sorting
--- /dev/null
+++ b/tests/system/timeline.hpp
@@ -0,0 +1,299 @@
+// Stores under virtual time, played from a timeline drawn as text: one line a moment, one column a replica.
+//
+//     ms     a        b        c
+//     0      start    start    start
+//     1500   put=x    .        .          (whoever leads may be asked by "put=x" in any column: see below)
+//
+// Words: start, kill (process; disk stays), wipe (kill, and the disk is empty), freeze, thaw, deaf (hears
+// nobody), mute (is heard by nobody), cut (both), heal, slow=N (each write takes N ms), renew (kill; an empty
+// replica at another address takes its column), leave. Checks: leads, follows, has=x (its record holds x),
+// member, stranger. In the last column, `lead` stands for the replica that leads, wherever it is: put=x
+// proposes there and waits up to 3 s until it is committed; read gives what the history must hold.
+// Nothing sleeps: a step is 10 ms of virtual time, a message takes 5 to 25.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "ballot/core.hpp"
+
+namespace burlwind::timeline {
+
+using ballot::Core;
+using ballot::Id;
+using ballot::Record;
+
+class Stores {
+ public:
+  explicit Stores(unsigned count, unsigned seed = 1, unsigned seats = 0)
+      : random_(seed), seats_(seats ? seats : count), replicas_(count) {
+    std::vector<pouch::Member> first;
+    for (unsigned i = 0; i < count; ++i) first.push_back({100 + i, address(i, 0)});
+    for (unsigned i = 0; i < count; ++i) {
+      replicas_[i].disk = Record{};
+      replicas_[i].disk.self = 100 + i;
+      replicas_[i].disk.members = first;
+      replicas_[i].ip = address(i, 0);
+    }
+  }
+
+  void play(const std::string& text) {
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);) {
+      std::istringstream words(line);
+      double at = 0;
+      if (!(words >> at)) continue;
+      CAPTURE(line);
+      while (now_ < at) step();
+      std::string word;
+      for (unsigned i = 0; words >> word; ++i)
+        if (word != ".") act(i, word);
+    }
+  }
+
+  void step() {
+    now_ += 10;
+    std::deque<Letter> due;
+    for (auto it = letters_.begin(); it != letters_.end();)
+      if (it->at <= now_) {
+        due.push_back(std::move(*it));
+        it = letters_.erase(it);
+      } else {
+        ++it;
+      }
+    for (auto& letter : due) deliver(letter);
+    for (unsigned i = 0; i < replicas_.size(); ++i) {
+      Replica& r = replicas_[i];
+      if (!awake(r)) continue;
+      if (now_ >= r.tickAt) {
+        r.tickAt = now_ + 50;
+        carry(i, r.core->tick(now_));
+        if (!r.core->member() || !r.core->leaderIsKnown(now_))
+          for (unsigned j = 0; j < replicas_.size(); ++j)
+            if (j != i)
+              letters_.push_back({now_ + delay(), i, j, r.core->record().self, {}, r.life, true, r.ip});
+      }
+    }
+    check();
+  }
+
+  std::optional<unsigned> leader() const {
+    for (unsigned i = 0; i < replicas_.size(); ++i)
+      if (awake(replicas_[i]) && replicas_[i].core->leads()) return i;
+    return std::nullopt;
+  }
+
+  // Proposes where somebody leads; true once it is committed. False: no clear answer.
+  bool put(const std::string& value, double within = 3000) {
+    const double until = now_ + within;
+    while (now_ < until) {
+      if (const auto i = leader(); i && replicas_[*i].core->mayPropose()) {
+        const unsigned life = replicas_[*i].life;
+        const auto& before = replicas_[*i].core->record().state;
+        acks_.clear();
+        carry(*i, replicas_[*i].core->propose(before.empty() ? value : before + "," + value, now_));
+        while (now_ < until && awake(replicas_[*i]) && replicas_[*i].life == life &&
+               replicas_[*i].core->leads()) {
+          if (acks_.contains(*i)) return acknowledged_.push_back(value), true;
+          step();
+        }
+        return false;
+      }
+      step();
+    }
+    return false;
+  }
+
+  void act(unsigned i, const std::string& word) {
+    const auto equal = word.find('=');
+    const std::string verb = word.substr(0, equal),
+                      value = equal == std::string::npos ? "" : word.substr(equal + 1);
+    if (verb == "put") {
+      CHECK_MESSAGE(put(value), word);
+      return;
+    }
+    if (verb == "try") return static_cast<void>(put(value, 1500));
+    Replica& r = replicas_.at(i);
+    if (verb == "start")
+      start(i);
+    else if (verb == "kill")
+      r.core.reset();
+    else if (verb == "wipe")
+      r.core.reset(), empty(i, r.ip);
+    else if (verb == "renew")
+      r.core.reset(), empty(i, address(i, ++r.moves));
+    else if (verb == "freeze")
+      r.frozen = true;
+    else if (verb == "thaw")
+      r.frozen = false;
+    else if (verb == "deaf")
+      r.deaf = true;
+    else if (verb == "mute")
+      r.mute = true;
+    else if (verb == "cut")
+      r.deaf = r.mute = true;
+    else if (verb == "heal")
+      r.deaf = r.mute = false;
+    else if (verb == "slow")
+      r.write = std::stod(value);
+    else if (verb == "leave")
+      leave(i);
+    else if (verb == "leads")
+      CHECK_MESSAGE((r.core && r.core->leads()), "leads");
+    else if (verb == "follows")
+      CHECK_MESSAGE((r.core && !r.core->leads()), "follows");
+    else if (verb == "has")
+      CHECK(r.core->record().state == value);
+    else if (verb == "member")
+      CHECK(r.core->member());
+    else if (verb == "stranger")
+      CHECK_FALSE(r.core->member());
+    else
+      FAIL(word);
+  }
+
+  bool everythingAcknowledgedIsHeld() {
+    const auto i = leader();
+    return i && holds(replicas_[*i].core->record().state, acknowledged_);
+  }
+  Core& core(unsigned i) { return *replicas_[i].core; }
+  bool up(unsigned i) const { return replicas_[i].core != nullptr; }
+  double now() const { return now_; }
+  void run(double ms) {
+    for (const double until = now_ + ms; now_ < until;) step();
+  }
+  const std::vector<std::string>& acknowledged() const { return acknowledged_; }
+
+ private:
+  struct Replica {
+    Record disk;
+    std::unique_ptr<Core> core;
+    std::string ip;
+    bool frozen = false, deaf = false, mute = false;
+    double tickAt = 0, write = 0, busyUntil = 0;
+    unsigned life = 0, moves = 0;
+  };
+  struct Letter {
+    double at;
+    unsigned from, to;
+    Id id;  // of the reader, or of who wants to join
+    ballot::Message message;
+    unsigned life;
+    bool join = false;
+    std::string ip;
+  };
+
+  static std::string address(unsigned i, unsigned moves) {
+    return "10.0." + std::to_string(moves) + "." + std::to_string(i);
+  }
+  static double draw(void* self) {
+    return std::uniform_real_distribution<double>(0, 1)(static_cast<Stores*>(self)->random_);
+  }
+  double delay() { return 5 + 20 * draw(this); }
+  bool awake(const Replica& r) const { return r.core && !r.frozen && now_ >= r.busyUntil; }
+
+  void start(unsigned i) {
+    Replica& r = replicas_[i];
+    ++r.life;
+    r.frozen = false;
+    r.busyUntil = 0;
+    r.core = std::make_unique<Core>(r.disk, ballot::Pace{}, seats_, &Stores::draw, this, now_);
+  }
+  void empty(unsigned i, const std::string& ip) {
+    replicas_[i].disk = Record{};
+    replicas_[i].disk.self = ++ids_;
+    replicas_[i].ip = ip;
+  }
+  void leave(unsigned i) {
+    for (unsigned j = 0; j < replicas_.size(); ++j)
+      if (j != i && replicas_[j].core)
+        carry(j, replicas_[j].core->leave(replicas_[i].core->record().self, now_));
+  }
+
+  void deliver(Letter& letter) {
+    Replica& to = replicas_[letter.to];
+    const Replica& from = replicas_[letter.from];
+    if (from.mute || to.deaf || !to.core) return;
+    if (!awake(to)) {  // it waits in the socket's buffer
+      letter.at = now_ + 10;
+      letters_.push_back(std::move(letter));
+      return;
+    }
+    if (letter.join) return carry(letter.to, to.core->join({letter.id, letter.ip}, now_));
+    if (to.core->record().self != letter.id) return;
+    carry(letter.to, to.core->receive(letter.message, now_));
+  }
+
+  void carry(unsigned i, const std::vector<ballot::Effect>& effects) {
+    Replica& r = replicas_[i];
+    double at = now_;
+    for (const auto& effect : effects) {
+      if (std::holds_alternative<ballot::Persist>(effect)) {
+        r.disk = r.core->record();
+        at += r.write;
+        r.busyUntil = std::max(r.busyUntil, at);
+      } else if (const auto* send = std::get_if<ballot::Send>(&effect)) {
+        for (unsigned j = 0; j < replicas_.size(); ++j)
+          if (replicas_[j].disk.self == send->to ||
+              (replicas_[j].core && replicas_[j].core->record().self == send->to))
+            letters_.push_back({at + delay(), i, j, send->to, send->message, r.life, false, {}});
+      } else if (std::holds_alternative<ballot::Committed>(effect)) {
+        acks_.insert(i);
+        CHECK_MESSAGE(holds(r.core->record().state, acknowledged_),
+                      "what was acknowledged is not in what is committed");
+        commits_.insert(r.core->record().state);
+      } else if (std::holds_alternative<ballot::Led>(effect)) {
+        CHECK_MESSAGE(leaders_.emplace(r.core->record().term, r.core->record().self).second,
+                      "two leaders of a term");
+        CHECK_MESSAGE(holds(r.core->record().state, acknowledged_), "a leader has forgotten");
+      }
+    }
+  }
+
+  static bool holds(const std::string& state, const std::vector<std::string>& values) {
+    std::istringstream parts(state);
+    std::vector<std::string> all;
+    for (std::string part; std::getline(parts, part, ',');) all.push_back(part);
+    std::size_t at = 0;
+    for (const std::string& part : all)
+      if (at < values.size() && part == values[at]) ++at;
+    return at == values.size();
+  }
+
+  // Of two committed states one was made from the other.
+  void check() {
+    if (commits_.size() < 2) return;
+    const std::string* before = nullptr;
+    for (const std::string& state : commits_) {
+      if (before && !before->empty()) {
+        const bool grown = state.starts_with(*before);
+        CHECK_MESSAGE(grown, "'" << *before << "' and '" << state << "' are both committed");
+      }
+      before = &state;
+    }
+    while (commits_.size() > 1) commits_.erase(commits_.begin());
+  }
+
+  std::mt19937 random_;
+  const unsigned seats_;
+  std::vector<Replica> replicas_;
+  std::deque<Letter> letters_;
+  std::vector<std::string> acknowledged_;
+  std::set<std::string> commits_;
+  std::set<unsigned> acks_;
+  std::map<std::uint64_t, Id> leaders_;
+  double now_ = 0;
+  Id ids_ = 1000;
+};
+
+}  // namespace burlwind::timeline
