Overlapping evacuations counted; dials given up sooner; tokens given back; failed reads tried again

Cause of slow returns after a loss of power: a dial to a machine without power hung for a second; now 0.35 s.

--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -80,12 +80,13 @@
   double came = 0, until = 0;  // ms; its time is over
   // The answer, once it stands.
   int status = 0;
+  std::string_view why;
   std::string body;
   double retryAfter = -1;  // ms
   std::optional<http::response<http::string_body>> answer;
 
   void end(int code, std::string_view text = {}, double after = -1) {
-    status = code, body = counter::message(text), retryAfter = after;
+    status = code, why = text, body = counter::message(text), retryAfter = after;
   }
 };
 
@@ -99,7 +100,7 @@
                    unsigned all = 0;
                    for (const auto& [zone, count] : c.couriers) all += count;
                    sorting_.setCouriers(c.couriers);
-                   purse_.setCouriers(all);
+                   purse_.setCouriers(all, settings_.bounds.quotaSlack);
                    budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, all);
                  },
                  [this](const pouch::TokensSay& t) { takeTokens(t); },
@@ -284,8 +285,9 @@
   const bool safe = job.route->safe;
   std::vector<std::string> tried;
   unsigned arrivals = 0, connects = 0;
-  bool mayHaveRun = false;
+  bool mayHaveRun = false, paid = false;
   const auto giveUp = [&](std::string_view why, double after) {
+    if (job.answer) return;  // a worker's own failure says more
     if (mayHaveRun)
       job.end(now() >= job.until - kLeast ? 504 : 502, why);
     else
@@ -302,7 +304,7 @@
       giveUp("no worker took it", 200);
       co_return;
     }
-    if (arrivals > 0 && !budget_.take(job.service)) {
+    if (arrivals > 0 && !std::exchange(paid, false) && !budget_.take(job.service)) {
       giveUp("no further try in the budget", 300);
       co_return;
     }
@@ -328,9 +330,11 @@
     out.tryId = view(job.request["Try-Id"]);
     out.head = job.request.method() == http::verb::head;
     out.answerWithin = left;
-    // A repeatable request does not wait for one worker alone while another may still answer in time.
-    if (safe && arrivals + 1 < job.route->tries && left > 800)
-      out.answerWithin = std::min(left - 300, std::max(6 * sorting_.usual(job.service), 0.45 * left));
+    // A repeatable request leaves the time for another worker, once any usual answer would have come: long
+    // work is the request's own, and is no shorter elsewhere.
+    const double another = std::max(500.0, 3 * sorting_.usual(job.service));
+    if (safe && arrivals + 1 < job.route->tries && left - another > 8 * sorting_.usual(job.service))
+      out.answerWithin = left - another;
     sorting_.sent(choice.id, now());
     Answer answer = co_await workers_.exchange(std::move(out));
     note(job, choice.id, answer);
@@ -339,6 +343,17 @@
       const int status = static_cast<int>(answer.response.result_int());
       // A worker's own 503 and the like, where it does not say that it has not run, may have run.
       const bool promise = status == 429 || status == 503 || status == 408 || status == 421;
+      // A read that failed at one worker may do at another; else the worker's own answer stands.
+      if (safe && status >= 500 && !promise && arrivals + 1 < job.route->tries) {
+        mayHaveRun = true, ++arrivals;
+        job.status = status;
+        job.answer = std::move(answer.response);
+        if (job.until - now() > 2 * sorting_.usual(job.service) && budget_.take(job.service)) {
+          paid = true;
+          continue;
+        }
+        co_return;
+      }
       if (promise) {
         mayHaveRun = true, ++arrivals;
         if (!safe) {
@@ -427,7 +442,7 @@
       job.end(error == http::error::header_limit ? 431
               : error == http::error::body_limit ? 413
                                                  : 400,
-              error.message());
+              "it does not read");
       goOn = false;
     } else {
       job.request = parser.release();
@@ -437,7 +452,7 @@
       if (!job.status) co_await handle(job);
       --working_;
     }
-    ++counts_[job.status];
+    ++counts_[{job.status, job.answer ? std::string_view("a worker's") : job.why}];
     goOn = goOn && !leaving_;
     std::string out = "HTTP/1.1 " + std::to_string(job.status) + " ";
     if (job.answer) {
@@ -502,8 +517,8 @@
 void Courier::report(double at) {
   if (at < reportAt_) return;
   reportAt_ = at + kReport;
-  for (const auto& [status, count] : std::exchange(counts_, {}))
-    program::info("answers", {{"status", status}, {"count", count}});
+  for (const auto& [what, count] : std::exchange(counts_, {}))
+    program::info("answers", {{"status", what.first}, {"why", what.second}, {"count", count}});
 }
 
 void Courier::leave() {
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -70,7 +70,7 @@
   std::uint64_t asks_ = 0;
   double lastTick_ = 0, askAt_ = 0, reportAt_ = 0, leaveAt_ = 0;
   bool leaving_ = false;
-  std::map<int, std::uint64_t> counts_;  // answers by status
+  std::map<std::pair<int, std::string_view>, std::uint64_t> counts_;  // answers by status and reason
 };
 
 }  // namespace burlwind::courier
--- a/src/courier/session.cpp
+++ b/src/courier/session.cpp
@@ -10,6 +10,7 @@
 
 constexpr double kSilent = 1300;   // ms without a word: another registry is tried
 constexpr double kVouched = 1600;  // ms without the leader's word
+constexpr double kReached = 450;   // ms until a trial has at least a link
 constexpr double kTrial = 900;     // ms that a trial has to come up
 constexpr double kStatus = 500;    // ms between two words of this courier
 constexpr double kNearer = 2000;   // ms between two tries of a nearer one
@@ -118,7 +119,7 @@
 }
 
 void Sessions::tick(double at) {
-  if (trial_ && at - trialAt_ > kTrial) {
+  if (trial_ && at - trialAt_ > (trial_->dialer->link() ? kTrial : kReached)) {
     failedAt_[trial_->ip] = at;
     trial_->dialer->close();
     trial_.reset();
--- a/src/courier/worker_side.cpp
+++ b/src/courier/worker_side.cpp
@@ -1,5 +1,6 @@
 #include "courier/worker_side.hpp"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -30,6 +31,19 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// A worker that is gone without a word: bytes that nobody acknowledges, and probes where nothing is sent.
+void harden(Tcp::socket& socket) {
+  Error ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const int unacknowledged = 700, on = 1, seconds = 1, probes = 2;
+  const int fd = socket.native_handle();
+  ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged, sizeof unacknowledged);
+  ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof seconds);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof seconds);
+  ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 double keepTime(const http::response<http::string_body>& response) {
   std::string_view text = view(response["Keep-Alive"]);
   while (!text.empty()) {
@@ -78,7 +92,7 @@
   co_await c->socket.async_connect({ip, at->port}, asio::redirect_error(asio::use_awaitable, error));
   c->timer.cancel();
   if (error || c->overdue || !c->socket.is_open()) co_return nullptr;
-  c->socket.set_option(Tcp::no_delay(true), error);
+  harden(c->socket);
   co_return c;
 }
 
--- a/src/franking/purse.cpp
+++ b/src/franking/purse.cpp
@@ -19,7 +19,7 @@
     table_.push_front({});
     table_.front().tenant = tenant;
     table_.front().cameAt = table_.front().ownAt = now;
-    if (!inTouch_) table_.front().own = burst / couriers_;
+    if (!inTouch_) table_.front().own = std::max(burst / couriers_, least_);
     index_[tenant] = table_.begin();
   }
   Account& a = table_.front();
@@ -38,7 +38,8 @@
   if (a.stock >= 1) return a.stock -= 1, true;
   if (inTouch_) return false;
   const double part = a.rate / couriers_;
-  a.own = std::min(std::max({1.0, part / 2, a.burst / couriers_}), a.own + part * (now - a.ownAt) / 1000);
+  a.own =
+      std::min(std::max({1.0, least_, part / 2, a.burst / couriers_}), a.own + part * (now - a.ownAt) / 1000);
   a.ownAt = now;
   if (a.own < 1) return false;
   return a.own -= 1, true;
@@ -71,20 +72,25 @@
 
 double Purse::target(const Account& a) const {
   const double ahead = a.came * kAhead;
-  return a.fresh ? std::max(ahead, std::min(a.burst / couriers_, 4.0)) : std::max(1.0, ahead);
+  // Of a tenant that comes here seldom nothing is held ahead: at many couriers that would be its whole store.
+  return a.fresh       ? std::max(ahead, std::min(a.burst / couriers_, 4.0))
+         : ahead < 0.5 ? 0
+                       : std::max(1.0, ahead);
 }
 
 std::vector<pouch::Wish> Purse::wishes(double now) {
   std::vector<pouch::Wish> out;
   for (Account& a : table_) {
     if (now - a.cameAt > kStill) {
+      // What isn't needed goes back: others may need it.
+      if (a.stock >= 1 && inTouch_) out.push_back({a.tenant, -std::floor(a.stock), 0});
       a.stock = 0, a.fresh = true;
       continue;
     }
     if (now - a.askedAt < kAnswerWithin) continue;
     const double most = target(a);
     if (!a.waits && a.stock >= most / 2) continue;
-    const double want = std::ceil(std::max(most, 1.0) - a.stock + a.waits);
+    const double want = std::ceil(std::max(most, 0.0) - a.stock + a.waits);
     if (want < 1) continue;
     a.askedAt = now;
     if (asked_ <= told_) asked_ = now;
--- a/src/franking/purse.hpp
+++ b/src/franking/purse.hpp
@@ -9,6 +9,7 @@
 // evicted one comes back with nothing and asks.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <string>
@@ -32,7 +33,11 @@
 class Purse {
  public:
   void setTouch(bool inTouch, double now);
-  void setCouriers(unsigned known) { couriers_ = known ? known : 1; }
+  // `slack`: requests that the rule leaves above rate and burst, over all couriers.
+  void setCouriers(unsigned known, double slack) {
+    couriers_ = known ? known : 1;
+    least_ = std::min(1.5, 0.7 * slack / couriers_);
+  }
   // An ask has gone unanswered for longer than one that is answered takes.
   bool unanswered(double now) const;
 
@@ -66,6 +71,7 @@
   std::list<Account> table_;  // latest first
   std::unordered_map<std::string, std::list<Account>::iterator> index_;
   bool inTouch_ = false;
+  double least_ = 0.5;      // that a part out of touch begins with
   unsigned couriers_ = 32;  // until told: more than there may be, so that parts are too small at worst
   double asked_ = -1e18, told_ = -1e18;
 };
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -18,6 +18,10 @@
   const double most = std::max(1.0, limit.burst * kBurstPart);
   store.level = std::min(most, store.level + limit.rate * reach_ * std::max(0.0, now - store.at) / 1000);
   store.at = std::max(store.at, now);
+  if (want < 0) {  // given back
+    store.level = std::min(most, store.level - want);
+    return out;
+  }
   out.granted = std::max(0.0, std::min(want, std::floor(store.level)));
   store.level -= out.granted;
   out.empty = out.granted < want;
--- a/src/pigeonhole/ledger.cpp
+++ b/src/pigeonhole/ledger.cpp
@@ -46,10 +46,39 @@
 
 }  // namespace
 
-Judged apply(State& state, const pouch::Propose& order) {
+namespace {
+
+// Whether an order of this kind for the zone came so lately that this is the same one.
+bool repeats(std::map<std::string, double>& times, const std::string& zone, double now) {
+  const auto [found, fresh] = times.try_emplace(zone, now);
+  const bool out = !fresh && now - found->second < kRepeat;
+  found->second = now;
+  return out;
+}
+
+Judged evacuate(State& state, Lately& lately, const std::string& zone, double now) {
+  const bool known = lately.begun.contains(zone);
+  const bool again = repeats(lately.begun, zone, now);
+  unsigned& count = state.evacuated[zone];
+  if (count > 0 && (again || !known)) return {200, "evacuated before", false};
+  ++count;
+  return {200, "evacuated", true};
+}
+
+Judged takeBack(State& state, Lately& lately, const std::string& zone, double now) {
+  const bool again = repeats(lately.ended, zone, now);
+  const auto found = state.evacuated.find(zone);
+  if (found == state.evacuated.end() || again) return {200, "taken back before", false};
+  if (--found->second == 0) state.evacuated.erase(found);
+  return {200, "taken back", true};
+}
+
+}  // namespace
+
+Judged apply(State& state, Lately& lately, const pouch::Propose& order, double now) {
   if (order.what == "config") return takeConfiguration(state, order.body);
-  if (order.what == "evacuate") return {200, "evacuated", state.evacuated.insert(order.body).second};
-  if (order.what == "return") return {200, "taken back", state.evacuated.erase(order.body) > 0};
+  if (order.what == "evacuate") return evacuate(state, lately, order.body, now);
+  if (order.what == "return") return takeBack(state, lately, order.body, now);
   return {400, "no such order", false};
 }
 
--- a/src/pigeonhole/ledger.hpp
+++ b/src/pigeonhole/ledger.hpp
@@ -6,8 +6,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,7 +23,7 @@
   std::string configuration;  // as sent
   std::uint64_t version = 0;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> taken;  // version, digest
-  std::set<std::string> evacuated;                             // zones
+  std::map<std::string, unsigned> evacuated;                   // zones, by how many evacuations
   MSGPACK_DEFINE(configuration, version, taken, evacuated)
 };
 std::string pack(const State& state);
@@ -34,6 +34,13 @@
   std::string text;      // why not
   bool changes = false;  // the state is another one now
 };
-Judged apply(State& state, const pouch::Propose& order);
+// Evacuations of one zone may overlap, and their orders bear no number: one that comes within kRepeat of the
+// last of its kind is that one sent again, a later one is another. The times are the leader's own; a new
+// leader knows none, and takes a second beginning for a repeat, a second end for another one.
+constexpr double kRepeat = 2500;  // ms
+struct Lately {
+  std::map<std::string, double> begun, ended;  // by zone
+};
+Judged apply(State& state, Lately& lately, const pouch::Propose& order, double now);
 
 }  // namespace burlwind::pigeonhole
--- a/src/pigeonhole/main.cpp
+++ b/src/pigeonhole/main.cpp
@@ -187,6 +187,7 @@
   void led() {
     program::info("leads", {{"term", core_->record().term}, {"index", core_->record().index}});
     lease_.lead(now());
+    lately_ = {};
     vouchAt_ = 0;
   }
 
@@ -227,11 +228,9 @@
     return out;
   }
   pouch::News news() const {
-    return {core_->record().term,
-            core_->committed(),
-            state_.configuration,
-            {state_.evacuated.begin(), state_.evacuated.end()},
-            storeIps()};
+    std::vector<std::string> zones;
+    for (const auto& [zone, count] : state_.evacuated) zones.push_back(zone);
+    return {core_->record().term, core_->committed(), state_.configuration, std::move(zones), storeIps()};
   }
   void pushNews() {
     if (!core_->leads()) return;
@@ -252,7 +251,7 @@
     bool changes = false;
     auto waiting = std::exchange(orders_, {});
     for (auto& [propose, link] : waiting) {
-      const Judged judged = apply(next, propose);
+      const Judged judged = apply(next, lately_, propose, now());
       program::info("order", {{"what", propose.what}, {"status", judged.status}, {"text", judged.text}});
       changes = changes || judged.changes;
       underWay_.push_back({propose.number, link, judged});
@@ -417,6 +416,7 @@
   Store store_;
   std::optional<ballot::Core> core_;
   State state_;  // committed
+  Lately lately_;
   rounds::LeaseGrantor lease_;
   pouch::Acceptor acceptor_;
   asio::steady_timer timer_, endTimer_{io_};
--- a/src/pouch/link.cpp
+++ b/src/pouch/link.cpp
@@ -114,7 +114,7 @@
   if (error) return;
   socket_ = Tcp::socket(io_);
   auto done = std::make_shared<bool>(false);
-  timer_.expires_after(std::chrono::milliseconds(1000));
+  timer_.expires_after(std::chrono::milliseconds(kDialWithin));
   timer_.async_wait([this, self = shared_from_this(), done](const Error& stopped) {
     if (stopped || *done) return;
     Error ignored;
--- a/src/pouch/link.hpp
+++ b/src/pouch/link.hpp
@@ -21,6 +21,9 @@
 
 constexpr std::size_t kMostWaiting = 4 * 1024 * 1024;  // bytes
 constexpr int kUserTimeout = 1500;                     // ms
+// A machine without power says nothing, and the opening packet is sent again only after a second: asked anew,
+// it answers as soon as it is up.
+constexpr int kDialWithin = 350;  // ms
 
 void harden(Tcp::socket& socket);  // no delay, TCP_USER_TIMEOUT; errors are ignored: the link then ends later
 
--- a/src/rounds/lease.hpp
+++ b/src/rounds/lease.hpp
@@ -10,7 +10,7 @@
 
 namespace burlwind::rounds {
 
-constexpr double kLeaseSpan = 1500;  // ms
+constexpr double kLeaseSpan = 1000;  // ms
 constexpr double kDrift = 0.05;      // of the span
 constexpr double kStopBefore = 100;  // ms, with what is left of the span
 
--- a/src/sorting/core.cpp
+++ b/src/sorting/core.cpp
@@ -6,7 +6,8 @@
 namespace burlwind::sorting {
 namespace {
 
-constexpr double kFade = 300;                         // ms, memory of a told load
+constexpr double kFade = 200;                         // ms at least, memory of a told load
+constexpr double kLoadNews = 0.03;                    // weight of one in what is usual
 constexpr double kPaceKeep = 0.9;                     // of a worker's pace
 constexpr double kUsualKeep = 0.97;                   // of a service's
 constexpr double kUsualFirst = 150;                   // ms, until answers have come
@@ -95,7 +96,9 @@
   const double usualPace = usual(s.worker.service);
   const double pace = s.pace > 0 ? 0.5 * s.pace + 0.5 * usualPace : usualPace;
   const double slots = std::max(1u, s.worker.slots);
-  const double load = s.out + s.told * std::exp(-(now - s.toldAt) / kFade);
+  const auto others = usualLoad_.find(s.worker.service);
+  const double mean = others == usualLoad_.end() ? 0 : others->second;
+  const double load = s.out + mean + (s.told - mean) * std::exp(-(now - s.toldAt) / std::max(kFade, pace));
   double out = pace * (1 + 0.3 * std::min(1.0, load / slots) + std::max(0.0, load + 1 - slots) / slots);
   if (now < s.coldUntil) out += 2 * pace;
   if (s.region != self_.region) return out + kRegion * ask.aim;
@@ -178,6 +181,8 @@
   if (!s) return;
   s->told = std::max(0.0, running + waiting - s->out);
   s->toldAt = now;
+  double& mean = usualLoad_.try_emplace(s->worker.service, s->told).first->second;
+  mean += kLoadNews * (s->told - mean);
 }
 
 void Core::full(const std::string& id, double now) {
--- a/src/sorting/core.hpp
+++ b/src/sorting/core.hpp
@@ -1,10 +1,10 @@
 // Choice of worker: decisions only, no I/O, time and draws handed in.
 //
 // A worker's cost is what an answer from it would take: its own pace, the queue that is held to be there (own
-// requests out, and the load it told of late, fading), and how far it is, in time and in what bytes between
-// zones cost. The cheapest is taken, ties by chance. Left out: draining ones, evacuated zones, foreign
-// regions where homes bind, those that failed of late (unless nothing else is left), those that said they are
-// full, and cold ones whose allowance for the second is used.
+// requests out, and the load it told of late, fading to what is usual), and how far it is, in time and in
+// what bytes between zones cost. The cheapest is taken, ties by chance. Left out: draining ones, evacuated
+// zones, foreign regions where homes bind, those that failed of late (unless nothing else is left), those
+// that said they are full, and cold ones whose allowance for the second is used.
 //
 // Cold workers: only couriers of a worker's own zone send to it while it is cold, each the rule's bound for a
 // second divided by the couriers known there, counted as sent. With no courier known there, those of its
@@ -102,6 +102,7 @@
   std::unordered_map<std::string, State> workers_;
   std::unordered_map<std::string, std::vector<std::string>> byService_;
   std::unordered_map<std::string, double> usual_;
+  std::unordered_map<std::string, double> usualLoad_;  // of others, by service
   std::unordered_map<std::string, ServiceRule> rules_;
   std::map<std::string, unsigned> couriers_;
   std::set<std::string> evacuated_;
