Quotas lent by cells: a registry asks the holder for many of its couriers at once

Each registry now holds 0.3 s of its couriers' wishes, lends on, queues what must wait, and gives back what is still.

--- /dev/null
+++ b/src/franking/cell.cpp
@@ -0,0 +1,78 @@
+#include "franking/cell.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace burlwind::franking {
+namespace {
+constexpr double kTau = 1000;  // ms, memory of wishes
+}
+
+void Cell::wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out) {
+  Account& a = accounts_[wish.tenant];
+  if (wish.want < 0) {  // given back
+    a.stock -= wish.want;
+    return;
+  }
+  a.wished = a.wished * std::exp(-(now - a.wishedAt) / kTau) + wish.want * 1000 / kTau;
+  a.wishedAt = now;
+  if (a.waiting.empty() && a.stock >= wish.want) {
+    a.stock -= wish.want;
+    out.push_back({asker, {wish.tenant, wish.want, a.use, false}});
+  } else if (now - a.emptyAt < kCellEmptyFor) {
+    const double given = std::min(wish.want, std::floor(a.stock));
+    a.stock -= given;
+    out.push_back({asker, {wish.tenant, given, a.use, true}});
+  } else {
+    a.waiting.push_back({asker, wish.want, now});
+  }
+}
+
+std::vector<pouch::Wish> Cell::wishes(double now) {
+  std::vector<pouch::Wish> out;
+  for (auto it = accounts_.begin(); it != accounts_.end();) {
+    Account& a = it->second;
+    std::erase_if(a.waiting, [&](const Waiting& w) { return now - w.at > kCellWithin; });
+    if (now - a.wishedAt > kCellStill) {
+      if (a.stock >= 1) out.push_back({it->first, -std::floor(a.stock), 0});
+      it = accounts_.erase(it);
+      continue;
+    }
+    double waits = 0;
+    for (const Waiting& w : a.waiting) waits += w.want;
+    const double wished = a.wished * std::exp(-(now - a.wishedAt) / kTau);
+    const double ahead = wished * kCellAhead < 0.5 ? 0 : wished * kCellAhead;
+    const bool due = waits > 0 || a.stock < ahead / 2;
+    const double want = std::ceil(waits + ahead - a.stock);
+    if (due && want >= 1 && now - a.askedAt > kCellWithin && now - a.emptyAt > kCellEmptyFor) {
+      a.askedAt = now;
+      out.push_back({it->first, want, wished});
+    }
+    ++it;
+  }
+  return out;
+}
+
+void Cell::granted(const pouch::Lot& lot, double now, std::vector<Answer>& out) {
+  const auto found = accounts_.find(lot.tenant);
+  if (found == accounts_.end()) return;
+  Account& a = found->second;
+  a.askedAt = -1e18;
+  a.stock += lot.granted;
+  a.use = lot.use;
+  if (lot.empty) a.emptyAt = now;
+  while (!a.waiting.empty() && (lot.empty || a.stock >= a.waiting.front().want)) {
+    const Waiting w = a.waiting.front();
+    a.waiting.pop_front();
+    const double given = std::min(w.want, std::floor(a.stock));
+    a.stock -= given;
+    out.push_back({w.asker, {lot.tenant, given, a.use, given < w.want}});
+  }
+}
+
+double Cell::stock(const std::string& tenant) const {
+  const auto found = accounts_.find(tenant);
+  return found == accounts_.end() ? 0 : found->second.stock;
+}
+
+}  // namespace burlwind::franking
--- /dev/null
+++ b/src/franking/cell.hpp
@@ -0,0 +1,56 @@
+// Quotas in one registry's cell: it asks the holder of the quotas for many of its couriers at once and lends
+// them on, so that most wishes are met inside the cell, without a way to another region. Decisions only.
+//
+// A token that it holds was taken off the store before; one that it loses lets nothing in. It holds kCellAhead of
+// what its couriers wish for, and gives back what has been still for kCellStill.
+// Cost: one map entry a tenant, one queue entry a wish under way.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "pouch/messages.hpp"
+
+namespace burlwind::franking {
+
+constexpr double kCellAhead = 0.3;     // seconds of wishes
+constexpr double kCellStill = 3000;    // ms
+constexpr double kCellWithin = 500;    // ms until a question to the holder counts as lost
+constexpr double kCellEmptyFor = 150;  // ms that "the store is empty" is believed
+
+class Cell {
+ public:
+  struct Asker {
+    std::string courier;
+    std::uint64_t life = 0, number = 0;
+  };
+  struct Answer {
+    Asker to;
+    pouch::Lot lot;
+  };
+  // A courier's wish: met at once, or once the holder has answered, or not (the courier has a time-out).
+  void wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out);
+  std::vector<pouch::Wish> wishes(double now);  // for the holder; empty: nothing
+  void granted(const pouch::Lot& lot, double now, std::vector<Answer>& out);
+  void clear() { accounts_.clear(); }
+  double stock(const std::string& tenant) const;
+
+ private:
+  struct Waiting {
+    Asker asker;
+    double want = 0, at = 0;
+  };
+  struct Account {
+    double stock = 0;
+    double wished = 0, wishedAt = 0;  // tokens a second, of late
+    double askedAt = -1e18, emptyAt = -1e18;
+    int use = 0;
+    std::deque<Waiting> waiting;
+  };
+  std::unordered_map<std::string, Account> accounts_;
+};
+
+}  // namespace burlwind::franking
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -5,11 +5,12 @@
 
 namespace burlwind::franking {
 namespace {
+constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
 constexpr double kBurstPart = 0.8;  // of the burst; the rest is what couriers hold in stock
 }
 
-Vault::Given Vault::take(const std::string& tenant, const Limit& limit, double want, double asked,
-                         double now) {
+Vault::Given Vault::take(const std::string& who, const std::string& tenant, const Limit& limit, double want,
+                         double asked, double now) {
   Given out;
   if (limit.rate <= 0) return out.granted = want, out;
   const auto [found, fresh] = stores_.try_emplace(tenant);
@@ -25,13 +26,14 @@
   out.granted = std::max(0.0, std::min(want, std::floor(store.level)));
   store.level -= out.granted;
   out.empty = out.granted < want;
-  // Demand: each courier tells what came to it about ten times a second; the sum over a second's reports.
-  store.sum += asked;
-  if (now - store.sumFrom >= 1000) {
-    store.demand = store.sum * 100 / std::max(1000.0, std::min(now - store.sumFrom, 2000.0));
-    store.sum = 0, store.sumFrom = now;
+  store.asked[who] = {asked, now};
+  double demand = 0;
+  for (auto it = store.asked.begin(); it != store.asked.end();) {
+    const bool old = now - it->second.second > kAskedFor;
+    demand += old ? 0 : it->second.first;
+    it = old ? store.asked.erase(it) : std::next(it);
   }
-  out.use = static_cast<int>(std::min(10000.0, 100 * store.demand / limit.rate));
+  out.use = static_cast<int>(std::min(10000.0, 100 * demand / limit.rate));
   return out;
 }
 
--- a/src/franking/vault.hpp
+++ b/src/franking/vault.hpp
@@ -14,6 +14,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace burlwind::franking {
 
@@ -35,13 +36,14 @@
     int use = 0;
     bool empty = false;
   };
-  // asked: requests a second that came for the tenant to the courier that wishes.
-  Given take(const std::string& tenant, const Limit& limit, double want, double asked, double now);
+  // asked: requests a second that come for the tenant to `who` wishes. Below 0, `want` is given back.
+  Given take(const std::string& who, const std::string& tenant, const Limit& limit, double want, double asked,
+             double now);
 
  private:
   struct Store {
     double level = 0, at = 0;
-    double demand = 0, sum = 0, sumFrom = 0;  // asked of late, a second
+    std::unordered_map<std::string, std::pair<double, double>> asked;  // by who: a second, when
   };
   std::unordered_map<std::string, Store> stores_;
   double from_ = 0, reach_ = 1;
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -11,6 +11,7 @@
 
 #include "address/configuration.hpp"
 #include "counter/server.hpp"
+#include "franking/cell.hpp"
 #include "franking/vault.hpp"
 #include "postmaster/platform_list.hpp"
 #include "postmaster/registry.hpp"
@@ -180,6 +181,7 @@
     if (held) return;
     program::info("takes the duties", {{"epoch", epoch_}});
     vault_.clear(now());
+    cell_.clear();
     wake_.cancel();
   }
 
@@ -300,10 +302,11 @@
       if (changed) tellSessions(true);
     } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
       t.courier = session.seat.name, t.life = session.seat.life;
-      if (duty_.holds(now()))
-        link->tell(grant(t));
-      else if (const auto holder = others_.find(holder_); holder != others_.end() && holder->second->link())
-        holder->second->link()->tell(t);
+      if (duty_.holds(now())) return link->tell(grant(t));
+      std::vector<franking::Cell::Answer> answers;
+      for (const pouch::Wish& wish : t.wishes) cell_.wish({t.courier, t.life, t.number}, wish, now(), answers);
+      tellLots(answers);
+      askHolder();
     }
   }
 
@@ -324,9 +327,31 @@
   // What the holder of the quotas answers on the link that asked it.
   void onAnswer(const Arrived& arrived) {
     pouch::TokensSay m;
-    if (arrived.kind != pouch::kTokensSay || !arrived.read(m)) return;
+    if (arrived.kind != pouch::kTokensSay || !arrived.read(m) || m.life != life_) return;
+    std::vector<franking::Cell::Answer> answers;
+    for (const pouch::Lot& lot : m.lots) cell_.granted(lot, now(), answers);
+    tellLots(answers);
+  }
+
+  void askHolder() {
+    const auto holder = others_.find(holder_);
+    if (duty_.holds(now()) || holder == others_.end() || !holder->second->link()) return;
+    auto wishes = cell_.wishes(now());
+    if (wishes.empty()) return;
+    holder->second->link()->tell(pouch::TokensAsk{++numbers_, settings_.ip, life_, std::move(wishes)});
+  }
+
+  // One frame for each courier that is answered.
+  void tellLots(const std::vector<franking::Cell::Answer>& answers) {
+    std::map<std::pair<std::string, std::uint64_t>, pouch::TokensSay> byCourier;
+    for (const auto& answer : answers) {
+      auto& say = byCourier[{answer.to.courier, answer.to.life}];
+      say.number = answer.to.number, say.courier = answer.to.courier, say.life = answer.to.life;
+      say.lots.push_back(answer.lot);
+    }
     for (auto& [link, session] : sessions_)
-      if (session.seat.name == m.courier && session.seat.life == m.life) return link->tell(m);
+      if (const auto found = byCourier.find({session.seat.name, session.seat.life}); found != byCourier.end())
+        link->tell(found->second);
   }
 
   pouch::TokensSay grant(const pouch::TokensAsk& ask) {
@@ -339,7 +364,7 @@
                                        [&](const auto& t) { return t.name == wish.tenant; });
       if (tenant == configuration_->tenants.end()) continue;
       const auto given =
-          vault_.take(wish.tenant, {tenant->rate, tenant->burst}, wish.want, wish.asked, now());
+          vault_.take(ask.courier, wish.tenant, {tenant->rate, tenant->burst}, wish.want, wish.asked, now());
       out.lots.push_back({wish.tenant, given.granted, given.use, given.empty});
     }
     return out;
@@ -446,6 +471,7 @@
     seeStop();
     const double at = now();
     askLease(at);
+    askHolder();
     registry_.sweep(at);
     for (auto& [link, session] : sessions_)
       if (at - session.heard > kSilent) link->close();
@@ -485,7 +511,8 @@
   pouch::News news_;
   std::shared_ptr<const address::Configuration> configuration_;
   rounds::LeaseHolder duty_;
-  franking::Vault vault_;
+  franking::Vault vault_;  // of the holder
+  franking::Cell cell_;    // of the others
   std::uint64_t epoch_ = 0;
   pouch::Acceptor acceptor_;
   counter::Server control_, directory_;
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 
 #include "franking/budget.hpp"
+#include "franking/cell.hpp"
 #include "franking/purse.hpp"
 #include "franking/vault.hpp"
 #include "rounds/lease.hpp"
@@ -61,7 +62,7 @@
   }
   void ask(std::size_t c, double now) {
     for (const auto& wish : purses[c].wishes(now)) {
-      const auto given = vault.take(wish.tenant, limit, wish.want, wish.asked, now);
+      const auto given = vault.take("c", wish.tenant, limit, wish.want, wish.asked, now);
       answers.push_back({now + 30, c, {wish.tenant, given.granted, given.use, given.empty}});
     }
   }
@@ -120,8 +121,41 @@
   Vault vault;
   const Limit limit{10, 50};
   vault.clear(1000);
-  CHECK(vault.take("t", limit, 50, 50, 1000).granted == 0);
-  CHECK(vault.take("t", limit, 50, 50, 2000).granted == 10);
+  CHECK(vault.take("x", "t", limit, 50, 50, 1000).granted == 0);
+  CHECK(vault.take("x", "t", limit, 50, 50, 2000).granted == 10);
+}
+
+TEST_CASE("a cell asks once for many, lends on, waits for the holder, gives back") {
+  Cell cell;
+  std::vector<Cell::Answer> out;
+  const auto wish = [&](const char* courier, double want, double now) {
+    out.clear();
+    cell.wish({courier, 1, 1}, {"t", want, 5}, now, out);
+  };
+  wish("a", 2, 0);
+  wish("b", 3, 1);
+  CHECK(out.empty());
+  const auto asked = cell.wishes(2);
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].want >= 5);
+  CHECK(cell.wishes(3).empty());  // one question at a time
+  cell.granted({"t", asked[0].want, 50, false}, 30, out);
+  REQUIRE(out.size() == 2);
+  CHECK(out[0].to.courier == "a");
+  CHECK(out[1].lot.granted == 3);
+  wish("a", 1, 40);  // from what it holds ahead
+  CHECK(out.size() == 1);
+  const double left = cell.stock("t");
+  const auto back = cell.wishes(3100);
+  REQUIRE((left < 1 || back.size() == 1));
+  if (left >= 1) CHECK(back[0].want == -std::floor(left));
+  wish("a", 4, 4000);
+  cell.wishes(4000);
+  out.clear();
+  cell.granted({"t", 1, 300, true}, 4030, out);
+  REQUIRE(out.size() == 1);
+  CHECK(out[0].lot.granted == 1);
+  CHECK(out[0].lot.empty);
 }
 
 TEST_CASE("the admit fraction falls with the reading, has a floor, and climbs back") {
