A lost zone's clients are shared by all couriers; waiting wishes are not refused behind others

Substitutes are now drawn anew for each look-up: half from the region where links are narrow, the rest from everywhere. Ruled out: processor time (0.02 of 0.1 cores at most), memory, workers' room. Cause of 429s inside quotas: a request that waited behind another's question for a token was refused when that one's answer came. It waits on, and is asked for by itself. Parts of less than a request let in by chance (a fleet that restarts).

--- a/src/address/settings.cpp
+++ b/src/address/settings.cpp
@@ -60,6 +60,7 @@
   if (self.has("dataFolder")) out.dataFolder = self.at("dataFolder").text();
   if (!self.has("limits")) return;
   out.memoryMb = figure(self.at("limits"), "memoryMb", 0);
+  out.linkMbps = figure(self.at("limits"), "bandwidthMbps", 0);
   out.descriptors = static_cast<unsigned>(figure(self.at("limits"), "fileHandles", 0));
 }
 
--- a/src/address/settings.hpp
+++ b/src/address/settings.hpp
@@ -35,7 +35,7 @@
   bool firstBoot = false;
   bool counted = false;
   std::string dataFolder;  // empty: no disk
-  double memoryMb = 0;
+  double memoryMb = 0, linkMbps = 0;
   unsigned descriptors = 0;
   std::optional<Endpoint> front, readiness, control, directory;
   std::uint16_t portFrom = 0, portUntil = 0;  // inner ports, both ends included
--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -170,6 +170,7 @@
     for (auto& [tenant, timer] : waiting_)
       if (tenant == lot.tenant) timer->cancel();
   }
+  askTokens();
 }
 
 asio::awaitable<bool> Courier::frank(Job& job) {
@@ -180,12 +181,15 @@
   if (admit == franking::Admit::wait) {
     askTokens();
     asio::steady_timer timer(io_);
-    timer.expires_after(span(kTokensWithin));
+    const double until = now() + kTokensWithin;
     const auto mine = waiting_.insert(waiting_.end(), {tenant.name, &timer});
-    Error ignored;
-    co_await timer.async_wait(redirect_error(use_awaitable, ignored));
+    while (admit == franking::Admit::wait) {
+      timer.expires_after(span(std::max(0.0, until - now())));
+      Error woken;
+      co_await timer.async_wait(redirect_error(use_awaitable, woken));
+      admit = purse_.again(tenant.name, tenant.rate, !woken, now());
+    }
     waiting_.erase(mine);
-    admit = purse_.again(tenant.name, tenant.rate, now());
   }
   if (admit == franking::Admit::yes) co_return true;
   job.end(429, "over the quota", 500 + 500 * chance);
--- a/src/courier/session.cpp
+++ b/src/courier/session.cpp
@@ -72,7 +72,7 @@
   session->dialer->start(
       [this, front](std::shared_ptr<pouch::Link> link) {
         link->tell(pouch::Hello{"courier", settings_.name, settings_.ip, settings_.zone, settings_.region,
-                                life_, front});
+                                life_, front, settings_.linkMbps});
         link->tell(hooks_.status());
       },
       [this, weak](const pouch::Arrived& a) {
--- a/src/franking/cell.cpp
+++ b/src/franking/cell.cpp
@@ -42,10 +42,15 @@
     for (const Waiting& w : a.waiting) waits += w.want;
     const double wished = a.wished * std::exp(-(now - a.wishedAt) / kTau);
     const double ahead = wished * kCellAhead < 0.5 ? 0 : wished * kCellAhead;
-    const bool due = waits > 0 || a.stock < ahead / 2;
-    const double want = std::ceil(waits + ahead - a.stock);
-    if (due && want >= 1 && now - a.askedAt > kCellWithin && now - a.emptyAt > kCellEmptyFor) {
-      a.askedAt = now;
+    // Several questions may be under way: a wish that comes behind one doesn't wait for its answer to be
+    // asked.
+    if (!a.asked.empty() && now - a.asked.front().first > kCellWithin) a.asked.clear();
+    double coming = 0;
+    for (const auto& [at, much] : a.asked) coming += much;
+    const bool due = waits > 0 || a.stock + coming < ahead / 2;
+    const double want = std::ceil(waits + ahead - a.stock - coming);
+    if (due && want >= 1 && now - a.emptyAt > kCellEmptyFor) {
+      a.asked.emplace_back(now, want);
       out.push_back({it->first, want, wished});
     }
     ++it;
@@ -57,7 +62,7 @@
   const auto found = accounts_.find(lot.tenant);
   if (found == accounts_.end()) return;
   Account& a = found->second;
-  a.askedAt = -1e18;
+  if (!a.asked.empty()) a.asked.pop_front();
   a.stock += lot.granted;
   a.use = lot.use;
   if (lot.empty) a.emptyAt = now;
--- a/src/franking/cell.hpp
+++ b/src/franking/cell.hpp
@@ -1,15 +1,16 @@
 // Quotas in one registry's cell: it asks the holder of the quotas for many of its couriers at once and lends
 // them on, so that most wishes are met inside the cell, without a way to another region. Decisions only.
 //
-// A token that it holds was taken off the store before; one that it loses lets nothing in. It holds kCellAhead of
-// what its couriers wish for, and gives back what has been still for kCellStill.
-// Cost: one map entry a tenant, one queue entry a wish under way.
+// A token that it holds was taken off the store before; one that it loses lets nothing in. It holds
+// kCellAhead of what its couriers wish for, and gives back what has been still for kCellStill. Cost: one map
+// entry a tenant, one queue entry a wish under way.
 #pragma once
 
 #include <cstdint>
 #include <deque>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "pouch/messages.hpp"
@@ -45,8 +46,9 @@
   };
   struct Account {
     double stock = 0;
-    double wished = 0, wishedAt = 0;  // tokens a second, of late
-    double askedAt = -1e18, emptyAt = -1e18;
+    double wished = 0, wishedAt = 0;              // tokens a second, of late
+    std::deque<std::pair<double, double>> asked;  // questions under way: when, how much
+    double emptyAt = -1e18;
     int use = 0;
     std::deque<Waiting> waiting;
   };
--- a/src/franking/purse.cpp
+++ b/src/franking/purse.cpp
@@ -30,18 +30,18 @@
 void Purse::setTouch(bool inTouch, double now) {
   if (inTouch == inTouch_) return;
   inTouch_ = inTouch;
-  for (Account& a : table_) a.own = 0, a.ownAt = now, a.askedAt = -1e18;
+  for (Account& a : table_) a.own = 0, a.ownAt = now, a.asked.clear();
 }
 
 // Out of touch the stock goes first: it was taken off the store already.
-bool Purse::spend(Account& a, double now) {
+bool Purse::spend(Account& a, double chance, double now) {
   if (a.stock >= 1) return a.stock -= 1, true;
   if (inTouch_) return false;
   const double part = a.rate / couriers_;
   a.own =
       std::min(std::max({1.0, least_, part / 2, a.burst / couriers_}), a.own + part * (now - a.ownAt) / 1000);
   a.ownAt = now;
-  if (a.own < 1) return false;
+  if (a.own <= chance) return false;
   return a.own -= 1, true;
 }
 
@@ -55,19 +55,22 @@
         std::min(1.0, a.fraction + (1 - kFloor) * std::max(0.0, now - a.fractionAt) / kClimb);
     if (chance >= fraction && a.stock < 1) return Admit::no;
   }
-  if (spend(a, now)) return Admit::yes;
+  if (spend(a, chance, now)) return Admit::yes;
   if (!inTouch_ || empty) return Admit::no;
   ++a.waits;
   return Admit::wait;
 }
 
-Admit Purse::again(const std::string& tenant, double rate, double now) {
+Admit Purse::again(const std::string& tenant, double rate, bool last, double now) {
   const auto found = index_.find(tenant);
   if (found == index_.end()) return Admit::no;
   Account& a = *found->second;
   a.rate = rate;
+  const bool in = spend(a, 1, now);
+  // Who waits behind others goes on waiting, as long as the store is not told empty.
+  if (!in && !last && inTouch_ && now - a.emptyAt >= kEmptyFor) return Admit::wait;
   if (a.waits) --a.waits;
-  return spend(a, now) ? Admit::yes : Admit::no;
+  return in ? Admit::yes : Admit::no;
 }
 
 double Purse::target(const Account& a) const {
@@ -87,12 +90,14 @@
       a.stock = 0, a.fresh = true;
       continue;
     }
-    if (now - a.askedAt < kAnswerWithin) continue;
+    if (!a.asked.empty() && now - a.asked.front().first > kAnswerWithin) a.asked.clear();
+    double coming = 0;
+    for (const auto& [at, much] : a.asked) coming += much;
     const double most = target(a);
-    if (!a.waits && a.stock >= most / 2) continue;
-    const double want = std::ceil(std::max(most, 0.0) - a.stock + a.waits);
+    if (!a.waits && a.stock + coming >= most / 2) continue;
+    const double want = std::ceil(std::max(most, 0.0) - a.stock - coming + a.waits);
     if (want < 1) continue;
-    a.askedAt = now;
+    a.asked.emplace_back(now, want);
     if (asked_ <= told_) asked_ = now;
     out.push_back({a.tenant, want, a.came * std::exp(-(now - a.cameAt) / kTau)});
   }
@@ -106,7 +111,7 @@
   const auto found = index_.find(lot.tenant);
   if (found == index_.end()) return;
   Account& a = *found->second;
-  a.askedAt = -1e18;
+  if (!a.asked.empty()) a.asked.pop_front();
   a.fresh = false;
   a.stock += lot.granted;
   if (!lot.empty) return;
--- a/src/franking/purse.hpp
+++ b/src/franking/purse.hpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <string>
 #include <unordered_map>
@@ -30,6 +31,7 @@
 
 enum class Admit { yes, wait, no };
 
+// Out of touch a part of less than a request lets one in by as much chance, and owes the rest.
 class Purse {
  public:
   void setTouch(bool inTouch, double now);
@@ -45,7 +47,8 @@
   // number drawn from 0 to 1.
   Admit admit(const std::string& tenant, double rate, double burst, double chance, double now);
   // One that waited: no second count of its coming.
-  Admit again(const std::string& tenant, double rate, double now);
+  // `last`: it will not wait any longer.
+  Admit again(const std::string& tenant, double rate, bool last, double now);
   // What to ask for, now; `urgent`: also where the stock would do for a while. Empty: nothing.
   std::vector<pouch::Wish> wishes(double now);
   void granted(const pouch::Lot& lot, double now);
@@ -57,16 +60,16 @@
     std::string tenant;
     double rate = 0, burst = 0;
     double stock = 0;
-    double came = 0, cameAt = 0;  // requests a second, of late
-    double own = 0, ownAt = 0;    // the part out of touch
-    double askedAt = -1e18;       // an ask is under way since
-    double emptyAt = -1e18;       // the store was told empty
+    double came = 0, cameAt = 0;                  // requests a second, of late
+    double own = 0, ownAt = 0;                    // the part out of touch
+    std::deque<std::pair<double, double>> asked;  // asks under way: when, how much
+    double emptyAt = -1e18;                       // the store was told empty
     double fraction = 1, fractionAt = 0;
     bool fresh = true;
     unsigned short waits = 0;  // requests that wait for an answer
   };
   Account& account(const std::string& tenant, double rate, double burst, double now);
-  bool spend(Account& a, double now);
+  bool spend(Account& a, double chance, double now);
   double target(const Account& a) const;
   std::list<Account> table_;  // latest first
   std::unordered_map<std::string, std::list<Account>::iterator> index_;
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -7,7 +7,7 @@
 namespace {
 constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
 constexpr double kBurstPart = 0.8;  // of the burst; the rest is what couriers hold in stock
-}
+}  // namespace
 
 Vault::Given Vault::take(const std::string& who, const std::string& tenant, const Limit& limit, double want,
                          double asked, double now) {
--- a/src/pigeonhole/main.cpp
+++ b/src/pigeonhole/main.cpp
@@ -283,13 +283,8 @@
   }
 
   pouch::Hello hello() const {
-    return {"pigeonhole",
-            settings_.name,
-            settings_.ip,
-            settings_.zone,
-            settings_.region,
-            core_->record().self,
-            {}};
+    return {"pigeonhole",     settings_.name,       settings_.ip, settings_.zone,
+            settings_.region, core_->record().self, {},           0};
   }
 
   void take(const LinkPtr& link) {
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -37,7 +37,7 @@
 constexpr double kSilent = 1500;    // a courier that says nothing for so long is gone
 constexpr double kVouched = 1000;   // the leader's word counts so long
 constexpr double kStopped = 1000;   // between two ticks: this process stood still
-constexpr double kReadList = 400;   // between two readings of the platform's list
+constexpr double kReadList = 150;   // between two readings of the platform's list
 constexpr double kFirstList = 100;  // until the first, and between tries of it
 constexpr double kListWithin = 1500;
 constexpr double kLeaseAsk = 400;
@@ -59,6 +59,7 @@
         signals_(io, SIGTERM, SIGINT, SIGHUP) {
     std::random_device device;
     life_ = (std::uint64_t{device()} << 32 | device()) | 1;
+    random_.seed(life_);
   }
 
   int run() {
@@ -84,7 +85,7 @@
   std::uint16_t port() const { return static_cast<std::uint16_t>(settings_.portFrom + 1); }
 
   pouch::Hello hello() const {
-    return {"postmaster", settings_.name, settings_.ip, settings_.zone, settings_.region, life_, {}};
+    return {"postmaster", settings_.name, settings_.ip, settings_.zone, settings_.region, life_, {}, 0};
   }
 
   // --- Stores and other registries: a machine of the core has one of each ---
@@ -273,7 +274,7 @@
     for (auto& [other, session] : sessions_)
       if (session.seat.name == m.name && other != link) other->close();
     Session& session = sessions_[link];
-    session.seat = {m.name, m.front, m.zone, m.region, false, m.life};
+    session.seat = {m.name, m.front, m.zone, m.region, false, m.life, m.linkMbps};
     session.heard = now();
     program::info("session", {{"courier", m.name}});
     link->tell(coresNow());
@@ -304,7 +305,8 @@
       t.courier = session.seat.name, t.life = session.seat.life;
       if (duty_.holds(now())) return link->tell(grant(t));
       std::vector<franking::Cell::Answer> answers;
-      for (const pouch::Wish& wish : t.wishes) cell_.wish({t.courier, t.life, t.number}, wish, now(), answers);
+      for (const pouch::Wish& wish : t.wishes)
+        cell_.wish({t.courier, t.life, t.number}, wish, now(), answers);
       tellLots(answers);
       askHolder();
     }
@@ -445,8 +447,8 @@
 
   asio::awaitable<Reply> directoryCall(Call call) {
     if (!call.is("GET", {"api", "lookup"})) co_return Reply(404, counter::message("no such call"));
-    const auto all =
-        registry_.addresses(call.asked("region"), call.asked("zone"), kLeastAddresses, kMostAddresses);
+    const auto all = registry_.addresses(call.asked("region"), call.asked("zone"), kLeastAddresses,
+                                         kMostAddresses, random_);
     if (all.empty()) co_return Reply(503, counter::message("no gatekeeper is ready"));
     std::string out = "{\"addresses\":[";
     for (std::size_t i = 0; i < all.size(); ++i) out += (i ? ",\"" : "\"") + all[i] + "\"";
@@ -507,6 +509,7 @@
   asio::io_context& io_;
   const address::Settings settings_;
   std::uint64_t life_ = 0;
+  std::mt19937_64 random_;
   Registry registry_;
   pouch::News news_;
   std::shared_ptr<const address::Configuration> configuration_;
--- a/src/postmaster/registry.cpp
+++ b/src/postmaster/registry.cpp
@@ -81,15 +81,26 @@
 }
 
 std::vector<std::string> Registry::addresses(const std::string& region, const std::string& zone,
-                                             std::size_t least, std::size_t most) const {
-  std::vector<std::string> out;
-  const auto add = [&](auto fits) {
-    for (const auto& [name, seat] : seats_)
-      if (seat.ready && fits(seat) && out.size() < most) out.push_back(seat.front);
+                                             std::size_t least, std::size_t most,
+                                             std::mt19937_64& random) const {
+  std::vector<std::string> out, near, far;
+  bool narrow = false;
+  for (const auto& [name, seat] : seats_) {
+    if (!seat.ready) continue;
+    narrow = narrow || (seat.linkMbps > 0 && seat.linkMbps < kNarrow);
+    (seat.zone == zone ? out : seat.region == region ? near : far).push_back(seat.front);
+  }
+  std::size_t known = 0;
+  for (const auto& [name, place] : known_) known += place.first == zone;
+  const std::size_t wanted = std::max(known, least);
+  const auto fill = [&](std::vector<std::string>& from, std::size_t atMost) {
+    std::shuffle(from.begin(), from.end(), random);
+    for (std::size_t i = 0; i < from.size() && i < atMost && out.size() < wanted; ++i) out.push_back(from[i]);
   };
-  add([&](const pouch::Seat& s) { return s.zone == zone; });
-  if (out.size() < least) add([&](const pouch::Seat& s) { return s.region == region && s.zone != zone; });
-  if (out.empty()) add([](const pouch::Seat&) { return true; });
+  fill(near, narrow ? (near.size() + 1) / 2 : near.size());
+  if (out.size() < least || narrow) fill(far, far.size());
+  if (out.empty()) fill(far, far.size());
+  if (out.size() > most) out.resize(most);
   return out;
 }
 
--- a/src/postmaster/registry.hpp
+++ b/src/postmaster/registry.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 
 constexpr double kOthersSilent = 1800;  // ms until a registry's sessions are no longer believed
 constexpr double kRemembered = 20000;   // ms that a courier that is gone still counts as known
+constexpr double kNarrow = 50;          // Mbit/s under which a link is soon full
 constexpr std::size_t kJournal = 256;   // events kept
 
 struct Event {
@@ -44,10 +46,11 @@
     std::map<std::string, unsigned> byZone;  // known
   };
   Counts counts(double now) const;
-  // Addresses for a client in that zone: its zone's couriers that are ready; where there are fewer than
-  // `least`, its region's as well; where there are none, all.
+  // Addresses for a client in that zone: its zone's couriers that are ready, and others in place of those
+  // known there that are not, drawn anew each time so that they share what is lost: from its region first,
+  // where links are narrow no more than half as many as stand there, the rest from everywhere.
   std::vector<std::string> addresses(const std::string& region, const std::string& zone, std::size_t least,
-                                     std::size_t most) const;
+                                     std::size_t most, std::mt19937_64& random) const;
 
   // --- Workers ---
   struct Known {
--- a/src/pouch/messages.hpp
+++ b/src/pouch/messages.hpp
@@ -40,7 +40,8 @@
   std::string role, name, ip, zone, region;
   std::uint64_t life = 0;  // drawn at the process's start
   std::string front;       // a courier's address for clients
-  MSGPACK_DEFINE(role, name, ip, zone, region, life, front)
+  double linkMbps = 0;     // of its machine; 0: not told
+  MSGPACK_DEFINE(role, name, ip, zone, region, life, front, linkMbps)
 };
 
 // --- Stores among themselves (src/ballot) ---
@@ -140,8 +141,9 @@
   std::string name, front, zone, region;
   bool ready = false;
   std::uint64_t life = 0;
+  double linkMbps = 0;
   bool operator==(const Seat&) const = default;
-  MSGPACK_DEFINE(name, front, zone, region, ready, life)
+  MSGPACK_DEFINE(name, front, zone, region, ready, life, linkMbps)
 };
 struct Sessions {
   static constexpr Kind kKind = kSessions;
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -55,7 +55,7 @@
     ++came;
     const auto admit = purses[c].admit("t", limit.rate, limit.burst, chance, now);
     bool in = admit == Admit::yes;
-    if (admit == Admit::wait) ask(c, now), in = purses[c].again("t", limit.rate, now) == Admit::yes;
+    if (admit == Admit::wait) ask(c, now), in = purses[c].again("t", limit.rate, true, now) == Admit::yes;
     if (!in) return;
     ++let;
     times.push_back(now);
@@ -117,6 +117,45 @@
   CHECK(static_cast<double>(q.let) > 0.8 * limit.rate * 9);
 }
 
+TEST_CASE("who waits behind others for a token is not refused when the first one's comes") {
+  Purse purse;
+  purse.setTouch(true, 0);
+  CHECK(purse.admit("t", 10, 10, 0, 0) == Admit::wait);
+  const auto first = purse.wishes(0);
+  REQUIRE(first.size() == 1);
+  CHECK(purse.admit("t", 10, 10, 0, 10) == Admit::wait);
+  CHECK(purse.admit("t", 10, 10, 0, 11) == Admit::wait);
+  purse.granted({"t", 1, 10, false}, 20);
+  CHECK(purse.again("t", 10, false, 20) == Admit::yes);
+  CHECK(purse.again("t", 10, false, 20) == Admit::wait);
+  CHECK(purse.again("t", 10, false, 20) == Admit::wait);
+  const auto more = purse.wishes(21);
+  REQUIRE(more.size() == 1);
+  CHECK(more[0].want >= 2);
+  purse.granted({"t", more[0].want, 10, false}, 50);
+  CHECK(purse.again("t", 10, false, 50) == Admit::yes);
+  CHECK(purse.again("t", 10, true, 50) == Admit::yes);
+}
+
+TEST_CASE("parts of less than a request let in by chance: many couriers together as much as their parts") {
+  constexpr unsigned kMany = 60;
+  const Limit limit{30, 30};
+  std::mt19937 random(5);
+  std::uniform_real_distribution<double> draw(0, 1);
+  std::vector<Purse> purses(kMany);
+  for (Purse& p : purses) p.setCouriers(kMany, 0);
+  double let = 0, first = 0;
+  for (double now = 0; now < 5000; now += 10)
+    for (Purse& p : purses) {
+      if (draw(random) >= 0.02) continue;  // two a second each: four times the quota
+      const bool in = p.admit("t", limit.rate, limit.burst, draw(random), now) == Admit::yes;
+      let += in, first += in && now < 300;
+    }
+  CHECK(first > 3);
+  CHECK(let <= (limit.rate * 5 + limit.burst) * 1.1);
+  CHECK(let > 0.7 * limit.rate * 5);
+}
+
 TEST_CASE("a new holder does not give out the burst again") {
   Vault vault;
   const Limit limit{10, 50};
