A holder far from the leader keeps its lease; a trial session's list counts only once the session does

Each answer now counts from its own question (test: a holder 400 ms away never lapses). Found beside: a session on trial put its list in force before it counted; where the trial failed, nothing would have told what that list took back. Ruled out: numbers that do not join (the link is dialled anew, with a whole list), overload (0.01 cores).

--- a/src/courier/session.cpp
+++ b/src/courier/session.cpp
@@ -1,5 +1,7 @@
 #include "courier/session.hpp"
 
+#include <utility>
+
 #include "program/log.hpp"
 #include "program/start.hpp"
 
@@ -102,7 +104,10 @@
     }
     session->workers = true;
     session->workersTerm = w.term, session->workersNumber = w.number;
-    hooks_.workers(w);
+    if (session == current_)
+      hooks_.workers(w);
+    else
+      session->early.push_back(std::move(w));
   } else if (pouch::Cores c; a.kind == pouch::kCores && a.read(c)) {
     for (const auto& core : c.cores) cores_[core.ip] = core;
     hooks_.cores(c);
@@ -114,6 +119,8 @@
     if (current_) current_->dialer->close();
     current_ = std::move(trial_);
     trial_.reset();
+    // Not before: a trial that fails may have told an old list, and nothing would tell what it took back.
+    for (const auto& early : std::exchange(current_->early, {})) hooks_.workers(early);
     tellStatus();
   }
 }
--- a/src/courier/session.hpp
+++ b/src/courier/session.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "address/settings.hpp"
 #include "pouch/link.hpp"
@@ -42,6 +43,7 @@
     double heard = -1e18, vouched = -1e18, since = 0;
     bool news = false, workers = false;
     std::uint64_t workersTerm = 0, workersNumber = 0;
+    std::vector<pouch::Workers> early;  // what a trial was told of workers: in force once it counts
   };
   using SessionPtr = std::shared_ptr<Session>;
   void open(const std::string& ip, double now);
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -40,7 +40,7 @@
 constexpr double kReadList = 150;   // between two readings of the platform's list
 constexpr double kFirstList = 100;  // until the first, and between tries of it
 constexpr double kListWithin = 1500;
-constexpr double kLeaseAsk = 400;
+constexpr double kLeaseAsk = 250;
 constexpr double kLeaderWithin = 700;  // an order waits so long for a leader
 constexpr double kOrderWithin = 3000;
 constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
@@ -170,14 +170,13 @@
     if (!holder_.empty() && holder_ != settings_.ip) return;
     const auto link = stores_[leader_]->link();
     if (!link) return;
-    leaseAsked_ = {++numbers_, at};
+    duty_.asked(++numbers_, at);
     link->tell(pouch::LeaseAsk{numbers_, settings_.ip});
   }
 
   void leaseSaid(const pouch::LeaseSay& m) {
-    if (m.number != leaseAsked_.first || m.span <= 0) return;
     const bool held = duty_.holds(now()) && epoch_ == m.term;
-    duty_.granted(leaseAsked_.second, m.span);
+    if (!duty_.answered(m.number, m.span)) return;
     epoch_ = m.term;
     if (held) return;
     program::info("takes the duties", {{"epoch", epoch_}});
@@ -527,7 +526,6 @@
   std::map<LinkPtr, Session> sessions_;
   std::map<LinkPtr, std::string> registries_;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
-  std::pair<std::uint64_t, double> leaseAsked_;
   std::map<std::string, unsigned> told_;
   std::string leader_, holder_;
   std::uint64_t leaderTerm_ = 0, numbers_ = 0;
--- a/src/rounds/lease.hpp
+++ b/src/rounds/lease.hpp
@@ -5,7 +5,9 @@
 // by more than kDrift.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <map>
 #include <string>
 
 namespace burlwind::rounds {
@@ -39,12 +41,22 @@
 
 class LeaseHolder {
  public:
-  void granted(double askedAt, double span) {
-    if (span > 0 && askedAt + span > until_) until_ = askedAt + span - kStopBefore;
+  void asked(std::uint64_t number, double now) {
+    std::erase_if(asked_, [&](const auto& ask) { return now - ask.second > kLeaseSpan; });
+    asked_[number] = now;
+  }
+  // The answer to that question, also where it comes after the next one was asked: it counts from its own.
+  // False where it grants nothing.
+  bool answered(std::uint64_t number, double span) {
+    const auto found = asked_.find(number);
+    if (found == asked_.end() || span <= 0) return false;
+    until_ = std::max(until_, found->second + span - kStopBefore);
+    return true;
   }
   bool holds(double now) const { return now < until_; }
 
  private:
+  std::map<std::uint64_t, double> asked_;  // by number, when
   double until_ = -1e18;
 };
 
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -244,7 +244,8 @@
   rounds::LeaseHolder a, b;
   leader.lead(0);
   CHECK(leader.ask("a", 100) == 0);  // the one before may have granted it just now
-  a.granted(1590, leader.ask("a", 1600));
+  a.asked(1, 1590);
+  CHECK(a.answered(1, leader.ask("a", 1600)));
   CHECK(a.holds(1700));
   CHECK(leader.ask("b", 1700) == 0);
   CHECK_FALSE(a.holds(2600));  // renewed by nobody: it has stopped
@@ -252,10 +253,31 @@
   rounds::LeaseGrantor next;
   next.lead(3000);
   CHECK(next.ask("b", 3100) == 0);
-  b.granted(4600, next.ask("b", 4610));
+  b.asked(1, 4600);
+  CHECK(b.answered(1, next.ask("b", 4610)));
   CHECK(b.holds(4700));
   CHECK_FALSE(a.holds(4700));
 }
 
+// Far from the leader an answer takes longer than the pause between two questions.
+TEST_CASE("a holder far away keeps its lease: each answer counts from its own question") {
+  rounds::LeaseGrantor leader;
+  rounds::LeaseHolder holder;
+  constexpr double kAway = 200;
+  std::vector<std::pair<double, std::uint64_t>> questions;
+  std::uint64_t number = 0;
+  double lost = 0;
+  for (double now = 2000; now < 12000; now += 10) {
+    if (std::fmod(now, 250.0) < 10) holder.asked(++number, now), questions.push_back({now + kAway, number});
+    for (auto& [at, which] : questions)
+      if (at == now)
+        leader.ask("far", now);
+      else if (at + kAway == now)
+        CHECK(holder.answered(which, rounds::kLeaseSpan));
+    if (now > 2500 && !holder.holds(now)) ++lost;
+  }
+  CHECK(lost == 0);
+}
+
 }  // namespace
 }  // namespace burlwind::franking
