--- a/src/franking/cell.cpp
+++ b/src/franking/cell.cpp
@@ -5,8 +5,9 @@
 
 namespace burlwind::franking {
 namespace {
-constexpr double kTau = 1000;  // ms, memory of wishes
-}
+constexpr double kTau = 1000;      // ms, memory of wishes
+constexpr double kComeFor = 2000;  // ms that what a courier told of its requests counts
+}  // namespace
 
 void Cell::wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out) {
   Account& a = accounts_[wish.tenant];
@@ -16,6 +17,7 @@
   }
   a.wished = a.wished * std::exp(-(now - a.wishedAt) / kTau) + wish.want * 1000 / kTau;
   a.wishedAt = now;
+  a.come[asker.courier] = {wish.asked, now};
   if (a.waiting.empty() && a.stock >= wish.want) {
     a.stock -= wish.want;
     out.push_back({asker, {wish.tenant, wish.want, a.use, false}});
@@ -51,7 +53,13 @@
     const double want = std::ceil(waits + ahead - a.stock - coming);
     if (due && want >= 1 && now - a.emptyAt > kCellEmptyFor) {
       a.asked.emplace_back(now, want);
-      out.push_back({it->first, want, wished});
+      double come = 0;
+      for (auto c = a.come.begin(); c != a.come.end();) {
+        const bool old = now - c->second.second > kComeFor;
+        come += old ? 0 : c->second.first;
+        c = old ? a.come.erase(c) : std::next(c);
+      }
+      out.push_back({it->first, want, come});
     }
     ++it;
   }
--- a/src/franking/cell.hpp
+++ b/src/franking/cell.hpp
@@ -50,6 +50,7 @@
     std::deque<std::pair<double, double>> asked;  // questions under way: when, how much
     double emptyAt = -1e18;
     int use = 0;
+    std::unordered_map<std::string, std::pair<double, double>> come;  // by courier: requests a second, when
     std::deque<Waiting> waiting;
   };
   std::unordered_map<std::string, Account> accounts_;
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -5,10 +5,25 @@
 
 namespace burlwind::franking {
 namespace {
+constexpr double kShareLeast = 2;   // requests that a share may hold at least
+constexpr double kShareHeld = 1;    // seconds of its part that it may hold
 constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
 constexpr double kBurstPart = 0.8;  // of the burst; the rest is what couriers hold in stock
 }  // namespace
 
+// What is asked for by all, a second; who was not heard for a while counts no more.
+double Vault::hear(Store& store, const std::string& who, double asked, double now) {
+  Asker& mine = store.askers.try_emplace(who, Asker{asked, now, 0}).first->second;
+  mine.asked = asked;
+  double demand = 0;
+  for (auto it = store.askers.begin(); it != store.askers.end();) {
+    const bool old = now - it->second.at > kAskedFor && it->first != who;
+    demand += old ? 0 : it->second.asked;
+    it = old ? store.askers.erase(it) : std::next(it);
+  }
+  return demand;
+}
+
 Vault::Given Vault::take(const std::string& who, const std::string& tenant, const Limit& limit, double want,
                          double asked, double now) {
   Given out;
@@ -23,16 +38,19 @@
     store.level = std::min(most, store.level - want);
     return out;
   }
-  out.granted = std::max(0.0, std::min(want, std::floor(store.level)));
+  const double demand = hear(store, who, asked, now);
+  Asker& asker = store.askers[who];
+  const double room = std::max(kShareLeast, limit.rate * kShareHeld * asker.asked / std::max(demand, 1e-9));
+  const double since = std::max(0.0, now - asker.at) / 1000;
+  asker.at = now;
+  const bool contended = demand > limit.rate;
+  asker.share =
+      contended ? std::min(room, asker.share + since * limit.rate * reach_ * asker.asked / demand) : room;
+  out.granted =
+      std::max(0.0, std::min(want, std::floor(contended ? std::min(store.level, asker.share) : store.level)));
   store.level -= out.granted;
+  asker.share -= out.granted;
   out.empty = out.granted < want;
-  store.asked[who] = {asked, now};
-  double demand = 0;
-  for (auto it = store.asked.begin(); it != store.asked.end();) {
-    const bool old = now - it->second.second > kAskedFor;
-    demand += old ? 0 : it->second.first;
-    it = old ? store.asked.erase(it) : std::next(it);
-  }
   out.use = static_cast<int>(std::min(10000.0, 100 * demand / limit.rate));
   return out;
 }
--- a/src/franking/vault.hpp
+++ b/src/franking/vault.hpp
@@ -5,6 +5,9 @@
 // window w no more than rate x w + burst + stock is let in, however requests spread over couriers; a courier
 // that dies loses its stock, which lets nothing in.
 //
+// While more is asked for than the rate, what comes in is shared by what each is asked for: else those who
+// stand near the holder would have it all.
+//
 // Couriers out of reach of the registries have parts of their own: rate / n each, n couriers known. They may
 // spend it from the moment they lose touch; the vault takes it off the refill from the moment it knows, one
 // silence later, which is what the rule's slack bears. A new holder starts with empty buckets: the one before
@@ -14,7 +17,6 @@
 
 #include <string>
 #include <unordered_map>
-#include <utility>
 
 namespace burlwind::franking {
 
@@ -41,10 +43,15 @@
              double now);
 
  private:
+  struct Asker {
+    double asked = 0, at = 0;  // requests a second, as told, when
+    double share = 0;          // what it may take yet while more is asked for than there is
+  };
   struct Store {
     double level = 0, at = 0;
-    std::unordered_map<std::string, std::pair<double, double>> asked;  // by who: a second, when
+    std::unordered_map<std::string, Asker> askers;
   };
+  static double hear(Store& store, const std::string& who, double asked, double now);
   std::unordered_map<std::string, Store> stores_;
   double from_ = 0, reach_ = 1;
 };
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -62,7 +62,7 @@
   }
   void ask(std::size_t c, double now) {
     for (const auto& wish : purses[c].wishes(now)) {
-      const auto given = vault.take("c", wish.tenant, limit, wish.want, wish.asked, now);
+      const auto given = vault.take(std::to_string(c), wish.tenant, limit, wish.want, wish.asked, now);
       answers.push_back({now + 30, c, {wish.tenant, given.granted, given.use, given.empty}});
     }
   }
@@ -156,6 +156,20 @@
   CHECK(let > 0.7 * limit.rate * 5);
 }
 
+TEST_CASE("while more is asked for than there is, who asks more often does not get more") {
+  Vault vault;
+  vault.clear(0);
+  const Limit limit{40, 40};
+  double near = 0, far = 0;
+  for (double now = 0; now < 10000; now += 10) {
+    near += vault.take("near", "t", limit, 10, 100, now).granted;
+    if (std::fmod(now, 200.0) < 10) far += vault.take("far", "t", limit, 30, 100, now).granted;
+  }
+  CHECK(near + far > 0.9 * limit.rate * 10);
+  CHECK(near + far <= limit.rate * 10 + limit.burst);
+  CHECK(far > 0.8 * near);
+}
+
 TEST_CASE("a new holder does not give out the burst again") {
   Vault vault;
   const Limit limit{10, 50};
