--- a/src/counter/server.cpp
+++ b/src/counter/server.cpp
@@ -11,6 +11,7 @@
 #include <charconv>
 
 #include "http/http.hpp"
+#include "program/listen.hpp"
 
 namespace burlwind::counter {
 namespace {
@@ -90,12 +91,7 @@
 Server::~Server() = default;
 
 boost::system::error_code Server::listen(const std::string& ip, std::uint16_t port) {
-  Error error;
-  const Tcp::endpoint at(asio::ip::make_address(ip, error), port);
-  if (!error) acceptor_.open(at.protocol(), error);
-  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(at, error);
-  if (!error) acceptor_.listen(512, error);
+  const Error error = program::listenAt(acceptor_, ip, port, 512);
   if (!error) asio::co_spawn(io_, accept(), asio::detached);
   return error;
 }
@@ -151,25 +147,14 @@
     call.body = std::move(parser.get().body());
     const Reply reply = co_await handler_(std::move(call));
     if (!c->socket.is_open()) break;
-    http::response<http::string_body> response{static_cast<http::status>(reply.status), 11};
-    if (!reply.body.empty()) response.set(http::field::content_type, "application/json");
-    response.body() = reply.body;
-    response.keep_alive(goOn);
-    response.prepare_payload();
-    c->within(kIdle, c);
-    http::serializer<false, http::string_body> serializer(response);
+    http::response<http::empty_body> head{static_cast<http::status>(reply.status), 11};
+    if (!reply.body.empty()) head.set(http::field::content_type, "application/json");
+    head.keep_alive(goOn);
+    head.content_length(reply.body.size());
     std::string out;
-    while (!serializer.is_done() && !error) {
-      std::size_t size = 0;
-      serializer.next(error, [&](Error&, const auto& buffers) {
-        for (const asio::const_buffer part : beast::buffers_range_ref(buffers)) {
-          out.append(static_cast<const char*>(part.data()), part.size());
-          size += part.size();
-        }
-      });
-      serializer.consume(size);
-    }
-    error = {};
+    append(out, head);
+    out += reply.body;
+    c->within(kIdle, c);
     co_await asio::async_write(c->socket, asio::buffer(out),
                                asio::redirect_error(asio::use_awaitable, error));
     if (error) break;
--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include "counter/server.hpp"
+#include "program/listen.hpp"
 #include "program/log.hpp"
 #include "program/start.hpp"
 
@@ -120,15 +121,7 @@
 bool Courier::ready() const { return configuration_ && sorting_.size() > 0 && !leaving_; }
 
 Error Courier::start() {
-  Error error;
-  const auto open = [&](Tcp::acceptor& acceptor, const address::Endpoint& endpoint, int backlog) {
-    const Tcp::endpoint at(asio::ip::make_address(endpoint.ip, error), endpoint.port);
-    if (!error) acceptor.open(at.protocol(), error);
-    if (!error) acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-    if (!error) acceptor.bind(at, error);
-    if (!error) acceptor.listen(backlog, error);
-  };
-  open(front_, *settings_.front, 1024);
+  const Error error = program::listenAt(front_, settings_.front->ip, settings_.front->port, 1024);
   if (error) return error;
   asio::co_spawn(io_, accept(), asio::detached);
   lastTick_ = now();
@@ -251,7 +244,7 @@
 }
 
 // What an answer, or none, says of the worker.
-void Courier::note(const Job&, const std::string& worker, const Answer& answer) {
+void Courier::note(const std::string& worker, const Answer& answer) {
   const double at = now();
   switch (answer.end) {
     case End::answer:
@@ -289,7 +282,7 @@
   const bool safe = job.route->safe;
   std::vector<std::string> tried;
   unsigned arrivals = 0, connects = 0;
-  bool mayHaveRun = false, paid = false;
+  bool mayHaveRun = false;
   const auto giveUp = [&](std::string_view why, double after) {
     if (job.answer) return;  // a worker's own failure says more
     if (mayHaveRun)
@@ -308,7 +301,7 @@
       giveUp("no worker took it", 200);
       co_return;
     }
-    if (arrivals > 0 && !std::exchange(paid, false) && !budget_.take(job.service)) {
+    if (arrivals > 0 && !budget_.take(job.service)) {
       giveUp("no further try in the budget", 300);
       co_return;
     }
@@ -341,7 +334,7 @@
       out.answerWithin = left - another;
     sorting_.sent(choice.id, now());
     Answer answer = co_await workers_.exchange(std::move(out));
-    note(job, choice.id, answer);
+    note(choice.id, answer);
     tried.push_back(choice.id);
     if (answer.end == End::answer) {
       const int status = static_cast<int>(answer.response.result_int());
@@ -352,10 +345,7 @@
         mayHaveRun = true, ++arrivals;
         job.status = status;
         job.answer = std::move(answer.response);
-        if (job.until - now() > 2 * sorting_.usual(job.service) && budget_.take(job.service)) {
-          paid = true;
-          continue;
-        }
+        if (job.until - now() > 2 * sorting_.usual(job.service)) continue;
         co_return;
       }
       if (promise) {
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -45,7 +45,7 @@
   asio::awaitable<void> forward(Job& job);
   bool route(Job& job);
   std::string outgoing(const Job& job, const std::string& worker, double left) const;
-  void note(const Job& job, const std::string& worker, const Answer& answer);
+  void note(const std::string& worker, const Answer& answer);
   void takeNews(const pouch::News& news);
   void askTokens();
   void takeTokens(const pouch::TokensSay& say);
--- a/src/pouch/link.cpp
+++ b/src/pouch/link.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <chrono>
 
+#include "program/listen.hpp"
+
 namespace burlwind::pouch {
 
 void harden(Tcp::socket& socket) {
@@ -148,12 +150,7 @@
 
 Error Acceptor::listen(const std::string& ip, std::uint16_t port, OnLink taken) {
   taken_ = std::move(taken);
-  Error error;
-  const Tcp::endpoint at(asio::ip::make_address(ip, error), port);
-  if (!error) acceptor_.open(at.protocol(), error);
-  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(at, error);
-  if (!error) acceptor_.listen(512, error);
+  const Error error = program::listenAt(acceptor_, ip, port, 512);
   if (!error) accept();
   return error;
 }
