--- a/include/irisring/decide.hpp
+++ b/include/irisring/decide.hpp
@@ -1,4 +1,4 @@
-// irisring: the interface of the decision module (implemented in src/policy/decide.cpp).
+// irisring: the interface of the decision module (implemented in src/policy).
 //
 // A host feeds events to one Gateway object per gateway and carries out the actions it is handed. All times
 // are milliseconds of the host's clock; the module reads no other clock and no other source of randomness
--- a/src/franking/purse.cpp
+++ b/src/franking/purse.cpp
@@ -9,28 +9,27 @@
 }
 
 Purse::Account& Purse::account(const std::string& tenant, double rate, double burst, double now) {
-  if (const auto found = index_.find(tenant); found != index_.end()) {
-    table_.splice(table_.begin(), table_, found->second);
-  } else {
-    if (table_.size() >= kTable) {
-      index_.erase(table_.back().tenant);
-      table_.pop_back();
-    }
-    table_.push_front({});
-    table_.front().tenant = tenant;
-    table_.front().cameAt = table_.front().ownAt = now;
-    if (!inTouch_) table_.front().own = std::max(burst / couriers_, least_);
-    index_[tenant] = table_.begin();
+  Account* a = table_.touch(tenant);
+  if (!a) {
+    if (table_.size() >= kTable) table_.drop(std::string(table_.begin()->tenant), table_.begin());
+    a = &table_.add(tenant);
+    a->tenant = tenant;
+    a->cameAt = a->ownAt = now;
+    if (!inTouch_) a->own.level = std::max(burst / couriers_, least_);
   }
-  Account& a = table_.front();
-  a.rate = rate, a.burst = burst;
-  return a;
+  a->rate = rate, a->burst = burst;
+  return *a;
+}
+
+void Purse::climb(Account& a, double now) {
+  a.fraction.climb((1 - quota::kFractionFloor) * std::max(0.0, now - a.fractionAt) / kClimb);
+  a.fractionAt = std::max(a.fractionAt, now);
 }
 
 void Purse::setTouch(bool inTouch, double now) {
   if (inTouch == inTouch_) return;
   inTouch_ = inTouch;
-  for (Account& a : table_) a.own = 0, a.ownAt = now, a.asked.clear();
+  for (Account& a : table_) a.own.level = 0, a.ownAt = now, a.asked.clear();
 }
 
 // Out of touch the stock goes first: it was taken off the store already.
@@ -38,11 +37,10 @@
   if (a.stock >= 1) return a.stock -= 1, true;
   if (inTouch_) return false;
   const double part = a.rate / couriers_;
-  a.own =
-      std::min(std::max({1.0, least_, part / 2, a.burst / couriers_}), a.own + part * (now - a.ownAt) / 1000);
+  a.own.fill(std::max({1.0, least_, part / 2, a.burst / couriers_}), part * (now - a.ownAt) / 1000);
   a.ownAt = now;
-  if (a.own <= chance) return false;
-  return a.own -= 1, true;
+  if (a.own.level <= chance) return false;
+  return a.own.level -= 1, true;
 }
 
 Admit Purse::admit(const std::string& tenant, double rate, double burst, double chance, double now) {
@@ -51,9 +49,8 @@
   a.cameAt = now;
   const bool empty = now - a.emptyAt < kEmptyFor;
   if (empty) {
-    const double fraction =
-        std::min(1.0, a.fraction + (1 - kFloor) * std::max(0.0, now - a.fractionAt) / kClimb);
-    if (chance >= fraction && a.stock < 1) return Admit::no;
+    climb(a, now);
+    if (chance >= a.fraction.value && a.stock < 1) return Admit::no;
   }
   if (spend(a, chance, now)) return Admit::yes;
   if (!inTouch_ || empty) return Admit::no;
@@ -62,9 +59,9 @@
 }
 
 Admit Purse::again(const std::string& tenant, double rate, bool last, double now) {
-  const auto found = index_.find(tenant);
-  if (found == index_.end()) return Admit::no;
-  Account& a = *found->second;
+  Account* const known = table_.peek(tenant);
+  if (!known) return Admit::no;
+  Account& a = *known;
   a.rate = rate;
   const bool in = spend(a, 1, now);
   // Who waits behind others goes on waiting, as long as the store is not told empty.
@@ -108,27 +105,25 @@
 
 void Purse::granted(const pouch::Lot& lot, double now) {
   told_ = now;
-  const auto found = index_.find(lot.tenant);
-  if (found == index_.end()) return;
-  Account& a = *found->second;
+  Account* const known = table_.peek(lot.tenant);
+  if (!known) return;
+  Account& a = *known;
   if (!a.asked.empty()) a.asked.pop_front();
   a.fresh = false;
   a.stock += lot.granted;
   if (!lot.empty) return;
   a.emptyAt = now;
-  const double climbed =
-      std::min(1.0, a.fraction + (1 - kFloor) * std::max(0.0, now - a.fractionAt) / kClimb);
-  a.fraction = lot.use > 0 ? std::clamp(climbed * 100 / lot.use, kFloor, 1.0) : climbed;
-  a.fractionAt = now;
+  climb(a, now);
+  if (lot.use > 0) a.fraction.read(lot.use);
 }
 
 double Purse::fraction(const std::string& tenant) const {
-  const auto found = index_.find(tenant);
-  return found == index_.end() ? 1 : found->second->fraction;
+  const Account* const known = table_.peek(tenant);
+  return known ? known->fraction.value : 1;
 }
 double Purse::stock(const std::string& tenant) const {
-  const auto found = index_.find(tenant);
-  return found == index_.end() ? 0 : found->second->stock;
+  const Account* const known = table_.peek(tenant);
+  return known ? known->stock : 0;
 }
 
 }  // namespace burlwind::franking
--- a/src/franking/purse.hpp
+++ b/src/franking/purse.hpp
@@ -12,12 +12,12 @@
 #include <algorithm>
 #include <cstdint>
 #include <deque>
-#include <list>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "pouch/messages.hpp"
+#include "quota/bucket.hpp"
+#include "quota/lru_table.hpp"
 
 namespace burlwind::franking {
 
@@ -25,7 +25,6 @@
 constexpr double kAhead = 0.6;         // seconds of demand in stock
 constexpr double kStill = 3000;        // ms
 constexpr double kClimb = 3000;        // ms from the floor back to 1
-constexpr double kFloor = 0.05;        // of the fraction
 constexpr double kEmptyFor = 150;      // ms that "the store is empty" is believed
 constexpr double kAnswerWithin = 500;  // ms until an ask counts as lost
 
@@ -60,19 +59,21 @@
     std::string tenant;
     double rate = 0, burst = 0;
     double stock = 0;
-    double came = 0, cameAt = 0;                  // requests a second, of late
-    double own = 0, ownAt = 0;                    // the part out of touch
+    double came = 0, cameAt = 0;  // requests a second, of late
+    quota::Bucket own;            // the part out of touch
+    double ownAt = 0;
     std::deque<std::pair<double, double>> asked;  // asks under way: when, how much
     double emptyAt = -1e18;                       // the store was told empty
-    double fraction = 1, fractionAt = 0;
+    quota::AdmitFraction fraction;
+    double fractionAt = 0;  // climbed until then
     bool fresh = true;
     unsigned short waits = 0;  // requests that wait for an answer
   };
   Account& account(const std::string& tenant, double rate, double burst, double now);
+  static void climb(Account& a, double now);
   bool spend(Account& a, double chance, double now);
   double target(const Account& a) const;
-  std::list<Account> table_;  // latest first
-  std::unordered_map<std::string, std::list<Account>::iterator> index_;
+  quota::LruTable<std::string, Account> table_;
   bool inTouch_ = false;
   double least_ = 0.5;      // that a part out of touch begins with
   unsigned couriers_ = 32;  // until told: more than there may be, so that parts are too small at worst
--- a/src/words/words.hpp
+++ b/src/words/words.hpp
@@ -33,9 +33,9 @@
       ++out[count];
     }
   }
-  // A list's length, then each of its entries.
+  // A list's length, then each of its entries. The bound is the reader's.
   template <class List, class Each>
-  void list(List& entries, Each each) {
+  void list(List& entries, std::size_t, Each each) {
     out.push_back(entries.size());
     for (auto& entry : entries) each(entry);
   }
