--- a/src/ballot/core.hpp
+++ b/src/ballot/core.hpp
@@ -73,6 +73,7 @@
 
   std::vector<Effect> tick(Time now);  // at least each `beat` / 2
   std::vector<Effect> receive(const Message& message, Time now);
+  void setSeats(unsigned seats) { seats_ = seats; }  // how many members a leader brings together
   // A replica that wants to be a member, or be told so again.
   std::vector<Effect> join(const Member& member, Time now);
   std::vector<Effect> leave(Id member, Time now);  // it has said that it goes
@@ -123,7 +124,7 @@
 
   Record record_;
   const Pace pace_;
-  const unsigned seats_;
+  unsigned seats_;
   double (*draw_)(void*);
   void* drawer_;
   Role role_ = Role::follower;
--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -98,11 +98,8 @@
                 {[this](const pouch::News& n) { takeNews(n); },
                  [this](const pouch::Workers& w) { sorting_.take(w, now()); },
                  [this](const pouch::Cores& c) {
-                   unsigned all = 0;
-                   for (const auto& [zone, count] : c.couriers) all += count;
-                   sorting_.setCouriers(c.couriers);
-                   purse_.setCouriers(all, settings_.bounds.quotaSlack);
-                   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, all);
+                   couriers_ = c.couriers;
+                   takeCounts();
                  },
                  [this](const pouch::TokensSay& t) { takeTokens(t); },
                  [this] {
@@ -130,7 +127,23 @@
   return error;
 }
 
+void Courier::adopt(const address::Settings& settings) {
+  settings_ = settings;
+  sorting_.setPlaces(settings_.regionOf);
+  sorting_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
+  sessions_.meetSeeds();
+  if (!couriers_.empty()) takeCounts();
+}
+
 // --- News ---
+void Courier::takeCounts() {
+  unsigned all = 0;
+  for (const auto& [zone, count] : couriers_) all += count;
+  sorting_.setCouriers(couriers_);
+  purse_.setCouriers(all, settings_.bounds.quotaSlack);
+  budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, all);
+}
+
 void Courier::takeNews(const pouch::News& news) {
   if (news.index <= index_ || news.configuration.empty()) return;
   auto read = address::readConfiguration(news.configuration);
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -30,6 +30,7 @@
 class Courier {
  public:
   Courier(asio::io_context& io, address::Settings settings);
+  void adopt(const address::Settings& settings);  // what a running program may take of a changed file
   Error start();  // takes its addresses; nothing is served before it has a configuration
   void leave();   // SIGTERM: serves what it has, takes little more, ends the loop
   bool ready() const;
@@ -47,13 +48,14 @@
   std::string outgoing(const Job& job, const std::string& worker, double left) const;
   void note(const std::string& worker, const Answer& answer);
   void takeNews(const pouch::News& news);
+  void takeCounts();
   void askTokens();
   void takeTokens(const pouch::TokensSay& say);
   void tick();
   void report(double now);
 
   asio::io_context& io_;
-  const address::Settings settings_;
+  address::Settings settings_;
   std::shared_ptr<const address::Configuration> configuration_;
   std::uint64_t index_ = 0;  // of the news in force
   Sessions sessions_;
@@ -67,6 +69,7 @@
   std::mt19937_64 random_;
   std::set<ClientPtr> clients_;
   std::size_t working_ = 0;
+  std::map<std::string, unsigned> couriers_;  // known, by zone
   std::uint64_t asks_ = 0;
   double lastTick_ = 0, askAt_ = 0, reportAt_ = 0, leaveAt_ = 0;
   bool leaving_ = false;
--- a/src/courier/main.cpp
+++ b/src/courier/main.cpp
@@ -5,6 +5,7 @@
 #include "counter/server.hpp"
 #include "courier/courier.hpp"
 #include "program/log.hpp"
+#include "program/settings_file.hpp"
 #include "program/start.hpp"
 
 namespace burlwind::courier {
@@ -12,12 +13,14 @@
 
 class Program {
  public:
-  Program(asio::io_context& io, address::Settings settings)
+  Program(asio::io_context& io, program::SettingsFile file, address::Settings settings)
       : io_(io),
+        file_(std::move(file)),
         readiness_(*settings.readiness),
         courier_(io, std::move(settings)),
         ready_(io, [this](counter::Call call) { return answer(std::move(call)); }),
-        signals_(io, SIGTERM, SIGINT, SIGHUP) {}
+        signals_(io, SIGTERM, SIGINT, SIGHUP),
+        timer_(io) {}
 
   int run() {
     Error error = courier_.start();
@@ -28,6 +31,7 @@
     }
     program::info("starts");
     wait();
+    watch();
     io_.run();
     program::info("ended");
     return 0;
@@ -41,18 +45,33 @@
   void wait() {
     signals_.async_wait([this](const Error& error, int number) {
       if (error) return;
-      if (number != SIGHUP) {
+      if (number == SIGHUP) {
+        look(true);
+      } else {
         program::info("ends", {{"signal", number}});
         courier_.leave();
       }
       wait();
     });
   }
+  void look(bool asked) {
+    if (const auto fresh = file_.look(program::now(), asked)) courier_.adopt(*fresh);
+  }
+  void watch() {
+    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(program::kLook)));
+    timer_.async_wait([this](const Error& error) {
+      if (error) return;
+      look(false);
+      watch();
+    });
+  }
   asio::io_context& io_;
+  program::SettingsFile file_;
   const address::Endpoint readiness_;
   Courier courier_;
   counter::Server ready_;
   asio::signal_set signals_;
+  asio::steady_timer timer_;
 };
 
 }  // namespace
@@ -60,9 +79,10 @@
 
 int main(int argc, const char** argv) {
   using namespace burlwind;
-  auto started =
-      program::start(argc, argv, "courier", "- carries clients' requests to workers", {.front = true});
+  constexpr program::Needs needs{.front = true};
+  auto started = program::start(argc, argv, "courier", "- carries clients' requests to workers", needs);
   if (!started.settings) return started.status;
   boost::asio::io_context io{1};
-  return courier::Program(io, std::move(*started.settings)).run();
+  program::SettingsFile file(started.settingsPath, *started.settings, needs);
+  return courier::Program(io, std::move(file), std::move(*started.settings)).run();
 }
--- a/src/courier/session.cpp
+++ b/src/courier/session.cpp
@@ -25,7 +25,7 @@
   std::random_device device;
   random_.seed(std::uint64_t{device()} << 32 | device());
   life_ = random_() | 1;
-  for (const auto& seed : settings.seeds) cores_[seed.ip] = {seed.ip, "", ""};
+  meetSeeds();
 }
 
 // A dialer and its link hold each other until it is closed.
@@ -34,6 +34,10 @@
     if (session) session->dialer->close();
 }
 
+void Sessions::meetSeeds() {
+  for (const auto& seed : settings_.seeds) cores_.try_emplace(seed.ip, pouch::Core{seed.ip, "", ""});
+}
+
 void Sessions::start() { tick(now()); }
 
 bool Sessions::good(const Session& s, double at) const {
--- a/src/courier/session.hpp
+++ b/src/courier/session.hpp
@@ -32,6 +32,7 @@
   Sessions(asio::io_context& io, const address::Settings& settings, Hooks hooks);
   ~Sessions();
   void start();
+  void meetSeeds();       // those that the settings name now
   void tick(double now);  // each 100 ms
   bool inTouch(double now) const;
   void tell(const std::string& frame);  // on the session that counts
--- a/src/pigeonhole/main.cpp
+++ b/src/pigeonhole/main.cpp
@@ -15,6 +15,7 @@
 #include "pigeonhole/store.hpp"
 #include "pouch/link.hpp"
 #include "program/log.hpp"
+#include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "rounds/lease.hpp"
 
@@ -48,8 +49,9 @@
 
 class Pigeonhole {
  public:
-  Pigeonhole(asio::io_context& io, address::Settings settings)
+  Pigeonhole(asio::io_context& io, program::SettingsFile file, address::Settings settings)
       : io_(io),
+        file_(std::move(file)),
         settings_(std::move(settings)),
         store_(settings_.dataFolder),
         acceptor_(io),
@@ -100,11 +102,20 @@
                              {"index", record.index},
                              {"version", state_.version},
                              {"members", record.members.size()}});
-    core_.emplace(std::move(record), ballot::Pace{}, 2 * settings_.bearsMachines + 1, &Pigeonhole::draw, this,
-                  now());
+    core_.emplace(std::move(record), ballot::Pace{}, seats(), &Pigeonhole::draw, this, now());
     return known || persist();
   }
 
+  unsigned seats() const { return 2 * settings_.bearsMachines + 1; }
+
+  void look(bool asked) {
+    const auto fresh = file_.look(now(), asked);
+    if (!fresh) return;
+    settings_ = *fresh;
+    core_->setSeats(seats());
+    for (const auto& seed : settings_.seeds) dial(seed.ip);
+  }
+
   void begin(ballot::Record& record) {
     record.self = drawId() & ~(std::uint64_t{1} << 63);
     if (!settings_.firstBoot) return;
@@ -365,6 +376,7 @@
   void tick() {
     seeStop();
     const double at = now();
+    look(false);
     carryOut(core_->tick(at));
     if ((!core_->member() || !core_->leaderIsKnown(at)) && at >= joinAt_) {
       joinAt_ = at + kJoinPause;
@@ -381,7 +393,7 @@
   void wait() {
     signals_.async_wait([this](const pouch::Error& error, int number) {
       if (error) return;
-      if (number == SIGHUP) return wait();
+      if (number == SIGHUP) return look(true), wait();
       program::info("ends", {{"signal", number}});
       const pouch::Leave leave{core_->record().self};
       for (auto& [ip, dialer] : dialers_)
@@ -410,7 +422,8 @@
   };
 
   asio::io_context& io_;
-  const address::Settings settings_;
+  program::SettingsFile file_;
+  address::Settings settings_;
   Store store_;
   std::optional<ballot::Core> core_;
   State state_;  // committed
@@ -436,9 +449,11 @@
 
 int main(int argc, const char** argv) {
   using namespace burlwind;
+  constexpr program::Needs needs{.disk = true};
   auto started = program::start(argc, argv, "pigeonhole",
-                                "- keeps the configuration, agreed with the other stores", {.disk = true});
+                                "- keeps the configuration, agreed with the other stores", needs);
   if (!started.settings) return started.status;
   boost::asio::io_context io{1};
-  return pigeonhole::Pigeonhole(io, std::move(*started.settings)).run();
+  program::SettingsFile file(started.settingsPath, *started.settings, needs);
+  return pigeonhole::Pigeonhole(io, std::move(file), std::move(*started.settings)).run();
 }
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -17,6 +17,7 @@
 #include "postmaster/registry.hpp"
 #include "pouch/link.hpp"
 #include "program/log.hpp"
+#include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "rounds/lease.hpp"
 
@@ -47,8 +48,9 @@
 
 class Postmaster {
  public:
-  Postmaster(asio::io_context& io, address::Settings settings)
+  Postmaster(asio::io_context& io, program::SettingsFile file, address::Settings settings)
       : io_(io),
+        file_(std::move(file)),
         settings_(std::move(settings)),
         registry_(settings_.ip, settings_.regionOf),
         acceptor_(io),
@@ -73,7 +75,7 @@
     program::info("starts", {{"ip", settings_.ip}, {"zone", settings_.zone}});
     for (const auto& seed : settings_.seeds) meet(seed.ip);
     meet(settings_.ip);
-    if (settings_.platform) asio::co_spawn(io_, readList(), asio::detached);
+    asio::co_spawn(io_, readList(), asio::detached);
     lastTick_ = now();
     tick();
     wait();
@@ -186,7 +188,7 @@
   }
 
   asio::awaitable<void> readList() {
-    PlatformList list(io_, *settings_.platform);
+    PlatformList list(io_);
     asio::steady_timer pause(io_);
     std::string told;
     while (true) {
@@ -195,9 +197,9 @@
       const bool first = registry_.number() == 0;
       pause.expires_after(std::chrono::milliseconds(static_cast<int>(first ? kFirstList : kReadList)));
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-      if (!duty_.holds(now()) && registry_.number() > 0) continue;
+      if (!settings_.platform || (!duty_.holds(now()) && registry_.number() > 0)) continue;
       std::string why;
-      const auto all = co_await list.read(kListWithin, why);
+      const auto all = co_await list.read(*settings_.platform, kListWithin, why);
       if (!all) {
         if (why != told) program::warn("the platform's list", {{"why", why}});
         told = why;
@@ -468,9 +470,18 @@
     for (auto& [number, waiting] : waiting_) finish(*waiting, 503, "stood still");
   }
 
+  void look(bool asked) {
+    const auto fresh = file_.look(now(), asked);
+    if (!fresh) return;
+    settings_ = *fresh;
+    registry_.setPlaces(settings_.regionOf);
+    for (const auto& seed : settings_.seeds) meet(seed.ip);
+  }
+
   void tick() {
     seeStop();
     const double at = now();
+    look(false);
     askLease(at);
     askHolder();
     registry_.sweep(at);
@@ -497,7 +508,7 @@
   void wait() {
     signals_.async_wait([this](const Error& error, int number) {
       if (error) return;
-      if (number == SIGHUP) return wait();
+      if (number == SIGHUP) return look(true), wait();
       program::info("ends", {{"signal", number}});
       control_.close(), directory_.close();
       endTimer_.expires_after(std::chrono::milliseconds(400));
@@ -510,7 +521,8 @@
   }
 
   asio::io_context& io_;
-  const address::Settings settings_;
+  program::SettingsFile file_;
+  address::Settings settings_;
   std::uint64_t life_ = 0;
   std::mt19937_64 random_;
   Registry registry_;
@@ -541,10 +553,12 @@
 
 int main(int argc, const char** argv) {
   using namespace burlwind;
-  auto started = program::start(argc, argv, "postmaster",
-                                "- knows workers and couriers; takes the calls of operators and look-ups",
-                                {.control = true});
+  constexpr program::Needs needs{.control = true};
+  auto started =
+      program::start(argc, argv, "postmaster",
+                     "- knows workers and couriers; takes the calls of operators and look-ups", needs);
   if (!started.settings) return started.status;
   boost::asio::io_context io{1};
-  return postmaster::Postmaster(io, std::move(*started.settings)).run();
+  program::SettingsFile file(started.settingsPath, *started.settings, needs);
+  return postmaster::Postmaster(io, std::move(file), std::move(*started.settings)).run();
 }
--- a/src/postmaster/platform_list.cpp
+++ b/src/postmaster/platform_list.cpp
@@ -41,8 +41,14 @@
   return fault.empty();
 }
 
-boost::asio::awaitable<std::optional<PlatformList::Workers>> PlatformList::read(double within,
+boost::asio::awaitable<std::optional<PlatformList::Workers>> PlatformList::read(address::Endpoint at,
+                                                                                double within,
                                                                                 std::string& why) {
+  if (!(at == at_)) {
+    Error ignored;
+    socket_.close(ignored);
+    at_ = std::move(at);
+  }
   timer_.expires_after(std::chrono::microseconds(static_cast<long>(within * 1000)));
   timer_.async_wait([this](const Error& error) {
     Error ignored;
--- a/src/postmaster/platform_list.hpp
+++ b/src/postmaster/platform_list.hpp
@@ -15,16 +15,16 @@
 
 class PlatformList {
  public:
-  PlatformList(boost::asio::io_context& io, address::Endpoint at)
-      : at_(std::move(at)), socket_(io), timer_(io) {}
+  explicit PlatformList(boost::asio::io_context& io) : socket_(io), timer_(io) {}
   using Workers = std::map<std::string, pouch::Worker>;
-  // Nothing where it can't be read whole; `why` says so. At most `within` ms.
-  boost::asio::awaitable<std::optional<Workers>> read(double within, std::string& why);
+  // `at`: another address than before ends the connection that was kept. Nothing where it can't be read
+  // whole; `why` says so. At most `within` ms.
+  boost::asio::awaitable<std::optional<Workers>> read(address::Endpoint at, double within, std::string& why);
   std::size_t calls() const { return calls_; }
 
  private:
   boost::asio::awaitable<std::optional<std::string>> get(std::string target, std::string& why);
-  const address::Endpoint at_;
+  address::Endpoint at_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::size_t calls_ = 0;
--- a/src/postmaster/registry.hpp
+++ b/src/postmaster/registry.hpp
@@ -33,6 +33,8 @@
   Registry(std::string self, std::map<std::string, std::string> regionOf)
       : self_(std::move(self)), regionOf_(std::move(regionOf)) {}
 
+  void setPlaces(std::map<std::string, std::string> regionOf) { regionOf_ = std::move(regionOf); }
+
   // --- Seats ---
   void seat(const pouch::Seat& seat, double now);  // opened, or changed
   void unseat(const std::string& name, std::uint64_t life, double now);
@@ -77,7 +79,7 @@
   void note(double now, std::string what, std::string who);
   void refold(double now);
   const std::string self_;
-  const std::map<std::string, std::string> regionOf_;
+  std::map<std::string, std::string> regionOf_;
   std::map<std::string, pouch::Seat> own_;                       // by name
   std::map<std::string, Others> others_;                         // by registry
   std::map<std::string, pouch::Seat> seats_;                     // the view: newest life of each name
--- a/src/program/start.cpp
+++ b/src/program/start.cpp
@@ -28,6 +28,14 @@
       .count();
 }
 
+address::SettingsRead readChecked(const std::string& path, Needs needs) {
+  address::SettingsRead read = address::readSettingsFile(path);
+  if (!read.settings) return read;
+  if (const std::string lacks = missing(*read.settings, needs); !lacks.empty())
+    return {std::nullopt, path + ": " + lacks};
+  return read;
+}
+
 Started start(int argc, const char** argv, const char* program, const char* summary, Needs needs) {
   Started out;
   int version = 0, check = 0;
@@ -57,10 +65,7 @@
   if (out.settingsPath.empty())
     read.fault = "no settings: give --settings FILE or set BURLWIND_NODE_FILE";
   else
-    read = address::readSettingsFile(out.settingsPath);
-  if (read.settings)
-    if (const std::string lacks = missing(*read.settings, needs); !lacks.empty())
-      read.fault = out.settingsPath + ": " + lacks;
+    read = readChecked(out.settingsPath, needs);
   if (!read.fault.empty()) {
     std::fprintf(stderr, "%s: %s\n", program, read.fault.c_str());
     return out.status = 2, out;
--- a/src/program/start.hpp
+++ b/src/program/start.hpp
@@ -9,15 +9,18 @@
 
 namespace burlwind::program {
 
+// What the program can't do without, told as a fault where the settings lack it.
+struct Needs {
+  bool front = false, control = false, disk = false;
+};
+
 struct Started {
   std::optional<address::Settings> settings;  // nothing: end with `status`
   std::string settingsPath;
   int status = 0;
 };
-// `needs`: what the program can't do without, told as a fault where the settings lack it.
-struct Needs {
-  bool front = false, control = false, disk = false;
-};
+// The file, read and checked for what is needed; nothing, or one plain line that names the fault.
+address::SettingsRead readChecked(const std::string& path, Needs needs);
 Started start(int argc, const char** argv, const char* program, const char* summary, Needs needs);
 
 double now();  // ms, steady
--- a/src/sorting/core.cpp
+++ b/src/sorting/core.cpp
@@ -25,12 +25,21 @@
   return found == workers_.end() ? nullptr : &found->second;
 }
 
+std::string Core::regionOfZone(const std::string& zone) const {
+  const auto found = regionOf_.find(zone);
+  return found == regionOf_.end() ? std::string() : found->second;
+}
+
+void Core::setPlaces(std::map<std::string, std::string> regionOf) {
+  regionOf_ = std::move(regionOf);
+  for (auto& [id, s] : workers_) s.region = regionOfZone(s.worker.zone);
+}
+
 void Core::put(const pouch::Worker& w, double now) {
   State& s = workers_[w.id];
   if (s.worker.id.empty()) byService_[w.service].push_back(w.id);
   s.worker = w;
-  const auto region = regionOf_.find(w.zone);
-  s.region = region == regionOf_.end() ? std::string() : region->second;
+  s.region = regionOfZone(w.zone);
   if (w.coldLeft > 0) s.coldUntil = std::max(s.coldUntil, now + w.coldLeft);
 }
 
@@ -77,8 +86,7 @@
   if (sharers == 0) {
     if (s.region != self_.region) return false;
     for (const auto& [zone, count] : couriers_)
-      if (const auto region = regionOf_.find(zone); region != regionOf_.end() && region->second == s.region)
-        sharers += count;
+      if (regionOfZone(zone) == s.region) sharers += count;
   }
   const double bound = kColdPart * (rate * coldExcess_ + coldSlack_);
   const double most = std::floor(std::min(bound, rate * kColdMargin + 2) / std::max(1u, sharers));
--- a/src/sorting/core.hpp
+++ b/src/sorting/core.hpp
@@ -56,6 +56,8 @@
   void take(const pouch::Workers& told, double now);  // whole, or a difference that joins
   std::uint64_t number() const { return number_; }
   void setCouriers(std::map<std::string, unsigned> byZone) { couriers_ = std::move(byZone); }
+  void setPlaces(std::map<std::string, std::string> regionOf);  // the region of each zone
+  void setColdBound(double excess, double slack) { coldExcess_ = excess, coldSlack_ = slack; }
   void setService(const std::string& name, ServiceRule rule) { rules_[name] = rule; }
   // Zones that get nothing. Those taken back are held to be cold from now on.
   void setEvacuated(const std::set<std::string>& zones, double now);
@@ -95,10 +97,11 @@
   bool mayWarm(State& s, double now);
   double cost(const State& s, const Ask& ask, double now) const;
   void put(const pouch::Worker& w, double now);
+  std::string regionOfZone(const std::string& zone) const;
   State* find(const std::string& id);
   const Place self_;
-  const std::map<std::string, std::string> regionOf_;
-  const double coldExcess_, coldSlack_;
+  std::map<std::string, std::string> regionOf_;
+  double coldExcess_, coldSlack_;
   std::unordered_map<std::string, State> workers_;
   std::unordered_map<std::string, std::vector<std::string>> byService_;
   std::unordered_map<std::string, double> usual_;
--- a/tests/system/address_test.cpp
+++ b/tests/system/address_test.cpp
@@ -1,6 +1,7 @@
 // Settings and configurations: what is wrong is refused whole and told with its place.
 #include <doctest/doctest.h>
 
+#include "address/change.hpp"
 #include "address/configuration.hpp"
 #include "address/settings.hpp"
 #include "pigeonhole/ledger.hpp"
@@ -57,6 +58,27 @@
   }
 }
 
+TEST_CASE("of changed settings a running program takes bounds and places, and not who it is") {
+  Settings before;
+  before.name = "edge-1", before.zone = "a", before.regionOf = {{"a", "A"}};
+  CHECK(changeOf(before, before).taken.empty());
+  Settings told = before;
+  told.zone = "b";
+  told.regionOf["b"] = "B";
+  told.bounds.retrySlack = 9;
+  told.seeds.push_back({"10.0.0.1", 80});
+  const Change change = changeOf(before, told);
+  CHECK(change.taken == std::vector<std::string>{"network.seedNodes", "network.zones", "settings.bounds"});
+  CHECK(change.waiting == std::vector<std::string>{"self.zone"});
+  CHECK(change.inForce.zone == "a");
+  CHECK(change.inForce.regionOf.size() == 2);
+  CHECK(change.inForce.bounds.retrySlack == 9);
+  CHECK(change.inForce.seeds.size() == 1);
+  // What waits is told again with the next change, until the process starts anew.
+  CHECK(changeOf(change.inForce, told).taken.empty());
+  CHECK(changeOf(change.inForce, told).waiting.size() == 1);
+}
+
 std::string configuration(unsigned version, unsigned parent) {
   return R"({"generation":"r)" + std::to_string(version) +
          R"(","routes":[],"backends":[],"limits":{},"parentVersion":"r)" + std::to_string(parent) + "\"}";
--- a/tests/system/programs_test.cpp
+++ b/tests/system/programs_test.cpp
@@ -59,14 +59,16 @@
     if (id_ > 0) ::kill(id_, SIGKILL), ::waitpid(id_, nullptr, 0);
     ::close(out_);
   }
-  // Reads until this is said; false where the process ends before.
+  // Reads until this is said, past what was waited for before; false where the process ends first.
   bool says(const std::string& what) {
     char piece[512];
-    while (said_.find(what) == std::string::npos) {
+    std::size_t at = 0;
+    while ((at = said_.find(what)) == std::string::npos) {
       const auto n = ::read(out_, piece, sizeof piece);
       if (n <= 0) return false;
       said_.append(piece, static_cast<std::size_t>(n));
     }
+    said_.erase(0, at + what.size());
     return true;
   }
   int ends() {
@@ -127,6 +129,7 @@
     REQUIRE(process.says("\"what\":\"starts\""));
     std::ofstream(file) << "{\"self\":";
     process.signal(SIGHUP);
+    CHECK(process.says("\"kept\":\"the ones before\""));
     CHECK(process.runs());
     process.signal(SIGTERM);
     CHECK(process.says("\"what\":\"ends\""));
@@ -134,5 +137,33 @@
   }
 }
 
+TEST_CASE("a changed settings file is taken with and without SIGHUP, and what waits for a start is named") {
+  Folder folder;
+  const fs::path file = folder.path / "local.json", next = folder.path / "next.json";
+  for (const char* program : kPrograms) {
+    CAPTURE(program);
+    const std::string before = settings(folder.path / "data");
+    std::ofstream(file) << before;
+    Process process(program, {}, file);
+    REQUIRE(process.says("\"what\":\"starts\""));
+    std::string bounds = before;
+    bounds.replace(bounds.find("\"bounds\":{"), 10, "\"bounds\":{\"retrySlack\":7,");
+    std::ofstream(next) << bounds;
+    fs::rename(next, file);
+    process.signal(SIGHUP);
+    CHECK(process.says("\"taken\":\"settings.bounds\""));
+    // Another one, of which nobody is told.
+    std::string moved = bounds;
+    moved.replace(moved.find("\"zone\":\"a\""), 10, "\"zone\":\"b\"");
+    moved.replace(moved.find("\"retrySlack\":7"), 14, "\"retrySlack\":8");
+    std::ofstream(next) << moved;
+    fs::rename(next, file);
+    CHECK(process.says("\"fields\":\"self.zone\""));
+    CHECK(process.says("\"taken\":\"settings.bounds\""));
+    process.signal(SIGTERM);
+    CHECK(process.ends() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace burlwind
