--- a/src/ballot/core.hpp
+++ b/src/ballot/core.hpp
@@ -48,7 +48,7 @@
 struct Pace {  // ms
   Time beat = 200;
   Time electLeast = 700, electMost = 1300;  // silence until an election
-  Time firstLeast = 150, firstMost = 550;   // the same, after a start
+  Time firstLeast = 80, firstMost = 360;    // the same, after a start
   Time gone = 1500;                         // silence until a member may be replaced
 };
 
--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -25,6 +25,7 @@
 constexpr double kAccepts = 2000;      // ms after SIGTERM
 constexpr double kReport = 10000;      // ms between two lines of figures
 constexpr double kLeast = 20;          // ms that a worker must have, else it isn't asked
+constexpr double kStarts = 1500;       // ms until a courier that starts may serve; clients ask but once more
 
 std::chrono::microseconds span(double ms) { return std::chrono::microseconds(static_cast<long>(ms * 1000)); }
 
@@ -207,7 +208,7 @@
   const auto& request = job.request;
   const std::string_view target = view(request.target());
   job.configuration = configuration_;
-  if (!job.configuration) return job.end(503, "no configuration yet", 600), false;
+  if (!job.configuration) return job.end(503, "no configuration yet", kStarts), false;
   if (!target.starts_with('/')) return job.end(400, "no such target"), false;
   job.route =
       job.configuration->routeOf(view(request[http::field::host]), target.substr(0, target.find('?')));
--- a/src/pigeonhole/main.cpp
+++ b/src/pigeonhole/main.cpp
@@ -174,9 +174,12 @@
 
   template <class Message>
   void tell(std::uint64_t id, const Message& message) {
-    const auto ip = ipOf(id);
-    const auto found = dialers_.find(ip);
-    if (found != dialers_.end() && found->second->link()) found->second->link()->tell(message);
+    const auto found = dialers_.find(ipOf(id));
+    if (found != dialers_.end() && found->second->link()) return found->second->link()->tell(message);
+    // Whom it has not reached yet may have reached it: after a loss of everything that is the sooner way.
+    const auto dialled = dialledBy_.find(id);
+    const LinkPtr link = dialled == dialledBy_.end() ? nullptr : dialled->second.lock();
+    if (link && link->open()) link->tell(message);
   }
   std::string ipOf(std::uint64_t id) const {
     for (const auto* all : {&core_->record().members, &core_->record().former})
@@ -290,7 +293,12 @@
     if (ip == settings_.ip || dialers_.contains(ip)) return;
     auto dialer = std::make_shared<pouch::Dialer>(io_, ip, settings_.portFrom);
     dialers_[ip] = dialer;
-    dialer->start([this](LinkPtr link) { link->tell(hello()); }, nullptr, nullptr);
+    dialer->start([this](LinkPtr link) { link->tell(hello()); },
+                  [this](const Arrived& arrived) {
+                    seeStop();
+                    fromStore(arrived);
+                  },
+                  nullptr);
   }
 
   pouch::Hello hello() const {
@@ -313,10 +321,17 @@
     seeStop();
     if (!link->open()) return;
     if (readers_.contains(link)) return onReader(link, arrived);
+    pouch::Hello m;
+    if (arrived.kind != pouch::kHello) {
+      if (!fromStore(arrived)) link->close();
+    } else if (arrived.read(m)) {
+      greet(link, m);
+    }
+  }
+
+  // What the other stores say, on links that they or this one have dialled. False: none of it.
+  bool fromStore(const Arrived& arrived) {
     switch (arrived.kind) {
-      case pouch::kHello:
-        if (pouch::Hello m; arrived.read(m)) greet(link, m);
-        break;
       case pouch::kAppend:
         feed<pouch::Append>(arrived);
         break;
@@ -340,8 +355,9 @@
         if (pouch::Leave m; arrived.read(m)) carryOut(core_->leave(m.from, now()));
         break;
       default:
-        link->close();
+        return false;
     }
+    return true;
   }
 
   template <class Message>
@@ -352,6 +368,7 @@
   void greet(const LinkPtr& link, const pouch::Hello& m) {
     if (m.role == "pigeonhole") {
       ips_[m.life] = m.ip;
+      dialledBy_[m.life] = link;
       dial(m.ip);
       return;
     }
@@ -435,6 +452,7 @@
   std::mt19937_64 random_;
   std::map<std::string, std::shared_ptr<pouch::Dialer>> dialers_;  // by ip
   std::map<std::uint64_t, std::string> ips_;
+  std::map<std::uint64_t, std::weak_ptr<Link>> dialledBy_;  // by the store's id
   std::set<LinkPtr> inbound_;
   std::map<LinkPtr, Reader> readers_;
   std::deque<Order> orders_;
--- a/src/pouch/link.cpp
+++ b/src/pouch/link.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -116,7 +117,7 @@
   if (error) return;
   socket_ = Tcp::socket(io_);
   auto done = std::make_shared<bool>(false);
-  timer_.expires_after(std::chrono::milliseconds(kDialWithin));
+  timer_.expires_after(std::chrono::milliseconds(tries_ < kSoonTries ? kSoonWithin : kDialWithin));
   timer_.async_wait([this, self = shared_from_this(), done](const Error& stopped) {
     if (stopped || *done) return;
     Error ignored;
@@ -127,7 +128,7 @@
     timer_.cancel();
     if (closed_) return;
     if (refused) return pause();
-    pauseMs_ = 100;
+    tries_ = 0;
     link_ = std::make_shared<Link>(std::move(socket_));
     link_->start(arrived_, [this, self] {
       link_.reset();
@@ -141,8 +142,9 @@
 
 void Dialer::pause() {
   if (closed_) return;
-  timer_.expires_after(std::chrono::milliseconds(pauseMs_));
-  pauseMs_ = std::min(800, pauseMs_ * 2);
+  const int grown = 100 << std::clamp(tries_ - kSoonTries, 0, 3);
+  timer_.expires_after(std::chrono::milliseconds(tries_ < kSoonTries ? kSoonPause : grown));
+  ++tries_;
   timer_.async_wait([this, self = shared_from_this()](const Error& error) {
     if (!error) dial();
   });
--- a/src/pouch/link.hpp
+++ b/src/pouch/link.hpp
@@ -24,6 +24,8 @@
 // A machine without power says nothing, and the opening packet is sent again only after a second: asked anew,
 // it answers as soon as it is up.
 constexpr int kDialWithin = 350;  // ms
+// The first tries are sooner: after a loss of everything all come up within a second, one by one.
+constexpr int kSoonTries = 6, kSoonWithin = 220, kSoonPause = 60;  // ms
 
 void harden(Tcp::socket& socket);  // no delay, TCP_USER_TIMEOUT; errors are ignored: the link then ends later
 
@@ -60,7 +62,7 @@
 };
 
 // Keeps dialling one address until it is closed; each link that comes up is handed over. Pauses between tries
-// grow from 100 to 800 ms.
+// grow to 800 ms.
 class Dialer : public std::enable_shared_from_this<Dialer> {
  public:
   using OnUp = std::function<void(std::shared_ptr<Link>)>;
@@ -82,7 +84,7 @@
   Link::OnFrame arrived_;
   Link::OnEnd down_;
   std::shared_ptr<Link> link_;
-  int pauseMs_ = 100;
+  int tries_ = 0;  // since the last link, or the start
   bool closed_ = false;
 };
 
