--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -102,20 +102,23 @@
                    couriers_ = c.couriers;
                    takeCounts();
                  },
-                 [this](const pouch::TokensSay& t) { takeTokens(t); },
-                 [this] {
-                   return pouch::Status{ready(), index_, sorting_.number()};
-                 }}),
+                 [this](const pouch::TokensSay& t) { takeTokens(t); }, [this] { return status(); }}),
       workers_(io),
       sorting_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
                settings_.bounds.coldSlack),
       front_(io),
       timer_(io) {
+  bornAt_ = now();
   std::random_device device;
   random_.seed(std::uint64_t{device()} << 32 | device());
   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, 64);
 }
 
+pouch::Status Courier::status() const {
+  const double age = now() - bornAt_;
+  return {ready(), index_, sorting_.number(), age, beganAt_ > 0 ? beganAt_ - bornAt_ : age};
+}
+
 bool Courier::ready() const { return configuration_ && sorting_.size() > 0 && !leaving_; }
 
 Error Courier::start() {
@@ -198,6 +201,7 @@
     }
     waiting_.erase(mine);
   }
+  if (admit == franking::Admit::yes && beganAt_ == 0) beganAt_ = now();
   if (admit == franking::Admit::yes) co_return true;
   job.end(429, "over the quota", 500 + 500 * chance);
   co_return false;
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -49,6 +49,7 @@
   void note(const std::string& worker, const Answer& answer);
   void takeNews(const pouch::News& news);
   void takeCounts();
+  pouch::Status status() const;
   void askTokens();
   void takeTokens(const pouch::TokensSay& say);
   void tick();
@@ -72,6 +73,7 @@
   std::map<std::string, unsigned> couriers_;  // known, by zone
   std::uint64_t asks_ = 0;
   double lastTick_ = 0, askAt_ = 0, reportAt_ = 0, leaveAt_ = 0;
+  double bornAt_ = 0, beganAt_ = 0;  // of the process; of its first request let in
   bool leaving_ = false;
   std::map<std::pair<int, std::string_view>, std::uint64_t> counts_;  // answers by status and reason
 };
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -5,6 +5,7 @@
 
 namespace burlwind::franking {
 namespace {
+constexpr double kNewsPart = 0.15;  // of a level, by which it must move to be told
 constexpr double kShareLeast = 2;   // requests that a share may hold at least
 constexpr double kShareHeld = 1;    // seconds of its part that it may hold
 constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
@@ -24,6 +25,22 @@
   return demand;
 }
 
+std::vector<pouch::Level> Vault::all() const {
+  std::vector<pouch::Level> out;
+  for (const auto& [tenant, store] : stores_) out.push_back({tenant, store.level});
+  return out;
+}
+
+std::vector<pouch::Level> Vault::changed() {
+  std::vector<pouch::Level> out;
+  for (auto& [tenant, store] : stores_) {
+    if (std::abs(store.level - store.told) < std::max(1.0, kNewsPart * store.told)) continue;
+    store.told = store.level;
+    out.push_back({tenant, store.level});
+  }
+  return out;
+}
+
 Vault::Given Vault::take(const std::string& who, const std::string& tenant, const Limit& limit, double want,
                          double asked, double now) {
   Given out;
--- a/src/franking/vault.hpp
+++ b/src/franking/vault.hpp
@@ -17,6 +17,9 @@
 
 #include <string>
 #include <unordered_map>
+#include <vector>
+
+#include "pouch/messages.hpp"
 
 namespace burlwind::franking {
 
@@ -26,9 +29,21 @@
 
 class Vault {
  public:
-  void clear(double now) {  // takes the duty
+  // Takes the duty. `quiet`: ms in which nobody can have let anything in, so that what came in is there.
+  void clear(double now, double quiet = 0) {
     stores_.clear();
-    from_ = now;
+    from_ = now - quiet;
+  }
+  // What a store surely holds, by what the holder before told of it.
+  void begin(const std::string& tenant, double level, double now) {
+    Store& store = stores_[tenant];
+    store.level = level, store.at = now;
+  }
+  std::vector<pouch::Level> all() const;  // what each store holds
+  std::vector<pouch::Level> changed();    // and of those whose level moved since it was told here last
+  // The duty had lapsed until now, and nobody else had it: couriers had their own parts meanwhile.
+  void skip(double now) {
+    for (auto& [tenant, store] : stores_) store.at = now;
   }
   // Of the known couriers, those in touch: the refill is theirs alone.
   void setReach(double part) { reach_ = part; }
@@ -49,6 +64,7 @@
   };
   struct Store {
     double level = 0, at = 0;
+    double told = 0;  // of the level
     std::unordered_map<std::string, Asker> askers;
   };
   static double hear(Store& store, const std::string& who, double asked, double now);
--- a/src/pigeonhole/ledger.hpp
+++ b/src/pigeonhole/ledger.hpp
@@ -14,6 +14,7 @@
 
 #include "address/configuration.hpp"
 #include "pouch/messages.hpp"
+#include "rounds/lease.hpp"
 
 namespace burlwind::pigeonhole {
 
@@ -24,7 +25,8 @@
   std::uint64_t version = 0;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> taken;  // version, digest
   std::map<std::string, unsigned> evacuated;                   // zones, by how many evacuations
-  MSGPACK_DEFINE(configuration, version, taken, evacuated)
+  rounds::Keeper keeper;                                       // of the registries' duties
+  MSGPACK_DEFINE(configuration, version, taken, evacuated, keeper)
 };
 std::string pack(const State& state);
 bool unpack(const std::string& bytes, State& out);  // an empty text is the empty state
--- a/src/pigeonhole/main.cpp
+++ b/src/pigeonhole/main.cpp
@@ -191,6 +191,7 @@
 
   void committed() {
     unpack(core_->record().state, state_);
+    agreedKeeper();
     for (auto& [number, link, outcome] : std::exchange(underWay_, {}))
       if (const auto l = link.lock()) l->tell(pouch::Outcome{number, outcome.status, outcome.text});
     for (const auto& m : core_->record().members) dial(m.ip);
@@ -200,7 +201,8 @@
 
   void led() {
     program::info("leads", {{"term", core_->record().term}, {"index", core_->record().index}});
-    lease_.lead(now());
+    lease_.lead(state_.keeper, now());
+    nextKeeper_.reset();
     lately_ = {};
     vouchAt_ = 0;
   }
@@ -208,7 +210,7 @@
   void stepped() {
     program::info("leads no more", {{"term", core_->record().term}});
     // Whether what was under way lasts is not known here: the links' ends say so, as no clear answer.
-    underWay_.clear(), orders_.clear(), reads_.clear(), leases_.clear();
+    underWay_.clear(), orders_.clear(), reads_.clear(), leases_.clear(), nextKeeper_.reset();
     for (auto& [link, reader] : readers_) link->close();
   }
 
@@ -219,19 +221,54 @@
       if (const auto l = read.link.lock()) l->tell(pouch::Outcome{read.number, 200, state_.configuration});
       return true;
     });
-    std::erase_if(leases_, [&](auto& ask) {
-      if (ask.round > round) return false;
-      const double span = lease_.ask(ask.ip, now());
-      if (const auto l = ask.link.lock())
-        l->tell(pouch::LeaseSay{ask.number, span, core_->record().term * 1000000 + lease_.epoch()});
+    std::erase_if(leases_, [&](auto& asked) {
+      if (asked.round > round) return false;
+      answerLease(asked);
       return true;
     });
+    // Not from within: what is committed by now may not have been carried out yet.
+    if (nextKeeper_) asio::post(io_, [this] { proposeNext(); });
     if (now() < vouchAt_) return;
     vouchAt_ = now() + kVouchPause;
-    const pouch::Vouch vouch{core_->record().term, core_->committed(), lease_.holder(now()), storeIps()};
+    const pouch::Vouch vouch{core_->record().term, core_->committed(),
+                             lease_.busy(now()) ? state_.keeper.ip : std::string(), state_.keeper.epoch,
+                             storeIps()};
     for (auto& [link, reader] : readers_) link->tell(vouch);
   }
 
+  // --- The registries' duties ---
+  struct LeaseAsked {
+    std::uint64_t round;
+    pouch::LeaseAsk ask;
+    std::weak_ptr<Link> link;
+  };
+
+  void answerLease(const LeaseAsked& asked) {
+    if (nextKeeper_) return sayLease(asked, 0);  // also to the keeper: it may be none in a moment
+    const rounds::Asker who{asked.ask.ip, asked.ask.life, asked.ask.epoch, asked.ask.wants};
+    const auto say = lease_.ask(state_.keeper, who, now());
+    if (say == rounds::LeaseGrantor::Say::grant)
+      sayLease(asked, rounds::kLeaseSpan);
+    else if (say == rounds::LeaseGrantor::Say::agree)
+      nextKeeper_ = asked;  // proposed with the next entry
+    else
+      sayLease(asked, 0);
+  }
+
+  void sayLease(const LeaseAsked& asked, double span) {
+    if (const auto link = asked.link.lock())
+      link->tell(pouch::LeaseSay{asked.ask.number, span, state_.keeper.epoch});
+  }
+
+  // It is the keeper that all agree on now, and nobody else was granted anything since it asked.
+  void agreedKeeper() {
+    if (!nextKeeper_ || state_.keeper.life != nextKeeper_->ask.life) return;
+    lease_.granted(now());
+    sayLease(*nextKeeper_, rounds::kLeaseSpan);
+    nextKeeper_.reset();
+    vouchAt_ = 0;
+  }
+
   // --- Readers: the registries ---
   struct Reader {
     std::string ip;
@@ -260,14 +297,13 @@
 
   // All that waits becomes one entry, each order judged on top of those before it.
   void proposeNext() {
-    if (orders_.empty() || !core_->mayPropose()) return;
+    if ((orders_.empty() && !nextKeeper_) || !core_->mayPropose()) return;
     State next = state_;
-    bool changes = false;
+    if (nextKeeper_) next.keeper = {nextKeeper_->ask.ip, nextKeeper_->ask.life, state_.keeper.epoch + 1};
     auto waiting = std::exchange(orders_, {});
     for (auto& [propose, link] : waiting) {
       const Judged judged = apply(next, lately_, propose, now());
       program::info("order", {{"what", propose.what}, {"status", judged.status}, {"text", judged.text}});
-      changes = changes || judged.changes;
       underWay_.push_back({propose.number, link, judged});
     }
     // What changes nothing is answered only once this replica is known to lead still.
@@ -281,10 +317,16 @@
       if (!core_->leads()) return link->tell(pouch::Outcome{m.number, 503, "does not lead"});
       std::vector<ballot::Effect> out;
       const std::uint64_t round = core_->confirm(now(), out);
-      reads_.push_back({round, m.number, link, {}});
+      reads_.push_back({round, m.number, link});
       carryOut(out);
     } else if (pouch::LeaseAsk m2; arrived.kind == pouch::kLeaseAsk && arrived.read(m2)) {
-      if (core_->leads()) leases_.push_back({core_->nextRound(), m2.number, link, m2.ip});
+      if (!core_->leads()) return;
+      // The keeper's questions wait for the next beat; a change of it is hurried.
+      std::vector<ballot::Effect> out;
+      const bool change = m2.wants && m2.life != state_.keeper.life;
+      const std::uint64_t round = change ? core_->confirm(now(), out) : core_->nextRound();
+      leases_.push_back({round, m2, link});
+      carryOut(out);
     }
   }
 
@@ -394,6 +436,8 @@
     seeStop();
     const double at = now();
     look(false);
+    // Who waits for the duties hears at the next beat that they are free.
+    if (const bool busy = lease_.busy(at); std::exchange(busy_, busy) && !busy) vouchAt_ = 0;
     carryOut(core_->tick(at));
     if ((!core_->member() || !core_->leaderIsKnown(at)) && at >= joinAt_) {
       joinAt_ = at + kJoinPause;
@@ -435,7 +479,6 @@
   struct Asked {
     std::uint64_t round, number;
     std::weak_ptr<Link> link;
-    std::string ip;
   };
 
   asio::io_context& io_;
@@ -457,9 +500,12 @@
   std::map<LinkPtr, Reader> readers_;
   std::deque<Order> orders_;
   std::vector<Pending> underWay_;
-  std::vector<Asked> reads_, leases_;
+  std::vector<Asked> reads_;
+  std::vector<LeaseAsked> leases_;
+  std::optional<LeaseAsked> nextKeeper_;  // waits to be agreed on
   double lastTick_ = 0, joinAt_ = 0, vouchAt_ = 0;
   int status_ = 0;
+  bool busy_ = false;  // somebody may hold the duties
 };
 
 }  // namespace
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -34,16 +34,25 @@
 using LinkPtr = std::shared_ptr<Link>;
 
 constexpr double kTick = 100;
-constexpr double kBeat = 400;       // to couriers and other registries
-constexpr double kSilent = 1500;    // a courier that says nothing for so long is gone
-constexpr double kVouched = 1000;   // the leader's word counts so long
-constexpr double kStopped = 1000;   // between two ticks: this process stood still
-constexpr double kReadList = 150;   // between two readings of the platform's list
+constexpr double kBeat = 400;      // to couriers and other registries
+constexpr double kSilent = 1500;   // a courier that says nothing for so long is gone
+constexpr double kVouched = 1000;  // the leader's word counts so long
+constexpr double kStopped = 1000;  // between two ticks: this process stood still
+constexpr double kReadList = 400;  // between two readings of the platform's list
+constexpr double kReadSoon = 150;  // and where it has changed within kRestless
+constexpr double kRestless = 2000;
+constexpr double kPlatformPart = 0.6;  // of the calls that the platform takes
+// Who is far from the platform leaves the duties to others first, for as many times the way there and back.
+constexpr double kFarTimes = 5, kFarMost = 120;
 constexpr double kFirstList = 100;  // until the first, and between tries of it
 constexpr double kListWithin = 1500;
-constexpr double kLeaseAsk = 250;
+constexpr double kLeaseAsk = 200;
 constexpr double kLeaderWithin = 700;  // an order waits so long for a leader
 constexpr double kOrderWithin = 3000;
+constexpr double kReport = 10000;
+// The holder tells the levels of its stores so often, and who comes next believes so much of them: what the
+// one before may have given out since is less than the rule leaves above the quota.
+constexpr double kTellLevels = 500, kBelieved = 0.5;
 constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
 
 class Postmaster {
@@ -108,8 +117,10 @@
       dialer->start(
           [this](LinkPtr link) {
             link->tell(hello());
-            link->tell(pouch::Sessions{true, registry_.own()});
-            if (duty_.holds(now())) link->tell(registry_.whole(now()));
+            link->tell(pouch::Sessions{true, registry_.own(now())});
+            if (!duty_.holds(now())) return;
+            link->tell(registry_.whole(now()));
+            link->tell(pouch::Levels{epoch_, vault_.all()});
           },
           [this](const Arrived& arrived) { onAnswer(arrived); }, nullptr);
     }
@@ -130,7 +141,8 @@
       if (v.term < leaderTerm_) return;
       leader_ = ip, leaderTerm_ = v.term;
       if (v.index <= news_.index) heardLeader();
-      holder_ = v.holder;
+      if (v.holder.empty() && (!holder_.empty() || freeSince_ == 0)) freeSince_ = now();
+      holder_ = v.holder, keeperEpoch_ = v.epoch;
       for (const std::string& store : v.stores) meet(store);
       wake_.cancel();
     } else if (pouch::Outcome o; arrived.kind == pouch::kOutcome && arrived.read(o)) {
@@ -172,17 +184,28 @@
     if (!holder_.empty() && holder_ != settings_.ip) return;
     const auto link = stores_[leader_]->link();
     if (!link) return;
+    // Who is near the platform takes the duties: the list is read many times a second.
+    const double leave = std::min(kFarMost, kFarTimes * platformMs_);
+    const bool wants = holder_ == settings_.ip || (freeSince_ > 0 && at - freeSince_ >= leave);
     duty_.asked(++numbers_, at);
-    link->tell(pouch::LeaseAsk{numbers_, settings_.ip});
+    link->tell(pouch::LeaseAsk{numbers_, settings_.ip, life_, keeperEpoch_, wants});
   }
 
   void leaseSaid(const pouch::LeaseSay& m) {
-    const bool held = duty_.holds(now()) && epoch_ == m.term;
+    const bool lapsed = !duty_.holds(now()), again = epoch_ == m.epoch && epoch_ > 0;
     if (!duty_.answered(m.number, m.span)) return;
-    epoch_ = m.term;
-    if (held) return;
-    program::info("takes the duties", {{"epoch", epoch_}});
-    vault_.clear(now());
+    epoch_ = m.epoch;
+    if (again) {  // nobody else has had them meanwhile
+      if (lapsed) vault_.skip(now());
+      return;
+    }
+    // What came in while nobody can have let anything in, and what the holder before told of its stores.
+    const double quiet = registry_.allQuiet();
+    vault_.clear(now(), quiet);
+    if (standby_.epoch + 1 == epoch_)
+      for (const auto& [tenant, level] : standby_.levels) vault_.begin(tenant, kBelieved * level, now());
+    program::info("takes the duties",
+                  {{"epoch", epoch_}, {"quiet", quiet}, {"levels", standby_.levels.size()}});
     cell_.clear();
     wake_.cancel();
   }
@@ -195,7 +218,11 @@
       Error ignored;
       // Who starts with no list at all reads it once for itself: leases may be a while in coming.
       const bool first = registry_.number() == 0;
-      pause.expires_after(std::chrono::milliseconds(static_cast<int>(first ? kFirstList : kReadList)));
+      const double spare = kPlatformPart * settings_.platformRate;  // calls a second for this reader
+      const double least = spare > 0 ? 1000 * static_cast<double>(list.pages()) / spare : 0;
+      const double wait = now() - changedAt_ < kRestless ? kReadSoon : kReadList;
+      pause.expires_after(
+          std::chrono::milliseconds(static_cast<int>(first ? kFirstList : std::max(wait, least))));
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
       if (!settings_.platform || (!duty_.holds(now()) && registry_.number() > 0)) continue;
       std::string why;
@@ -206,6 +233,7 @@
         continue;
       }
       told.clear();
+      platformMs_ = list.connectMs();
       const bool holds = duty_.holds(now());
       if (!holds && registry_.number() > 0) continue;
       if (const auto change = registry_.listed(holds ? epoch_ : 0, *all, now())) {
@@ -213,6 +241,7 @@
                                   {"put", change->put.size()},
                                   {"gone", change->gone.size()},
                                   {"all", all->size()}});
+        changedAt_ = now();
         const std::string frame = pouch::frame(*change);
         for (auto& [ip, dialer] : others_)
           if (holds && dialer->link()) dialer->link()->send(frame);
@@ -275,7 +304,7 @@
     for (auto& [other, session] : sessions_)
       if (session.seat.name == m.name && other != link) other->close();
     Session& session = sessions_[link];
-    session.seat = {m.name, m.front, m.zone, m.region, false, m.life, m.linkMbps};
+    session.seat = {m.name, m.front, m.zone, m.region, false, m.life, m.linkMbps, 0, 0, 0, 0};
     session.heard = now();
     program::info("session", {{"courier", m.name}});
     link->tell(coresNow());
@@ -299,7 +328,8 @@
     if (pouch::Status m; arrived.kind == pouch::kStatus && arrived.read(m)) {
       const bool changed = session.seat.ready != m.ready;
       session.index = m.index, session.workers = m.workers;
-      session.seat.ready = m.ready;
+      session.seat.ready = m.ready, session.seat.age = m.age, session.seat.quiet = m.quiet;
+      session.seat.place(now());
       registry_.seat(session.seat, now());
       if (changed) tellSessions(true);
     } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
@@ -322,11 +352,26 @@
       if (taken != Registry::Taken::news) return;
       const std::string frame = pouch::frame(w);
       for (auto& [courier, session] : sessions_) courier->send(frame);
+    } else if (pouch::Levels l; arrived.kind == pouch::kLevels && arrived.read(l)) {
+      if (l.epoch < standby_.epoch) return;
+      if (l.epoch > standby_.epoch) standby_.levels.clear();
+      standby_.epoch = l.epoch;
+      for (const auto& level : l.levels) standby_.levels[level.tenant] = level.level;
     } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
       if (duty_.holds(now())) link->tell(grant(t));
     }
   }
 
+  void tellLevels(double at) {
+    if (!duty_.holds(at) || at < levelsAt_) return;
+    levelsAt_ = at + kTellLevels;
+    const pouch::Levels told{epoch_, vault_.changed()};
+    if (told.levels.empty()) return;
+    const std::string frame = pouch::frame(told);
+    for (auto& [ip, dialer] : others_)
+      if (dialer->link()) dialer->link()->send(frame);
+  }
+
   // What the holder of the quotas answers on the link that asked it.
   void onAnswer(const Arrived& arrived) {
     pouch::TokensSay m;
@@ -375,7 +420,7 @@
 
   void tellSessions(bool whole) {
     const std::string frame =
-        pouch::frame(pouch::Sessions{whole, whole ? registry_.own() : std::vector<pouch::Seat>()});
+        pouch::frame(pouch::Sessions{whole, whole ? registry_.own(now()) : std::vector<pouch::Seat>()});
     for (auto& [ip, dialer] : others_)
       if (dialer->link()) dialer->link()->send(frame);
   }
@@ -456,6 +501,16 @@
     co_return Reply(200, out + "],\"ttl\":\"2s\"}");
   }
 
+  // What went to each machine of the core over the links that this one has dialled, since the start.
+  void report(double at) {
+    if (at < reportAt_) return;
+    reportAt_ = at + kReport;
+    for (const auto& [ip, dialer] : stores_)
+      program::info("sent", {{"store", ip}, {"bytes", dialer->bytesOut()}});
+    for (const auto& [ip, dialer] : others_)
+      program::info("sent", {{"registry", ip}, {"bytes", dialer->bytesOut()}});
+  }
+
   // --- Time ---
   // What was sent before this process woke from a stop may have been sent again elsewhere, and taken back:
   // nothing of it is acted on.
@@ -482,8 +537,10 @@
     seeStop();
     const double at = now();
     look(false);
+    report(at);
     askLease(at);
     askHolder();
+    tellLevels(at);
     registry_.sweep(at);
     for (auto& [link, session] : sessions_)
       if (at - session.heard > kSilent) link->close();
@@ -530,7 +587,11 @@
   std::shared_ptr<const address::Configuration> configuration_;
   rounds::LeaseHolder duty_;
   franking::Vault vault_;  // of the holder
-  franking::Cell cell_;    // of the others
+  struct {
+    std::uint64_t epoch = 0;
+    std::map<std::string, double> levels;
+  } standby_;            // what the holder tells of its vault
+  franking::Cell cell_;  // of the others
   std::uint64_t epoch_ = 0;
   pouch::Acceptor acceptor_;
   counter::Server control_, directory_;
@@ -544,8 +605,9 @@
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
   std::map<std::string, unsigned> told_;
   std::string leader_, holder_;
-  std::uint64_t leaderTerm_ = 0, numbers_ = 0;
-  double lastTick_ = 0, beatAt_ = 0, vouchedAt_ = -1e18, leaseAt_ = 0;
+  std::uint64_t leaderTerm_ = 0, keeperEpoch_ = 0, numbers_ = 0;
+  double lastTick_ = 0, beatAt_ = 0, vouchedAt_ = -1e18, leaseAt_ = 0, reportAt_ = 0, levelsAt_ = 0;
+  double platformMs_ = kFarMost, freeSince_ = 0, changedAt_ = -1e18;
 };
 
 }  // namespace
--- a/src/postmaster/platform_list.cpp
+++ b/src/postmaster/platform_list.cpp
@@ -8,6 +8,7 @@
 #include "address/json.hpp"
 #include "http/http.hpp"
 #include "pouch/link.hpp"
+#include "program/start.hpp"
 
 namespace burlwind::postmaster {
 namespace {
@@ -63,6 +64,7 @@
     if (!next.empty()) target += "?pageToken=" + next;
     const auto body = co_await get(std::move(target), why);
     good = body && readPage(*body, out, next, why);
+    if (good) pages_ = page + 1;
     if (next.empty()) break;
   }
   timer_.cancel();
@@ -78,12 +80,14 @@
   Error error;
   ++calls_;
   if (!socket_.is_open()) {
+    const double from = program::now();
     co_await socket_.async_connect({asio::ip::make_address(at_.ip, error), at_.port},
                                    asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       why = "cannot connect: " + error.message();
       co_return std::nullopt;
     }
+    connectMs_ = program::now() - from;
     pouch::harden(socket_);
   }
   const std::string ask = "GET " + target + " HTTP/1.1\r\nHost: " + at_.ip + "\r\n\r\n";
--- a/src/postmaster/platform_list.hpp
+++ b/src/postmaster/platform_list.hpp
@@ -21,13 +21,16 @@
   // whole; `why` says so. At most `within` ms.
   boost::asio::awaitable<std::optional<Workers>> read(address::Endpoint at, double within, std::string& why);
   std::size_t calls() const { return calls_; }
+  std::size_t pages() const { return pages_; }     // of the last list
+  double connectMs() const { return connectMs_; }  // of the last connection
 
  private:
   boost::asio::awaitable<std::optional<std::string>> get(std::string target, std::string& why);
   address::Endpoint at_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
-  std::size_t calls_ = 0;
+  std::size_t calls_ = 0, pages_ = 1;
+  double connectMs_ = 0;
 };
 
 // One page; false where it does not read. `next`: the page after it, empty on the last.
--- a/src/postmaster/registry.cpp
+++ b/src/postmaster/registry.cpp
@@ -29,7 +29,12 @@
 
 void Registry::seat(const pouch::Seat& seat, double now) {
   const auto found = own_.find(seat.name);
-  if (found != own_.end() && found->second == seat) return;
+  if (found != own_.end() && found->second.sameAs(seat)) {
+    found->second = seat;
+    if (const auto view = seats_.find(seat.name); view != seats_.end() && view->second.sameAs(seat))
+      view->second = seat;
+    return;
+  }
   if (found == own_.end() || found->second.ready != seat.ready)
     note(now, seat.ready ? "courier ready" : "courier seated", seat.name);
   own_[seat.name] = seat;
@@ -44,17 +49,31 @@
   refold(now);
 }
 
-std::vector<pouch::Seat> Registry::own() const {
+std::vector<pouch::Seat> Registry::own(double now) const {
   std::vector<pouch::Seat> out;
-  for (const auto& [name, seat] : own_) out.push_back(seat);
+  for (const auto& [name, seat] : own_) {
+    out.push_back(seat);
+    out.back().age = now - seat.bornAt;
+  }
   return out;
 }
 
+double Registry::allQuiet() const {
+  if (seats_.empty()) return 0;
+  double lastBorn = -1e18, firstBegan = 1e18;
+  for (const auto& [name, seat] : seats_) {
+    lastBorn = std::max(lastBorn, seat.bornAt);
+    firstBegan = std::min(firstBegan, seat.beganAt);
+  }
+  return std::max(0.0, firstBegan - lastBorn);
+}
+
 void Registry::heard(const std::string& registry, const pouch::Sessions& told, double now) {
   Others& others = others_[registry];
   others.heard = now;
   if (!told.whole) return;
   others.seats = told.seats;
+  for (pouch::Seat& seat : others.seats) seat.place(now);
   refold(now);
 }
 
--- a/src/postmaster/registry.hpp
+++ b/src/postmaster/registry.hpp
@@ -38,11 +38,15 @@
   // --- Seats ---
   void seat(const pouch::Seat& seat, double now);  // opened, or changed
   void unseat(const std::string& name, std::uint64_t life, double now);
-  std::vector<pouch::Seat> own() const;
+  std::vector<pouch::Seat> own(double now) const;
   void heard(const std::string& registry, const pouch::Sessions& told, double now);
   // True where views may have changed.
   bool sweep(double now);
 
+  // The span in which no courier that is seated can have let anything in: from the last one's start to the
+  // first one's first request. 0 unless all of them have started anew.
+  double allQuiet() const;
+
   struct Counts {
     unsigned live = 0, known = 0;
     std::map<std::string, unsigned> byZone;  // known
--- a/src/pouch/link.cpp
+++ b/src/pouch/link.cpp
@@ -131,6 +131,7 @@
     tries_ = 0;
     link_ = std::make_shared<Link>(std::move(socket_));
     link_->start(arrived_, [this, self] {
+      before_ += link_->bytesOut();
       link_.reset();
       if (closed_) return;
       if (down_) down_();
--- a/src/pouch/link.hpp
+++ b/src/pouch/link.hpp
@@ -71,6 +71,8 @@
   void close();
   const std::shared_ptr<Link>& link() const { return link_; }  // empty while there is none
   const std::string& ip() const { return ip_; }
+  // Bytes told to the other side over all links so far.
+  std::uint64_t bytesOut() const { return before_ + (link_ ? link_->bytesOut() : 0); }
 
  private:
   void dial();
@@ -84,7 +86,8 @@
   Link::OnFrame arrived_;
   Link::OnEnd down_;
   std::shared_ptr<Link> link_;
-  int tries_ = 0;  // since the last link, or the start
+  std::uint64_t before_ = 0;  // bytes over links that have ended
+  int tries_ = 0;             // since the last link, or the start
   bool closed_ = false;
 };
 
--- a/src/pouch/messages.hpp
+++ b/src/pouch/messages.hpp
@@ -31,7 +31,8 @@
   kStatus,
   kTokensAsk,
   kTokensSay,
-  kBeat
+  kBeat,
+  kLevels
 };
 
 // --- Who speaks ---
@@ -99,9 +100,10 @@
 struct Vouch {  // the leader has just heard a majority
   static constexpr Kind kKind = kVouch;
   std::uint64_t term = 0, index = 0;
-  std::string holder;  // of the duties' lease: ip; empty: nobody
+  std::string holder;       // of the duties' lease: ip; empty: nobody
+  std::uint64_t epoch = 0;  // of the keeper of the duties that is agreed on
   std::vector<std::string> stores;
-  MSGPACK_DEFINE(term, index, holder, stores)
+  MSGPACK_DEFINE(term, index, holder, epoch, stores)
 };
 struct Propose {
   static constexpr Kind kKind = kPropose;
@@ -126,14 +128,16 @@
   static constexpr Kind kKind = kLeaseAsk;
   std::uint64_t number = 0;
   std::string ip;
-  MSGPACK_DEFINE(number, ip)
+  std::uint64_t life = 0, epoch = 0;  // of the asking process; of the keeper that it was told of last
+  bool wants = false;                 // else it only shows that it is there
+  MSGPACK_DEFINE(number, ip, life, epoch, wants)
 };
 struct LeaseSay {  // granted: for `span` from when the question was sent
   static constexpr Kind kKind = kLeaseSay;
   std::uint64_t number = 0;
   double span = 0;
-  std::uint64_t term = 0;
-  MSGPACK_DEFINE(number, span, term)
+  std::uint64_t epoch = 0;  // of this keeper of the duties
+  MSGPACK_DEFINE(number, span, epoch)
 };
 
 // --- Registries among themselves ---
@@ -142,8 +146,15 @@
   bool ready = false;
   std::uint64_t life = 0;
   double linkMbps = 0;
-  bool operator==(const Seat&) const = default;
-  MSGPACK_DEFINE(name, front, zone, region, ready, life, linkMbps)
+  double age = 0, quiet = 0;  // ms since its process began; from then until it first let a request in
+  // The two as times of the clock of who holds this; not told.
+  double bornAt = 0, beganAt = 0;
+  bool sameAs(const Seat& o) const {
+    return name == o.name && front == o.front && zone == o.zone && region == o.region && ready == o.ready &&
+           life == o.life && linkMbps == o.linkMbps;
+  }
+  void place(double now) { bornAt = now - age, beganAt = bornAt + quiet; }
+  MSGPACK_DEFINE(name, front, zone, region, ready, life, linkMbps, age, quiet)
 };
 struct Sessions {
   static constexpr Kind kKind = kSessions;
@@ -184,7 +195,8 @@
   static constexpr Kind kKind = kStatus;
   bool ready = false;
   std::uint64_t index = 0, workers = 0;  // what is in force there
-  MSGPACK_DEFINE(ready, index, workers)
+  double age = 0, quiet = 0;             // as in Seat
+  MSGPACK_DEFINE(ready, index, workers, age, quiet)
 };
 struct Beat {
   static constexpr Kind kKind = kBeat;
@@ -223,4 +235,16 @@
   MSGPACK_DEFINE(number, courier, life, lots)
 };
 
+struct Level {  // what a tenant's store holds
+  std::string tenant;
+  double level = 0;
+  MSGPACK_DEFINE(tenant, level)
+};
+struct Levels {  // the holder's, for who holds the quotas next: those that have changed
+  static constexpr Kind kKind = kLevels;
+  std::uint64_t epoch = 0;
+  std::vector<Level> levels;
+  MSGPACK_DEFINE(epoch, levels)
+};
+
 }  // namespace burlwind::pouch
--- a/src/rounds/lease.hpp
+++ b/src/rounds/lease.hpp
@@ -1,41 +1,63 @@
 // Leases of duties that one registry does: decisions only. The store's leader grants, once a majority has
 // confirmed it after the question came; the registry counts from when it sent the question, and stops a
-// margin before the end. A new leader knows nothing of the grants before it, and waits until they must have
-// ended. Property: at no time do two registries hold the lease, as long as no clock runs faster than another
-// by more than kDrift.
+// margin before the end. Property: at no time do two registries hold the lease, as long as no clock runs
+// faster than another by more than kDrift.
+//
+// Who may hold it is part of what the stores agree on (Keeper): a process that is not the keeper is granted
+// nothing before it has been agreed on as the next one, so that a new leader knows of whom it must wait out a
+// grant that it has not seen. It needs not wait
+//  - for that keeper itself, which goes on under the new leader as if nothing had happened;
+//  - where another process asks from the keeper's own machine and its question bears the keeper's epoch: it
+//    was alive after that one was agreed on, the keeper had asked before, and a machine runs one registry at
+//    a time; so the keeper has ended. A question with an older epoch may have waited in a buffer since
+//    before.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <msgpack.hpp>
 #include <string>
 
 namespace burlwind::rounds {
 
-constexpr double kLeaseSpan = 1000;  // ms
+constexpr double kLeaseSpan = 800;   // ms
 constexpr double kDrift = 0.05;      // of the span
 constexpr double kStopBefore = 100;  // ms, with what is left of the span
 
+struct Keeper {
+  std::string ip;
+  std::uint64_t life = 0;   // of the process; 0: nobody yet
+  std::uint64_t epoch = 0;  // one more with each keeper
+  bool operator==(const Keeper&) const = default;
+  MSGPACK_DEFINE(ip, life, epoch)
+};
+struct Asker {
+  std::string ip;
+  std::uint64_t life = 0;
+  std::uint64_t epoch = 0;  // of the latest keeper that it has been told of
+  bool wants = false;       // else it only shows that it is there
+};
+
 class LeaseGrantor {
  public:
-  void lead(double now) {
-    holder_.clear();
-    until_ = now + kLeaseSpan * (1 + kDrift);
-  }
-  // The span granted from when the question was sent; 0: another one holds it.
-  double ask(const std::string& who, double now) {
-    if (who != holder_ && now < until_) return 0;
-    if (who != holder_) ++epoch_;
-    holder_ = who;
-    until_ = now + kLeaseSpan * (1 + kDrift);
-    return kLeaseSpan;
+  enum class Say { grant, refuse, agree };  // agree: granted once the asker is the keeper agreed on
+  void lead(const Keeper& agreed, double now) { until_ = agreed.life ? now + kLonger : now; }
+  Say ask(const Keeper& agreed, const Asker& who, double now) {
+    if (who.ip == agreed.ip && who.life == agreed.life) {
+      if (!who.wants) return Say::refuse;
+      granted(now);
+      return Say::grant;
+    }
+    if (who.ip == agreed.ip && who.epoch == agreed.epoch) until_ = std::min(until_, now);
+    return now < until_ || !who.wants ? Say::refuse : Say::agree;
   }
-  std::uint64_t epoch() const { return epoch_; }  // of this leader's holders, one after the other
-  std::string holder(double now) const { return now < until_ ? holder_ : std::string(); }
+  void granted(double now) { until_ = std::max(until_, now + kLonger); }
+  // Whether the keeper may hold the lease now.
+  bool busy(double now) const { return now < until_; }
 
  private:
-  std::string holder_;
-  std::uint64_t epoch_ = 0;
+  static constexpr double kLonger = kLeaseSpan * (1 + kDrift);
   double until_ = 0;
 };
 
