--- a/tests/system/ballot_test.cpp
+++ b/tests/system/ballot_test.cpp
@@ -1,4 +1,6 @@
 // The agreement of the stores: each loss that it promises to bear, drawn as a timeline, and random plays.
+#include <algorithm>
+
 #include "timeline.hpp"
 
 namespace burlwind::timeline {
@@ -175,6 +177,77 @@
   CHECK(grown.everythingAcknowledgedIsHeld());
 }
 
+// One replica alone, asked by hand.
+struct Alone {
+  explicit Alone(Record record)
+      : core(
+            std::move(record), ballot::Pace{}, 3, [](void*) { return 0.5; }, nullptr, 0) {}
+  // Whether the effects hold a vote for the one that asks, and how many changes were committed.
+  static bool voted(const std::vector<ballot::Effect>& effects) {
+    for (const auto& effect : effects)
+      if (const auto* send = std::get_if<ballot::Send>(&effect))
+        if (const auto* say = std::get_if<pouch::VoteSay>(&send->message)) return say->granted && !say->trial;
+    return false;
+  }
+  static bool committed(const std::vector<ballot::Effect>& effects) {
+    return std::any_of(effects.begin(), effects.end(),
+                       [](const auto& e) { return std::holds_alternative<ballot::Committed>(e); });
+  }
+  Core core;
+};
+
+Record three(Id self) {
+  Record out;
+  out.self = self;
+  out.members = {{1, "a"}, {2, "b"}, {3, "c"}};
+  return out;
+}
+
+TEST_CASE("one vote a term: not a second one for another candidate, also not after a restart") {
+  Alone voter(three(3));
+  CHECK(Alone::voted(voter.core.receive(pouch::VoteAsk{5, 1, 0, 0, false}, 2000)));
+  CHECK_FALSE(Alone::voted(voter.core.receive(pouch::VoteAsk{5, 2, 0, 0, false}, 2010)));
+  CHECK(Alone::voted(voter.core.receive(pouch::VoteAsk{5, 1, 0, 0, false}, 2020)));  // told once more
+  Alone again(voter.core.record());
+  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteAsk{5, 2, 0, 0, false}, 2000)));
+  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteAsk{4, 2, 0, 0, false}, 2010)));
+  CHECK(Alone::voted(again.core.receive(pouch::VoteAsk{6, 2, 0, 0, false}, 2020)));
+}
+
+// Makes replica 1 lead its two fellows.
+void lead(Core& core) {
+  std::vector<ballot::Effect> out;
+  double now = 0;
+  while (core.record().term == 0) {
+    out = core.tick(now += 50);
+    core.receive(pouch::VoteSay{core.record().term + 1, 2, true, true}, now);
+  }
+  core.receive(pouch::VoteSay{core.record().term, 2, false, true}, now);
+  core.receive(pouch::AppendSay{core.record().term, 2, 1, core.record().lastTerm, core.record().index}, now);
+  REQUIRE(core.leads());
+}
+
+TEST_CASE(
+    "while members change, what the new ones hold without a majority of the old ones is not committed") {
+  Alone leader(three(1));
+  Core& core = leader.core;
+  lead(core);
+  const double now = 3000;
+  // Replica 4 stands where 3 has lost its disk.
+  core.join({4, "c"}, now);
+  core.receive(pouch::AppendSay{core.record().term, 2, 1, core.record().lastTerm, core.record().index}, now);
+  core.tick(now);
+  REQUIRE(core.record().former.size() == 3);
+  REQUIRE(core.record().members[2].id == 4);
+  const auto held = [&](Id by) {
+    return core.receive(
+        pouch::AppendSay{core.record().term, by, 2, core.record().lastTerm, core.record().index}, now + 10);
+  };
+  CHECK_FALSE(Alone::committed(held(4)));  // 1 and 4: of the old members there is one alone
+  CHECK(core.record().former.size() == 3);
+  CHECK(Alone::committed(held(2)));
+}
+
 // Kills, freezes, cuts both ways, slow disks and wipes, never more wiped at once than may be lost; each
 // failure says its seed.
 TEST_CASE("random plays: nothing acknowledged is lost, no two leaders of a term") {
--- a/tests/system/programs_test.cpp
+++ b/tests/system/programs_test.cpp
@@ -2,14 +2,12 @@
 // that is spoilt under them changes nothing, and that SIGTERM ends them in order. Waits for their words and
 // their ends, never for time; a process that says nothing is ended by an alarm of its own.
 #include <doctest/doctest.h>
-#include <signal.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
 #include <string>
-#include <vector>
+
+#include "process.hpp"
 
 namespace burlwind {
 namespace {
@@ -18,15 +16,6 @@
 
 const char* const kPrograms[] = {BURLWIND_COURIER, BURLWIND_POSTMASTER, BURLWIND_PIGEONHOLE};
 
-struct Folder {
-  Folder() {
-    std::string text = (fs::temp_directory_path() / "burlwind-programs-XXXXXX").string();
-    path = ::mkdtemp(text.data());
-  }
-  ~Folder() { fs::remove_all(path); }
-  fs::path path;
-};
-
 // A machine alone, on an address of its own; nobody else answers there.
 std::string settings(const fs::path& data) {
   return R"({"self":{"nodeName":"n","ipAddress":"127.77.0.1","zone":"a","region":"A","firstBoot":true,"dataFolder":")" +
@@ -34,60 +23,6 @@
          R"(","limits":{}},"network":{"bind":{"front":"127.77.0.1:18389","readiness":"127.77.0.1:18384","control":"127.77.0.1:18383","directory":"127.77.0.1:18385"},"internalPorts":[17460,17475],"seedNodes":["127.77.0.1:18383"],"zones":{"a":"A"}},"provider":{},"settings":{"bounds":{"grace":"4s"}}})";
 }
 
-class Process {
- public:
-  Process(const char* program, std::vector<std::string> words, const fs::path& file) {
-    int out[2];
-    REQUIRE(::pipe(out) == 0);
-    id_ = ::fork();
-    REQUIRE(id_ >= 0);
-    if (id_ == 0) {
-      ::alarm(60);  // outlives exec
-      ::dup2(out[1], 1), ::dup2(out[1], 2);
-      ::close(out[0]), ::close(out[1]);
-      ::setenv("BURLWIND_NODE_FILE", file.c_str(), 1);
-      std::vector<char*> argv{const_cast<char*>(program)};
-      for (std::string& word : words) argv.push_back(word.data());
-      argv.push_back(nullptr);
-      ::execv(program, argv.data());
-      ::_exit(127);
-    }
-    ::close(out[1]);
-    out_ = out[0];
-  }
-  ~Process() {
-    if (id_ > 0) ::kill(id_, SIGKILL), ::waitpid(id_, nullptr, 0);
-    ::close(out_);
-  }
-  // Reads until this is said, past what was waited for before; false where the process ends first.
-  bool says(const std::string& what) {
-    char piece[512];
-    std::size_t at = 0;
-    while ((at = said_.find(what)) == std::string::npos) {
-      const auto n = ::read(out_, piece, sizeof piece);
-      if (n <= 0) return false;
-      said_.append(piece, static_cast<std::size_t>(n));
-    }
-    said_.erase(0, at + what.size());
-    return true;
-  }
-  int ends() {
-    says("(to its end)");
-    int status = 0;
-    ::waitpid(id_, &status, 0);
-    id_ = 0;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-  }
-  void signal(int number) const { ::kill(id_, number); }
-  bool runs() const { return ::waitpid(id_, nullptr, WNOHANG) == 0; }
-  const std::string& said() const { return said_; }
-
- private:
-  pid_t id_ = 0;
-  int out_ = -1;
-  std::string said_;
-};
-
 TEST_CASE("each program tells its version, checks its settings, and names what is wrong") {
   Folder folder;
   const fs::path good = folder.path / "good.json", cut = folder.path / "cut.json",
