--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -350,9 +350,12 @@
     const double another = std::max(500.0, 3 * sorting_.usual(job.service));
     if (safe && arrivals + 1 < job.route->tries && left - another > 8 * sorting_.usual(job.service))
       out.answerWithin = left - another;
+    const std::size_t bytes = out.text.size();
     sorting_.sent(choice.id, now());
     Answer answer = co_await workers_.exchange(std::move(out));
     note(choice.id, answer);
+    Sent& sent = sent_[choice.away];
+    ++sent.count, sent.bytes += bytes + answer.response.body().size();
     tried.push_back(choice.id);
     if (answer.end == End::answer) {
       const int status = static_cast<int>(answer.response.result_int());
@@ -529,6 +532,9 @@
 void Courier::report(double at) {
   if (at < reportAt_) return;
   reportAt_ = at + kReport;
+  for (std::size_t away = 0; away < std::size(sent_); ++away)
+    if (const Sent sent = std::exchange(sent_[away], {}); sent.count)
+      program::info("sent", {{"away", away}, {"count", sent.count}, {"bytes", sent.bytes}});
   for (const auto& [what, count] : std::exchange(counts_, {}))
     program::info("answers", {{"status", what.first}, {"why", what.second}, {"count", count}});
 }
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -75,6 +75,9 @@
   double lastTick_ = 0, askAt_ = 0, reportAt_ = 0, leaveAt_ = 0;
   double bornAt_ = 0, beganAt_ = 0;  // of the process; of its first request let in
   bool leaving_ = false;
+  struct Sent {
+    std::uint64_t count = 0, bytes = 0;
+  } sent_[3];  // to workers of this zone, this region, others
   std::map<std::pair<int, std::string_view>, std::uint64_t> counts_;  // answers by status and reason
 };
 
--- a/src/sorting/core.cpp
+++ b/src/sorting/core.cpp
@@ -70,6 +70,10 @@
   evacuated_ = zones;
 }
 
+unsigned Core::away(const State& s) const {
+  return s.region != self_.region ? 2 : s.worker.zone != self_.zone ? 1 : 0;
+}
+
 bool Core::allowed(const State& s, const Ask& ask) const {
   const auto home = [&](const std::vector<std::string>* homes) {
     return !homes || homes->empty() || std::find(homes->begin(), homes->end(), s.region) != homes->end();
@@ -109,9 +113,8 @@
   const double load = s.out + mean + (s.told - mean) * std::exp(-(now - s.toldAt) / std::max(kFade, pace));
   double out = pace * (1 + 0.3 * std::min(1.0, load / slots) + std::max(0.0, load + 1 - slots) / slots);
   if (now < s.coldUntil) out += 2 * pace;
-  if (s.region != self_.region) return out + kRegion * ask.aim;
-  if (s.worker.zone != self_.zone) return out + kZone * ask.aim;
-  return out;
+  constexpr double kAway[] = {0, kZone, kRegion};
+  return out + kAway[away(s)] * ask.aim;
 }
 
 Core::Choice Core::choose(const Ask& ask, double draw, double now) {
@@ -157,7 +160,7 @@
     if (lastResort && out.why == Why::nobody) out.why = Why::failing;
     return out;
   }
-  return {best->worker.id, best->worker.address, Why::found};
+  return {best->worker.id, best->worker.address, Why::found, away(*best)};
 }
 
 void Core::sent(const std::string& id, double now) {
--- a/src/sorting/core.hpp
+++ b/src/sorting/core.hpp
@@ -67,6 +67,7 @@
     std::string id;  // empty: nobody, see why
     std::string address;
     Why why = Why::nobody;
+    unsigned away = 0;  // 0: in this zone, 1: in this region, 2: in another one
   };
   Choice choose(const Ask& ask, double draw, double now);
 
@@ -93,6 +94,7 @@
     double shunnedUntil = -1e18, fullUntil = -1e18, coldUntil = -1e18, fullPause = 0;
     std::deque<double> coldSent;
   };
+  unsigned away(const State& s) const;
   bool allowed(const State& s, const Ask& ask) const;
   bool mayWarm(State& s, double now);
   double cost(const State& s, const Ask& ask, double now) const;
