--- a/src/ballot/core.cpp
+++ b/src/ballot/core.cpp
@@ -27,6 +27,11 @@
   electAt_ = now + least + draw_(drawer_) * (most - least);
 }
 
+void Core::reached(Time now) {
+  if (heard_ >= 0 || role_ == Role::leader || role_ == Role::candidate) return;
+  electAt_ = std::min(electAt_, now + draw_(drawer_) * pace_.reachedMost);
+}
+
 bool Core::isMember(Id id) const {
   const auto has = [id](const std::vector<Member>& all) {
     return std::any_of(all.begin(), all.end(), [id](const Member& m) { return m.id == id; });
@@ -290,7 +295,11 @@
   // Who hears a leader, or is one, takes part in no election against it.
   const bool content = role_ == Role::leader || now - heard_ < pace_.electLeast;
   if (m.trial) {
-    const bool granted = m.term > record_.term && hasAll && !content;
+    // Of several that try at the same time and know as much, the one with the highest id goes on: they would
+    // split the votes.
+    const bool sameLog = m.lastTerm == record_.lastTerm && m.index == record_.index;
+    const bool yields = !(role_ == Role::trial && sameLog && record_.self > m.from);
+    const bool granted = m.term > record_.term && hasAll && !content && yields;
     out.push_back(Send{m.from, pouch::VoteSay{granted ? m.term : record_.term, record_.self, true, granted}});
     return;
   }
--- a/src/ballot/core.hpp
+++ b/src/ballot/core.hpp
@@ -49,6 +49,7 @@
   Time beat = 200;
   Time electLeast = 700, electMost = 1300;  // silence until an election
   Time firstLeast = 80, firstMost = 360;    // the same, after a start
+  Time reachedMost = 40;                    // at most, once another one is reached after a start
   Time gone = 1500;                         // silence until a member may be replaced
 };
 
@@ -73,6 +74,8 @@
 
   std::vector<Effect> tick(Time now);  // at least each `beat` / 2
   std::vector<Effect> receive(const Message& message, Time now);
+  // A link to another replica has come up. After a start this one need not wait longer to ask for votes.
+  void reached(Time now);
   void setSeats(unsigned seats) { seats_ = seats; }  // how many members a leader brings together
   // A replica that wants to be a member, or be told so again.
   std::vector<Effect> join(const Member& member, Time now);
--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -25,7 +25,8 @@
 constexpr double kAccepts = 2000;      // ms after SIGTERM
 constexpr double kReport = 10000;      // ms between two lines of figures
 constexpr double kLeast = 20;          // ms that a worker must have, else it isn't asked
-constexpr double kStarts = 1500;       // ms until a courier that starts may serve; clients ask but once more
+constexpr double kStarts = 800;        // ms until a courier that starts may serve; clients ask but once more,
+constexpr double kStartsMore = 700;    // and not all of them in one moment: up to so much later
 
 std::chrono::microseconds span(double ms) { return std::chrono::microseconds(static_cast<long>(ms * 1000)); }
 
@@ -119,6 +120,8 @@
   return {ready(), index_, sorting_.number(), age, beganAt_ > 0 ? beganAt_ - bornAt_ : age};
 }
 
+double Courier::draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+
 bool Courier::ready() const { return configuration_ && sorting_.size() > 0 && !leaving_; }
 
 Error Courier::start() {
@@ -186,7 +189,7 @@
 asio::awaitable<bool> Courier::frank(Job& job) {
   if (!job.tenant || job.tenant->rate <= 0) co_return true;
   const auto& tenant = *job.tenant;
-  const double chance = std::uniform_real_distribution<double>(0, 1)(random_);
+  const double chance = draw();
   auto admit = purse_.admit(tenant.name, tenant.rate, tenant.burst, chance, now());
   if (admit == franking::Admit::wait) {
     askTokens();
@@ -212,7 +215,7 @@
   const auto& request = job.request;
   const std::string_view target = view(request.target());
   job.configuration = configuration_;
-  if (!job.configuration) return job.end(503, "no configuration yet", kStarts), false;
+  if (!job.configuration) return job.end(503, "no configuration yet", kStarts + kStartsMore * draw()), false;
   if (!target.starts_with('/')) return job.end(400, "no such target"), false;
   job.route =
       job.configuration->routeOf(view(request[http::field::host]), target.substr(0, target.find('?')));
@@ -330,7 +333,7 @@
     if (job.tenant) ask.otherHomes = &job.tenant->homes;
     ask.tried = &tried;
     ask.repeatable = safe;
-    const auto choice = sorting_.choose(ask, std::uniform_real_distribution<double>(0, 1)(random_), now());
+    const auto choice = sorting_.choose(ask, draw(), now());
     if (choice.id.empty()) {
       if (choice.why == sorting::Why::nobody)
         giveUp("no worker may serve it", 500);
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -50,6 +50,7 @@
   void takeNews(const pouch::News& news);
   void takeCounts();
   pouch::Status status() const;
+  double draw();  // from 0 to under 1
   void askTokens();
   void takeTokens(const pouch::TokensSay& say);
   void tick();
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -67,7 +67,8 @@
       std::max(0.0, std::min(want, std::floor(contended ? std::min(store.level, asker.share) : store.level)));
   store.level -= out.granted;
   asker.share -= out.granted;
-  out.empty = out.granted < want;
+  // Where less is asked for than comes in, what is missing is there in a moment: that is worth a wait.
+  out.empty = out.granted < want && contended;
   out.use = static_cast<int>(std::min(10000.0, 100 * demand / limit.rate));
   return out;
 }
--- a/src/franking/vault.hpp
+++ b/src/franking/vault.hpp
@@ -51,7 +51,7 @@
   struct Given {
     double granted = 0;
     int use = 0;
-    bool empty = false;
+    bool empty = false;  // and more is asked for than comes in
   };
   // asked: requests a second that come for the tenant to `who` wishes. Below 0, `want` is given back.
   Given take(const std::string& who, const std::string& tenant, const Limit& limit, double want, double asked,
--- a/src/pigeonhole/main.cpp
+++ b/src/pigeonhole/main.cpp
@@ -321,12 +321,11 @@
       carryOut(out);
     } else if (pouch::LeaseAsk m2; arrived.kind == pouch::kLeaseAsk && arrived.read(m2)) {
       if (!core_->leads()) return;
-      // The keeper's questions wait for the next beat; a change of it is hurried.
-      std::vector<ballot::Effect> out;
-      const bool change = m2.wants && m2.life != state_.keeper.life;
-      const std::uint64_t round = change ? core_->confirm(now(), out) : core_->nextRound();
-      leases_.push_back({round, m2, link});
-      carryOut(out);
+      const LeaseAsked asked{core_->nextRound(), m2, link};
+      // What the keeper asks waits for the next beat; a change of it is confirmed by its being agreed on.
+      if (m2.life == state_.keeper.life) return leases_.push_back(asked);
+      answerLease(asked);
+      proposeNext();
     }
   }
 
@@ -335,12 +334,16 @@
     if (ip == settings_.ip || dialers_.contains(ip)) return;
     auto dialer = std::make_shared<pouch::Dialer>(io_, ip, settings_.portFrom);
     dialers_[ip] = dialer;
-    dialer->start([this](LinkPtr link) { link->tell(hello()); },
-                  [this](const Arrived& arrived) {
-                    seeStop();
-                    fromStore(arrived);
-                  },
-                  nullptr);
+    dialer->start(
+        [this](LinkPtr link) {
+          link->tell(hello());
+          core_->reached(now());
+        },
+        [this](const Arrived& arrived) {
+          seeStop();
+          fromStore(arrived);
+        },
+        nullptr);
   }
 
   pouch::Hello hello() const {
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -143,6 +143,7 @@
       if (v.index <= news_.index) heardLeader();
       if (v.holder.empty() && (!holder_.empty() || freeSince_ == 0)) freeSince_ = now();
       holder_ = v.holder, keeperEpoch_ = v.epoch;
+      askLease(now());
       for (const std::string& store : v.stores) meet(store);
       wake_.cancel();
     } else if (pouch::Outcome o; arrived.kind == pouch::kOutcome && arrived.read(o)) {
--- a/tests/system/ballot_test.cpp
+++ b/tests/system/ballot_test.cpp
@@ -214,6 +214,32 @@
   CHECK(Alone::voted(again.core.receive(pouch::VoteAsk{6, 2, 0, 0, false}, 2020)));
 }
 
+TEST_CASE(
+    "of two that try for leadership at once and know as much, the higher id goes on, and more knowledge "
+    "wins") {
+  const auto trial = [](Core& core, pouch::VoteAsk ask) {
+    for (const auto& effect : core.receive(ask, 400))
+      if (const auto* send = std::get_if<ballot::Send>(&effect))
+        if (const auto* say = std::get_if<pouch::VoteSay>(&send->message)) return say->granted;
+    return false;
+  };
+  const auto trying = [](Record record) {
+    Alone out(std::move(record));
+    out.core.reached(300);
+    out.core.tick(390);
+    return out;
+  };
+  Alone low = trying(three(2)), high = trying(three(3));
+  CHECK(trial(low.core, {1, 3, 0, 0, true}));
+  CHECK_FALSE(trial(high.core, {1, 2, 0, 0, true}));
+  Record older = three(3);
+  older.lastTerm = 0, older.index = 0;
+  Alone old = trying(older);
+  CHECK(trial(old.core, {1, 2, 1, 4, true}));  // a lower id that knows more
+  Alone still(three(3));
+  CHECK(trial(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
+}
+
 // Makes replica 1 lead its two fellows.
 void lead(Core& core) {
   std::vector<ballot::Effect> out;
