--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -37,11 +37,12 @@
         }
         // The vault hears of a loss one silence later.
         live += is != 'd' && (is != 'x' || was != 'x');
-        purses[c].setTouch(is == '.' || is == 'r', now);
+        purses[c].setTouch((is == '.' || is == 'r') && !purses[c].unanswered(now), now);
         if (is == 'd') continue;
         if (draw(random) < asked[c] * 0.005) come(c, draw(random), now);
         if (std::fmod(now, 100.0) < 5 && is != 'x') ask(c, now);
       }
+      if (lostEvery > 0) loseHolder(now);
       vault.setReach(live / static_cast<double>(purses.size()));
       while (!answers.empty() && answers.front().at <= now) {
         auto a = answers.front();
@@ -74,8 +75,21 @@
     if (admit == Admit::yes) letIn(now);
     return admit != Admit::wait;
   }
+  // The holder is lost each `lostEvery` ms, and another one follows after the lease: with half of the levels
+  // that the one before told each half second.
+  void loseHolder(double now) {
+    if (std::fmod(now, 500.0) < 5 && !lost)
+      for (const auto& level : vault.all()) told = level.level;
+    const double since = std::fmod(now, lostEvery);
+    if (now >= lostEvery && since < 5) lost = true, answers.clear();
+    if (!lost || since < 900) return;
+    lost = false;
+    vault.clear(now);
+    vault.begin("t", 0.5 * told, now);
+  }
   void ask(std::size_t c, double now) {
     for (const auto& wish : purses[c].wishes(now)) {
+      if (lost) continue;
       const auto given = vault.take(std::to_string(c), wish.tenant, limit, wish.want, wish.asked, now);
       answers.push_back({now + 30, c, {wish.tenant, given.granted, given.use, given.empty}});
     }
@@ -95,6 +109,8 @@
   Vault vault;
   std::deque<Said> answers;
   std::vector<Wait> waiting;
+  double lostEvery = 0, told = 0;
+  bool lost = false;
   std::deque<double> times;
   std::size_t most = 0, came = 0, let = 0;
 };
@@ -114,6 +130,17 @@
   }
 }
 
+TEST_CASE("a hot tenant stays inside its quota while the holder of the quotas is lost again and again") {
+  for (const Limit limit : {Limit{40, 40}, Limit{150, 150}})
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      CAPTURE(seed);
+      Quotas q(std::vector<std::string>(11, "........................................"), limit);
+      q.lostEvery = 2000 + 130 * seed;
+      q.play(std::vector<double>(11, limit.rate * (seed % 2 ? 8 : 1.5) / 11), seed);
+      CHECK(static_cast<double>(q.most) <= ruleOf(limit));
+    }
+}
+
 TEST_CASE("a tenant inside its quota is hardly ever refused, evenly spread or not") {
   for (const auto& asked : {std::vector<double>{6, 6, 6, 6}, std::vector<double>{20, 2, 1, 1}}) {
     Quotas q({"....................", "....................", "....................", "...................."},
