--- a/src/franking/cell.hpp
+++ b/src/franking/cell.hpp
@@ -36,7 +36,6 @@
   void wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out);
   std::vector<pouch::Wish> wishes(double now);  // for the holder; empty: nothing
   void granted(const pouch::Lot& lot, double now, std::vector<Answer>& out);
-  void clear() { accounts_.clear(); }
   double stock(const std::string& tenant) const;
 
  private:
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -9,7 +9,7 @@
 constexpr double kShareLeast = 2;   // requests that a share may hold at least
 constexpr double kShareHeld = 1;    // seconds of its part that it may hold
 constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
-constexpr double kBurstPart = 0.8;  // of the burst; the rest is what couriers hold in stock
+constexpr double kBurstPart = 1.0;  // of the burst; the rest is what couriers hold in stock
 }  // namespace
 
 // What is asked for by all, a second; who was not heard for a while counts no more.
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -207,7 +207,6 @@
       for (const auto& [tenant, level] : standby_.levels) vault_.begin(tenant, kBelieved * level, now());
     program::info("takes the duties",
                   {{"epoch", epoch_}, {"quiet", quiet}, {"levels", standby_.levels.size()}});
-    cell_.clear();
     wake_.cancel();
   }
 
@@ -286,7 +285,7 @@
     if (arrived.kind == pouch::kHello) {
       if (pouch::Hello m; arrived.read(m)) greet(link, m);
     } else if (const auto session = sessions_.find(link); session != sessions_.end()) {
-      onCourier(link, session->second, arrived);
+      onCourier(session->second, arrived);
     } else if (const auto other = registries_.find(link); other != registries_.end()) {
       onRegistry(link, other->second, arrived);
     } else {
@@ -324,7 +323,7 @@
 
   bool vouched() const { return now() - vouchedAt_ < kVouched; }
 
-  void onCourier(const LinkPtr& link, Session& session, const Arrived& arrived) {
+  void onCourier(Session& session, const Arrived& arrived) {
     session.heard = now();
     if (pouch::Status m; arrived.kind == pouch::kStatus && arrived.read(m)) {
       const bool changed = session.seat.ready != m.ready;
@@ -335,7 +334,6 @@
       if (changed) tellSessions(true);
     } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
       t.courier = session.seat.name, t.life = session.seat.life;
-      if (duty_.holds(now())) return link->tell(grant(t));
       std::vector<franking::Cell::Answer> answers;
       for (const pouch::Wish& wish : t.wishes)
         cell_.wish({t.courier, t.life, t.number}, wish, now(), answers);
@@ -377,17 +375,28 @@
   void onAnswer(const Arrived& arrived) {
     pouch::TokensSay m;
     if (arrived.kind != pouch::kTokensSay || !arrived.read(m) || m.life != life_) return;
-    std::vector<franking::Cell::Answer> answers;
-    for (const pouch::Lot& lot : m.lots) cell_.granted(lot, now(), answers);
-    tellLots(answers);
+    takeLots(m.lots);
   }
 
   void askHolder() {
     const auto holder = others_.find(holder_);
-    if (duty_.holds(now()) || holder == others_.end() || !holder->second->link()) return;
+    const bool mine = duty_.holds(now());
+    if (!mine && (holder == others_.end() || !holder->second->link())) return;
     auto wishes = cell_.wishes(now());
     if (wishes.empty()) return;
-    holder->second->link()->tell(pouch::TokensAsk{++numbers_, settings_.ip, life_, std::move(wishes)});
+    const pouch::TokensAsk ask{++numbers_, settings_.ip, life_, std::move(wishes)};
+    // The holder's own cell asks as any other: its couriers, one by one, would each have a share too small
+    // for a whole request.
+    if (mine)
+      takeLots(grant(ask).lots);
+    else
+      holder->second->link()->tell(ask);
+  }
+
+  void takeLots(const std::vector<pouch::Lot>& lots) {
+    std::vector<franking::Cell::Answer> answers;
+    for (const pouch::Lot& lot : lots) cell_.granted(lot, now(), answers);
+    tellLots(answers);
   }
 
   // One frame for each courier that is answered.
