--- a/src/courier/courier.cpp
+++ b/src/courier/courier.cpp
@@ -23,6 +23,9 @@
 constexpr double kStopped = 1000;      // ms between two ticks: this process stood still
 constexpr double kTokensWithin = 350;  // ms that a request waits for word of its tenant's store
 constexpr double kAccepts = 2000;      // ms after SIGTERM
+constexpr double kBytesPart = 0.4;     // of the memory, for bodies
+constexpr double kMemoryUntold = 256;  // MB, where the settings tell none
+constexpr double kFullOfBytes = 1000;  // ms until there may be room for a body again
 constexpr double kReport = 10000;      // ms between two lines of figures
 constexpr double kLeast = 20;          // ms that a worker must have, else it isn't asked
 constexpr double kStarts = 800;        // ms until a courier that starts may serve; clients ask but once more,
@@ -53,6 +56,18 @@
   }
 }
 
+std::size_t bytesOf(const address::Settings& settings) {
+  const double mb = settings.memoryMb > 0 ? settings.memoryMb : kMemoryUntold;
+  return static_cast<std::size_t>(kBytesPart * mb * 1024 * 1024);
+}
+
+// Bytes that a body holds, or will, by what is known of it.
+template <class Parser>
+std::size_t bodyOf(const Parser& parser) {
+  const auto told = parser.content_length();
+  return std::max<std::size_t>(parser.get().body().size(), told ? static_cast<std::size_t>(*told) : 0);
+}
+
 std::string seconds(double ms) {
   char text[32];
   std::snprintf(text, sizeof text, "%.2f", ms / 1000);
@@ -80,7 +95,8 @@
   const address::Route* route = nullptr;
   const address::Tenant* tenant = nullptr;
   std::string service;
-  double came = 0, until = 0;  // ms; its time is over
+  double came = 0, until = 0;      // ms; its time is over
+  Budget::Share* bytes = nullptr;  // of its connection
   // The answer, once it stands.
   int status = 0;
   std::string_view why;
@@ -107,6 +123,7 @@
       workers_(io),
       sorting_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
                settings_.bounds.coldSlack),
+      bytes_(bytesOf(settings_)),
       front_(io),
       timer_(io) {
   bornAt_ = now();
@@ -139,6 +156,7 @@
   sorting_.setPlaces(settings_.regionOf);
   sorting_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
   sessions_.meetSeeds();
+  bytes_.setMost(bytesOf(settings_));
   if (!couriers_.empty()) takeCounts();
 }
 
@@ -348,6 +366,7 @@
     out.tryId = view(job.request["Try-Id"]);
     out.head = job.request.method() == http::verb::head;
     out.answerWithin = left;
+    out.mostAnswer = job.bytes->room() / 2;  // it is held as it comes and as it goes out
     // A repeatable request leaves the time for another worker, once any usual answer would have come: long
     // work is the request's own, and is no shorter elsewhere.
     const double another = std::max(500.0, 3 * sorting_.usual(job.service));
@@ -356,6 +375,7 @@
     const std::size_t bytes = out.text.size();
     sorting_.sent(choice.id, now());
     Answer answer = co_await workers_.exchange(std::move(out));
+    job.bytes->growTo(2 * (job.request.body().size() + answer.response.body().size()));
     note(choice.id, answer);
     Sent& sent = sent_[choice.away];
     ++sent.count, sent.bytes += bytes + answer.response.body().size();
@@ -430,6 +450,8 @@
   for (bool goOn = true; goOn && c->socket.is_open();) {
     const address::ClientLimits limits = configuration_ ? configuration_->limits : address::ClientLimits{};
     http::request_parser<http::string_body> parser;
+    Budget::Share bytes(bytes_);
+    bool fits = true;
     parser.header_limit(static_cast<std::uint32_t>(limits.header));
     parser.body_limit(std::min<std::uint64_t>(limits.body, kMostBody));
     c->idle = c->in.size() == 0;
@@ -438,6 +460,9 @@
     while (!parser.is_done()) {
       if (c->in.size() && feed(parser, c->in, error)) break;
       if (error) break;
+      // What will not fit is refused by its head; what tells no length, once it does not fit any more.
+      fits = !parser.is_header_done() || bytes.growTo(2 * bodyOf(parser));
+      if (!fits) break;
       if (parser.is_header_done() && !told &&
           beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         told = true;
@@ -454,7 +479,10 @@
     if (!c->socket.is_open()) break;
     Job job;
     job.came = now();
-    if (error) {
+    if (!fits) {
+      job.end(503, "too many bytes are held", kFullOfBytes);
+      goOn = false;
+    } else if (error) {
       if (error.category() != http::make_error_code(http::error::bad_version).category()) break;
       if (error == http::error::end_of_stream || error == http::error::partial_message) break;
       job.end(error == http::error::header_limit ? 431
@@ -464,6 +492,7 @@
       goOn = false;
     } else {
       job.request = parser.release();
+      job.bytes = &bytes;
       goOn = job.request.keep_alive();
       if (!plainFraming(job.request)) job.end(400, "its length is told in two ways"), goOn = false;
       ++working_;
--- a/src/courier/courier.hpp
+++ b/src/courier/courier.hpp
@@ -23,6 +23,7 @@
 #include "courier/worker_side.hpp"
 #include "franking/budget.hpp"
 #include "franking/purse.hpp"
+#include "node/budget.hpp"
 #include "sorting/core.hpp"
 
 namespace burlwind::courier {
@@ -65,6 +66,7 @@
   sorting::Core sorting_;
   franking::Purse purse_;
   franking::TryBudget budget_;
+  Budget bytes_;  // of bodies that are held whole, both ways
   Tcp::acceptor front_;
   asio::steady_timer timer_;
   std::list<std::pair<std::string, asio::steady_timer*>> waiting_;  // for word of a tenant's store
--- a/src/courier/worker_side.cpp
+++ b/src/courier/worker_side.cpp
@@ -110,7 +110,7 @@
                              asio::redirect_error(asio::use_awaitable, error));
   for (std::size_t surplus = 0; !error && surplus <= kSurplus; ++surplus) {
     http::response_parser<http::string_body> parser;
-    parser.body_limit(kMostBody);
+    parser.body_limit(std::min<std::uint64_t>(kMostBody, out.mostAnswer));
     if (out.head) parser.skip(true);
     while (!error && !parser.is_done()) {
       if (c->in.size() && feed(parser, c->in, error)) break;
--- a/src/courier/worker_side.hpp
+++ b/src/courier/worker_side.hpp
@@ -44,6 +44,7 @@
   bool head = false;                                // an answer to HEAD has no body
   bool fresh = false;                               // on a connection of its own making
   double connectWithin = 400, answerWithin = 1000;  // ms
+  std::uint64_t mostAnswer = kMostBody;             // bytes of its body
 };
 
 class WorkerSide {
--- a/src/node/budget.hpp
+++ b/src/node/budget.hpp
@@ -33,6 +33,8 @@
     bool growFreely(std::size_t bytes) {
       return budget_.held_ - mine_ + bytes <= budget_.most_ / 2 && growTo(std::max(bytes, mine_));
     }
+    // What fits beside all that is held.
+    std::size_t room() const { return budget_.most_ - std::min(budget_.most_, budget_.held_); }
     void shrinkTo(std::size_t bytes) {
       if (bytes < mine_) set(bytes);
     }
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -41,6 +41,7 @@
 constexpr double kReadList = 400;  // between two readings of the platform's list
 constexpr double kReadSoon = 150;  // and where it has changed within kRestless
 constexpr double kRestless = 2000;
+constexpr double kPagesMany = 3;
 constexpr double kPlatformPart = 0.6;  // of the calls that the platform takes
 // Who is far from the platform leaves the duties to others first, for as many times the way there and back.
 constexpr double kFarTimes = 5, kFarMost = 120;
@@ -53,6 +54,9 @@
 // The holder tells the levels of its stores so often, and who comes next believes so much of them: what the
 // one before may have given out since is less than the rule leaves above the quota.
 constexpr double kTellLevels = 500, kBelieved = 0.5;
+// Where all couriers have started anew of late, what comes in over so long is there at the least: while they
+// were down nobody was let in, and half a second of the rate is within what the rule leaves above the quota.
+constexpr double kYoung = 5000, kRestarted = 500;
 constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
 
 class Postmaster {
@@ -201,7 +205,8 @@
       return;
     }
     // What came in while nobody can have let anything in, and what the holder before told of its stores.
-    const double quiet = registry_.allQuiet();
+    double quiet = registry_.allQuiet();
+    if (registry_.allYounger(kYoung, now())) quiet = std::max(quiet, kRestarted);
     vault_.clear(now(), quiet);
     if (standby_.epoch + 1 == epoch_)
       for (const auto& [tenant, level] : standby_.levels) vault_.begin(tenant, kBelieved * level, now());
@@ -220,7 +225,9 @@
       const bool first = registry_.number() == 0;
       const double spare = kPlatformPart * settings_.platformRate;  // calls a second for this reader
       const double least = spare > 0 ? 1000 * static_cast<double>(list.pages()) / spare : 0;
-      const double wait = now() - changedAt_ < kRestless ? kReadSoon : kReadList;
+      // A long list takes many calls: it is read less often.
+      const double longer = std::clamp(static_cast<double>(list.pages()) / kPagesMany, 1.0, 2.5);
+      const double wait = longer * (now() - changedAt_ < kRestless ? kReadSoon : kReadList);
       pause.expires_after(
           std::chrono::milliseconds(static_cast<int>(first ? kFirstList : std::max(wait, least))));
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/postmaster/registry.cpp
+++ b/src/postmaster/registry.cpp
@@ -58,6 +58,11 @@
   return out;
 }
 
+bool Registry::allYounger(double age, double now) const {
+  return !seats_.empty() && std::all_of(seats_.begin(), seats_.end(),
+                                        [&](const auto& seat) { return now - seat.second.bornAt < age; });
+}
+
 double Registry::allQuiet() const {
   if (seats_.empty()) return 0;
   double lastBorn = -1e18, firstBegan = 1e18;
--- a/src/postmaster/registry.hpp
+++ b/src/postmaster/registry.hpp
@@ -46,6 +46,7 @@
   // The span in which no courier that is seated can have let anything in: from the last one's start to the
   // first one's first request. 0 unless all of them have started anew.
   double allQuiet() const;
+  bool allYounger(double age, double now) const;  // each courier that is seated; false where there is none
 
   struct Counts {
     unsigned live = 0, known = 0;
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -42,7 +42,7 @@
         if (draw(random) < asked[c] * 0.005) come(c, draw(random), now);
         if (std::fmod(now, 100.0) < 5 && is != 'x') ask(c, now);
       }
-      if (lostEvery > 0) loseHolder(now);
+      if (lostEvery > 0 || restarted > 0) loseHolder(now);
       vault.setReach(live / static_cast<double>(purses.size()));
       while (!answers.empty() && answers.front().at <= now) {
         auto a = answers.front();
@@ -78,8 +78,12 @@
   // The holder is lost each `lostEvery` ms, and another one follows after the lease: with half of the levels
   // that the one before told each half second.
   void loseHolder(double now) {
+    const auto slot = static_cast<std::size_t>(now / 500);
+    const bool allStart = slot && columns[0][slot] == 'r' && columns[0][slot - 1] == 'd';
+    if (restarted > 0 && allStart && std::fmod(now, 500.0) < 5) vault.clear(now, restarted);
     if (std::fmod(now, 500.0) < 5 && !lost)
       for (const auto& level : vault.all()) told = level.level;
+    if (lostEvery <= 0) return;
     const double since = std::fmod(now, lostEvery);
     if (now >= lostEvery && since < 5) lost = true, answers.clear();
     if (!lost || since < 900) return;
@@ -110,6 +114,7 @@
   std::deque<Said> answers;
   std::vector<Wait> waiting;
   double lostEvery = 0, told = 0;
+  double restarted = 0;  // ms of the rate that a holder begins with after a restart of all
   bool lost = false;
   std::deque<double> times;
   std::size_t most = 0, came = 0, let = 0;
@@ -141,6 +146,19 @@
     }
 }
 
+TEST_CASE("a hot tenant stays inside its quota while everything restarts again and again") {
+  for (const Limit limit : {Limit{40, 40}, Limit{150, 150}})
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+      CAPTURE(seed);
+      std::string row = "....";
+      while (row.size() < 40) row += "dr" + std::string(1 + (seed + row.size()) % 7, '.');
+      Quotas q(std::vector<std::string>(11, row), limit);
+      q.restarted = 500;
+      q.play(std::vector<double>(11, limit.rate * (seed % 2 ? 8 : 1.5) / 11), seed);
+      CHECK(static_cast<double>(q.most) <= ruleOf(limit));
+    }
+}
+
 TEST_CASE("a tenant inside its quota is hardly ever refused, evenly spread or not") {
   for (const auto& asked : {std::vector<double>{6, 6, 6, 6}, std::vector<double>{20, 2, 1, 1}}) {
     Quotas q({"....................", "....................", "....................", "...................."},
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -255,7 +255,7 @@
     std::ofstream(file)
         << R"({"self":{"nodeName":")" + name + R"(","ipAddress":")" + ip + R"(","zone":")" + zone +
                R"(","region":"R","firstBoot":)" + (first_ ? "true" : "false") + R"(,"dataFolder":")" +
-               data.string() + R"(","limits":{}},"network":{"bind":{)" + bind +
+               data.string() + R"(","limits":{"memoryMb":2}},"network":{"bind":{)" + bind +
                R"(},"internalPorts":[17560,17575],"seedNodes":[)" + seeds +
                R"(],"zones":{"a":"R","b":"R","c":"R"}},"provider":{"cloudApi":{"address":"127.78.9.1:)" +
                std::to_string(kPlatform) +
@@ -286,6 +286,14 @@
   CHECK(seen.ends_with("\r\n\r\nwool"));
   CHECK(system.request(0, "/a/x", "another").starts_with("HTTP/1.1 401"));
   CHECK(system.request(0, "/b/x", "key1").starts_with("HTTP/1.1 404"));
+  // A body that does not fit beside what it may hold (0.8 MB, twice) has not run, and is told when to come
+  // back.
+  const std::string large =
+      ask(System::courierIp(0), kFront,
+          "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key1\r\nContent-Length: 900000\r\n\r\n");
+  CHECK(large.starts_with("HTTP/1.1 503"));
+  CHECK_FALSE(field(large, "Retry-After").empty());
+  CHECK(system.request(0, "/a/x", "key1").starts_with("HTTP/1.1 200"));
   // The very same one again, one on an old version, one that is not valid.
   CHECK(system.order("config.replace", System::configuration(3, 0, "/a/")).starts_with("HTTP/1.1 200"));
   CHECK(system.order("config.replace", System::configuration(5, 0, "/c/")).starts_with("HTTP/1.1 412"));
