--- a/tests/system/programs_test.cpp
+++ b/tests/system/programs_test.cpp
@@ -5,6 +5,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <regex>
 #include <string>
 
 #include "process.hpp"
@@ -23,6 +24,22 @@
          R"(","limits":{}},"network":{"bind":{"front":"127.77.0.1:18389","readiness":"127.77.0.1:18384","control":"127.77.0.1:18383","directory":"127.77.0.1:18385"},"internalPorts":[17460,17475],"seedNodes":["127.77.0.1:18383"],"zones":{"a":"A"}},"provider":{},"settings":{"bounds":{"grace":"4s"}}})";
 }
 
+// A clock that jumps can do no harm to what never looks at it: all spans are of the steady clock.
+TEST_CASE("no part of the system reads the time of day") {
+  const std::regex day(
+      R"(system_clock|gettimeofday|CLOCK_REALTIME|\btime\((NULL|nullptr|0)\)|localtime|gmtime|strftime)");
+  unsigned files = 0;
+  for (const char* package : {"address", "ballot", "counter", "courier", "franking", "http", "pigeonhole",
+                              "postmaster", "pouch", "program", "quota", "rounds", "sorting"})
+    for (const auto& file : fs::directory_iterator(fs::path(BURLWIND_SOURCES) / package)) {
+      std::ifstream in(file.path());
+      const std::string text((std::istreambuf_iterator<char>(in)), {});
+      CHECK_MESSAGE(!std::regex_search(text, day), file.path().string());
+      ++files;
+    }
+  CHECK(files > 40);
+}
+
 TEST_CASE("each program tells its version, checks its settings, and names what is wrong") {
   Folder folder;
   const fs::path good = folder.path / "good.json", cut = folder.path / "cut.json",
