--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -9,7 +9,6 @@
 constexpr double kShareLeast = 2;   // requests that a share may hold at least
 constexpr double kShareHeld = 1;    // seconds of its part that it may hold
 constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
-constexpr double kBurstPart = 1.0;  // of the burst; the rest is what couriers hold in stock
 }  // namespace
 
 // What is asked for by all, a second; who was not heard for a while counts no more.
@@ -48,7 +47,7 @@
   const auto [found, fresh] = stores_.try_emplace(tenant);
   Store& store = found->second;
   if (fresh) store.at = from_;
-  const double most = std::max(1.0, limit.burst * kBurstPart);
+  const double most = std::max(1.0, limit.burst);
   store.level = std::min(most, store.level + limit.rate * reach_ * std::max(0.0, now - store.at) / 1000);
   store.at = std::max(store.at, now);
   if (want < 0) {  // given back
--- a/src/pigeonhole/main.cpp
+++ b/src/pigeonhole/main.cpp
@@ -61,8 +61,9 @@
 
   int run() {
     if (!load()) return 1;
-    if (const auto error =
-            acceptor_.listen(settings_.ip, settings_.portFrom, [this](LinkPtr l) { take(l); })) {
+    if (const auto error = acceptor_.listen(
+            settings_.ip, settings_.portFrom, [this](const LinkPtr& l, const Arrived& a) { arrivedOn(l, a); },
+            [this](const LinkPtr& l) { readers_.erase(l); })) {
       program::error("cannot listen", {{"port", settings_.portFrom}, {"why", error.message()}});
       return 1;
     }
@@ -351,17 +352,6 @@
             settings_.region, core_->record().self, {},           0};
   }
 
-  void take(const LinkPtr& link) {
-    inbound_.insert(link);
-    link->start(
-        [this, weak = std::weak_ptr<Link>(link)](const Arrived& arrived) {
-          if (const auto l = weak.lock()) arrivedOn(l, arrived);
-        },
-        [this, weak = std::weak_ptr<Link>(link)] {
-          if (const auto l = weak.lock()) readers_.erase(l), inbound_.erase(l);
-        });
-  }
-
   void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
     seeStop();
     if (!link->open()) return;
@@ -499,7 +489,6 @@
   std::map<std::string, std::shared_ptr<pouch::Dialer>> dialers_;  // by ip
   std::map<std::uint64_t, std::string> ips_;
   std::map<std::uint64_t, std::weak_ptr<Link>> dialledBy_;  // by the store's id
-  std::set<LinkPtr> inbound_;
   std::map<LinkPtr, Reader> readers_;
   std::deque<Order> orders_;
   std::vector<Pending> underWay_;
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -41,7 +41,7 @@
 constexpr double kReadList = 400;  // between two readings of the platform's list
 constexpr double kReadSoon = 150;  // and where it has changed within kRestless
 constexpr double kRestless = 2000;
-constexpr double kPagesMany = 3;
+constexpr double kPagesMany = 3;       // from so many pages on a list is read less often
 constexpr double kPlatformPart = 0.6;  // of the calls that the platform takes
 // Who is far from the platform leaves the duties to others first, for as many times the way there and back.
 constexpr double kFarTimes = 5, kFarMost = 120;
@@ -78,7 +78,9 @@
   }
 
   int run() {
-    Error error = acceptor_.listen(settings_.ip, port(), [this](LinkPtr l) { take(l); });
+    Error error = acceptor_.listen(
+        settings_.ip, port(), [this](const LinkPtr& l, const Arrived& a) { arrivedOn(l, a); },
+        [this](const LinkPtr& l) { ended(l); });
     if (!error) error = control_.listen(settings_.control->ip, settings_.control->port);
     if (!error) error = directory_.listen(settings_.directory->ip, settings_.directory->port);
     if (error) {
@@ -264,17 +266,6 @@
     std::uint64_t index = 0, workers = 0;  // acknowledged
   };
 
-  void take(const LinkPtr& link) {
-    inbound_.insert(link);
-    link->start(
-        [this, weak = std::weak_ptr<Link>(link)](const Arrived& arrived) {
-          if (const auto l = weak.lock()) arrivedOn(l, arrived);
-        },
-        [this, weak = std::weak_ptr<Link>(link)] {
-          if (const auto l = weak.lock()) ended(l);
-        });
-  }
-
   void ended(const LinkPtr& link) {
     if (const auto found = sessions_.find(link); found != sessions_.end()) {
       program::info("session ends", {{"courier", found->second.seat.name}});
@@ -283,7 +274,6 @@
       tellSessions(true);
     }
     registries_.erase(link);
-    inbound_.erase(link);
   }
 
   void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
@@ -616,7 +606,6 @@
   asio::signal_set signals_;
   std::map<std::string, std::shared_ptr<pouch::Dialer>> stores_, others_;  // by ip
   std::map<std::string, pouch::Core> cores_;
-  std::set<LinkPtr> inbound_;
   std::map<LinkPtr, Session> sessions_;
   std::map<LinkPtr, std::string> registries_;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
--- a/src/pouch/link.cpp
+++ b/src/pouch/link.cpp
@@ -151,8 +151,8 @@
   });
 }
 
-Error Acceptor::listen(const std::string& ip, std::uint16_t port, OnLink taken) {
-  taken_ = std::move(taken);
+Error Acceptor::listen(const std::string& ip, std::uint16_t port, OnFrame arrived, OnEnd ended) {
+  arrived_ = std::move(arrived), ended_ = std::move(ended);
   const Error error = program::listenAt(acceptor_, ip, port, 512);
   if (!error) accept();
   return error;
@@ -163,6 +163,20 @@
   acceptor_.close(ignored);
 }
 
+void Acceptor::take(const LinkPtr& link) {
+  links_.insert(link);
+  link->start(
+      [this, weak = std::weak_ptr<Link>(link)](const Arrived& arrived) {
+        if (const auto l = weak.lock()) arrived_(l, arrived);
+      },
+      [this, weak = std::weak_ptr<Link>(link)] {
+        const auto l = weak.lock();
+        if (!l) return;
+        ended_(l);
+        links_.erase(l);
+      });
+}
+
 void Acceptor::accept() {
   acceptor_.async_accept([this](const Error& error, Tcp::socket socket) {
     if (!acceptor_.is_open()) return;
@@ -173,7 +187,7 @@
       });
       return;
     }
-    taken_(std::make_shared<Link>(std::move(socket)));
+    take(std::make_shared<Link>(std::move(socket)));
     accept();
   });
 }
--- a/src/pouch/link.hpp
+++ b/src/pouch/link.hpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "pouch/frame.hpp"
@@ -91,20 +92,25 @@
   bool closed_ = false;
 };
 
-// Takes links that others dial.
+// Takes links that others dial, starts them and holds them until they end.
 class Acceptor {
  public:
-  using OnLink = std::function<void(std::shared_ptr<Link>)>;
+  using LinkPtr = std::shared_ptr<Link>;
+  using OnFrame = std::function<void(const LinkPtr&, const Arrived&)>;
+  using OnEnd = std::function<void(const LinkPtr&)>;
   explicit Acceptor(asio::io_context& io) : acceptor_(io), retry_(io) {}
   // An error where the address can't be had.
-  Error listen(const std::string& ip, std::uint16_t port, OnLink taken);
+  Error listen(const std::string& ip, std::uint16_t port, OnFrame arrived, OnEnd ended);
   void close();
 
  private:
   void accept();
+  void take(const LinkPtr& link);
   Tcp::acceptor acceptor_;
   asio::steady_timer retry_;
-  OnLink taken_;
+  OnFrame arrived_;
+  OnEnd ended_;
+  std::set<LinkPtr> links_;
 };
 
 }  // namespace burlwind::pouch
