--- a/src/franking/budget.hpp
+++ b/src/franking/budget.hpp
@@ -1,6 +1,6 @@
-// The budget of further tries, which binds over all couriers, without a word between them: decisions only.
-// Each courier holds a bucket a service: a first request earns kEarned of the ratio, a further one takes one;
-// the bucket holds kHeld of the slack, divided by the couriers known. In any window the sum over couriers is
+// The budget of further tries, which binds over all proxies, without a word between them: decisions only.
+// Each proxy holds a bucket a service: a first request earns kEarned of the ratio, a further one takes one;
+// the bucket holds kHeld of the slack, divided by the proxies known. In any window the sum over proxies is
 // at most kEarned x ratio x requests + kHeld x slack, also of those that are cut off or restart once in it.
 #pragma once
 
@@ -12,9 +12,9 @@
 
 class TryBudget {
  public:
-  void set(double ratio, double slack, unsigned couriers) {
+  void set(double ratio, double slack, unsigned proxies) {
     earned_ = kEarned * ratio;
-    most_ = std::max(0.5, kHeld * slack / std::max(1u, couriers));
+    most_ = std::max(0.5, kHeld * slack / std::max(1u, proxies));
   }
   void first(const std::string& service) {
     double& level = levels_.try_emplace(service, most_ / 2).first->second;
--- a/src/franking/cell.cpp
+++ b/src/franking/cell.cpp
@@ -6,7 +6,7 @@
 namespace burlwind::franking {
 namespace {
 constexpr double kTau = 1000;      // ms, memory of wishes
-constexpr double kComeFor = 2000;  // ms that what a courier told of its requests counts
+constexpr double kComeFor = 2000;  // ms that what a proxy told of its requests counts
 }  // namespace
 
 void Cell::wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out) {
@@ -17,7 +17,7 @@
   }
   a.wished = a.wished * std::exp(-(now - a.wishedAt) / kTau) + wish.want * 1000 / kTau;
   a.wishedAt = now;
-  a.come[asker.courier] = {wish.asked, now};
+  a.come[asker.proxy] = {wish.asked, now};
   if (a.waiting.empty() && a.stock >= wish.want) {
     a.stock -= wish.want;
     out.push_back({asker, {wish.tenant, wish.want, a.use, false}});
--- a/src/franking/cell.hpp
+++ b/src/franking/cell.hpp
@@ -1,8 +1,8 @@
-// Quotas in one registry's cell: it asks the holder of the quotas for many of its couriers at once and lends
+// Quotas in one registry's cell: it asks the holder of the quotas for many of its proxies at once and lends
 // them on, so that most wishes are met inside the cell, without a way to another region. Decisions only.
 //
 // A token that it holds was taken off the store before; one that it loses lets nothing in. It holds
-// kCellAhead of what its couriers wish for, and gives back what has been still for kCellStill. Cost: one map
+// kCellAhead of what its proxies wish for, and gives back what has been still for kCellStill. Cost: one map
 // entry a tenant, one queue entry a wish under way.
 #pragma once
 
@@ -25,14 +25,14 @@
 class Cell {
  public:
   struct Asker {
-    std::string courier;
+    std::string proxy;
     std::uint64_t life = 0, number = 0;
   };
   struct Answer {
     Asker to;
     pouch::Lot lot;
   };
-  // A courier's wish: met at once, or once the holder has answered, or not (the courier has a time-out).
+  // A proxy's wish: met at once, or once the holder has answered, or not (the proxy has a time-out).
   void wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out);
   std::vector<pouch::Wish> wishes(double now);  // for the holder; empty: nothing
   void granted(const pouch::Lot& lot, double now, std::vector<Answer>& out);
@@ -49,7 +49,7 @@
     std::deque<std::pair<double, double>> asked;  // questions under way: when, how much
     double emptyAt = -1e18;
     int use = 0;
-    std::unordered_map<std::string, std::pair<double, double>> come;  // by courier: requests a second, when
+    std::unordered_map<std::string, std::pair<double, double>> come;  // by proxy: requests a second, when
     std::deque<Waiting> waiting;
   };
   std::unordered_map<std::string, Account> accounts_;
--- a/src/franking/purse.cpp
+++ b/src/franking/purse.cpp
@@ -15,7 +15,7 @@
     a = &table_.add(tenant);
     a->tenant = tenant;
     a->cameAt = a->ownAt = now;
-    if (!inTouch_) a->own.level = std::max(burst / couriers_, least_);
+    if (!inTouch_) a->own.level = std::max(burst / proxies_, least_);
   }
   a->rate = rate, a->burst = burst;
   return *a;
@@ -36,8 +36,8 @@
 bool Purse::spend(Account& a, double chance, double now) {
   if (a.stock >= 1) return a.stock -= 1, true;
   if (inTouch_) return false;
-  const double part = a.rate / couriers_;
-  a.own.fill(std::max({1.0, least_, part / 2, a.burst / couriers_}), part * (now - a.ownAt) / 1000);
+  const double part = a.rate / proxies_;
+  a.own.fill(std::max({1.0, least_, part / 2, a.burst / proxies_}), part * (now - a.ownAt) / 1000);
   a.ownAt = now;
   if (a.own.level <= chance) return false;
   return a.own.level -= 1, true;
@@ -72,8 +72,8 @@
 
 double Purse::target(const Account& a) const {
   const double ahead = a.came * kAhead;
-  // Of a tenant that comes here seldom nothing is held ahead: at many couriers that would be its whole store.
-  const double most = a.fresh ? std::max(ahead, std::min(a.burst / couriers_, 4.0)) : ahead;
+  // Of a tenant that comes here seldom nothing is held ahead: at many proxies that would be its whole store.
+  const double most = a.fresh ? std::max(ahead, std::min(a.burst / proxies_, 4.0)) : ahead;
   return most < 1 ? 0 : most;
 }
 
--- a/src/franking/purse.hpp
+++ b/src/franking/purse.hpp
@@ -1,4 +1,4 @@
-// What one courier may let in of each tenant: decisions only.
+// What one proxy may let in of each tenant: decisions only.
 //
 // In touch with the registries: a stock of tokens, asked for ahead of need. The stock is the local bucket of
 // the design; it follows what comes here, up to kAhead of it, and is given up when a tenant has been still
@@ -34,10 +34,10 @@
 class Purse {
  public:
   void setTouch(bool inTouch, double now);
-  // `slack`: requests that the rule leaves above rate and burst, over all couriers.
-  void setCouriers(unsigned known, double slack) {
-    couriers_ = known ? known : 1;
-    least_ = std::min(1.5, 0.7 * slack / couriers_);
+  // `slack`: requests that the rule leaves above rate and burst, over all proxies.
+  void setProxies(unsigned known, double slack) {
+    proxies_ = known ? known : 1;
+    least_ = std::min(1.5, 0.7 * slack / proxies_);
   }
   // An ask has gone unanswered for longer than one that is answered takes.
   bool unanswered(double now) const;
@@ -75,8 +75,8 @@
   double target(const Account& a) const;
   quota::LruTable<std::string, Account> table_;
   bool inTouch_ = false;
-  double least_ = 0.5;      // that a part out of touch begins with
-  unsigned couriers_ = 32;  // until told: more than there may be, so that parts are too small at worst
+  double least_ = 0.5;     // that a part out of touch begins with
+  unsigned proxies_ = 32;  // until told: more than there may be, so that parts are too small at worst
   double asked_ = -1e18, told_ = -1e18;
 };
 
--- a/src/franking/vault.hpp
+++ b/src/franking/vault.hpp
@@ -1,14 +1,14 @@
 // The quota of all gatekeepers together, as the holder of the quota duty keeps it: decisions only.
 //
-// A tenant's bucket refills at its rate and holds its burst; couriers take tokens out of it ahead of need,
-// and one token lets one request in, once. What couriers hold in stock is bounded by them (Purse), so in any
-// window w no more than rate x w + burst + stock is let in, however requests spread over couriers; a courier
+// A tenant's bucket refills at its rate and holds its burst; proxies take tokens out of it ahead of need,
+// and one token lets one request in, once. What proxies hold in stock is bounded by them (Purse), so in any
+// window w no more than rate x w + burst + stock is let in, however requests spread over proxies; a proxy
 // that dies loses its stock, which lets nothing in.
 //
 // While more is asked for than the rate, what comes in is shared by what each is asked for: else those who
 // stand near the holder would have it all.
 //
-// Couriers out of reach of the registries have parts of their own: rate / n each, n couriers known. They may
+// Proxies out of reach of the registries have parts of their own: rate / n each, n proxies known. They may
 // spend it from the moment they lose touch; the vault takes it off the refill from the moment it knows, one
 // silence later, which is what the rule's slack bears. A new holder starts with empty buckets: the one before
 // may have given out the burst just now.
@@ -41,11 +41,11 @@
   }
   std::vector<pouch::Level> all() const;  // what each store holds
   std::vector<pouch::Level> changed();    // and of those whose level moved since it was told here last
-  // The duty had lapsed until now, and nobody else had it: couriers had their own parts meanwhile.
+  // The duty had lapsed until now, and nobody else had it: proxies had their own parts meanwhile.
   void skip(double now) {
     for (auto& [tenant, store] : stores_) store.at = now;
   }
-  // Of the known couriers, those in touch: the refill is theirs alone.
+  // Of the known proxies, those in touch: the refill is theirs alone.
   void setReach(double part) { reach_ = part; }
 
   struct Given {
--- a/src/postmaster/main.cpp
+++ b/src/postmaster/main.cpp
@@ -1,4 +1,4 @@
-// postmaster: the registry. Wires sessions of couriers, the other registries, the stores, the platform's
+// postmaster: the registry. Wires sessions of proxies, the other registries, the stores, the platform's
 // list, the quota duty and the calls from outside; what they mean is decided in registry, rounds, franking
 // and, for orders, by the store that leads.
 #include <boost/asio/co_spawn.hpp>
@@ -34,8 +34,8 @@
 using LinkPtr = std::shared_ptr<Link>;
 
 constexpr double kTick = 100;
-constexpr double kBeat = 400;      // to couriers and other registries
-constexpr double kSilent = 1500;   // a courier that says nothing for so long is gone
+constexpr double kBeat = 400;      // to proxies and other registries
+constexpr double kSilent = 1500;   // a proxy that says nothing for so long is gone
 constexpr double kVouched = 1000;  // the leader's word counts so long
 constexpr double kStopped = 1000;  // between two ticks: this process stood still
 constexpr double kReadList = 400;  // between two readings of the platform's list
@@ -54,7 +54,7 @@
 // The holder tells the levels of its stores so often, and who comes next believes so much of them: what the
 // one before may have given out since is less than the rule leaves above the quota.
 constexpr double kTellLevels = 500, kBelieved = 0.5;
-// Where all couriers have started anew of late, what comes in over so long is there at the least: while they
+// Where all proxies have started anew of late, what comes in over so long is there at the least: while they
 // were down nobody was let in, and half a second of the rate is within what the rule leaves above the quota.
 constexpr double kYoung = 5000, kRestarted = 500;
 constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
@@ -259,7 +259,7 @@
     }
   }
 
-  // --- Links that others dial: couriers and registries ---
+  // --- Links that others dial: proxies and registries ---
   struct Session {
     pouch::Seat seat;
     double heard = 0;
@@ -268,7 +268,7 @@
 
   void ended(const LinkPtr& link) {
     if (const auto found = sessions_.find(link); found != sessions_.end()) {
-      program::info("session ends", {{"courier", found->second.seat.name}});
+      program::info("session ends", {{"proxy", found->second.seat.name}});
       registry_.unseat(found->second.seat.name, found->second.seat.life, now());
       sessions_.erase(found);
       tellSessions(true);
@@ -282,7 +282,7 @@
     if (arrived.kind == pouch::kHello) {
       if (pouch::Hello m; arrived.read(m)) greet(link, m);
     } else if (const auto session = sessions_.find(link); session != sessions_.end()) {
-      onCourier(session->second, arrived);
+      onProxy(session->second, arrived);
     } else if (const auto other = registries_.find(link); other != registries_.end()) {
       onRegistry(link, other->second, arrived);
     } else {
@@ -297,13 +297,13 @@
       meet(m.ip);
       return;
     }
-    // The newest session of a courier is the one that counts.
+    // The newest session of a proxy is the one that counts.
     for (auto& [other, session] : sessions_)
       if (session.seat.name == m.name && other != link) other->close();
     Session& session = sessions_[link];
     session.seat = {m.name, m.front, m.zone, m.region, false, m.life, m.linkMbps, 0, 0, 0, 0};
     session.heard = now();
-    program::info("session", {{"courier", m.name}});
+    program::info("session", {{"proxy", m.name}});
     link->tell(coresNow());
     if (news_.index > 0) link->tell(news_);
     if (registry_.number() > 0) link->tell(registry_.whole(now()));
@@ -314,13 +314,13 @@
     pouch::Cores out;
     cores_[settings_.ip] = {settings_.ip, settings_.zone, settings_.region};
     for (const auto& [ip, core] : cores_) out.cores.push_back(core);
-    out.couriers = registry_.counts(now()).byZone;
+    out.proxies = registry_.counts(now()).byZone;
     return out;
   }
 
   bool vouched() const { return now() - vouchedAt_ < kVouched; }
 
-  void onCourier(Session& session, const Arrived& arrived) {
+  void onProxy(Session& session, const Arrived& arrived) {
     session.heard = now();
     if (pouch::Status m; arrived.kind == pouch::kStatus && arrived.read(m)) {
       const bool changed = session.seat.ready != m.ready;
@@ -330,10 +330,9 @@
       registry_.seat(session.seat, now());
       if (changed) tellSessions(true);
     } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
-      t.courier = session.seat.name, t.life = session.seat.life;
+      t.proxy = session.seat.name, t.life = session.seat.life;
       std::vector<franking::Cell::Answer> answers;
-      for (const pouch::Wish& wish : t.wishes)
-        cell_.wish({t.courier, t.life, t.number}, wish, now(), answers);
+      for (const pouch::Wish& wish : t.wishes) cell_.wish({t.proxy, t.life, t.number}, wish, now(), answers);
       tellLots(answers);
       askHolder();
     }
@@ -347,7 +346,7 @@
       if (taken == Registry::Taken::gap) return link->close();  // dialled anew, it begins with a whole one
       if (taken != Registry::Taken::news) return;
       const std::string frame = pouch::frame(w);
-      for (auto& [courier, session] : sessions_) courier->send(frame);
+      for (auto& [proxy, session] : sessions_) proxy->send(frame);
     } else if (pouch::Levels l; arrived.kind == pouch::kLevels && arrived.read(l)) {
       if (l.epoch < standby_.epoch) return;
       if (l.epoch > standby_.epoch) standby_.levels.clear();
@@ -382,7 +381,7 @@
     auto wishes = cell_.wishes(now());
     if (wishes.empty()) return;
     const pouch::TokensAsk ask{++numbers_, settings_.ip, life_, std::move(wishes)};
-    // The holder's own cell asks as any other: its couriers, one by one, would each have a share too small
+    // The holder's own cell asks as any other: its proxies, one by one, would each have a share too small
     // for a whole request.
     if (mine)
       takeLots(grant(ask).lots);
@@ -396,21 +395,21 @@
     tellLots(answers);
   }
 
-  // One frame for each courier that is answered.
+  // One frame for each proxy that is answered.
   void tellLots(const std::vector<franking::Cell::Answer>& answers) {
-    std::map<std::pair<std::string, std::uint64_t>, pouch::TokensSay> byCourier;
+    std::map<std::pair<std::string, std::uint64_t>, pouch::TokensSay> byProxy;
     for (const auto& answer : answers) {
-      auto& say = byCourier[{answer.to.courier, answer.to.life}];
-      say.number = answer.to.number, say.courier = answer.to.courier, say.life = answer.to.life;
+      auto& say = byProxy[{answer.to.proxy, answer.to.life}];
+      say.number = answer.to.number, say.proxy = answer.to.proxy, say.life = answer.to.life;
       say.lots.push_back(answer.lot);
     }
     for (auto& [link, session] : sessions_)
-      if (const auto found = byCourier.find({session.seat.name, session.seat.life}); found != byCourier.end())
+      if (const auto found = byProxy.find({session.seat.name, session.seat.life}); found != byProxy.end())
         link->tell(found->second);
   }
 
   pouch::TokensSay grant(const pouch::TokensAsk& ask) {
-    pouch::TokensSay out{ask.number, ask.courier, ask.life, {}};
+    pouch::TokensSay out{ask.number, ask.proxy, ask.life, {}};
     if (!configuration_) return out;
     const auto counts = registry_.counts(now());
     vault_.setReach(counts.known ? static_cast<double>(counts.live) / counts.known : 1);
@@ -419,7 +418,7 @@
                                        [&](const auto& t) { return t.name == wish.tenant; });
       if (tenant == configuration_->tenants.end()) continue;
       const auto given =
-          vault_.take(ask.courier, wish.tenant, {tenant->rate, tenant->burst}, wish.want, wish.asked, now());
+          vault_.take(ask.proxy, wish.tenant, {tenant->rate, tenant->burst}, wish.want, wish.asked, now());
       out.lots.push_back({wish.tenant, given.granted, given.use, given.empty});
     }
     return out;
@@ -624,7 +623,7 @@
   constexpr program::Needs needs{.control = true};
   auto started =
       program::start(argc, argv, "postmaster",
-                     "- knows workers and couriers; takes the calls of operators and look-ups", needs);
+                     "- knows workers and proxies; takes the calls of operators and look-ups", needs);
   if (!started.settings) return started.status;
   boost::asio::io_context io{1};
   program::SettingsFile file(started.settingsPath, *started.settings, needs);
--- a/src/postmaster/registry.cpp
+++ b/src/postmaster/registry.cpp
@@ -18,7 +18,7 @@
   seats_.clear();
   const auto put = [&](const pouch::Seat& seat) {
     const auto [found, fresh] = seats_.try_emplace(seat.name, seat);
-    // Two registries may hold sessions of one courier while it moves: ready at one is ready.
+    // Two registries may hold sessions of one proxy while it moves: ready at one is ready.
     if (!fresh && (seat.life != found->second.life ? false : seat.ready)) found->second = seat;
     known_[seat.name] = {seat.zone, now};
   };
@@ -36,7 +36,7 @@
     return;
   }
   if (found == own_.end() || found->second.ready != seat.ready)
-    note(now, seat.ready ? "courier ready" : "courier seated", seat.name);
+    note(now, seat.ready ? "proxy ready" : "proxy seated", seat.name);
   own_[seat.name] = seat;
   refold(now);
 }
@@ -44,7 +44,7 @@
 void Registry::unseat(const std::string& name, std::uint64_t life, double now) {
   const auto found = own_.find(name);
   if (found == own_.end() || found->second.life != life) return;
-  note(now, "courier gone", name);
+  note(now, "proxy gone", name);
   own_.erase(found);
   refold(now);
 }
--- a/src/postmaster/registry.hpp
+++ b/src/postmaster/registry.hpp
@@ -1,7 +1,7 @@
 // The registry's knowledge: decisions only. Events are appended to a journal in memory; cells, the directory
 // and the list of workers are views folded from it.
 //
-// A cell for each zone keeps the couriers that are seated there, by their own registry's sessions or by what
+// A cell for each zone keeps the proxies that are seated there, by their own registry's sessions or by what
 // another registry has told of its own. A seat stands while its session does; what another registry told
 // stands while that one is heard. The newest life of a name counts.
 #pragma once
@@ -19,7 +19,7 @@
 namespace burlwind::postmaster {
 
 constexpr double kOthersSilent = 1800;  // ms until a registry's sessions are no longer believed
-constexpr double kRemembered = 20000;   // ms that a courier that is gone still counts as known
+constexpr double kRemembered = 20000;   // ms that a proxy that is gone still counts as known
 constexpr double kNarrow = 50;          // Mbit/s under which a link is soon full
 constexpr std::size_t kJournal = 256;   // events kept
 
@@ -43,17 +43,17 @@
   // True where views may have changed.
   bool sweep(double now);
 
-  // The span in which no courier that is seated can have let anything in: from the last one's start to the
+  // The span in which no proxy that is seated can have let anything in: from the last one's start to the
   // first one's first request. 0 unless all of them have started anew.
   double allQuiet() const;
-  bool allYounger(double age, double now) const;  // each courier that is seated; false where there is none
+  bool allYounger(double age, double now) const;  // each proxy that is seated; false where there is none
 
   struct Counts {
     unsigned live = 0, known = 0;
     std::map<std::string, unsigned> byZone;  // known
   };
   Counts counts(double now) const;
-  // Addresses for a client in that zone: its zone's couriers that are ready, and others in place of those
+  // Addresses for a client in that zone: its zone's proxies that are ready, and others in place of those
   // known there that are not, drawn anew each time so that they share what is lost: from its region first,
   // where links are narrow no more than half as many as stand there, the rest from everywhere.
   std::vector<std::string> addresses(const std::string& region, const std::string& zone, std::size_t least,
--- a/src/pouch/messages.hpp
+++ b/src/pouch/messages.hpp
@@ -40,7 +40,7 @@
   static constexpr Kind kKind = kHello;
   std::string role, name, ip, zone, region;
   std::uint64_t life = 0;  // drawn at the process's start
-  std::string front;       // a courier's address for clients
+  std::string front;       // a proxy's address for clients
   double linkMbps = 0;     // of its machine; 0: not told
   MSGPACK_DEFINE(role, name, ip, zone, region, life, front, linkMbps)
 };
@@ -141,7 +141,7 @@
 };
 
 // --- Registries among themselves ---
-struct Seat {  // a courier's session as its registry tells it
+struct Seat {  // a proxy's session as its registry tells it
   std::string name, front, zone, region;
   bool ready = false;
   std::uint64_t life = 0;
@@ -180,7 +180,7 @@
   MSGPACK_DEFINE(term, number, before, whole, put, gone)
 };
 
-// --- A registry and its couriers ---
+// --- A registry and its proxies ---
 struct Core {
   std::string ip, zone, region;
   MSGPACK_DEFINE(ip, zone, region)
@@ -188,8 +188,8 @@
 struct Cores {
   static constexpr Kind kKind = kCores;
   std::vector<Core> cores;
-  std::map<std::string, unsigned> couriers;  // by zone
-  MSGPACK_DEFINE(cores, couriers)
+  std::map<std::string, unsigned> proxies;  // by zone
+  MSGPACK_DEFINE(cores, proxies)
 };
 struct Status {
   static constexpr Kind kKind = kStatus;
@@ -214,10 +214,10 @@
 struct TokensAsk {
   static constexpr Kind kKind = kTokensAsk;
   std::uint64_t number = 0;
-  std::string courier;
+  std::string proxy;
   std::uint64_t life = 0;
   std::vector<Wish> wishes;
-  MSGPACK_DEFINE(number, courier, life, wishes)
+  MSGPACK_DEFINE(number, proxy, life, wishes)
 };
 struct Lot {
   std::string tenant;
@@ -229,10 +229,10 @@
 struct TokensSay {
   static constexpr Kind kKind = kTokensSay;
   std::uint64_t number = 0;
-  std::string courier;
+  std::string proxy;
   std::uint64_t life = 0;
   std::vector<Lot> lots;
-  MSGPACK_DEFINE(number, courier, life, lots)
+  MSGPACK_DEFINE(number, proxy, life, lots)
 };
 
 struct Level {  // what a tenant's store holds
--- a/src/program/log.hpp
+++ b/src/program/log.hpp
@@ -1,5 +1,5 @@
 // Logs of the system's programs: JSON lines on standard error, one event a line, written by easylogging++.
-// {"t":12.345,"level":"info","what":"session opened","courier":"edge-1"}; t: seconds since the process began.
+// {"t":12.345,"level":"info","what":"session opened","proxy":"edge-1"}; t: seconds since the process began.
 #pragma once
 
 #include <initializer_list>
--- a/src/courier/main.cpp
+++ b/src/proxy/main.cpp
@@ -1,14 +1,14 @@
-// courier: the proxy on every edge machine.
+// proxy: the proxy on every edge machine.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
 #include "counter/server.hpp"
-#include "courier/courier.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
+#include "proxy/proxy.hpp"
 
-namespace burlwind::courier {
+namespace burlwind::proxy {
 namespace {
 
 class Program {
@@ -17,13 +17,13 @@
       : io_(io),
         file_(std::move(file)),
         readiness_(*settings.readiness),
-        courier_(io, std::move(settings)),
+        proxy_(io, std::move(settings)),
         ready_(io, [this](counter::Call call) { return answer(std::move(call)); }),
         signals_(io, SIGTERM, SIGINT, SIGHUP),
         timer_(io) {}
 
   int run() {
-    Error error = courier_.start();
+    Error error = proxy_.start();
     if (!error) error = ready_.listen(readiness_.ip, readiness_.port);
     if (error) {
       program::error("cannot listen", {{"why", error.message()}});
@@ -40,7 +40,7 @@
  private:
   asio::awaitable<counter::Reply> answer(counter::Call call) {
     if (!call.is("GET", {"api", "ready"})) co_return counter::Reply(404, counter::message("no such call"));
-    co_return counter::Reply(courier_.ready() ? 200 : 503, "");
+    co_return counter::Reply(proxy_.ready() ? 200 : 503, "");
   }
   void wait() {
     signals_.async_wait([this](const Error& error, int number) {
@@ -49,13 +49,13 @@
         look(true);
       } else {
         program::info("ends", {{"signal", number}});
-        courier_.leave();
+        proxy_.leave();
       }
       wait();
     });
   }
   void look(bool asked) {
-    if (const auto fresh = file_.look(program::now(), asked)) courier_.adopt(*fresh);
+    if (const auto fresh = file_.look(program::now(), asked)) proxy_.adopt(*fresh);
   }
   void watch() {
     timer_.expires_after(std::chrono::milliseconds(static_cast<int>(program::kLook)));
@@ -68,21 +68,21 @@
   asio::io_context& io_;
   program::SettingsFile file_;
   const address::Endpoint readiness_;
-  Courier courier_;
+  Proxy proxy_;
   counter::Server ready_;
   asio::signal_set signals_;
   asio::steady_timer timer_;
 };
 
 }  // namespace
-}  // namespace burlwind::courier
+}  // namespace burlwind::proxy
 
 int main(int argc, const char** argv) {
   using namespace burlwind;
   constexpr program::Needs needs{.front = true};
-  auto started = program::start(argc, argv, "courier", "- carries clients' requests to workers", needs);
+  auto started = program::start(argc, argv, "proxy", "- carries clients' requests to workers", needs);
   if (!started.settings) return started.status;
   boost::asio::io_context io{1};
   program::SettingsFile file(started.settingsPath, *started.settings, needs);
-  return courier::Program(io, std::move(file), std::move(*started.settings)).run();
+  return proxy::Program(io, std::move(file), std::move(*started.settings)).run();
 }
--- a/src/courier/courier.cpp
+++ b/src/proxy/proxy.cpp
@@ -1,4 +1,4 @@
-#include "courier/courier.hpp"
+#include "proxy/proxy.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,7 +12,7 @@
 #include "program/log.hpp"
 #include "program/start.hpp"
 
-namespace burlwind::courier {
+namespace burlwind::proxy {
 namespace {
 
 using asio::redirect_error;
@@ -28,7 +28,7 @@
 constexpr double kFullOfBytes = 1000;  // ms until there may be room for a body again
 constexpr double kReport = 10000;      // ms between two lines of figures
 constexpr double kLeast = 20;          // ms that a worker must have, else it isn't asked
-constexpr double kStarts = 800;        // ms until a courier that starts may serve; clients ask but once more,
+constexpr double kStarts = 800;        // ms until a proxy that starts may serve; clients ask but once more,
 constexpr double kStartsMore = 700;    // and not all of them in one moment: up to so much later
 
 std::chrono::microseconds span(double ms) { return std::chrono::microseconds(static_cast<long>(ms * 1000)); }
@@ -76,7 +76,7 @@
 
 }  // namespace
 
-struct Courier::Client {
+struct Proxy::Client {
   Client(Tcp::socket s, asio::io_context& io) : socket(std::move(s)), timer(io) {}
   Tcp::socket socket;
   asio::steady_timer timer;
@@ -89,7 +89,7 @@
   }
 };
 
-struct Courier::Job {
+struct Proxy::Job {
   http::request<http::string_body> request;
   std::shared_ptr<const address::Configuration> configuration;  // in force when it came
   const address::Route* route = nullptr;
@@ -109,14 +109,14 @@
   }
 };
 
-Courier::Courier(asio::io_context& io, address::Settings settings)
+Proxy::Proxy(asio::io_context& io, address::Settings settings)
     : io_(io),
       settings_(std::move(settings)),
       sessions_(io, settings_,
                 {[this](const pouch::News& n) { takeNews(n); },
                  [this](const pouch::Workers& w) { sorting_.take(w, now()); },
                  [this](const pouch::Cores& c) {
-                   couriers_ = c.couriers;
+                   proxies_ = c.proxies;
                    takeCounts();
                  },
                  [this](const pouch::TokensSay& t) { takeTokens(t); }, [this] { return status(); }}),
@@ -132,16 +132,16 @@
   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, 64);
 }
 
-pouch::Status Courier::status() const {
+pouch::Status Proxy::status() const {
   const double age = now() - bornAt_;
   return {ready(), index_, sorting_.number(), age, beganAt_ > 0 ? beganAt_ - bornAt_ : age};
 }
 
-double Courier::draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+double Proxy::draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
-bool Courier::ready() const { return configuration_ && sorting_.size() > 0 && !leaving_; }
+bool Proxy::ready() const { return configuration_ && sorting_.size() > 0 && !leaving_; }
 
-Error Courier::start() {
+Error Proxy::start() {
   const Error error = program::listenAt(front_, settings_.front->ip, settings_.front->port, 1024);
   if (error) return error;
   asio::co_spawn(io_, accept(), asio::detached);
@@ -151,25 +151,25 @@
   return error;
 }
 
-void Courier::adopt(const address::Settings& settings) {
+void Proxy::adopt(const address::Settings& settings) {
   settings_ = settings;
   sorting_.setPlaces(settings_.regionOf);
   sorting_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
   sessions_.meetSeeds();
   bytes_.setMost(bytesOf(settings_));
-  if (!couriers_.empty()) takeCounts();
+  if (!proxies_.empty()) takeCounts();
 }
 
 // --- News ---
-void Courier::takeCounts() {
+void Proxy::takeCounts() {
   unsigned all = 0;
-  for (const auto& [zone, count] : couriers_) all += count;
-  sorting_.setCouriers(couriers_);
-  purse_.setCouriers(all, settings_.bounds.quotaSlack);
+  for (const auto& [zone, count] : proxies_) all += count;
+  sorting_.setProxies(proxies_);
+  purse_.setProxies(all, settings_.bounds.quotaSlack);
   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, all);
 }
 
-void Courier::takeNews(const pouch::News& news) {
+void Proxy::takeNews(const pouch::News& news) {
   if (news.index <= index_ || news.configuration.empty()) return;
   auto read = address::readConfiguration(news.configuration);
   if (!read.configuration) {
@@ -189,13 +189,13 @@
 }
 
 // --- Quotas ---
-void Courier::askTokens() {
+void Proxy::askTokens() {
   auto wishes = purse_.wishes(now());
   if (wishes.empty()) return;
   sessions_.tell(pouch::frame(pouch::TokensAsk{++asks_, {}, 0, std::move(wishes)}));
 }
 
-void Courier::takeTokens(const pouch::TokensSay& say) {
+void Proxy::takeTokens(const pouch::TokensSay& say) {
   for (const pouch::Lot& lot : say.lots) {
     purse_.granted(lot, now());
     for (auto& [tenant, timer] : waiting_)
@@ -204,7 +204,7 @@
   askTokens();
 }
 
-asio::awaitable<bool> Courier::frank(Job& job) {
+asio::awaitable<bool> Proxy::frank(Job& job) {
   if (!job.tenant || job.tenant->rate <= 0) co_return true;
   const auto& tenant = *job.tenant;
   const double chance = draw();
@@ -229,7 +229,7 @@
 }
 
 // --- One request ---
-bool Courier::route(Job& job) {
+bool Proxy::route(Job& job) {
   const auto& request = job.request;
   const std::string_view target = view(request.target());
   job.configuration = configuration_;
@@ -259,13 +259,13 @@
   return true;
 }
 
-asio::awaitable<void> Courier::handle(Job& job) {
+asio::awaitable<void> Proxy::handle(Job& job) {
   if (!route(job)) co_return;
   const bool franked = co_await frank(job);
   if (franked) co_await forward(job);
 }
 
-std::string Courier::outgoing(const Job& job, const std::string& worker, double left) const {
+std::string Proxy::outgoing(const Job& job, const std::string& worker, double left) const {
   const auto& request = job.request;
   std::string out;
   out.reserve(512 + request.body().size());
@@ -283,7 +283,7 @@
 }
 
 // What an answer, or none, says of the worker.
-void Courier::note(const std::string& worker, const Answer& answer) {
+void Proxy::note(const std::string& worker, const Answer& answer) {
   const double at = now();
   switch (answer.end) {
     case End::answer:
@@ -317,7 +317,7 @@
     sorting_.cold(worker, *cold, at);
 }
 
-asio::awaitable<void> Courier::forward(Job& job) {
+asio::awaitable<void> Proxy::forward(Job& job) {
   const bool safe = job.route->safe;
   std::vector<std::string> tried;
   unsigned arrivals = 0, connects = 0;
@@ -421,7 +421,7 @@
 }
 
 // --- Clients ---
-asio::awaitable<void> Courier::accept() {
+asio::awaitable<void> Proxy::accept() {
   asio::steady_timer pause(io_);
   while (front_.is_open()) {
     Error error;
@@ -439,7 +439,7 @@
   }
 }
 
-asio::awaitable<void> Courier::serve(ClientPtr c) {
+asio::awaitable<void> Proxy::serve(ClientPtr c) {
   Error error;
   const auto within = [&c](double ms) {
     c->timer.expires_after(span(ms));
@@ -535,12 +535,12 @@
 }
 
 // --- Time ---
-void Courier::tick() {
+void Proxy::tick() {
   const double at = now();
   if (at - lastTick_ > kStopped) program::warn("stood still", {{"ms", at - lastTick_}});
   lastTick_ = at;
   sessions_.tick(at);
-  // Where nobody answers for the quotas, each courier has its own part alone.
+  // Where nobody answers for the quotas, each proxy has its own part alone.
   purse_.setTouch(sessions_.inTouch(at) && !purse_.unanswered(at), at);
   askTokens();
   workers_.sweep(at);
@@ -562,7 +562,7 @@
   });
 }
 
-void Courier::report(double at) {
+void Proxy::report(double at) {
   if (at < reportAt_) return;
   reportAt_ = at + kReport;
   for (std::size_t away = 0; away < std::size(sent_); ++away)
@@ -572,11 +572,11 @@
     program::info("answers", {{"status", what.first}, {"why", what.second}, {"count", count}});
 }
 
-void Courier::leave() {
+void Proxy::leave() {
   if (leaving_) return;
   leaving_ = true;
   leaveAt_ = now();
   sessions_.tellStatus();
 }
 
-}  // namespace burlwind::courier
+}  // namespace burlwind::proxy
--- a/src/courier/courier.hpp
+++ b/src/proxy/proxy.hpp
@@ -19,18 +19,18 @@
 
 #include "address/configuration.hpp"
 #include "address/settings.hpp"
-#include "courier/session.hpp"
-#include "courier/worker_side.hpp"
 #include "franking/budget.hpp"
 #include "franking/purse.hpp"
 #include "node/budget.hpp"
+#include "proxy/session.hpp"
+#include "proxy/worker_side.hpp"
 #include "sorting/core.hpp"
 
-namespace burlwind::courier {
+namespace burlwind::proxy {
 
-class Courier {
+class Proxy {
  public:
-  Courier(asio::io_context& io, address::Settings settings);
+  Proxy(asio::io_context& io, address::Settings settings);
   void adopt(const address::Settings& settings);  // what a running program may take of a changed file
   Error start();  // takes its addresses; nothing is served before it has a configuration
   void leave();   // SIGTERM: serves what it has, takes little more, ends the loop
@@ -73,7 +73,7 @@
   std::mt19937_64 random_;
   std::set<ClientPtr> clients_;
   std::size_t working_ = 0;
-  std::map<std::string, unsigned> couriers_;  // known, by zone
+  std::map<std::string, unsigned> proxies_;  // known, by zone
   std::uint64_t asks_ = 0;
   double lastTick_ = 0, askAt_ = 0, reportAt_ = 0, leaveAt_ = 0;
   double bornAt_ = 0, beganAt_ = 0;  // of the process; of its first request let in
@@ -84,4 +84,4 @@
   std::map<std::pair<int, std::string_view>, std::uint64_t> counts_;  // answers by status and reason
 };
 
-}  // namespace burlwind::courier
+}  // namespace burlwind::proxy
--- a/src/courier/session.cpp
+++ b/src/proxy/session.cpp
@@ -1,11 +1,11 @@
-#include "courier/session.hpp"
+#include "proxy/session.hpp"
 
 #include <utility>
 
 #include "program/log.hpp"
 #include "program/start.hpp"
 
-namespace burlwind::courier {
+namespace burlwind::proxy {
 namespace {
 
 using program::now;
@@ -14,7 +14,7 @@
 constexpr double kVouched = 1600;  // ms without the leader's word
 constexpr double kReached = 450;   // ms until a trial has at least a link
 constexpr double kTrial = 900;     // ms that a trial has to come up
-constexpr double kStatus = 500;    // ms between two words of this courier
+constexpr double kStatus = 500;    // ms between two words of this proxy
 constexpr double kNearer = 2000;   // ms between two tries of a nearer one
 constexpr double kFailed = 1500;   // ms that one that failed comes last
 
@@ -83,7 +83,7 @@
   const std::weak_ptr<Session> weak = session;
   session->dialer->start(
       [this, front](std::shared_ptr<pouch::Link> link) {
-        link->tell(pouch::Hello{"courier", settings_.name, settings_.ip, settings_.zone, settings_.region,
+        link->tell(pouch::Hello{"proxy", settings_.name, settings_.ip, settings_.zone, settings_.region,
                                 life_, front, settings_.linkMbps});
         link->tell(hooks_.status());
       },
@@ -165,4 +165,4 @@
   if (trial_ && trial_->dialer->link()) trial_->dialer->link()->send(frame);
 }
 
-}  // namespace burlwind::courier
+}  // namespace burlwind::proxy
--- a/src/courier/session.hpp
+++ b/src/proxy/session.hpp
@@ -1,4 +1,4 @@
-// A courier's sessions with the registries. One counts at a time, the near ones first; while the one that
+// A proxy's sessions with the registries. One counts at a time, the near ones first; while the one that
 // counts is silent, or its registry has no word of the store's leader, others are tried beside it. News comes
 // numbered; what is older than what is in force is dropped.
 #pragma once
@@ -16,7 +16,7 @@
 #include "pouch/link.hpp"
 #include "pouch/messages.hpp"
 
-namespace burlwind::courier {
+namespace burlwind::proxy {
 
 namespace asio = boost::asio;
 
@@ -64,4 +64,4 @@
   std::map<std::string, double> failedAt_;
 };
 
-}  // namespace burlwind::courier
+}  // namespace burlwind::proxy
--- a/src/courier/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -1,4 +1,4 @@
-#include "courier/worker_side.hpp"
+#include "proxy/worker_side.hpp"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -12,7 +12,7 @@
 #include "address/settings.hpp"
 #include "program/start.hpp"
 
-namespace burlwind::courier {
+namespace burlwind::proxy {
 namespace {
 
 using program::now;
@@ -174,4 +174,4 @@
   return out;
 }
 
-}  // namespace burlwind::courier
+}  // namespace burlwind::proxy
--- a/src/courier/worker_side.hpp
+++ b/src/proxy/worker_side.hpp
@@ -1,4 +1,4 @@
-// The courier's connections to workers: one request and its whole answer at a time on each, kept between
+// The proxy's connections to workers: one request and its whole answer at a time on each, kept between
 // requests. What an answer says is told truthfully: whether the request has not run for certain, has been
 // answered whole, or may have run.
 #pragma once
@@ -15,7 +15,7 @@
 
 #include "http/http.hpp"
 
-namespace burlwind::courier {
+namespace burlwind::proxy {
 
 using Tcp = asio::ip::tcp;
 
@@ -75,4 +75,4 @@
   double carefulUntil_ = -1e18;
 };
 
-}  // namespace burlwind::courier
+}  // namespace burlwind::proxy
--- a/src/quota/bucket.hpp
+++ b/src/quota/bucket.hpp
@@ -1,4 +1,4 @@
-// The parts of a quota that the gatekeeper's module and the system's couriers share: a bucket and the admit
+// The parts of a quota that the gatekeeper's module and the system's proxies share: a bucket and the admit
 // fraction. Plain values, no I/O, time handed in; what fills them and when is the owner's to decide.
 // Source: the EventRateLimit proposal (bucket of burst and qps); the fraction and its floor are the design's.
 #pragma once
--- a/src/sorting/core.cpp
+++ b/src/sorting/core.cpp
@@ -85,11 +85,11 @@
   const auto rule = rules_.find(s.worker.service);
   const double rate = rule == rules_.end() ? 0 : rule->second.coldRate;
   unsigned sharers = 0;
-  if (const auto here = couriers_.find(s.worker.zone); here != couriers_.end()) sharers = here->second;
+  if (const auto here = proxies_.find(s.worker.zone); here != proxies_.end()) sharers = here->second;
   if (sharers > 0 && s.worker.zone != self_.zone) return false;
   if (sharers == 0) {
     if (s.region != self_.region) return false;
-    for (const auto& [zone, count] : couriers_)
+    for (const auto& [zone, count] : proxies_)
       if (regionOfZone(zone) == s.region) sharers += count;
   }
   const double bound = kColdPart * (rate * coldExcess_ + coldSlack_);
--- a/src/sorting/core.hpp
+++ b/src/sorting/core.hpp
@@ -6,8 +6,8 @@
 // zones, foreign regions where homes bind, those that failed of late (unless nothing else is left), those
 // that said they are full, and cold ones whose allowance for the second is used.
 //
-// Cold workers: only couriers of a worker's own zone send to it while it is cold, each the rule's bound for a
-// second divided by the couriers known there, counted as sent. With no courier known there, those of its
+// Cold workers: only proxies of a worker's own zone send to it while it is cold, each the rule's bound for a
+// second divided by the proxies known there, counted as sent. With no proxy known there, those of its
 // region do.
 // Cost: a pass over a service's workers for each choice.
 #pragma once
@@ -55,7 +55,7 @@
   // --- What is known ---
   void take(const pouch::Workers& told, double now);  // whole, or a difference that joins
   std::uint64_t number() const { return number_; }
-  void setCouriers(std::map<std::string, unsigned> byZone) { couriers_ = std::move(byZone); }
+  void setProxies(std::map<std::string, unsigned> byZone) { proxies_ = std::move(byZone); }
   void setPlaces(std::map<std::string, std::string> regionOf);  // the region of each zone
   void setColdBound(double excess, double slack) { coldExcess_ = excess, coldSlack_ = slack; }
   void setService(const std::string& name, ServiceRule rule) { rules_[name] = rule; }
@@ -109,7 +109,7 @@
   std::unordered_map<std::string, double> usual_;
   std::unordered_map<std::string, double> usualLoad_;  // of others, by service
   std::unordered_map<std::string, ServiceRule> rules_;
-  std::map<std::string, unsigned> couriers_;
+  std::map<std::string, unsigned> proxies_;
   std::set<std::string> evacuated_;
   std::uint64_t term_ = 0, number_ = 0;
 };
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -1,4 +1,4 @@
-// Quotas, budget and leases over many couriers, in virtual time: what the rules bound is counted over all of
+// Quotas, budget and leases over many proxies, in virtual time: what the rules bound is counted over all of
 // them, also those that are cut off, die or restart.
 #include <doctest/doctest.h>
 
@@ -14,16 +14,16 @@
 namespace burlwind::franking {
 namespace {
 
-// Couriers, one vault, an answer 30 ms after its question. Each letter of a row is what a courier is for half
+// Proxies, one vault, an answer 30 ms after its question. Each letter of a row is what a proxy is for half
 // a second: '.' in touch, 'x' cut off, 'r' restarted at its begin, 'd' dead.
 struct Quotas {
   Quotas(std::vector<std::string> rows, Limit l)
       : limit(l), columns(std::move(rows)), purses(columns.size()) {}
-  // `asked`: requests a second that come to each courier.
+  // `asked`: requests a second that come to each proxy.
   void play(const std::vector<double>& asked, unsigned seed) {
     std::mt19937 random(seed);
     std::uniform_real_distribution<double> draw(0, 1);
-    for (Purse& p : purses) p.setCouriers(static_cast<unsigned>(columns.size()), 20);
+    for (Purse& p : purses) p.setProxies(static_cast<unsigned>(columns.size()), 20);
     const double length = 500.0 * static_cast<double>(columns[0].size());
     double live = 0;
     for (double now = 0; now < length; now += 5) {
@@ -33,7 +33,7 @@
         const char is = columns[c][slot], was = slot ? columns[c][slot - 1] : '.';
         if (is == 'r' && std::fmod(now, 500.0) < 5) {
           purses[c] = Purse{};
-          purses[c].setCouriers(static_cast<unsigned>(columns.size()), 20);
+          purses[c].setProxies(static_cast<unsigned>(columns.size()), 20);
         }
         // The vault hears of a loss one silence later.
         live += is != 'd' && (is != 'x' || was != 'x');
@@ -67,11 +67,11 @@
   }
   // One that waits for its answer; true: it waits no more.
   struct Wait {
-    std::size_t courier;
+    std::size_t proxy;
     double until;
   };
   bool goesOn(const Wait& w, double now) {
-    const auto admit = purses[w.courier].again("t", limit.rate, now >= w.until, now);
+    const auto admit = purses[w.proxy].again("t", limit.rate, now >= w.until, now);
     if (admit == Admit::yes) letIn(now);
     return admit != Admit::wait;
   }
@@ -168,15 +168,15 @@
   }
 }
 
-// Each courier sees one request of it in six seconds: what they would hold ahead of need, all together, would
+// Each proxy sees one request of it in six seconds: what they would hold ahead of need, all together, would
 // be more than its store.
-TEST_CASE("a small tenant over many couriers is not refused for tokens that lie still elsewhere") {
+TEST_CASE("a small tenant over many proxies is not refused for tokens that lie still elsewhere") {
   Quotas q(std::vector<std::string>(60, "........................................"), {16, 16});
   q.play(std::vector<double>(60, 10.0 / 60), 3);
   CHECK(q.let >= q.came * 0.98);
 }
 
-TEST_CASE("cut off, a courier goes on by its own part, and with no holder all do, and the quota holds") {
+TEST_CASE("cut off, a proxy goes on by its own part, and with no holder all do, and the quota holds") {
   const Limit limit{40, 40};
   Quotas q({"....xxxxxxxxxxxxxxxx", "....xxxxxxxxxxxxxxxx", "....xxxxxxxxxxxxxxxx", "....xxxxxxxxxxxxxxxx"},
            limit);
@@ -205,13 +205,13 @@
   CHECK(purse.again("t", 10, true, 50) == Admit::yes);
 }
 
-TEST_CASE("parts of less than a request let in by chance: many couriers together as much as their parts") {
+TEST_CASE("parts of less than a request let in by chance: many proxies together as much as their parts") {
   constexpr unsigned kMany = 60;
   const Limit limit{30, 30};
   std::mt19937 random(5);
   std::uniform_real_distribution<double> draw(0, 1);
   std::vector<Purse> purses(kMany);
-  for (Purse& p : purses) p.setCouriers(kMany, 0);
+  for (Purse& p : purses) p.setProxies(kMany, 0);
   double let = 0, first = 0;
   for (double now = 0; now < 5000; now += 10)
     for (Purse& p : purses) {
@@ -249,9 +249,9 @@
 TEST_CASE("a cell asks once for many, lends on, waits for the holder, gives back") {
   Cell cell;
   std::vector<Cell::Answer> out;
-  const auto wish = [&](const char* courier, double want, double now) {
+  const auto wish = [&](const char* proxy, double want, double now) {
     out.clear();
-    cell.wish({courier, 1, 1}, {"t", want, 5}, now, out);
+    cell.wish({proxy, 1, 1}, {"t", want, 5}, now, out);
   };
   wish("a", 2, 0);
   wish("b", 3, 1);
@@ -262,7 +262,7 @@
   CHECK(cell.wishes(3).empty());  // one question at a time
   cell.granted({"t", asked[0].want, 50, false}, 30, out);
   REQUIRE(out.size() == 2);
-  CHECK(out[0].to.courier == "a");
+  CHECK(out[0].to.proxy == "a");
   CHECK(out[1].lot.granted == 3);
   wish("a", 1, 40);  // from what it holds ahead
   CHECK(out.size() == 1);
@@ -303,15 +303,15 @@
   CHECK(purse.admit("first", 10, 10, 0, 3) == Admit::wait);
 }
 
-TEST_CASE("further tries of all couriers stay inside the budget, with one restart of each") {
-  constexpr unsigned kCouriers = 11;
+TEST_CASE("further tries of all proxies stay inside the budget, with one restart of each") {
+  constexpr unsigned kProxies = 11;
   constexpr double kSlack = 62;
-  std::vector<TryBudget> budgets(kCouriers);
+  std::vector<TryBudget> budgets(kProxies);
   double firsts = 0, further = 0;
   for (int life = 0; life < 2; ++life)
     for (TryBudget& b : budgets) {
       if (life) b = TryBudget{};
-      b.set(0.2, kSlack, kCouriers);
+      b.set(0.2, kSlack, kProxies);
       for (int i = 0; i < 40; ++i) {
         b.first("s"), ++firsts;
         while (b.take("s")) ++further;
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -1,4 +1,4 @@
-// The whole path on loopback: three core machines, two couriers, the platform's list and workers as
+// The whole path on loopback: three core machines, two proxies, the platform's list and workers as
 // stand-ins. What is checked is what clients, workers and the operator see on their sockets. Nothing waits
 // for time: an order that finds no leader yet is sent again, as operators do, and all else waits for words.
 #include <arpa/inet.h>
@@ -172,12 +172,12 @@
         worker_("127.78.3.1", kWorker,
                 [this](const std::string& text, unsigned nth) { return work(text, nth); }) {
     for (unsigned i = 0; i < 3; ++i) startCore(i);
-    for (unsigned i = 0; i < 2; ++i) startCourier(i);
+    for (unsigned i = 0; i < 2; ++i) startProxy(i);
   }
   ~System() { door.set(false); }
 
   static std::string coreIp(unsigned i) { return "127.78.1." + std::to_string(i + 1); }
-  static std::string courierIp(unsigned i) { return "127.78.2." + std::to_string(i + 1); }
+  static std::string proxyIp(unsigned i) { return "127.78.2." + std::to_string(i + 1); }
 
   void startCore(unsigned i) {
     const fs::path file = settings("core" + std::to_string(i), coreIp(i), kZones[i], true);
@@ -185,9 +185,9 @@
     registries[i] = std::make_unique<Process>(BURLWIND_POSTMASTER, std::vector<std::string>{}, file);
     first_ = first_ && i < 2;
   }
-  void startCourier(unsigned i) {
-    const fs::path file = settings("edge" + std::to_string(i), courierIp(i), kZones[i], false);
-    couriers[i] = std::make_unique<Process>(BURLWIND_COURIER, std::vector<std::string>{}, file);
+  void startProxy(unsigned i) {
+    const fs::path file = settings("edge" + std::to_string(i), proxyIp(i), kZones[i], false);
+    proxies[i] = std::make_unique<Process>(BURLWIND_PROXY, std::vector<std::string>{}, file);
   }
   // An order as operators send it: again, unchanged, to another machine, until the answer is a clear one.
   std::string order(const std::string& call, const std::string& body) {
@@ -208,8 +208,8 @@
            R"(","kind":"unsafe","timeout":"8000ms","target":"500ms","priority":1,"backend":"s","tries":1,"public":false,"homeRegions":[]}],"backends":[{"name":"s","healthPath":"/health","maxConns":100,"coldFor":"3s","coldRateS":100}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerRead":"3000ms","idle":"15000ms"},"customers":[{"name":"weaver","apiKeys":["key1"],"priority":0,"ratePerS":1000,"burst":1000,"homeRegions":[]}],"parentVersion":"r)" +
            std::to_string(parent) + "\"}";
   }
-  std::string request(unsigned courier, const std::string& path, const std::string& key) {
-    return ask(courierIp(courier), kFront,
+  std::string request(unsigned proxy, const std::string& path, const std::string& key) {
+    return ask(proxyIp(proxy), kFront,
                "POST " + path +
                    " HTTP/1.1\r\nHost: shop.example\r\nTry-Id: t1\r\nTime-Left-Ms: 8000\r\nApi-Key: " + key +
                    "\r\nTenant: nobody\r\nContent-Length: 4\r\n\r\nwool");
@@ -217,24 +217,22 @@
   static std::string inForce(unsigned version) {
     return "\"what\":\"in force\",\"version\":" + std::to_string(version) + ",";
   }
-  // Until the courier has its first version and, with its first session, a list of workers.
-  void awaitStart(unsigned courier, unsigned version) {
-    REQUIRE(couriers[courier]->saysAll({inForce(version), "\"what\":\"session\""}));
+  // Until the proxy has its first version and, with its first session, a list of workers.
+  void awaitStart(unsigned proxy, unsigned version) {
+    REQUIRE(proxies[proxy]->saysAll({inForce(version), "\"what\":\"session\""}));
   }
-  void awaitVersion(unsigned courier, unsigned version) {
-    REQUIRE(couriers[courier]->says(inForce(version)));
-  }
-  std::string served(unsigned courier, const std::string& path) {
-    // Until it is served: 503 and 429 tell to come back. A courier that is gone answers nothing.
+  void awaitVersion(unsigned proxy, unsigned version) { REQUIRE(proxies[proxy]->says(inForce(version))); }
+  std::string served(unsigned proxy, const std::string& path) {
+    // Until it is served: 503 and 429 tell to come back. A proxy that is gone answers nothing.
     std::string answer;
     do {
-      answer = request(courier, path, "key1");
+      answer = request(proxy, path, "key1");
     } while (answer.starts_with("HTTP/1.1 503") || answer.starts_with("HTTP/1.1 429"));
     return answer;
   }
 
   std::array<std::unique_ptr<Process>, 3> stores, registries;
-  std::array<std::unique_ptr<Process>, 2> couriers;
+  std::array<std::unique_ptr<Process>, 2> proxies;
   Door door;
   std::atomic<bool> forgets{false};  // the worker resets connections that it has answered on
   std::string seen() {
@@ -309,7 +307,7 @@
   // A body that does not fit beside what it may hold (0.8 MB, twice) has not run, and is told when to come
   // back.
   const std::string large =
-      ask(System::courierIp(0), kFront,
+      ask(System::proxyIp(0), kFront,
           "POST /a/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key1\r\nContent-Length: 900000\r\n\r\n");
   CHECK(large.starts_with("HTTP/1.1 503"));
   CHECK_FALSE(field(large, "Retry-After").empty());
@@ -358,7 +356,7 @@
   for (int i = 0; i < 8; ++i) CHECK(system.served(0, "/a/x").starts_with("HTTP/1.1 200"));
 }
 
-TEST_CASE("SIGTERM with a request at work: the courier waits for its answer, and the client has it whole") {
+TEST_CASE("SIGTERM with a request at work: the proxy waits for its answer, and the client has it whole") {
   System system;
   CHECK(system.order("config.replace", System::configuration(1, 0, "/a/")).starts_with("HTTP/1.1 200"));
   system.awaitStart(0, 1);
@@ -368,14 +366,14 @@
   std::string answer;
   std::thread client([&] { answer = system.served(0, "/a/y"); });
   system.door.awaitSomebody();
-  system.couriers[0]->signal(SIGTERM);
-  CHECK(system.couriers[0]->says("\"what\":\"ends\""));
+  system.proxies[0]->signal(SIGTERM);
+  CHECK(system.proxies[0]->says("\"what\":\"ends\""));
   system.door.set(false);
   client.join();
   CHECK(answer.starts_with("HTTP/1.1 200"));
   CHECK(answer.ends_with("\r\n\r\nyarn"));
   CHECK(system.runs() == before + 1);
-  CHECK(system.couriers[0]->ends() == 0);
+  CHECK(system.proxies[0]->ends() == 0);
   // Registries and stores end in order as well, and what was taken is there at the next start.
   for (unsigned i = 0; i < 3; ++i)
     for (auto* program : {system.registries[i].get(), system.stores[i].get()}) {
--- a/tests/system/sorting_test.cpp
+++ b/tests/system/sorting_test.cpp
@@ -51,22 +51,22 @@
   CHECK(choose(0, &homes).why == Why::nobody);
 }
 
-TEST_CASE_FIXTURE(Fixture, "couriers of a zone together stay under a cold worker's bound") {
+TEST_CASE_FIXTURE(Fixture, "proxies of a zone together stay under a cold worker's bound") {
   constexpr double kRate = 4.1, kBound = kRate * 1.5 + 5;
-  std::vector<Core> couriers;
+  std::vector<Core> proxies;
   for (int i = 0; i < 3; ++i) {
-    couriers.emplace_back(Place{"a1", "A"}, std::map<std::string, std::string>{{"a1", "A"}, {"b1", "B"}}, 1.5,
-                          5.0);
-    couriers.back().setCouriers({{"a1", 3}, {"b1", 2}});
-    couriers.back().setService("s", {kRate, 3000});
+    proxies.emplace_back(Place{"a1", "A"}, std::map<std::string, std::string>{{"a1", "A"}, {"b1", "B"}}, 1.5,
+                         5.0);
+    proxies.back().setProxies({{"a1", 3}, {"b1", 2}});
+    proxies.back().setService("s", {kRate, 3000});
     pouch::Workers w;
     w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
-    couriers.back().take(w, 0);
+    proxies.back().take(w, 0);
   }
   std::deque<double> sent;
   std::size_t most = 0;
   for (double now = 0; now < 2900; now += 3)
-    for (Core& c : couriers) {
+    for (Core& c : proxies) {
       Ask ask;
       ask.service = "s";
       if (c.choose(ask, 0.5, now).id.empty()) continue;
@@ -79,7 +79,7 @@
   CHECK(static_cast<double>(most) >= 3);
   // Nobody sends there from elsewhere.
   Core other{{"b1", "B"}, {{"a1", "A"}, {"b1", "B"}}, 1.5, 5};
-  other.setCouriers({{"a1", 3}, {"b1", 2}});
+  other.setProxies({{"a1", 3}, {"b1", 2}});
   other.setService("s", {kRate, 3000});
   pouch::Workers w;
   w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
@@ -90,7 +90,7 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "a zone that is taken back is cold until it can't be any more") {
-  core.setCouriers({{"a1", 2}});
+  core.setProxies({{"a1", 2}});
   core.setService("s", {2, 3000});
   list({worker("one", "a1")});
   core.setEvacuated({"a1"}, 0);
@@ -122,7 +122,7 @@
 // Each line: ms, what happens. A release replaces "old-N" by cold "new-N" while the zone is evacuated and
 // taken back; a request comes each 20 ms throughout.
 TEST_CASE_FIXTURE(Fixture, "a release of a service while its zone is evacuated and taken back cold") {
-  core.setCouriers({{"a1", 1}});
+  core.setProxies({{"a1", 1}});
   core.setService("s", {4, 3000});
   const auto far = worker("far", "a2");
   const struct {
@@ -189,7 +189,7 @@
   CHECK(choose().id == "three");
 }
 
-TEST_CASE("the span in which no courier let anything in is from the last start to the first request") {
+TEST_CASE("the span in which no proxy let anything in is from the last start to the first request") {
   postmaster::Registry registry("10.0.0.1", {{"a1", "A"}});
   const auto seat = [&](const char* name, double age, double quiet, double now) {
     pouch::Seat s;
