--- a/src/postmaster/main.cpp
+++ b/src/registry/main.cpp
@@ -1,4 +1,4 @@
-// postmaster: the registry. Wires sessions of proxies, the other registries, the stores, the platform's
+// registry: the registry. Wires sessions of proxies, the other registries, the stores, the platform's
 // list, the quota duty and the calls from outside; what they mean is decided in registry, rounds, franking
 // and, for orders, by the store that leads.
 #include <boost/asio/co_spawn.hpp>
@@ -13,15 +13,15 @@
 #include "counter/server.hpp"
 #include "franking/cell.hpp"
 #include "franking/vault.hpp"
-#include "postmaster/platform_list.hpp"
-#include "postmaster/registry.hpp"
 #include "pouch/link.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
+#include "registry/platform_list.hpp"
+#include "registry/registry.hpp"
 #include "rounds/lease.hpp"
 
-namespace burlwind::postmaster {
+namespace burlwind::registry {
 namespace {
 
 namespace asio = boost::asio;
@@ -59,9 +59,9 @@
 constexpr double kYoung = 5000, kRestarted = 500;
 constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
 
-class Postmaster {
+class RegistryServer {
  public:
-  Postmaster(asio::io_context& io, program::SettingsFile file, address::Settings settings)
+  RegistryServer(asio::io_context& io, program::SettingsFile file, address::Settings settings)
       : io_(io),
         file_(std::move(file)),
         settings_(std::move(settings)),
@@ -102,7 +102,7 @@
   std::uint16_t port() const { return static_cast<std::uint16_t>(settings_.portFrom + 1); }
 
   pouch::Hello hello() const {
-    return {"postmaster", settings_.name, settings_.ip, settings_.zone, settings_.region, life_, {}, 0};
+    return {"registry", settings_.name, settings_.ip, settings_.zone, settings_.region, life_, {}, 0};
   }
 
   // --- Stores and other registries: a machine of the core has one of each ---
@@ -291,7 +291,7 @@
   }
 
   void greet(const LinkPtr& link, const pouch::Hello& m) {
-    if (m.role == "postmaster") {
+    if (m.role == "registry") {
       registries_[link] = m.ip;
       cores_[m.ip] = {m.ip, m.zone, m.region};
       meet(m.ip);
@@ -616,16 +616,16 @@
 };
 
 }  // namespace
-}  // namespace burlwind::postmaster
+}  // namespace burlwind::registry
 
 int main(int argc, const char** argv) {
   using namespace burlwind;
   constexpr program::Needs needs{.control = true};
   auto started =
-      program::start(argc, argv, "postmaster",
+      program::start(argc, argv, "registry",
                      "- knows workers and proxies; takes the calls of operators and look-ups", needs);
   if (!started.settings) return started.status;
   boost::asio::io_context io{1};
   program::SettingsFile file(started.settingsPath, *started.settings, needs);
-  return postmaster::Postmaster(io, std::move(file), std::move(*started.settings)).run();
+  return registry::RegistryServer(io, std::move(file), std::move(*started.settings)).run();
 }
--- a/src/postmaster/platform_list.cpp
+++ b/src/registry/platform_list.cpp
@@ -1,4 +1,4 @@
-#include "postmaster/platform_list.hpp"
+#include "registry/platform_list.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,7 +10,7 @@
 #include "pouch/link.hpp"
 #include "program/start.hpp"
 
-namespace burlwind::postmaster {
+namespace burlwind::registry {
 namespace {
 constexpr std::size_t kMostPages = 200;
 }
@@ -114,4 +114,4 @@
   co_return body;
 }
 
-}  // namespace burlwind::postmaster
+}  // namespace burlwind::registry
--- a/src/postmaster/platform_list.hpp
+++ b/src/registry/platform_list.hpp
@@ -11,7 +11,7 @@
 #include "address/settings.hpp"
 #include "pouch/messages.hpp"
 
-namespace burlwind::postmaster {
+namespace burlwind::registry {
 
 class PlatformList {
  public:
@@ -36,4 +36,4 @@
 // One page; false where it does not read. `next`: the page after it, empty on the last.
 bool readPage(const std::string& body, PlatformList::Workers& into, std::string& next, std::string& fault);
 
-}  // namespace burlwind::postmaster
+}  // namespace burlwind::registry
--- a/src/postmaster/registry.cpp
+++ b/src/registry/registry.cpp
@@ -1,10 +1,10 @@
-#include "postmaster/registry.hpp"
+#include "registry/registry.hpp"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-namespace burlwind::postmaster {
+namespace burlwind::registry {
 namespace {
 constexpr double kColdMoved = 600;  // ms by which a cold span must move to be news
 }
@@ -182,4 +182,4 @@
   return out;
 }
 
-}  // namespace burlwind::postmaster
+}  // namespace burlwind::registry
--- a/src/postmaster/registry.hpp
+++ b/src/registry/registry.hpp
@@ -16,7 +16,7 @@
 
 #include "pouch/messages.hpp"
 
-namespace burlwind::postmaster {
+namespace burlwind::registry {
 
 constexpr double kOthersSilent = 1800;  // ms until a registry's sessions are no longer believed
 constexpr double kRemembered = 20000;   // ms that a proxy that is gone still counts as known
@@ -94,4 +94,4 @@
   std::deque<Event> journal_;
 };
 
-}  // namespace burlwind::postmaster
+}  // namespace burlwind::registry
--- a/tests/system/sorting_test.cpp
+++ b/tests/system/sorting_test.cpp
@@ -6,7 +6,7 @@
 #include <random>
 #include <set>
 
-#include "postmaster/registry.hpp"
+#include "registry/registry.hpp"
 #include "sorting/core.hpp"
 
 namespace burlwind::sorting {
@@ -190,7 +190,7 @@
 }
 
 TEST_CASE("the span in which no proxy let anything in is from the last start to the first request") {
-  postmaster::Registry registry("10.0.0.1", {{"a1", "A"}});
+  registry::Registry registry("10.0.0.1", {{"a1", "A"}});
   const auto seat = [&](const char* name, double age, double quiet, double now) {
     pouch::Seat s;
     s.name = name, s.zone = "a1", s.life = 1, s.age = age, s.quiet = quiet;
