--- a/src/pigeonhole/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -1,11 +1,11 @@
-#include "pigeonhole/ledger.hpp"
+#include "config_store/ledger.hpp"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include <algorithm>
 
-namespace burlwind::pigeonhole {
+namespace burlwind::config_store {
 
 std::string pack(const State& state) {
   msgpack::sbuffer out;
@@ -82,4 +82,4 @@
   return {400, "no such order", false};
 }
 
-}  // namespace burlwind::pigeonhole
+}  // namespace burlwind::config_store
--- a/src/pigeonhole/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -16,7 +16,7 @@
 #include "pouch/messages.hpp"
 #include "rounds/lease.hpp"
 
-namespace burlwind::pigeonhole {
+namespace burlwind::config_store {
 
 constexpr std::size_t kRemembered = 128;
 
@@ -45,4 +45,4 @@
 };
 Judged apply(State& state, Lately& lately, const pouch::Propose& order, double now);
 
-}  // namespace burlwind::pigeonhole
+}  // namespace burlwind::config_store
--- a/src/pigeonhole/main.cpp
+++ b/src/config_store/main.cpp
@@ -1,5 +1,5 @@
-// pigeonhole: the store of configuration and evacuations. Wires the agreement (src/ballot), the disk and the
-// links to the other stores and to the registries; all decisions stand in ballot and ledger.
+// config_store: the store of configuration and evacuations. Wires the agreement (src/ballot), the disk and
+// the links to the other stores and to the registries; all decisions stand in ballot and ledger.
 //
 // Disk writes block the loop on purpose: a replica whose disk stalls says nothing meanwhile, so that another
 // one leads, and what it wakes with is old by number.
@@ -11,15 +11,15 @@
 #include <thread>
 
 #include "ballot/core.hpp"
-#include "pigeonhole/ledger.hpp"
-#include "pigeonhole/store.hpp"
+#include "config_store/ledger.hpp"
+#include "config_store/store.hpp"
 #include "pouch/link.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "rounds/lease.hpp"
 
-namespace burlwind::pigeonhole {
+namespace burlwind::config_store {
 namespace {
 
 namespace asio = boost::asio;
@@ -47,9 +47,9 @@
   return hash | std::uint64_t{1} << 63;
 }
 
-class Pigeonhole {
+class ConfigStoreServer {
  public:
-  Pigeonhole(asio::io_context& io, program::SettingsFile file, address::Settings settings)
+  ConfigStoreServer(asio::io_context& io, program::SettingsFile file, address::Settings settings)
       : io_(io),
         file_(std::move(file)),
         settings_(std::move(settings)),
@@ -103,7 +103,7 @@
                              {"index", record.index},
                              {"version", state_.version},
                              {"members", record.members.size()}});
-    core_.emplace(std::move(record), ballot::Pace{}, seats(), &Pigeonhole::draw, this, now());
+    core_.emplace(std::move(record), ballot::Pace{}, seats(), &ConfigStoreServer::draw, this, now());
     return known || persist();
   }
 
@@ -132,7 +132,7 @@
   }
 
   static double draw(void* self) {
-    return std::uniform_real_distribution<double>(0, 1)(static_cast<Pigeonhole*>(self)->random_);
+    return std::uniform_real_distribution<double>(0, 1)(static_cast<ConfigStoreServer*>(self)->random_);
   }
 
   bool persist() {
@@ -348,7 +348,7 @@
   }
 
   pouch::Hello hello() const {
-    return {"pigeonhole",     settings_.name,       settings_.ip, settings_.zone,
+    return {"config_store",   settings_.name,       settings_.ip, settings_.zone,
             settings_.region, core_->record().self, {},           0};
   }
 
@@ -401,7 +401,7 @@
   }
 
   void greet(const LinkPtr& link, const pouch::Hello& m) {
-    if (m.role == "pigeonhole") {
+    if (m.role == "config_store") {
       ips_[m.life] = m.ip;
       dialledBy_[m.life] = link;
       dial(m.ip);
@@ -501,15 +501,15 @@
 };
 
 }  // namespace
-}  // namespace burlwind::pigeonhole
+}  // namespace burlwind::config_store
 
 int main(int argc, const char** argv) {
   using namespace burlwind;
   constexpr program::Needs needs{.disk = true};
-  auto started = program::start(argc, argv, "pigeonhole",
+  auto started = program::start(argc, argv, "config_store",
                                 "- keeps the configuration, agreed with the other stores", needs);
   if (!started.settings) return started.status;
   boost::asio::io_context io{1};
   program::SettingsFile file(started.settingsPath, *started.settings, needs);
-  return pigeonhole::Pigeonhole(io, std::move(file), std::move(*started.settings)).run();
+  return config_store::ConfigStoreServer(io, std::move(file), std::move(*started.settings)).run();
 }
--- a/src/pigeonhole/store.cpp
+++ b/src/config_store/store.cpp
@@ -1,4 +1,4 @@
-#include "pigeonhole/store.hpp"
+#include "config_store/store.hpp"
 
 #include <fcntl.h>
 #include <lmdb.h>
@@ -10,7 +10,7 @@
 #include <cerrno>
 #include <cstring>
 
-namespace burlwind::pigeonhole {
+namespace burlwind::config_store {
 namespace {
 
 constexpr std::size_t kMapBytes = 32 * 1024 * 1024;
@@ -157,4 +157,4 @@
   return {};
 }
 
-}  // namespace burlwind::pigeonhole
+}  // namespace burlwind::config_store
--- a/src/pigeonhole/store.hpp
+++ b/src/config_store/store.hpp
@@ -13,7 +13,7 @@
 #include <string>
 #include <system_error>
 
-namespace burlwind::pigeonhole {
+namespace burlwind::config_store {
 
 class Store {
  public:
@@ -38,4 +38,4 @@
   std::uint64_t generation_ = 0;
 };
 
-}  // namespace burlwind::pigeonhole
+}  // namespace burlwind::config_store
--- a/tests/system/address_test.cpp
+++ b/tests/system/address_test.cpp
@@ -4,7 +4,7 @@
 #include "address/change.hpp"
 #include "address/configuration.hpp"
 #include "address/settings.hpp"
-#include "pigeonhole/ledger.hpp"
+#include "config_store/ledger.hpp"
 
 namespace burlwind::address {
 namespace {
@@ -85,10 +85,10 @@
 }
 
 TEST_CASE("of two changes on one parent one wins, and that very one is known again, also after others") {
-  pigeonhole::State state;
-  pigeonhole::Lately lately;
-  const auto apply = [&](pigeonhole::State& s, const pouch::Propose& order) {
-    return pigeonhole::apply(s, lately, order, 0);
+  config_store::State state;
+  config_store::Lately lately;
+  const auto apply = [&](config_store::State& s, const pouch::Propose& order) {
+    return config_store::apply(s, lately, order, 0);
   };
   CHECK(apply(state, {1, "config", configuration(3, 0)}).status == 200);
   CHECK(apply(state, {2, "config", configuration(5, 3)}).status == 200);
@@ -105,14 +105,14 @@
 }
 
 TEST_CASE("a state is packed and read again") {
-  pigeonhole::State state, again;
-  pigeonhole::Lately lately;
-  pigeonhole::apply(state, lately, {1, "config", configuration(3, 0)}, 0);
-  pigeonhole::apply(state, lately, {2, "evacuate", "z"}, 0);
-  REQUIRE(pigeonhole::unpack(pigeonhole::pack(state), again));
+  config_store::State state, again;
+  config_store::Lately lately;
+  config_store::apply(state, lately, {1, "config", configuration(3, 0)}, 0);
+  config_store::apply(state, lately, {2, "evacuate", "z"}, 0);
+  REQUIRE(config_store::unpack(config_store::pack(state), again));
   CHECK(again.configuration == state.configuration);
   CHECK(again.evacuated.contains("z"));
-  CHECK_FALSE(pigeonhole::unpack("\xc1 no msgpack", again));
+  CHECK_FALSE(config_store::unpack("\xc1 no msgpack", again));
 }
 
 // Each line: ms, order, how many evacuations of the zone are in force then.
@@ -127,11 +127,11 @@
       {8000, "return", 1},   {8900, "return", 1},    // the first is over, told twice
       {12900, "return", 0},  {13000, "return", 0},
   };
-  pigeonhole::State state;
-  pigeonhole::Lately lately;
+  config_store::State state;
+  config_store::Lately lately;
   for (const auto& line : timeline) {
     CAPTURE(line.at);
-    CHECK(pigeonhole::apply(state, lately, {1, line.order, "z"}, line.at).status == 200);
+    CHECK(config_store::apply(state, lately, {1, line.order, "z"}, line.at).status == 200);
     CHECK((state.evacuated.contains("z") ? state.evacuated.at("z") : 0) == line.inForce);
   }
 }
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -181,7 +181,7 @@
 
   void startCore(unsigned i) {
     const fs::path file = settings("core" + std::to_string(i), coreIp(i), kZones[i], true);
-    stores[i] = std::make_unique<Process>(BURLWIND_PIGEONHOLE, std::vector<std::string>{}, file);
+    stores[i] = std::make_unique<Process>(BURLWIND_CONFIG_STORE, std::vector<std::string>{}, file);
     registries[i] = std::make_unique<Process>(BURLWIND_REGISTRY, std::vector<std::string>{}, file);
     first_ = first_ && i < 2;
   }
--- a/tests/system/programs_test.cpp
+++ b/tests/system/programs_test.cpp
@@ -15,7 +15,7 @@
 
 namespace fs = std::filesystem;
 
-const char* const kPrograms[] = {BURLWIND_PROXY, BURLWIND_REGISTRY, BURLWIND_PIGEONHOLE};
+const char* const kPrograms[] = {BURLWIND_PROXY, BURLWIND_REGISTRY, BURLWIND_CONFIG_STORE};
 
 // A machine alone, on an address of its own; nobody else answers there.
 std::string settings(const fs::path& data) {
@@ -29,7 +29,7 @@
   const std::regex day(
       R"(system_clock|gettimeofday|CLOCK_REALTIME|\btime\((NULL|nullptr|0)\)|localtime|gmtime|strftime)");
   unsigned files = 0;
-  for (const char* package : {"address", "ballot", "counter", "proxy", "franking", "http", "pigeonhole",
+  for (const char* package : {"address", "ballot", "counter", "proxy", "franking", "http", "config_store",
                               "registry", "pouch", "program", "quota", "rounds", "sorting"})
     for (const auto& file : fs::directory_iterator(fs::path(BURLWIND_SOURCES) / package)) {
       std::ifstream in(file.path());
--- a/tests/system/store_test.cpp
+++ b/tests/system/store_test.cpp
@@ -1,6 +1,6 @@
 // The store's files after a loss of power: cut, torn and mixed at every boundary of the last write, on real
 // files. What was written before it must be read, whole.
-#include "pigeonhole/store.hpp"
+#include "config_store/store.hpp"
 
 #include <doctest/doctest.h>
 #include <stdlib.h>
@@ -8,7 +8,7 @@
 #include <filesystem>
 #include <fstream>
 
-namespace burlwind::pigeonhole {
+namespace burlwind::config_store {
 namespace {
 
 namespace fs = std::filesystem;
@@ -113,4 +113,4 @@
 }
 
 }  // namespace
-}  // namespace burlwind::pigeonhole
+}  // namespace burlwind::config_store
