--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -1,5 +1,5 @@
-// config_store: the store of configuration and evacuations. Wires the agreement (src/ballot), the disk and
-// the links to the other stores and to the registries; all decisions stand in ballot and ledger.
+// config_store: the store of configuration and evacuations. Wires the agreement (src/consensus), the disk and
+// the links to the other stores and to the registries; all decisions stand in consensus and ledger.
 //
 // Disk writes block the loop on purpose: a replica whose disk stalls says nothing meanwhile, so that another
 // one leads, and what it wakes with is old by number.
@@ -10,9 +10,9 @@
 #include <random>
 #include <thread>
 
-#include "ballot/core.hpp"
 #include "config_store/ledger.hpp"
 #include "config_store/store.hpp"
+#include "consensus/core.hpp"
 #include "pouch/link.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
@@ -83,7 +83,7 @@
       program::error("cannot open the store", {{"folder", settings_.dataFolder}, {"why", error.message()}});
       return false;
     }
-    ballot::Record record;
+    consensus::PersistentState record;
     bool known = false;
     if (!bytes.empty()) try {
         msgpack::unpack(bytes.data(), bytes.size()).get().convert(record);
@@ -103,7 +103,7 @@
                              {"index", record.index},
                              {"version", state_.version},
                              {"members", record.members.size()}});
-    core_.emplace(std::move(record), ballot::Pace{}, seats(), &ConfigStoreServer::draw, this, now());
+    core_.emplace(std::move(record), consensus::Timeouts{}, seats(), &ConfigStoreServer::draw, this, now());
     return known || persist();
   }
 
@@ -117,7 +117,7 @@
     for (const auto& seed : settings_.seeds) dial(seed.ip);
   }
 
-  void begin(ballot::Record& record) {
+  void begin(consensus::PersistentState& record) {
     record.self = drawId() & ~(std::uint64_t{1} << 63);
     if (!settings_.firstBoot) return;
     bool seed = false;
@@ -155,19 +155,19 @@
   }
 
   // --- Effects ---
-  void carryOut(const std::vector<ballot::Effect>& effects) {
+  void carryOut(const std::vector<consensus::Effect>& effects) {
     for (const auto& effect : effects) {
-      if (std::holds_alternative<ballot::Persist>(effect)) {
+      if (std::holds_alternative<consensus::Persist>(effect)) {
         if (!persist()) return;
-      } else if (const auto* send = std::get_if<ballot::Send>(&effect)) {
+      } else if (const auto* send = std::get_if<consensus::Send>(&effect)) {
         std::visit([&](const auto& m) { tell(send->to, m); }, send->message);
-      } else if (std::holds_alternative<ballot::Committed>(effect)) {
+      } else if (std::holds_alternative<consensus::Committed>(effect)) {
         committed();
-      } else if (std::holds_alternative<ballot::Led>(effect)) {
+      } else if (std::holds_alternative<consensus::Led>(effect)) {
         led();
-      } else if (std::holds_alternative<ballot::Stepped>(effect)) {
+      } else if (std::holds_alternative<consensus::Stepped>(effect)) {
         stepped();
-      } else if (const auto* confirmed = std::get_if<ballot::Confirmed>(&effect)) {
+      } else if (const auto* confirmed = std::get_if<consensus::Confirmed>(&effect)) {
         confirmedRound(confirmed->round);
       }
     }
@@ -316,7 +316,7 @@
       return order(link, std::move(m));
     if (pouch::Read m; arrived.kind == pouch::kRead && arrived.read(m)) {
       if (!core_->leads()) return link->tell(pouch::Outcome{m.number, 503, "does not lead"});
-      std::vector<ballot::Effect> out;
+      std::vector<consensus::Effect> out;
       const std::uint64_t round = core_->confirm(now(), out);
       reads_.push_back({round, m.number, link});
       carryOut(out);
@@ -367,17 +367,17 @@
   // What the other stores say, on links that they or this one have dialled. False: none of it.
   bool fromStore(const Arrived& arrived) {
     switch (arrived.kind) {
-      case pouch::kAppend:
-        feed<pouch::Append>(arrived);
+      case pouch::kAppendRequest:
+        feed<pouch::AppendRequest>(arrived);
         break;
-      case pouch::kAppendSay:
-        feed<pouch::AppendSay>(arrived);
+      case pouch::kAppendResponse:
+        feed<pouch::AppendResponse>(arrived);
         break;
-      case pouch::kVoteAsk:
-        feed<pouch::VoteAsk>(arrived);
+      case pouch::kVoteRequest:
+        feed<pouch::VoteRequest>(arrived);
         break;
-      case pouch::kVoteSay:
-        feed<pouch::VoteSay>(arrived);
+      case pouch::kVoteResponse:
+        feed<pouch::VoteResponse>(arrived);
         break;
       case pouch::kJoin:
         if (pouch::Join m; arrived.read(m)) {
@@ -478,7 +478,7 @@
   program::SettingsFile file_;
   address::Settings settings_;
   Store store_;
-  std::optional<ballot::Core> core_;
+  std::optional<consensus::Core> core_;
   State state_;  // committed
   Lately lately_;
   rounds::LeaseGrantor lease_;
--- a/src/ballot/core.cpp
+++ b/src/consensus/core.cpp
@@ -1,10 +1,10 @@
-#include "ballot/core.hpp"
+#include "consensus/core.hpp"
 
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
-namespace burlwind::ballot {
+namespace burlwind::consensus {
 namespace {
 
 bool newer(std::uint64_t termA, std::uint64_t indexA, std::uint64_t termB, std::uint64_t indexB) {
@@ -13,8 +13,9 @@
 
 }  // namespace
 
-Core::Core(Record record, Pace pace, unsigned seats, double (*draw)(void*), void* drawer, Time now)
-    : record_(std::move(record)), pace_(pace), seats_(seats), draw_(draw), drawer_(drawer) {
+Core::Core(PersistentState record, Timeouts timeouts, unsigned seats, double (*draw)(void*), void* drawer,
+           Time now)
+    : record_(std::move(record)), timeouts_(timeouts), seats_(seats), draw_(draw), drawer_(drawer) {
   rest(now);
 }
 
@@ -22,14 +23,14 @@
 // soon, until the first leader has been heard. They are trials, which do no harm where there is one.
 void Core::rest(Time now) {
   const bool first = heard_ < 0;
-  const Time least = first ? pace_.firstLeast : pace_.electLeast,
-             most = first ? pace_.firstMost : pace_.electMost;
+  const Time least = first ? timeouts_.firstLeast : timeouts_.electLeast,
+             most = first ? timeouts_.firstMost : timeouts_.electMost;
   electAt_ = now + least + draw_(drawer_) * (most - least);
 }
 
 void Core::reached(Time now) {
   if (heard_ >= 0 || role_ == Role::leader || role_ == Role::candidate) return;
-  electAt_ = std::min(electAt_, now + draw_(drawer_) * pace_.reachedMost);
+  electAt_ = std::min(electAt_, now + draw_(drawer_) * timeouts_.reachedMost);
 }
 
 bool Core::isMember(Id id) const {
@@ -77,12 +78,12 @@
   if (role_ == Role::leader) {
     // One that no majority has answered for so long leads nobody; it wakes from a stop here as well.
     const bool heard = quorum([&](Id id) {
-      return id == record_.self || now - std::max(peers_[id].heard, wonAt_) < pace_.electLeast;
+      return id == record_.self || now - std::max(peers_[id].heard, wonAt_) < timeouts_.electLeast;
     });
     if (!heard) {
       follow(record_.term, 0, now, out);
-    } else if (now >= beatAt_) {
-      beat(now, out);
+    } else if (now >= heartbeatAt_) {
+      sendHeartbeats(now, out);
       changeMembers(now, out);
     }
   } else if (now >= electAt_) {
@@ -94,15 +95,15 @@
   return out;
 }
 
-// A trial first: who can't win does not push the others' term up.
+// A pre-vote first: who can't win does not push the others' term up.
 void Core::stand(Time now, std::vector<Effect>& out) {
-  role_ = Role::trial;
+  role_ = Role::preCandidate;
   leader_ = 0;
   votes_ = {record_.self};
   rest(now);
   for (const Id id : everyone())
     out.push_back(
-        Send{id, pouch::VoteAsk{record_.term + 1, record_.self, record_.lastTerm, record_.index, true}});
+        Send{id, pouch::VoteRequest{record_.term + 1, record_.self, record_.lastTerm, record_.index, true}});
   countVotes(now, out);
 }
 
@@ -115,13 +116,13 @@
   rest(now);
   for (const Id id : everyone())
     out.push_back(
-        Send{id, pouch::VoteAsk{record_.term, record_.self, record_.lastTerm, record_.index, false}});
+        Send{id, pouch::VoteRequest{record_.term, record_.self, record_.lastTerm, record_.index, false}});
   countVotes(now, out);
 }
 
 void Core::countVotes(Time now, std::vector<Effect>& out) {
   if (!quorum([&](Id id) { return votes_.contains(id); })) return;
-  if (role_ == Role::trial) return elect(now, out);
+  if (role_ == Role::preCandidate) return elect(now, out);
   if (role_ == Role::candidate) lead(now, out);
 }
 
@@ -139,23 +140,23 @@
   record_.lastTerm = record_.term;
   ++record_.index;
   for (const Id id : everyone()) peers_[id].sentWhole = -1e9;
-  beat(now, out);  // before the own write: both disks work at the same time
+  sendHeartbeats(now, out);  // before the own write: both disks work at the same time
   out.push_back(Persist{});
   advance(now, out);
 }
 
-void Core::beat(Time now, std::vector<Effect>& out) {
-  beatAt_ = now + pace_.beat;
+void Core::sendHeartbeats(Time now, std::vector<Effect>& out) {
+  heartbeatAt_ = now + timeouts_.heartbeat;
   ++round_;
   for (const Id id : everyone()) sendTo(id, now, out);
 }
 
 void Core::sendTo(Id to, Time now, std::vector<Effect>& out) {
   Peer& peer = peers_[to];
-  pouch::Append m{record_.term, record_.self, round_, record_.lastTerm, record_.index, committed_, false,
-                  {},           {},           {}};
+  pouch::AppendRequest m{
+      record_.term, record_.self, round_, record_.lastTerm, record_.index, committed_, false, {}, {}, {}};
   const bool has = peer.lastTerm == record_.lastTerm && peer.index == record_.index;
-  if (!has && now - peer.sentWhole > 3 * pace_.beat) {
+  if (!has && now - peer.sentWhole > 3 * timeouts_.heartbeat) {
     m.whole = true;
     m.members = record_.members, m.former = record_.former, m.state = record_.state;
     peer.sentWhole = now;
@@ -196,8 +197,9 @@
 // goes, then an empty seat.
 void Core::changeMembers(Time now, std::vector<Effect>& out) {
   if (!mayPropose()) return;
-  std::erase_if(applicants_,
-                [&](const auto& a) { return isMember(a.first) || now - peers_[a.first].heard > pace_.gone; });
+  std::erase_if(applicants_, [&](const auto& a) {
+    return isMember(a.first) || now - peers_[a.first].heard > timeouts_.gone;
+  });
   for (const auto& [id, applicant] : applicants_) {
     auto& members = record_.members;
     auto seat =
@@ -206,7 +208,7 @@
       seat = std::find_if(members.begin(), members.end(), [&](const Member& m) {
         if (m.id == record_.self) return false;
         const Peer& peer = peers_[m.id];
-        return peer.leaving || now - std::max(peer.heard, wonAt_) > pace_.gone;
+        return peer.leaving || now - std::max(peer.heard, wonAt_) > timeouts_.gone;
       });
     if (seat == members.end() && members.size() >= seats_) continue;
     record_.former = members;
@@ -243,7 +245,7 @@
 }
 
 std::uint64_t Core::confirm(Time now, std::vector<Effect>& out) {
-  beat(now, out);
+  sendHeartbeats(now, out);
   const std::uint64_t mine = round_;
   advance(now, out);
   return mine;
@@ -255,10 +257,10 @@
   return out;
 }
 
-void Core::on(const pouch::Append& m, Time now, std::vector<Effect>& out) {
+void Core::on(const pouch::AppendRequest& m, Time now, std::vector<Effect>& out) {
   if (m.term < record_.term) {
     ++late_;
-    out.push_back(Send{m.from, pouch::AppendSay{record_.term, record_.self, 0, 0, 0}});
+    out.push_back(Send{m.from, pouch::AppendResponse{record_.term, record_.self, 0, 0, 0}});
     return;
   }
   follow(m.term, m.from, now, out);
@@ -269,11 +271,11 @@
     out.push_back(Persist{});
   }
   committed_ = std::max(committed_, std::min(m.committed, record_.index));
-  out.push_back(
-      Send{m.from, pouch::AppendSay{record_.term, record_.self, m.round, record_.lastTerm, record_.index}});
+  out.push_back(Send{
+      m.from, pouch::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm, record_.index}});
 }
 
-void Core::on(const pouch::AppendSay& m, Time now, std::vector<Effect>& out) {
+void Core::on(const pouch::AppendResponse& m, Time now, std::vector<Effect>& out) {
   if (m.term > record_.term) return follow(m.term, 0, now, out);
   if (role_ != Role::leader || m.term < record_.term) {
     ++late_;
@@ -290,36 +292,37 @@
   advance(now, out);
 }
 
-void Core::on(const pouch::VoteAsk& m, Time now, std::vector<Effect>& out) {
+void Core::on(const pouch::VoteRequest& m, Time now, std::vector<Effect>& out) {
   const bool hasAll = !newer(record_.lastTerm, record_.index, m.lastTerm, m.index);
   // Who hears a leader, or is one, takes part in no election against it.
-  const bool content = role_ == Role::leader || now - heard_ < pace_.electLeast;
-  if (m.trial) {
+  const bool content = role_ == Role::leader || now - heard_ < timeouts_.electLeast;
+  if (m.preVote) {
     // Of several that try at the same time and know as much, the one with the highest id goes on: they would
     // split the votes.
     const bool sameLog = m.lastTerm == record_.lastTerm && m.index == record_.index;
-    const bool yields = !(role_ == Role::trial && sameLog && record_.self > m.from);
+    const bool yields = !(role_ == Role::preCandidate && sameLog && record_.self > m.from);
     const bool granted = m.term > record_.term && hasAll && !content && yields;
-    out.push_back(Send{m.from, pouch::VoteSay{granted ? m.term : record_.term, record_.self, true, granted}});
+    out.push_back(
+        Send{m.from, pouch::VoteResponse{granted ? m.term : record_.term, record_.self, true, granted}});
     return;
   }
   if (m.term > record_.term && !content) follow(m.term, 0, now, out);
   const bool granted = m.term == record_.term && hasAll && !content &&
                        (record_.votedFor == 0 || record_.votedFor == m.from) &&
-                       (role_ == Role::follower || role_ == Role::trial);
+                       (role_ == Role::follower || role_ == Role::preCandidate);
   if (granted && record_.votedFor == 0) {
     role_ = Role::follower;
     record_.votedFor = m.from;
     out.push_back(Persist{});
     rest(now);
   }
-  out.push_back(Send{m.from, pouch::VoteSay{record_.term, record_.self, false, granted}});
+  out.push_back(Send{m.from, pouch::VoteResponse{record_.term, record_.self, false, granted}});
 }
 
-void Core::on(const pouch::VoteSay& m, Time now, std::vector<Effect>& out) {
+void Core::on(const pouch::VoteResponse& m, Time now, std::vector<Effect>& out) {
   if (!m.granted && m.term > record_.term) return follow(m.term, 0, now, out);
-  const bool fits = m.trial ? role_ == Role::trial && m.term == record_.term + 1
-                            : role_ == Role::candidate && m.term == record_.term;
+  const bool fits = m.preVote ? role_ == Role::preCandidate && m.term == record_.term + 1
+                              : role_ == Role::candidate && m.term == record_.term;
   if (!fits || !m.granted) {
     ++late_;
     return;
@@ -328,4 +331,4 @@
   countVotes(now, out);
 }
 
-}  // namespace burlwind::ballot
+}  // namespace burlwind::consensus
--- a/src/ballot/core.hpp
+++ b/src/consensus/core.hpp
@@ -28,13 +28,13 @@
 
 #include "pouch/messages.hpp"
 
-namespace burlwind::ballot {
+namespace burlwind::consensus {
 
 using pouch::Member;
 using Time = double;  // ms of the host's steady clock
 using Id = std::uint64_t;
 
-struct Record {  // what outlives the process
+struct PersistentState {  // what outlives the process
   Id self = 0;
   std::uint64_t term = 0;
   Id votedFor = 0;
@@ -45,15 +45,16 @@
   MSGPACK_DEFINE(self, term, votedFor, lastTerm, index, members, former, state)
 };
 
-struct Pace {  // ms
-  Time beat = 200;
+struct Timeouts {  // ms
+  Time heartbeat = 200;
   Time electLeast = 700, electMost = 1300;  // silence until an election
   Time firstLeast = 80, firstMost = 360;    // the same, after a start
   Time reachedMost = 40;                    // at most, once another one is reached after a start
   Time gone = 1500;                         // silence until a member may be replaced
 };
 
-using Message = std::variant<pouch::Append, pouch::AppendSay, pouch::VoteAsk, pouch::VoteSay>;
+using Message =
+    std::variant<pouch::AppendRequest, pouch::AppendResponse, pouch::VoteRequest, pouch::VoteResponse>;
 struct Send {
   Id to = 0;
   Message message;
@@ -70,9 +71,10 @@
 class Core {
  public:
   // `draw`: numbers from 0 to 1, for the spread of elections.
-  Core(Record record, Pace pace, unsigned seats, double (*draw)(void*), void* drawer, Time now);
+  Core(PersistentState record, Timeouts timeouts, unsigned seats, double (*draw)(void*), void* drawer,
+       Time now);
 
-  std::vector<Effect> tick(Time now);  // at least each `beat` / 2
+  std::vector<Effect> tick(Time now);  // at least each `heartbeat` / 2
   std::vector<Effect> receive(const Message& message, Time now);
   // A link to another replica has come up. After a start this one need not wait longer to ask for votes.
   void reached(Time now);
@@ -87,16 +89,16 @@
   std::uint64_t confirm(Time now, std::vector<Effect>& out);
   std::uint64_t nextRound() const { return round_ + 1; }  // the same, at the next beat
 
-  const Record& record() const { return record_; }
+  const PersistentState& record() const { return record_; }
   bool leads() const { return led_; }
-  bool leaderIsKnown(Time now) const { return role_ == Role::leader || now - heard_ < pace_.electLeast; }
+  bool leaderIsKnown(Time now) const { return role_ == Role::leader || now - heard_ < timeouts_.electLeast; }
   Id leader() const { return leader_; }
   std::uint64_t committed() const { return committed_; }
   bool member() const { return isMember(record_.self); }
   std::uint64_t late() const { return late_; }  // messages dropped for an old number
 
  private:
-  enum class Role { follower, trial, candidate, leader };
+  enum class Role { follower, preCandidate, candidate, leader };
   struct Peer {
     std::uint64_t round = 0;                // latest answered
     std::uint64_t lastTerm = 0, index = 0;  // what it holds
@@ -115,29 +117,29 @@
   void countVotes(Time now, std::vector<Effect>& out);
   void lead(Time now, std::vector<Effect>& out);
   void begin(Time now, std::vector<Effect>& out);  // the entry that record_ now holds
-  void beat(Time now, std::vector<Effect>& out);
+  void sendHeartbeats(Time now, std::vector<Effect>& out);
   void sendTo(Id to, Time now, std::vector<Effect>& out);
   void advance(Time now, std::vector<Effect>& out);
   void changeMembers(Time now, std::vector<Effect>& out);
   void rest(Time now);
-  void on(const pouch::Append& m, Time now, std::vector<Effect>& out);
-  void on(const pouch::AppendSay& m, Time now, std::vector<Effect>& out);
-  void on(const pouch::VoteAsk& m, Time now, std::vector<Effect>& out);
-  void on(const pouch::VoteSay& m, Time now, std::vector<Effect>& out);
+  void on(const pouch::AppendRequest& m, Time now, std::vector<Effect>& out);
+  void on(const pouch::AppendResponse& m, Time now, std::vector<Effect>& out);
+  void on(const pouch::VoteRequest& m, Time now, std::vector<Effect>& out);
+  void on(const pouch::VoteResponse& m, Time now, std::vector<Effect>& out);
 
-  Record record_;
-  const Pace pace_;
+  PersistentState record_;
+  const Timeouts timeouts_;
   unsigned seats_;
   double (*draw_)(void*);
   void* drawer_;
   Role role_ = Role::follower;
   bool led_ = false, inFlight_ = false;
   Id leader_ = 0;
-  Time heard_ = -1e9, electAt_ = 0, beatAt_ = 0, wonAt_ = 0;
+  Time heard_ = -1e9, electAt_ = 0, heartbeatAt_ = 0, wonAt_ = 0;
   std::uint64_t committed_ = 0, round_ = 0, confirmed_ = 0, late_ = 0;
   std::set<Id> votes_;
   std::map<Id, Peer> peers_;
   std::map<Id, Member> applicants_;
 };
 
-}  // namespace burlwind::ballot
+}  // namespace burlwind::consensus
--- a/src/pouch/messages.hpp
+++ b/src/pouch/messages.hpp
@@ -12,10 +12,10 @@
 
 enum Kind {
   kHello = 1,
-  kAppend,
-  kAppendSay,
-  kVoteAsk,
-  kVoteSay,
+  kAppendRequest,
+  kAppendResponse,
+  kVoteRequest,
+  kVoteResponse,
   kJoin,
   kLeave,
   kNews,
@@ -45,37 +45,37 @@
   MSGPACK_DEFINE(role, name, ip, zone, region, life, front, linkMbps)
 };
 
-// --- Stores among themselves (src/ballot) ---
+// --- Stores among themselves (src/consensus) ---
 struct Member {
   std::uint64_t id = 0;
   std::string ip;
   bool operator==(const Member&) const = default;
   MSGPACK_DEFINE(id, ip)
 };
-struct Append {  // with `state` where `whole`; else a heartbeat
-  static constexpr Kind kKind = kAppend;
+struct AppendRequest {  // with `state` where `whole`; else a heartbeat
+  static constexpr Kind kKind = kAppendRequest;
   std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0, committed = 0;
   bool whole = false;
   std::vector<Member> members, former;
   std::string state;
   MSGPACK_DEFINE(term, from, round, lastTerm, index, committed, whole, members, former, state)
 };
-struct AppendSay {
-  static constexpr Kind kKind = kAppendSay;
+struct AppendResponse {
+  static constexpr Kind kKind = kAppendResponse;
   std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0;
   MSGPACK_DEFINE(term, from, round, lastTerm, index)
 };
-struct VoteAsk {
-  static constexpr Kind kKind = kVoteAsk;
+struct VoteRequest {
+  static constexpr Kind kKind = kVoteRequest;
   std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
-  bool trial = false;  // asks whether it would be granted; binds nobody
-  MSGPACK_DEFINE(term, from, lastTerm, index, trial)
+  bool preVote = false;  // asks whether it would be granted; binds nobody
+  MSGPACK_DEFINE(term, from, lastTerm, index, preVote)
 };
-struct VoteSay {
-  static constexpr Kind kKind = kVoteSay;
+struct VoteResponse {
+  static constexpr Kind kKind = kVoteResponse;
   std::uint64_t term = 0, from = 0;
-  bool trial = false, granted = false;
-  MSGPACK_DEFINE(term, from, trial, granted)
+  bool preVote = false, granted = false;
+  MSGPACK_DEFINE(term, from, preVote, granted)
 };
 struct Join {
   static constexpr Kind kKind = kJoin;
--- a/tests/system/ballot_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -179,25 +179,26 @@
 
 // One replica alone, asked by hand.
 struct Alone {
-  explicit Alone(Record record)
+  explicit Alone(PersistentState record)
       : core(
-            std::move(record), ballot::Pace{}, 3, [](void*) { return 0.5; }, nullptr, 0) {}
+            std::move(record), consensus::Timeouts{}, 3, [](void*) { return 0.5; }, nullptr, 0) {}
   // Whether the effects hold a vote for the one that asks, and how many changes were committed.
-  static bool voted(const std::vector<ballot::Effect>& effects) {
+  static bool voted(const std::vector<consensus::Effect>& effects) {
     for (const auto& effect : effects)
-      if (const auto* send = std::get_if<ballot::Send>(&effect))
-        if (const auto* say = std::get_if<pouch::VoteSay>(&send->message)) return say->granted && !say->trial;
+      if (const auto* send = std::get_if<consensus::Send>(&effect))
+        if (const auto* say = std::get_if<pouch::VoteResponse>(&send->message))
+          return say->granted && !say->trial;
     return false;
   }
-  static bool committed(const std::vector<ballot::Effect>& effects) {
+  static bool committed(const std::vector<consensus::Effect>& effects) {
     return std::any_of(effects.begin(), effects.end(),
-                       [](const auto& e) { return std::holds_alternative<ballot::Committed>(e); });
+                       [](const auto& e) { return std::holds_alternative<consensus::Committed>(e); });
   }
   Core core;
 };
 
-Record three(Id self) {
-  Record out;
+PersistentState three(Id self) {
+  PersistentState out;
   out.self = self;
   out.members = {{1, "a"}, {2, "b"}, {3, "c"}};
   return out;
@@ -205,25 +206,25 @@
 
 TEST_CASE("one vote a term: not a second one for another candidate, also not after a restart") {
   Alone voter(three(3));
-  CHECK(Alone::voted(voter.core.receive(pouch::VoteAsk{5, 1, 0, 0, false}, 2000)));
-  CHECK_FALSE(Alone::voted(voter.core.receive(pouch::VoteAsk{5, 2, 0, 0, false}, 2010)));
-  CHECK(Alone::voted(voter.core.receive(pouch::VoteAsk{5, 1, 0, 0, false}, 2020)));  // told once more
+  CHECK(Alone::voted(voter.core.receive(pouch::VoteRequest{5, 1, 0, 0, false}, 2000)));
+  CHECK_FALSE(Alone::voted(voter.core.receive(pouch::VoteRequest{5, 2, 0, 0, false}, 2010)));
+  CHECK(Alone::voted(voter.core.receive(pouch::VoteRequest{5, 1, 0, 0, false}, 2020)));  // told once more
   Alone again(voter.core.record());
-  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteAsk{5, 2, 0, 0, false}, 2000)));
-  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteAsk{4, 2, 0, 0, false}, 2010)));
-  CHECK(Alone::voted(again.core.receive(pouch::VoteAsk{6, 2, 0, 0, false}, 2020)));
+  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteRequest{5, 2, 0, 0, false}, 2000)));
+  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteRequest{4, 2, 0, 0, false}, 2010)));
+  CHECK(Alone::voted(again.core.receive(pouch::VoteRequest{6, 2, 0, 0, false}, 2020)));
 }
 
 TEST_CASE(
     "of two that try for leadership at once and know as much, the higher id goes on, and more knowledge "
     "wins") {
-  const auto trial = [](Core& core, pouch::VoteAsk ask) {
+  const auto trial = [](Core& core, pouch::VoteRequest ask) {
     for (const auto& effect : core.receive(ask, 400))
-      if (const auto* send = std::get_if<ballot::Send>(&effect))
-        if (const auto* say = std::get_if<pouch::VoteSay>(&send->message)) return say->granted;
+      if (const auto* send = std::get_if<consensus::Send>(&effect))
+        if (const auto* say = std::get_if<pouch::VoteResponse>(&send->message)) return say->granted;
     return false;
   };
-  const auto trying = [](Record record) {
+  const auto trying = [](PersistentState record) {
     Alone out(std::move(record));
     out.core.reached(300);
     out.core.tick(390);
@@ -232,24 +233,25 @@
   Alone low = trying(three(2)), high = trying(three(3));
   CHECK(trial(low.core, {1, 3, 0, 0, true}));
   CHECK_FALSE(trial(high.core, {1, 2, 0, 0, true}));
-  Record older = three(3);
+  PersistentState older = three(3);
   older.lastTerm = 0, older.index = 0;
   Alone old = trying(older);
-  CHECK(trial(old.core, {1, 2, 1, 4, true}));  // a lower id that knows more
+  CHECK(pre - vote(old.core, {1, 2, 1, 4, true}));  // a lower id that knows more
   Alone still(three(3));
-  CHECK(trial(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
+  CHECK(pre - vote(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
 }
 
 // Makes replica 1 lead its two fellows.
 void lead(Core& core) {
-  std::vector<ballot::Effect> out;
+  std::vector<consensus::Effect> out;
   double now = 0;
   while (core.record().term == 0) {
     out = core.tick(now += 50);
-    core.receive(pouch::VoteSay{core.record().term + 1, 2, true, true}, now);
+    core.receive(pouch::VoteResponse{core.record().term + 1, 2, true, true}, now);
   }
-  core.receive(pouch::VoteSay{core.record().term, 2, false, true}, now);
-  core.receive(pouch::AppendSay{core.record().term, 2, 1, core.record().lastTerm, core.record().index}, now);
+  core.receive(pouch::VoteResponse{core.record().term, 2, false, true}, now);
+  core.receive(pouch::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
+               now);
   REQUIRE(core.leads());
 }
 
@@ -261,13 +263,15 @@
   const double now = 3000;
   // Replica 4 stands where 3 has lost its disk.
   core.join({4, "c"}, now);
-  core.receive(pouch::AppendSay{core.record().term, 2, 1, core.record().lastTerm, core.record().index}, now);
+  core.receive(pouch::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
+               now);
   core.tick(now);
   REQUIRE(core.record().former.size() == 3);
   REQUIRE(core.record().members[2].id == 4);
   const auto held = [&](Id by) {
     return core.receive(
-        pouch::AppendSay{core.record().term, by, 2, core.record().lastTerm, core.record().index}, now + 10);
+        pouch::AppendResponse{core.record().term, by, 2, core.record().lastTerm, core.record().index},
+        now + 10);
   };
   CHECK_FALSE(Alone::committed(held(4)));  // 1 and 4: of the old members there is one alone
   CHECK(core.record().former.size() == 3);
--- a/tests/system/timeline.hpp
+++ b/tests/system/timeline.hpp
@@ -25,13 +25,13 @@
 #include <string>
 #include <vector>
 
-#include "ballot/core.hpp"
+#include "consensus/core.hpp"
 
 namespace burlwind::timeline {
 
-using ballot::Core;
-using ballot::Id;
-using ballot::Record;
+using consensus::Core;
+using consensus::Id;
+using consensus::PersistentState;
 
 class Stores {
  public:
@@ -40,7 +40,7 @@
     std::vector<pouch::Member> first;
     for (unsigned i = 0; i < count; ++i) first.push_back({100 + i, address(i, 0)});
     for (unsigned i = 0; i < count; ++i) {
-      replicas_[i].disk = Record{};
+      replicas_[i].disk = PersistentState{};
       replicas_[i].disk.self = 100 + i;
       replicas_[i].disk.members = first;
       replicas_[i].ip = address(i, 0);
@@ -176,7 +176,7 @@
 
  private:
   struct Replica {
-    Record disk;
+    PersistentState disk;
     std::unique_ptr<Core> core;
     std::string ip;
     bool frozen = false, deaf = false, mute = false;
@@ -187,7 +187,7 @@
     double at;
     unsigned from, to;
     Id id;  // of the reader, or of who wants to join
-    ballot::Message message;
+    consensus::Message message;
     unsigned life;
     bool join = false;
     std::string ip;
@@ -207,10 +207,10 @@
     ++r.life;
     r.frozen = false;
     r.busyUntil = 0;
-    r.core = std::make_unique<Core>(r.disk, ballot::Pace{}, seats_, &Stores::draw, this, now_);
+    r.core = std::make_unique<Core>(r.disk, consensus::Timeouts{}, seats_, &Stores::draw, this, now_);
   }
   void empty(unsigned i, const std::string& ip) {
-    replicas_[i].disk = Record{};
+    replicas_[i].disk = PersistentState{};
     replicas_[i].disk.self = ++ids_;
     replicas_[i].ip = ip;
   }
@@ -234,25 +234,25 @@
     carry(letter.to, to.core->receive(letter.message, now_));
   }
 
-  void carry(unsigned i, const std::vector<ballot::Effect>& effects) {
+  void carry(unsigned i, const std::vector<consensus::Effect>& effects) {
     Replica& r = replicas_[i];
     double at = now_;
     for (const auto& effect : effects) {
-      if (std::holds_alternative<ballot::Persist>(effect)) {
+      if (std::holds_alternative<consensus::Persist>(effect)) {
         r.disk = r.core->record();
         at += r.write;
         r.busyUntil = std::max(r.busyUntil, at);
-      } else if (const auto* send = std::get_if<ballot::Send>(&effect)) {
+      } else if (const auto* send = std::get_if<consensus::Send>(&effect)) {
         for (unsigned j = 0; j < replicas_.size(); ++j)
           if (replicas_[j].disk.self == send->to ||
               (replicas_[j].core && replicas_[j].core->record().self == send->to))
             letters_.push_back({at + delay(), i, j, send->to, send->message, r.life, false, {}});
-      } else if (std::holds_alternative<ballot::Committed>(effect)) {
+      } else if (std::holds_alternative<consensus::Committed>(effect)) {
         acks_.insert(i);
         CHECK_MESSAGE(holds(r.core->record().state, acknowledged_),
                       "what was acknowledged is not in what is committed");
         commits_.insert(r.core->record().state);
-      } else if (std::holds_alternative<ballot::Led>(effect)) {
+      } else if (std::holds_alternative<consensus::Led>(effect)) {
         CHECK_MESSAGE(leaders_.emplace(r.core->record().term, r.core->record().self).second,
                       "two leaders of a term");
         CHECK_MESSAGE(holds(r.core->record().state, acknowledged_), "a leader has forgotten");
