--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -75,7 +75,7 @@
 
 }  // namespace
 
-Judged apply(State& state, Lately& lately, const pouch::Propose& order, double now) {
+Judged apply(State& state, Lately& lately, const rpc::CommandRequest& order, double now) {
   if (order.what == "config") return takeConfiguration(state, order.body);
   if (order.what == "evacuate") return evacuate(state, lately, order.body, now);
   if (order.what == "return") return takeBack(state, lately, order.body, now);
--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "address/configuration.hpp"
-#include "pouch/messages.hpp"
 #include "rounds/lease.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::config_store {
 
@@ -43,6 +43,6 @@
 struct Lately {
   std::map<std::string, double> begun, ended;  // by zone
 };
-Judged apply(State& state, Lately& lately, const pouch::Propose& order, double now);
+Judged apply(State& state, Lately& lately, const rpc::CommandRequest& order, double now);
 
 }  // namespace burlwind::config_store
--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -13,26 +13,26 @@
 #include "config_store/ledger.hpp"
 #include "config_store/store.hpp"
 #include "consensus/core.hpp"
-#include "pouch/link.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "rounds/lease.hpp"
+#include "rpc/link.hpp"
 
 namespace burlwind::config_store {
 namespace {
 
 namespace asio = boost::asio;
-using pouch::Arrived;
-using pouch::Link;
 using program::now;
+using rpc::Arrived;
+using rpc::Link;
 using LinkPtr = std::shared_ptr<Link>;
 
 constexpr auto kTick = std::chrono::milliseconds(50);
-constexpr double kStopped = 1000;       // ms between two ticks: this process stood still
-constexpr double kJoinPause = 300;      // ms
-constexpr double kVouchPause = 300;     // ms
-constexpr double kWriteWithin = 10000;  // ms, until a process whose disk refuses all ends
+constexpr double kProcessStallThreshold = 1000;  // ms between two ticks: this process stood still
+constexpr double kJoinPause = 300;               // ms
+constexpr double kConfirmationPause = 300;       // ms
+constexpr double kWriteWithin = 10000;           // ms, until a process whose disk refuses all ends
 
 std::uint64_t drawId() {
   std::random_device device;
@@ -121,7 +121,7 @@
     record.self = drawId() & ~(std::uint64_t{1} << 63);
     if (!settings_.firstBoot) return;
     bool seed = false;
-    std::vector<pouch::Member> members;
+    std::vector<rpc::Member> members;
     for (const auto& s : settings_.seeds) {
       members.push_back({firstId(s.ip), s.ip});
       seed = seed || s.ip == settings_.ip;
@@ -194,9 +194,9 @@
     unpack(core_->record().state, state_);
     agreedKeeper();
     for (auto& [number, link, outcome] : std::exchange(underWay_, {}))
-      if (const auto l = link.lock()) l->tell(pouch::Outcome{number, outcome.status, outcome.text});
+      if (const auto l = link.lock()) l->tell(rpc::CommandResponse{number, outcome.status, outcome.text});
     for (const auto& m : core_->record().members) dial(m.ip);
-    pushNews();
+    pushConfigUpdate();
     asio::post(io_, [this] { proposeNext(); });
   }
 
@@ -205,7 +205,7 @@
     lease_.lead(state_.keeper, now());
     nextKeeper_.reset();
     lately_ = {};
-    vouchAt_ = 0;
+    confirmationAt_ = 0;
   }
 
   void stepped() {
@@ -219,7 +219,8 @@
     if (!core_->leads()) return;
     std::erase_if(reads_, [&](auto& read) {
       if (read.round > round) return false;
-      if (const auto l = read.link.lock()) l->tell(pouch::Outcome{read.number, 200, state_.configuration});
+      if (const auto l = read.link.lock())
+        l->tell(rpc::CommandResponse{read.number, 200, state_.configuration});
       return true;
     });
     std::erase_if(leases_, [&](auto& asked) {
@@ -229,24 +230,24 @@
     });
     // Not from within: what is committed by now may not have been carried out yet.
     if (nextKeeper_) asio::post(io_, [this] { proposeNext(); });
-    if (now() < vouchAt_) return;
-    vouchAt_ = now() + kVouchPause;
-    const pouch::Vouch vouch{core_->record().term, core_->committed(),
-                             lease_.busy(now()) ? state_.keeper.ip : std::string(), state_.keeper.epoch,
-                             storeIps()};
-    for (auto& [link, reader] : readers_) link->tell(vouch);
+    if (now() < confirmationAt_) return;
+    confirmationAt_ = now() + kConfirmationPause;
+    const rpc::LeaderConfirmation confirmation{core_->record().term, core_->committed(),
+                                               lease_.busy(now()) ? state_.keeper.ip : std::string(),
+                                               state_.keeper.epoch, storeIps()};
+    for (auto& [link, reader] : readers_) link->tell(confirmation);
   }
 
   // --- The registries' duties ---
   struct LeaseAsked {
     std::uint64_t round;
-    pouch::LeaseAsk ask;
+    rpc::LeaseRequest ask;
     std::weak_ptr<Link> link;
   };
 
   void answerLease(const LeaseAsked& asked) {
     if (nextKeeper_) return sayLease(asked, 0);  // also to the keeper: it may be none in a moment
-    const rounds::Asker who{asked.ask.ip, asked.ask.life, asked.ask.epoch, asked.ask.wants};
+    const rounds::Asker who{asked.ask.ip, asked.ask.incarnation, asked.ask.epoch, asked.ask.wants};
     const auto say = lease_.ask(state_.keeper, who, now());
     if (say == rounds::LeaseGrantor::Say::grant)
       sayLease(asked, rounds::kLeaseSpan);
@@ -258,16 +259,16 @@
 
   void sayLease(const LeaseAsked& asked, double span) {
     if (const auto link = asked.link.lock())
-      link->tell(pouch::LeaseSay{asked.ask.number, span, state_.keeper.epoch});
+      link->tell(rpc::LeaseResponse{asked.ask.number, span, state_.keeper.epoch});
   }
 
   // It is the keeper that all agree on now, and nobody else was granted anything since it asked.
   void agreedKeeper() {
-    if (!nextKeeper_ || state_.keeper.life != nextKeeper_->ask.life) return;
+    if (!nextKeeper_ || state_.keeper.incarnation != nextKeeper_->ask.incarnation) return;
     lease_.granted(now());
     sayLease(*nextKeeper_, rounds::kLeaseSpan);
     nextKeeper_.reset();
-    vouchAt_ = 0;
+    confirmationAt_ = 0;
   }
 
   // --- Readers: the registries ---
@@ -279,19 +280,19 @@
     for (const auto& m : core_->record().members) out.push_back(m.ip);
     return out;
   }
-  pouch::News news() const {
+  rpc::ConfigUpdate news() const {
     std::vector<std::string> zones;
     for (const auto& [zone, count] : state_.evacuated) zones.push_back(zone);
     return {core_->record().term, core_->committed(), state_.configuration, std::move(zones), storeIps()};
   }
-  void pushNews() {
+  void pushConfigUpdate() {
     if (!core_->leads()) return;
-    const std::string frame = pouch::frame(news());
+    const std::string frame = rpc::frame(news());
     for (auto& [link, reader] : readers_) link->send(frame);
   }
 
-  void order(const LinkPtr& link, pouch::Propose propose) {
-    if (!core_->leads()) return link->tell(pouch::Outcome{propose.number, 503, "does not lead"});
+  void order(const LinkPtr& link, rpc::CommandRequest propose) {
+    if (!core_->leads()) return link->tell(rpc::CommandResponse{propose.number, 503, "does not lead"});
     orders_.push_back({std::move(propose), link});
     proposeNext();
   }
@@ -300,7 +301,8 @@
   void proposeNext() {
     if ((orders_.empty() && !nextKeeper_) || !core_->mayPropose()) return;
     State next = state_;
-    if (nextKeeper_) next.keeper = {nextKeeper_->ask.ip, nextKeeper_->ask.life, state_.keeper.epoch + 1};
+    if (nextKeeper_)
+      next.keeper = {nextKeeper_->ask.ip, nextKeeper_->ask.incarnation, state_.keeper.epoch + 1};
     auto waiting = std::exchange(orders_, {});
     for (auto& [propose, link] : waiting) {
       const Judged judged = apply(next, lately_, propose, now());
@@ -312,19 +314,19 @@
   }
 
   void onReader(const LinkPtr& link, const Arrived& arrived) {
-    if (pouch::Propose m; arrived.kind == pouch::kPropose && arrived.read(m))
+    if (rpc::CommandRequest m; arrived.kind == rpc::kCommandRequest && arrived.read(m))
       return order(link, std::move(m));
-    if (pouch::Read m; arrived.kind == pouch::kRead && arrived.read(m)) {
-      if (!core_->leads()) return link->tell(pouch::Outcome{m.number, 503, "does not lead"});
+    if (rpc::ReadRequest m; arrived.kind == rpc::kReadRequest && arrived.read(m)) {
+      if (!core_->leads()) return link->tell(rpc::CommandResponse{m.number, 503, "does not lead"});
       std::vector<consensus::Effect> out;
       const std::uint64_t round = core_->confirm(now(), out);
       reads_.push_back({round, m.number, link});
       carryOut(out);
-    } else if (pouch::LeaseAsk m2; arrived.kind == pouch::kLeaseAsk && arrived.read(m2)) {
+    } else if (rpc::LeaseRequest m2; arrived.kind == rpc::kLeaseRequest && arrived.read(m2)) {
       if (!core_->leads()) return;
       const LeaseAsked asked{core_->nextRound(), m2, link};
       // What the keeper asks waits for the next beat; a change of it is confirmed by its being agreed on.
-      if (m2.life == state_.keeper.life) return leases_.push_back(asked);
+      if (m2.incarnation == state_.keeper.incarnation) return leases_.push_back(asked);
       answerLease(asked);
       proposeNext();
     }
@@ -333,7 +335,7 @@
   // --- The other stores ---
   void dial(const std::string& ip) {
     if (ip == settings_.ip || dialers_.contains(ip)) return;
-    auto dialer = std::make_shared<pouch::Dialer>(io_, ip, settings_.portFrom);
+    auto dialer = std::make_shared<rpc::Dialer>(io_, ip, settings_.portFrom);
     dialers_[ip] = dialer;
     dialer->start(
         [this](LinkPtr link) {
@@ -341,23 +343,23 @@
           core_->reached(now());
         },
         [this](const Arrived& arrived) {
-          seeStop();
+          detectStall();
           fromStore(arrived);
         },
         nullptr);
   }
 
-  pouch::Hello hello() const {
+  rpc::Handshake hello() const {
     return {"config_store",   settings_.name,       settings_.ip, settings_.zone,
             settings_.region, core_->record().self, {},           0};
   }
 
   void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
-    seeStop();
+    detectStall();
     if (!link->open()) return;
     if (readers_.contains(link)) return onReader(link, arrived);
-    pouch::Hello m;
-    if (arrived.kind != pouch::kHello) {
+    rpc::Handshake m;
+    if (arrived.kind != rpc::kHandshake) {
       if (!fromStore(arrived)) link->close();
     } else if (arrived.read(m)) {
       greet(link, m);
@@ -367,27 +369,27 @@
   // What the other stores say, on links that they or this one have dialled. False: none of it.
   bool fromStore(const Arrived& arrived) {
     switch (arrived.kind) {
-      case pouch::kAppendRequest:
-        feed<pouch::AppendRequest>(arrived);
+      case rpc::kAppendRequest:
+        feed<rpc::AppendRequest>(arrived);
         break;
-      case pouch::kAppendResponse:
-        feed<pouch::AppendResponse>(arrived);
+      case rpc::kAppendResponse:
+        feed<rpc::AppendResponse>(arrived);
         break;
-      case pouch::kVoteRequest:
-        feed<pouch::VoteRequest>(arrived);
+      case rpc::kVoteRequest:
+        feed<rpc::VoteRequest>(arrived);
         break;
-      case pouch::kVoteResponse:
-        feed<pouch::VoteResponse>(arrived);
+      case rpc::kVoteResponse:
+        feed<rpc::VoteResponse>(arrived);
         break;
-      case pouch::kJoin:
-        if (pouch::Join m; arrived.read(m)) {
+      case rpc::kJoin:
+        if (rpc::Join m; arrived.read(m)) {
           ips_[m.member.id] = m.member.ip;
           dial(m.member.ip);
           carryOut(core_->join(m.member, now()));
         }
         break;
-      case pouch::kLeave:
-        if (pouch::Leave m; arrived.read(m)) carryOut(core_->leave(m.from, now()));
+      case rpc::kLeave:
+        if (rpc::Leave m; arrived.read(m)) carryOut(core_->leave(m.from, now()));
         break;
       default:
         return false;
@@ -400,24 +402,24 @@
     if (Message m; arrived.read(m)) carryOut(core_->receive(m, now()));
   }
 
-  void greet(const LinkPtr& link, const pouch::Hello& m) {
+  void greet(const LinkPtr& link, const rpc::Handshake& m) {
     if (m.role == "config_store") {
-      ips_[m.life] = m.ip;
-      dialledBy_[m.life] = link;
+      ips_[m.incarnation] = m.ip;
+      dialledBy_[m.incarnation] = link;
       dial(m.ip);
       return;
     }
     readers_[link] = {m.ip};
     if (core_->leads()) link->tell(news());
-    vouchAt_ = 0;
+    confirmationAt_ = 0;
   }
 
   // --- Time ---
   // Who has stood still answers nothing that came before it woke: orders may have been sent again meanwhile,
   // and taken back.
-  void seeStop() {
+  void detectStall() {
     const double at = now();
-    const bool stopped = at - lastTick_ > kStopped;
+    const bool stopped = at - lastTick_ > kProcessStallThreshold;
     lastTick_ = at;
     if (!stopped) return;
     program::warn("stood still", {});
@@ -426,34 +428,34 @@
   }
 
   void tick() {
-    seeStop();
+    detectStall();
     const double at = now();
     look(false);
     // Who waits for the duties hears at the next beat that they are free.
-    if (const bool busy = lease_.busy(at); std::exchange(busy_, busy) && !busy) vouchAt_ = 0;
+    if (const bool busy = lease_.busy(at); std::exchange(busy_, busy) && !busy) confirmationAt_ = 0;
     carryOut(core_->tick(at));
     if ((!core_->member() || !core_->leaderIsKnown(at)) && at >= joinAt_) {
       joinAt_ = at + kJoinPause;
-      const pouch::Join join{{core_->record().self, settings_.ip}};
+      const rpc::Join join{{core_->record().self, settings_.ip}};
       for (auto& [ip, dialer] : dialers_)
         if (dialer->link()) dialer->link()->tell(join);
     }
     timer_.expires_after(kTick);
-    timer_.async_wait([this](const pouch::Error& error) {
+    timer_.async_wait([this](const rpc::Error& error) {
       if (!error) tick();
     });
   }
 
   void wait() {
-    signals_.async_wait([this](const pouch::Error& error, int number) {
+    signals_.async_wait([this](const rpc::Error& error, int number) {
       if (error) return;
       if (number == SIGHUP) return look(true), wait();
       program::info("ends", {{"signal", number}});
-      const pouch::Leave leave{core_->record().self};
+      const rpc::Leave leave{core_->record().self};
       for (auto& [ip, dialer] : dialers_)
         if (dialer->link()) dialer->link()->tell(leave);
       endTimer_.expires_after(std::chrono::milliseconds(300));
-      endTimer_.async_wait([this](const pouch::Error&) {
+      endTimer_.async_wait([this](const rpc::Error&) {
         for (auto& [ip, dialer] : dialers_) dialer->close();
         io_.stop();
       });
@@ -466,7 +468,7 @@
     Judged outcome;
   };
   struct Order {
-    pouch::Propose propose;
+    rpc::CommandRequest propose;
     std::weak_ptr<Link> link;
   };
   struct Asked {
@@ -482,11 +484,11 @@
   State state_;  // committed
   Lately lately_;
   rounds::LeaseGrantor lease_;
-  pouch::Acceptor acceptor_;
+  rpc::Acceptor acceptor_;
   asio::steady_timer timer_, endTimer_{io_};
   asio::signal_set signals_;
   std::mt19937_64 random_;
-  std::map<std::string, std::shared_ptr<pouch::Dialer>> dialers_;  // by ip
+  std::map<std::string, std::shared_ptr<rpc::Dialer>> dialers_;  // by ip
   std::map<std::uint64_t, std::string> ips_;
   std::map<std::uint64_t, std::weak_ptr<Link>> dialledBy_;  // by the store's id
   std::map<LinkPtr, Reader> readers_;
@@ -495,7 +497,7 @@
   std::vector<Asked> reads_;
   std::vector<LeaseAsked> leases_;
   std::optional<LeaseAsked> nextKeeper_;  // waits to be agreed on
-  double lastTick_ = 0, joinAt_ = 0, vouchAt_ = 0;
+  double lastTick_ = 0, joinAt_ = 0, confirmationAt_ = 0;
   int status_ = 0;
   bool busy_ = false;  // somebody may hold the duties
 };
--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -103,7 +103,7 @@
   rest(now);
   for (const Id id : everyone())
     out.push_back(
-        Send{id, pouch::VoteRequest{record_.term + 1, record_.self, record_.lastTerm, record_.index, true}});
+        Send{id, rpc::VoteRequest{record_.term + 1, record_.self, record_.lastTerm, record_.index, true}});
   countVotes(now, out);
 }
 
@@ -116,7 +116,7 @@
   rest(now);
   for (const Id id : everyone())
     out.push_back(
-        Send{id, pouch::VoteRequest{record_.term, record_.self, record_.lastTerm, record_.index, false}});
+        Send{id, rpc::VoteRequest{record_.term, record_.self, record_.lastTerm, record_.index, false}});
   countVotes(now, out);
 }
 
@@ -153,8 +153,8 @@
 
 void Core::sendTo(Id to, Time now, std::vector<Effect>& out) {
   Peer& peer = peers_[to];
-  pouch::AppendRequest m{
-      record_.term, record_.self, round_, record_.lastTerm, record_.index, committed_, false, {}, {}, {}};
+  rpc::AppendRequest m{record_.term, record_.self, round_, record_.lastTerm, record_.index, committed_, false,
+                       {},           {},           {}};
   const bool has = peer.lastTerm == record_.lastTerm && peer.index == record_.index;
   if (!has && now - peer.sentWhole > 3 * timeouts_.heartbeat) {
     m.whole = true;
@@ -257,10 +257,10 @@
   return out;
 }
 
-void Core::on(const pouch::AppendRequest& m, Time now, std::vector<Effect>& out) {
+void Core::on(const rpc::AppendRequest& m, Time now, std::vector<Effect>& out) {
   if (m.term < record_.term) {
     ++late_;
-    out.push_back(Send{m.from, pouch::AppendResponse{record_.term, record_.self, 0, 0, 0}});
+    out.push_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, 0, 0, 0}});
     return;
   }
   follow(m.term, m.from, now, out);
@@ -272,10 +272,10 @@
   }
   committed_ = std::max(committed_, std::min(m.committed, record_.index));
   out.push_back(Send{
-      m.from, pouch::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm, record_.index}});
+      m.from, rpc::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm, record_.index}});
 }
 
-void Core::on(const pouch::AppendResponse& m, Time now, std::vector<Effect>& out) {
+void Core::on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out) {
   if (m.term > record_.term) return follow(m.term, 0, now, out);
   if (role_ != Role::leader || m.term < record_.term) {
     ++late_;
@@ -292,7 +292,7 @@
   advance(now, out);
 }
 
-void Core::on(const pouch::VoteRequest& m, Time now, std::vector<Effect>& out) {
+void Core::on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out) {
   const bool hasAll = !newer(record_.lastTerm, record_.index, m.lastTerm, m.index);
   // Who hears a leader, or is one, takes part in no election against it.
   const bool content = role_ == Role::leader || now - heard_ < timeouts_.electLeast;
@@ -303,7 +303,7 @@
     const bool yields = !(role_ == Role::preCandidate && sameLog && record_.self > m.from);
     const bool granted = m.term > record_.term && hasAll && !content && yields;
     out.push_back(
-        Send{m.from, pouch::VoteResponse{granted ? m.term : record_.term, record_.self, true, granted}});
+        Send{m.from, rpc::VoteResponse{granted ? m.term : record_.term, record_.self, true, granted}});
     return;
   }
   if (m.term > record_.term && !content) follow(m.term, 0, now, out);
@@ -316,10 +316,10 @@
     out.push_back(Persist{});
     rest(now);
   }
-  out.push_back(Send{m.from, pouch::VoteResponse{record_.term, record_.self, false, granted}});
+  out.push_back(Send{m.from, rpc::VoteResponse{record_.term, record_.self, false, granted}});
 }
 
-void Core::on(const pouch::VoteResponse& m, Time now, std::vector<Effect>& out) {
+void Core::on(const rpc::VoteResponse& m, Time now, std::vector<Effect>& out) {
   if (!m.granted && m.term > record_.term) return follow(m.term, 0, now, out);
   const bool fits = m.preVote ? role_ == Role::preCandidate && m.term == record_.term + 1
                               : role_ == Role::candidate && m.term == record_.term;
--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -26,11 +26,11 @@
 #include <variant>
 #include <vector>
 
-#include "pouch/messages.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::consensus {
 
-using pouch::Member;
+using rpc::Member;
 using Time = double;  // ms of the host's steady clock
 using Id = std::uint64_t;
 
@@ -53,8 +53,7 @@
   Time gone = 1500;                         // silence until a member may be replaced
 };
 
-using Message =
-    std::variant<pouch::AppendRequest, pouch::AppendResponse, pouch::VoteRequest, pouch::VoteResponse>;
+using Message = std::variant<rpc::AppendRequest, rpc::AppendResponse, rpc::VoteRequest, rpc::VoteResponse>;
 struct Send {
   Id to = 0;
   Message message;
@@ -122,10 +121,10 @@
   void advance(Time now, std::vector<Effect>& out);
   void changeMembers(Time now, std::vector<Effect>& out);
   void rest(Time now);
-  void on(const pouch::AppendRequest& m, Time now, std::vector<Effect>& out);
-  void on(const pouch::AppendResponse& m, Time now, std::vector<Effect>& out);
-  void on(const pouch::VoteRequest& m, Time now, std::vector<Effect>& out);
-  void on(const pouch::VoteResponse& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::AppendRequest& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::VoteResponse& m, Time now, std::vector<Effect>& out);
 
   PersistentState record_;
   const Timeouts timeouts_;
--- a/src/franking/cell.cpp
+++ b/src/franking/cell.cpp
@@ -9,7 +9,7 @@
 constexpr double kComeFor = 2000;  // ms that what a proxy told of its requests counts
 }  // namespace
 
-void Cell::wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out) {
+void Cell::wish(const Asker& asker, const rpc::TokenDemand& wish, double now, std::vector<Answer>& out) {
   Account& a = accounts_[wish.tenant];
   if (wish.want < 0) {  // given back
     a.stock -= wish.want;
@@ -30,8 +30,8 @@
   }
 }
 
-std::vector<pouch::Wish> Cell::wishes(double now) {
-  std::vector<pouch::Wish> out;
+std::vector<rpc::TokenDemand> Cell::wishes(double now) {
+  std::vector<rpc::TokenDemand> out;
   for (auto it = accounts_.begin(); it != accounts_.end();) {
     Account& a = it->second;
     std::erase_if(a.waiting, [&](const Waiting& w) { return now - w.at > kCellWithin; });
@@ -66,7 +66,7 @@
   return out;
 }
 
-void Cell::granted(const pouch::Lot& lot, double now, std::vector<Answer>& out) {
+void Cell::granted(const rpc::TokenGrant& lot, double now, std::vector<Answer>& out) {
   const auto found = accounts_.find(lot.tenant);
   if (found == accounts_.end()) return;
   Account& a = found->second;
--- a/src/franking/cell.hpp
+++ b/src/franking/cell.hpp
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "pouch/messages.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::franking {
 
@@ -26,16 +26,16 @@
  public:
   struct Asker {
     std::string proxy;
-    std::uint64_t life = 0, number = 0;
+    std::uint64_t incarnation = 0, number = 0;
   };
   struct Answer {
     Asker to;
-    pouch::Lot lot;
+    rpc::TokenGrant lot;
   };
   // A proxy's wish: met at once, or once the holder has answered, or not (the proxy has a time-out).
-  void wish(const Asker& asker, const pouch::Wish& wish, double now, std::vector<Answer>& out);
-  std::vector<pouch::Wish> wishes(double now);  // for the holder; empty: nothing
-  void granted(const pouch::Lot& lot, double now, std::vector<Answer>& out);
+  void wish(const Asker& asker, const rpc::TokenDemand& wish, double now, std::vector<Answer>& out);
+  std::vector<rpc::TokenDemand> wishes(double now);  // for the holder; empty: nothing
+  void granted(const rpc::TokenGrant& lot, double now, std::vector<Answer>& out);
   double stock(const std::string& tenant) const;
 
  private:
--- a/src/franking/purse.cpp
+++ b/src/franking/purse.cpp
@@ -77,8 +77,8 @@
   return most < 1 ? 0 : most;
 }
 
-std::vector<pouch::Wish> Purse::wishes(double now) {
-  std::vector<pouch::Wish> out;
+std::vector<rpc::TokenDemand> Purse::wishes(double now) {
+  std::vector<rpc::TokenDemand> out;
   for (Account& a : table_) {
     if (now - a.cameAt > kStill) {
       // What isn't needed goes back: others may need it.
@@ -102,7 +102,7 @@
 
 bool Purse::unanswered(double now) const { return asked_ > told_ && now - asked_ > kAnswerWithin; }
 
-void Purse::granted(const pouch::Lot& lot, double now) {
+void Purse::granted(const rpc::TokenGrant& lot, double now) {
   told_ = now;
   Account* const known = table_.peek(lot.tenant);
   if (!known) return;
--- a/src/franking/purse.hpp
+++ b/src/franking/purse.hpp
@@ -15,9 +15,9 @@
 #include <string>
 #include <vector>
 
-#include "pouch/messages.hpp"
 #include "quota/bucket.hpp"
 #include "quota/lru_table.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::franking {
 
@@ -49,8 +49,8 @@
   // `last`: it will not wait any longer.
   Admit again(const std::string& tenant, double rate, bool last, double now);
   // What to ask for, now; `urgent`: also where the stock would do for a while. Empty: nothing.
-  std::vector<pouch::Wish> wishes(double now);
-  void granted(const pouch::Lot& lot, double now);
+  std::vector<rpc::TokenDemand> wishes(double now);
+  void granted(const rpc::TokenGrant& lot, double now);
   double fraction(const std::string& tenant) const;
   double stock(const std::string& tenant) const;
 
--- a/src/franking/vault.cpp
+++ b/src/franking/vault.cpp
@@ -24,14 +24,14 @@
   return demand;
 }
 
-std::vector<pouch::Level> Vault::all() const {
-  std::vector<pouch::Level> out;
+std::vector<rpc::Level> Vault::all() const {
+  std::vector<rpc::Level> out;
   for (const auto& [tenant, store] : stores_) out.push_back({tenant, store.level});
   return out;
 }
 
-std::vector<pouch::Level> Vault::changed() {
-  std::vector<pouch::Level> out;
+std::vector<rpc::Level> Vault::changed() {
+  std::vector<rpc::Level> out;
   for (auto& [tenant, store] : stores_) {
     if (std::abs(store.level - store.told) < std::max(1.0, kNewsPart * store.told)) continue;
     store.told = store.level;
--- a/src/franking/vault.hpp
+++ b/src/franking/vault.hpp
@@ -19,7 +19,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pouch/messages.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::franking {
 
@@ -39,8 +39,8 @@
     Store& store = stores_[tenant];
     store.level = level, store.at = now;
   }
-  std::vector<pouch::Level> all() const;  // what each store holds
-  std::vector<pouch::Level> changed();    // and of those whose level moved since it was told here last
+  std::vector<rpc::Level> all() const;  // what each store holds
+  std::vector<rpc::Level> changed();    // and of those whose level moved since it was told here last
   // The duty had lapsed until now, and nobody else had it: proxies had their own parts meanwhile.
   void skip(double now) {
     for (auto& [tenant, store] : stores_) store.at = now;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -19,17 +19,17 @@
 using asio::use_awaitable;
 using program::now;
 
-constexpr double kTick = 100;          // ms
-constexpr double kStopped = 1000;      // ms between two ticks: this process stood still
-constexpr double kTokensWithin = 350;  // ms that a request waits for word of its tenant's store
-constexpr double kAccepts = 2000;      // ms after SIGTERM
-constexpr double kBytesPart = 0.4;     // of the memory, for bodies
-constexpr double kMemoryUntold = 256;  // MB, where the settings tell none
-constexpr double kFullOfBytes = 1000;  // ms until there may be room for a body again
-constexpr double kReport = 10000;      // ms between two lines of figures
-constexpr double kLeast = 20;          // ms that a worker must have, else it isn't asked
-constexpr double kStarts = 800;        // ms until a proxy that starts may serve; clients ask but once more,
-constexpr double kStartsMore = 700;    // and not all of them in one moment: up to so much later
+constexpr double kTick = 100;                    // ms
+constexpr double kProcessStallThreshold = 1000;  // ms between two ticks: this process stood still
+constexpr double kTokensWithin = 350;            // ms that a request waits for word of its tenant's store
+constexpr double kAccepts = 2000;                // ms after SIGTERM
+constexpr double kBytesPart = 0.4;               // of the memory, for bodies
+constexpr double kMemoryUntold = 256;            // MB, where the settings tell none
+constexpr double kFullOfBytes = 1000;            // ms until there may be room for a body again
+constexpr double kReport = 10000;                // ms between two lines of figures
+constexpr double kLeast = 20;                    // ms that a worker must have, else it isn't asked
+constexpr double kStarts = 800;      // ms until a proxy that starts may serve; clients ask but once more,
+constexpr double kStartsMore = 700;  // and not all of them in one moment: up to so much later
 
 std::chrono::microseconds span(double ms) { return std::chrono::microseconds(static_cast<long>(ms * 1000)); }
 
@@ -113,13 +113,13 @@
     : io_(io),
       settings_(std::move(settings)),
       sessions_(io, settings_,
-                {[this](const pouch::News& n) { takeNews(n); },
-                 [this](const pouch::Workers& w) { sorting_.take(w, now()); },
-                 [this](const pouch::Cores& c) {
+                {[this](const rpc::ConfigUpdate& n) { takeConfigUpdate(n); },
+                 [this](const rpc::Workers& w) { sorting_.take(w, now()); },
+                 [this](const rpc::Cores& c) {
                    proxies_ = c.proxies;
                    takeCounts();
                  },
-                 [this](const pouch::TokensSay& t) { takeTokens(t); }, [this] { return status(); }}),
+                 [this](const rpc::TokenResponse& t) { takeTokens(t); }, [this] { return status(); }}),
       workers_(io),
       sorting_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
                settings_.bounds.coldSlack),
@@ -132,7 +132,7 @@
   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, 64);
 }
 
-pouch::Status Proxy::status() const {
+rpc::Status Proxy::status() const {
   const double age = now() - bornAt_;
   return {ready(), index_, sorting_.number(), age, beganAt_ > 0 ? beganAt_ - bornAt_ : age};
 }
@@ -169,7 +169,7 @@
   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, all);
 }
 
-void Proxy::takeNews(const pouch::News& news) {
+void Proxy::takeConfigUpdate(const rpc::ConfigUpdate& news) {
   if (news.index <= index_ || news.configuration.empty()) return;
   auto read = address::readConfiguration(news.configuration);
   if (!read.configuration) {
@@ -192,11 +192,11 @@
 void Proxy::askTokens() {
   auto wishes = purse_.wishes(now());
   if (wishes.empty()) return;
-  sessions_.tell(pouch::frame(pouch::TokensAsk{++asks_, {}, 0, std::move(wishes)}));
+  sessions_.tell(rpc::frame(rpc::TokenRequest{++asks_, {}, 0, std::move(wishes)}));
 }
 
-void Proxy::takeTokens(const pouch::TokensSay& say) {
-  for (const pouch::Lot& lot : say.lots) {
+void Proxy::takeTokens(const rpc::TokenResponse& say) {
+  for (const rpc::TokenGrant& lot : say.lots) {
     purse_.granted(lot, now());
     for (auto& [tenant, timer] : waiting_)
       if (tenant == lot.tenant) timer->cancel();
@@ -537,7 +537,7 @@
 // --- Time ---
 void Proxy::tick() {
   const double at = now();
-  if (at - lastTick_ > kStopped) program::warn("stood still", {{"ms", at - lastTick_}});
+  if (at - lastTick_ > kProcessStallThreshold) program::warn("stood still", {{"ms", at - lastTick_}});
   lastTick_ = at;
   sessions_.tick(at);
   // Where nobody answers for the quotas, each proxy has its own part alone.
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -48,12 +48,12 @@
   bool route(Job& job);
   std::string outgoing(const Job& job, const std::string& worker, double left) const;
   void note(const std::string& worker, const Answer& answer);
-  void takeNews(const pouch::News& news);
+  void takeConfigUpdate(const rpc::ConfigUpdate& news);
   void takeCounts();
-  pouch::Status status() const;
+  rpc::Status status() const;
   double draw();  // from 0 to under 1
   void askTokens();
-  void takeTokens(const pouch::TokensSay& say);
+  void takeTokens(const rpc::TokenResponse& say);
   void tick();
   void report(double now);
 
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -10,13 +10,13 @@
 
 using program::now;
 
-constexpr double kSilent = 1300;   // ms without a word: another registry is tried
-constexpr double kVouched = 1600;  // ms without the leader's word
-constexpr double kReached = 450;   // ms until a trial has at least a link
-constexpr double kTrial = 900;     // ms that a trial has to come up
-constexpr double kStatus = 500;    // ms between two words of this proxy
-constexpr double kNearer = 2000;   // ms between two tries of a nearer one
-constexpr double kFailed = 1500;   // ms that one that failed comes last
+constexpr double kSessionTimeout = 1300;       // ms without a word: another registry is tried
+constexpr double kConfirmationTimeout = 1600;  // ms without the leader's word
+constexpr double kReached = 450;               // ms until a trial has at least a link
+constexpr double kTrial = 900;                 // ms that a trial has to come up
+constexpr double kStatus = 500;                // ms between two words of this proxy
+constexpr double kNearer = 2000;               // ms between two tries of a nearer one
+constexpr double kFailed = 1500;               // ms that one that failed comes last
 
 }  // namespace
 
@@ -24,7 +24,7 @@
     : io_(io), settings_(settings), hooks_(std::move(hooks)) {
   std::random_device device;
   random_.seed(std::uint64_t{device()} << 32 | device());
-  life_ = random_() | 1;
+  incarnation_ = random_() | 1;
   meetSeeds();
 }
 
@@ -35,13 +35,14 @@
 }
 
 void Sessions::meetSeeds() {
-  for (const auto& seed : settings_.seeds) cores_.try_emplace(seed.ip, pouch::Core{seed.ip, "", ""});
+  for (const auto& seed : settings_.seeds) cores_.try_emplace(seed.ip, rpc::Core{seed.ip, "", ""});
 }
 
 void Sessions::start() { tick(now()); }
 
 bool Sessions::good(const Session& s, double at) const {
-  return s.dialer->link() && s.news && s.workers && at - s.heard < kSilent && at - s.vouched < kVouched;
+  return s.dialer->link() && s.news && s.workers && at - s.heard < kSessionTimeout &&
+         at - s.confirmed < kConfirmationTimeout;
 }
 
 bool Sessions::inTouch(double at) const { return current_ && good(*current_, at); }
@@ -75,19 +76,19 @@
   session->ip = ip;
   session->since = at;
   session->dialer =
-      std::make_shared<pouch::Dialer>(io_, ip, static_cast<std::uint16_t>(settings_.portFrom + 1));
+      std::make_shared<rpc::Dialer>(io_, ip, static_cast<std::uint16_t>(settings_.portFrom + 1));
   trial_ = session;
   trialAt_ = at;
   const std::string front =
       settings_.front ? settings_.front->ip + ":" + std::to_string(settings_.front->port) : std::string();
   const std::weak_ptr<Session> weak = session;
   session->dialer->start(
-      [this, front](std::shared_ptr<pouch::Link> link) {
-        link->tell(pouch::Hello{"proxy", settings_.name, settings_.ip, settings_.zone, settings_.region,
-                                life_, front, settings_.linkMbps});
+      [this, front](std::shared_ptr<rpc::Link> link) {
+        link->tell(rpc::Handshake{"proxy", settings_.name, settings_.ip, settings_.zone, settings_.region,
+                                  incarnation_, front, settings_.linkMbps});
         link->tell(hooks_.status());
       },
-      [this, weak](const pouch::Arrived& a) {
+      [this, weak](const rpc::Arrived& a) {
         if (const auto s = weak.lock()) arrived(s, a);
       },
       [weak] {
@@ -95,16 +96,16 @@
       });
 }
 
-void Sessions::arrived(const SessionPtr& session, const pouch::Arrived& a) {
+void Sessions::arrived(const SessionPtr& session, const rpc::Arrived& a) {
   const double at = now();
   session->heard = at;
-  if (pouch::Beat b; a.kind == pouch::kBeat && a.read(b)) {
-    if (b.vouched) session->vouched = at;
-  } else if (pouch::News n; a.kind == pouch::kNews && a.read(n)) {
+  if (rpc::Heartbeat b; a.kind == rpc::kHeartbeat && a.read(b)) {
+    if (b.confirmed) session->confirmed = at;
+  } else if (rpc::ConfigUpdate n; a.kind == rpc::kConfigUpdate && a.read(n)) {
     session->news = true;
     hooks_.news(n);
     if (session == current_) tellStatus();
-  } else if (pouch::Workers w; a.kind == pouch::kWorkers && a.read(w)) {
+  } else if (rpc::Workers w; a.kind == rpc::kWorkers && a.read(w)) {
     // A list counts from the session that counts, or from one that comes up with a whole one.
     const bool joins =
         w.whole || (session->workers && w.term == session->workersTerm && w.before == session->workersNumber);
@@ -118,10 +119,10 @@
       hooks_.workers(w);
     else
       session->early.push_back(std::move(w));
-  } else if (pouch::Cores c; a.kind == pouch::kCores && a.read(c)) {
+  } else if (rpc::Cores c; a.kind == rpc::kCores && a.read(c)) {
     for (const auto& core : c.cores) cores_[core.ip] = core;
     hooks_.cores(c);
-  } else if (pouch::TokensSay t; a.kind == pouch::kTokensSay && a.read(t)) {
+  } else if (rpc::TokenResponse t; a.kind == rpc::kTokenResponse && a.read(t)) {
     hooks_.tokens(t);
   }
   if (session == trial_ && good(*session, at)) {
@@ -160,7 +161,7 @@
 
 void Sessions::tellStatus() {
   statusAt_ = now() + kStatus;
-  const std::string frame = pouch::frame(hooks_.status());
+  const std::string frame = rpc::frame(hooks_.status());
   tell(frame);
   if (trial_ && trial_->dialer->link()) trial_->dialer->link()->send(frame);
 }
--- a/src/proxy/session.hpp
+++ b/src/proxy/session.hpp
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "address/settings.hpp"
-#include "pouch/link.hpp"
-#include "pouch/messages.hpp"
+#include "rpc/link.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::proxy {
 
@@ -23,11 +23,11 @@
 class Sessions {
  public:
   struct Hooks {
-    std::function<void(const pouch::News&)> news;
-    std::function<void(const pouch::Workers&)> workers;
-    std::function<void(const pouch::Cores&)> cores;
-    std::function<void(const pouch::TokensSay&)> tokens;
-    std::function<pouch::Status()> status;
+    std::function<void(const rpc::ConfigUpdate&)> news;
+    std::function<void(const rpc::Workers&)> workers;
+    std::function<void(const rpc::Cores&)> cores;
+    std::function<void(const rpc::TokenResponse&)> tokens;
+    std::function<rpc::Status()> status;
   };
   Sessions(asio::io_context& io, const address::Settings& settings, Hooks hooks);
   ~Sessions();
@@ -41,25 +41,25 @@
  private:
   struct Session {
     std::string ip;
-    std::shared_ptr<pouch::Dialer> dialer;
-    double heard = -1e18, vouched = -1e18, since = 0;
+    std::shared_ptr<rpc::Dialer> dialer;
+    double heard = -1e18, confirmed = -1e18, since = 0;
     bool news = false, workers = false;
     std::uint64_t workersTerm = 0, workersNumber = 0;
-    std::vector<pouch::Workers> early;  // what a trial was told of workers: in force once it counts
+    std::vector<rpc::Workers> early;  // what a trial was told of workers: in force once it counts
   };
   using SessionPtr = std::shared_ptr<Session>;
   void open(const std::string& ip, double now);
-  void arrived(const SessionPtr& session, const pouch::Arrived& arrived);
+  void arrived(const SessionPtr& session, const rpc::Arrived& arrived);
   bool good(const Session& session, double now) const;
   unsigned distance(const std::string& ip) const;
   std::string next();
   asio::io_context& io_;
   const address::Settings& settings_;
   Hooks hooks_;
-  std::map<std::string, pouch::Core> cores_;  // by ip; zone empty where not told yet
+  std::map<std::string, rpc::Core> cores_;  // by ip; zone empty where not told yet
   SessionPtr current_, trial_;
   double trialAt_ = 0, statusAt_ = 0, nearerAt_ = 0;
-  std::uint64_t life_ = 0;
+  std::uint64_t incarnation_ = 0;
   std::mt19937_64 random_;
   std::map<std::string, double> failedAt_;
 };
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -13,13 +13,13 @@
 #include "counter/server.hpp"
 #include "franking/cell.hpp"
 #include "franking/vault.hpp"
-#include "pouch/link.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "registry/platform_list.hpp"
 #include "registry/registry.hpp"
 #include "rounds/lease.hpp"
+#include "rpc/link.hpp"
 
 namespace burlwind::registry {
 namespace {
@@ -27,19 +27,19 @@
 namespace asio = boost::asio;
 using counter::Call;
 using counter::Reply;
-using pouch::Arrived;
-using pouch::Error;
-using pouch::Link;
 using program::now;
+using rpc::Arrived;
+using rpc::Error;
+using rpc::Link;
 using LinkPtr = std::shared_ptr<Link>;
 
 constexpr double kTick = 100;
-constexpr double kBeat = 400;      // to proxies and other registries
-constexpr double kSilent = 1500;   // a proxy that says nothing for so long is gone
-constexpr double kVouched = 1000;  // the leader's word counts so long
-constexpr double kStopped = 1000;  // between two ticks: this process stood still
-constexpr double kReadList = 400;  // between two readings of the platform's list
-constexpr double kReadSoon = 150;  // and where it has changed within kRestless
+constexpr double kHeartbeat = 400;               // to proxies and other registries
+constexpr double kSessionTimeout = 1500;         // a proxy that says nothing for so long is gone
+constexpr double kConfirmationTimeout = 1000;    // the leader's word counts so long
+constexpr double kProcessStallThreshold = 1000;  // between two ticks: this process stood still
+constexpr double kReadList = 400;                // between two readings of the platform's list
+constexpr double kReadSoon = 150;                // and where it has changed within kRestless
 constexpr double kRestless = 2000;
 constexpr double kPagesMany = 3;       // from so many pages on a list is read less often
 constexpr double kPlatformPart = 0.6;  // of the calls that the platform takes
@@ -73,8 +73,8 @@
         wake_(io),
         signals_(io, SIGTERM, SIGINT, SIGHUP) {
     std::random_device device;
-    life_ = (std::uint64_t{device()} << 32 | device()) | 1;
-    random_.seed(life_);
+    incarnation_ = (std::uint64_t{device()} << 32 | device()) | 1;
+    random_.seed(incarnation_);
   }
 
   int run() {
@@ -101,32 +101,32 @@
  private:
   std::uint16_t port() const { return static_cast<std::uint16_t>(settings_.portFrom + 1); }
 
-  pouch::Hello hello() const {
-    return {"registry", settings_.name, settings_.ip, settings_.zone, settings_.region, life_, {}, 0};
+  rpc::Handshake hello() const {
+    return {"registry", settings_.name, settings_.ip, settings_.zone, settings_.region, incarnation_, {}, 0};
   }
 
   // --- Stores and other registries: a machine of the core has one of each ---
   struct StoreSide {
-    std::shared_ptr<pouch::Dialer> dialer;
+    std::shared_ptr<rpc::Dialer> dialer;
   };
   void meet(const std::string& ip) {
     if (!stores_.contains(ip)) {
-      auto dialer = std::make_shared<pouch::Dialer>(io_, ip, settings_.portFrom);
+      auto dialer = std::make_shared<rpc::Dialer>(io_, ip, settings_.portFrom);
       stores_[ip] = dialer;
       dialer->start([this](LinkPtr link) { link->tell(hello()); },
                     [this, ip](const Arrived& arrived) { onStore(ip, arrived); },
                     [this, ip] { lostStore(ip); });
     }
     if (ip != settings_.ip && !others_.contains(ip)) {
-      auto dialer = std::make_shared<pouch::Dialer>(io_, ip, port());
+      auto dialer = std::make_shared<rpc::Dialer>(io_, ip, port());
       others_[ip] = dialer;
       dialer->start(
           [this](LinkPtr link) {
             link->tell(hello());
-            link->tell(pouch::Sessions{true, registry_.own(now())});
+            link->tell(rpc::Sessions{true, registry_.own(now())});
             if (!duty_.holds(now())) return;
             link->tell(registry_.whole(now()));
-            link->tell(pouch::Levels{epoch_, vault_.all()});
+            link->tell(rpc::Levels{epoch_, vault_.all()});
           },
           [this](const Arrived& arrived) { onAnswer(arrived); }, nullptr);
     }
@@ -139,48 +139,48 @@
   }
 
   void onStore(const std::string& ip, const Arrived& arrived) {
-    seeStop();
-    if (pouch::News m; arrived.kind == pouch::kNews && arrived.read(m)) {
+    detectStall();
+    if (rpc::ConfigUpdate m; arrived.kind == rpc::kConfigUpdate && arrived.read(m)) {
       leader_ = ip, leaderTerm_ = m.term;
-      takeNews(std::move(m));
-    } else if (pouch::Vouch v; arrived.kind == pouch::kVouch && arrived.read(v)) {
+      takeConfigUpdate(std::move(m));
+    } else if (rpc::LeaderConfirmation v; arrived.kind == rpc::kLeaderConfirmation && arrived.read(v)) {
       if (v.term < leaderTerm_) return;
       leader_ = ip, leaderTerm_ = v.term;
-      if (v.index <= news_.index) heardLeader();
+      if (v.index <= update_.index) heardLeader();
       if (v.holder.empty() && (!holder_.empty() || freeSince_ == 0)) freeSince_ = now();
       holder_ = v.holder, keeperEpoch_ = v.epoch;
       askLease(now());
       for (const std::string& store : v.stores) meet(store);
       wake_.cancel();
-    } else if (pouch::Outcome o; arrived.kind == pouch::kOutcome && arrived.read(o)) {
+    } else if (rpc::CommandResponse o; arrived.kind == rpc::kCommandResponse && arrived.read(o)) {
       if (const auto found = waiting_.find(o.number); found != waiting_.end())
         finish(*found->second, o.status, o.text);
-    } else if (pouch::LeaseSay l; arrived.kind == pouch::kLeaseSay && arrived.read(l)) {
+    } else if (rpc::LeaseResponse l; arrived.kind == rpc::kLeaseResponse && arrived.read(l)) {
       leaseSaid(l);
     }
   }
 
-  void takeNews(pouch::News news) {
-    if (news.index < news_.index) return;
+  void takeConfigUpdate(rpc::ConfigUpdate news) {
+    if (news.index < update_.index) return;
     heardLeader();
     for (const std::string& store : news.stores) meet(store);
-    const bool same = news.configuration == news_.configuration && news.evacuated == news_.evacuated;
-    if (news.configuration != news_.configuration)
+    const bool same = news.configuration == update_.configuration && news.evacuated == update_.evacuated;
+    if (news.configuration != update_.configuration)
       configuration_ = address::readConfiguration(news.configuration).configuration;
-    news_ = std::move(news);
+    update_ = std::move(news);
     wake_.cancel();
     if (same) return;
     program::info("news",
-                  {{"index", news_.index}, {"version", configuration_ ? configuration_->version : 0}});
-    const std::string frame = pouch::frame(news_);
+                  {{"index", update_.index}, {"version", configuration_ ? configuration_->version : 0}});
+    const std::string frame = rpc::frame(update_);
     for (auto& [link, session] : sessions_) link->send(frame);
   }
 
   void heardLeader() {
-    const bool before = vouched();
-    vouchedAt_ = now();
+    const bool before = leaderConfirmed();
+    confirmedAt_ = now();
     if (before) return;
-    const std::string beat = pouch::frame(pouch::Beat{true});
+    const std::string beat = rpc::frame(rpc::Heartbeat{true});
     for (auto& [link, session] : sessions_) link->send(beat);
   }
 
@@ -195,10 +195,10 @@
     const double leave = std::min(kFarMost, kFarTimes * platformMs_);
     const bool wants = holder_ == settings_.ip || (freeSince_ > 0 && at - freeSince_ >= leave);
     duty_.asked(++numbers_, at);
-    link->tell(pouch::LeaseAsk{numbers_, settings_.ip, life_, keeperEpoch_, wants});
+    link->tell(rpc::LeaseRequest{numbers_, settings_.ip, incarnation_, keeperEpoch_, wants});
   }
 
-  void leaseSaid(const pouch::LeaseSay& m) {
+  void leaseSaid(const rpc::LeaseResponse& m) {
     const bool lapsed = !duty_.holds(now()), again = epoch_ == m.epoch && epoch_ > 0;
     if (!duty_.answered(m.number, m.span)) return;
     epoch_ = m.epoch;
@@ -251,7 +251,7 @@
                                   {"gone", change->gone.size()},
                                   {"all", all->size()}});
         changedAt_ = now();
-        const std::string frame = pouch::frame(*change);
+        const std::string frame = rpc::frame(*change);
         for (auto& [ip, dialer] : others_)
           if (holds && dialer->link()) dialer->link()->send(frame);
         for (auto& [link, session] : sessions_) link->send(frame);
@@ -261,7 +261,7 @@
 
   // --- Links that others dial: proxies and registries ---
   struct Session {
-    pouch::Seat seat;
+    rpc::ProxySession seat;
     double heard = 0;
     std::uint64_t index = 0, workers = 0;  // acknowledged
   };
@@ -269,7 +269,7 @@
   void ended(const LinkPtr& link) {
     if (const auto found = sessions_.find(link); found != sessions_.end()) {
       program::info("session ends", {{"proxy", found->second.seat.name}});
-      registry_.unseat(found->second.seat.name, found->second.seat.life, now());
+      registry_.unseat(found->second.seat.name, found->second.seat.incarnation, now());
       sessions_.erase(found);
       tellSessions(true);
     }
@@ -277,10 +277,10 @@
   }
 
   void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
-    seeStop();
+    detectStall();
     if (!link->open()) return;
-    if (arrived.kind == pouch::kHello) {
-      if (pouch::Hello m; arrived.read(m)) greet(link, m);
+    if (arrived.kind == rpc::kHandshake) {
+      if (rpc::Handshake m; arrived.read(m)) greet(link, m);
     } else if (const auto session = sessions_.find(link); session != sessions_.end()) {
       onProxy(session->second, arrived);
     } else if (const auto other = registries_.find(link); other != registries_.end()) {
@@ -290,7 +290,7 @@
     }
   }
 
-  void greet(const LinkPtr& link, const pouch::Hello& m) {
+  void greet(const LinkPtr& link, const rpc::Handshake& m) {
     if (m.role == "registry") {
       registries_[link] = m.ip;
       cores_[m.ip] = {m.ip, m.zone, m.region};
@@ -301,58 +301,59 @@
     for (auto& [other, session] : sessions_)
       if (session.seat.name == m.name && other != link) other->close();
     Session& session = sessions_[link];
-    session.seat = {m.name, m.front, m.zone, m.region, false, m.life, m.linkMbps, 0, 0, 0, 0};
+    session.seat = {m.name, m.front, m.zone, m.region, false, m.incarnation, m.linkMbps, 0, 0, 0, 0};
     session.heard = now();
     program::info("session", {{"proxy", m.name}});
     link->tell(coresNow());
-    if (news_.index > 0) link->tell(news_);
+    if (update_.index > 0) link->tell(update_);
     if (registry_.number() > 0) link->tell(registry_.whole(now()));
-    link->tell(pouch::Beat{vouched()});
+    link->tell(rpc::Heartbeat{leaderConfirmed()});
   }
 
-  pouch::Cores coresNow() {
-    pouch::Cores out;
+  rpc::Cores coresNow() {
+    rpc::Cores out;
     cores_[settings_.ip] = {settings_.ip, settings_.zone, settings_.region};
     for (const auto& [ip, core] : cores_) out.cores.push_back(core);
     out.proxies = registry_.counts(now()).byZone;
     return out;
   }
 
-  bool vouched() const { return now() - vouchedAt_ < kVouched; }
+  bool leaderConfirmed() const { return now() - confirmedAt_ < kConfirmationTimeout; }
 
   void onProxy(Session& session, const Arrived& arrived) {
     session.heard = now();
-    if (pouch::Status m; arrived.kind == pouch::kStatus && arrived.read(m)) {
+    if (rpc::Status m; arrived.kind == rpc::kStatus && arrived.read(m)) {
       const bool changed = session.seat.ready != m.ready;
       session.index = m.index, session.workers = m.workers;
       session.seat.ready = m.ready, session.seat.age = m.age, session.seat.quiet = m.quiet;
       session.seat.place(now());
       registry_.seat(session.seat, now());
       if (changed) tellSessions(true);
-    } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
-      t.proxy = session.seat.name, t.life = session.seat.life;
+    } else if (rpc::TokenRequest t; arrived.kind == rpc::kTokenRequest && arrived.read(t)) {
+      t.proxy = session.seat.name, t.incarnation = session.seat.incarnation;
       std::vector<franking::Cell::Answer> answers;
-      for (const pouch::Wish& wish : t.wishes) cell_.wish({t.proxy, t.life, t.number}, wish, now(), answers);
+      for (const rpc::TokenDemand& wish : t.wishes)
+        cell_.wish({t.proxy, t.incarnation, t.number}, wish, now(), answers);
       tellLots(answers);
       askHolder();
     }
   }
 
   void onRegistry(const LinkPtr& link, const std::string& ip, const Arrived& arrived) {
-    if (pouch::Sessions s; arrived.kind == pouch::kSessions && arrived.read(s)) {
+    if (rpc::Sessions s; arrived.kind == rpc::kSessions && arrived.read(s)) {
       registry_.heard(ip, s, now());
-    } else if (pouch::Workers w; arrived.kind == pouch::kWorkers && arrived.read(w)) {
+    } else if (rpc::Workers w; arrived.kind == rpc::kWorkers && arrived.read(w)) {
       const auto taken = registry_.take(w, now());
       if (taken == Registry::Taken::gap) return link->close();  // dialled anew, it begins with a whole one
       if (taken != Registry::Taken::news) return;
-      const std::string frame = pouch::frame(w);
+      const std::string frame = rpc::frame(w);
       for (auto& [proxy, session] : sessions_) proxy->send(frame);
-    } else if (pouch::Levels l; arrived.kind == pouch::kLevels && arrived.read(l)) {
+    } else if (rpc::Levels l; arrived.kind == rpc::kLevels && arrived.read(l)) {
       if (l.epoch < standby_.epoch) return;
       if (l.epoch > standby_.epoch) standby_.levels.clear();
       standby_.epoch = l.epoch;
       for (const auto& level : l.levels) standby_.levels[level.tenant] = level.level;
-    } else if (pouch::TokensAsk t; arrived.kind == pouch::kTokensAsk && arrived.read(t)) {
+    } else if (rpc::TokenRequest t; arrived.kind == rpc::kTokenRequest && arrived.read(t)) {
       if (duty_.holds(now())) link->tell(grant(t));
     }
   }
@@ -360,17 +361,17 @@
   void tellLevels(double at) {
     if (!duty_.holds(at) || at < levelsAt_) return;
     levelsAt_ = at + kTellLevels;
-    const pouch::Levels told{epoch_, vault_.changed()};
+    const rpc::Levels told{epoch_, vault_.changed()};
     if (told.levels.empty()) return;
-    const std::string frame = pouch::frame(told);
+    const std::string frame = rpc::frame(told);
     for (auto& [ip, dialer] : others_)
       if (dialer->link()) dialer->link()->send(frame);
   }
 
   // What the holder of the quotas answers on the link that asked it.
   void onAnswer(const Arrived& arrived) {
-    pouch::TokensSay m;
-    if (arrived.kind != pouch::kTokensSay || !arrived.read(m) || m.life != life_) return;
+    rpc::TokenResponse m;
+    if (arrived.kind != rpc::kTokenResponse || !arrived.read(m) || m.incarnation != incarnation_) return;
     takeLots(m.lots);
   }
 
@@ -380,7 +381,7 @@
     if (!mine && (holder == others_.end() || !holder->second->link())) return;
     auto wishes = cell_.wishes(now());
     if (wishes.empty()) return;
-    const pouch::TokensAsk ask{++numbers_, settings_.ip, life_, std::move(wishes)};
+    const rpc::TokenRequest ask{++numbers_, settings_.ip, incarnation_, std::move(wishes)};
     // The holder's own cell asks as any other: its proxies, one by one, would each have a share too small
     // for a whole request.
     if (mine)
@@ -389,31 +390,32 @@
       holder->second->link()->tell(ask);
   }
 
-  void takeLots(const std::vector<pouch::Lot>& lots) {
+  void takeLots(const std::vector<rpc::TokenGrant>& lots) {
     std::vector<franking::Cell::Answer> answers;
-    for (const pouch::Lot& lot : lots) cell_.granted(lot, now(), answers);
+    for (const rpc::TokenGrant& lot : lots) cell_.granted(lot, now(), answers);
     tellLots(answers);
   }
 
   // One frame for each proxy that is answered.
   void tellLots(const std::vector<franking::Cell::Answer>& answers) {
-    std::map<std::pair<std::string, std::uint64_t>, pouch::TokensSay> byProxy;
+    std::map<std::pair<std::string, std::uint64_t>, rpc::TokenResponse> byProxy;
     for (const auto& answer : answers) {
-      auto& say = byProxy[{answer.to.proxy, answer.to.life}];
-      say.number = answer.to.number, say.proxy = answer.to.proxy, say.life = answer.to.life;
+      auto& say = byProxy[{answer.to.proxy, answer.to.incarnation}];
+      say.number = answer.to.number, say.proxy = answer.to.proxy, say.incarnation = answer.to.incarnation;
       say.lots.push_back(answer.lot);
     }
     for (auto& [link, session] : sessions_)
-      if (const auto found = byProxy.find({session.seat.name, session.seat.life}); found != byProxy.end())
+      if (const auto found = byProxy.find({session.seat.name, session.seat.incarnation});
+          found != byProxy.end())
         link->tell(found->second);
   }
 
-  pouch::TokensSay grant(const pouch::TokensAsk& ask) {
-    pouch::TokensSay out{ask.number, ask.proxy, ask.life, {}};
+  rpc::TokenResponse grant(const rpc::TokenRequest& ask) {
+    rpc::TokenResponse out{ask.number, ask.proxy, ask.incarnation, {}};
     if (!configuration_) return out;
     const auto counts = registry_.counts(now());
     vault_.setReach(counts.known ? static_cast<double>(counts.live) / counts.known : 1);
-    for (const pouch::Wish& wish : ask.wishes) {
+    for (const rpc::TokenDemand& wish : ask.wishes) {
       const auto tenant = std::find_if(configuration_->tenants.begin(), configuration_->tenants.end(),
                                        [&](const auto& t) { return t.name == wish.tenant; });
       if (tenant == configuration_->tenants.end()) continue;
@@ -426,7 +428,7 @@
 
   void tellSessions(bool whole) {
     const std::string frame =
-        pouch::frame(pouch::Sessions{whole, whole ? registry_.own(now()) : std::vector<pouch::Seat>()});
+        rpc::frame(rpc::Sessions{whole, whole ? registry_.own(now()) : std::vector<rpc::ProxySession>()});
     for (auto& [ip, dialer] : others_)
       if (dialer->link()) dialer->link()->send(frame);
   }
@@ -454,7 +456,7 @@
     while (true) {
       Error ignored;
       const auto store = stores_.find(leader_);
-      if (store != stores_.end() && store->second->link() && vouched()) {
+      if (store != stores_.end() && store->second->link() && leaderConfirmed()) {
         auto waiting = std::make_shared<Waiting>(io_);
         const std::uint64_t number = ++numbers_;
         waiting->at = leader_;
@@ -473,7 +475,7 @@
 
   asio::awaitable<Reply> order(std::string what, std::string body) {
     const auto [status, text] = co_await askLeader([&](std::uint64_t number) {
-      return pouch::Propose{number, what, body};
+      return rpc::CommandRequest{number, what, body};
     });
     co_return Reply(status, counter::message(text));
   }
@@ -489,7 +491,7 @@
     }
     if (name == "config.read") {
       const auto [status, text] =
-          co_await askLeader([](std::uint64_t number) { return pouch::Read{number}; });
+          co_await askLeader([](std::uint64_t number) { return rpc::ReadRequest{number}; });
       if (status != 200) co_return Reply(status, counter::message(text));
       if (text.empty()) co_return Reply(404, counter::message("no configuration yet"));
       co_return Reply(200, text);
@@ -520,13 +522,13 @@
   // --- Time ---
   // What was sent before this process woke from a stop may have been sent again elsewhere, and taken back:
   // nothing of it is acted on.
-  void seeStop() {
+  void detectStall() {
     const double at = now();
-    const bool stopped = at - lastTick_ > kStopped;
+    const bool stopped = at - lastTick_ > kProcessStallThreshold;
     lastTick_ = at;
     if (!stopped) return;
     program::warn("stood still", {});
-    vouchedAt_ = -1e18;
+    confirmedAt_ = -1e18;
     control_.dropAll();
     for (auto& [number, waiting] : waiting_) finish(*waiting, 503, "stood still");
   }
@@ -540,7 +542,7 @@
   }
 
   void tick() {
-    seeStop();
+    detectStall();
     const double at = now();
     look(false);
     report(at);
@@ -549,16 +551,16 @@
     tellLevels(at);
     registry_.sweep(at);
     for (auto& [link, session] : sessions_)
-      if (at - session.heard > kSilent) link->close();
-    if (at >= beatAt_) {
-      beatAt_ = at + kBeat;
-      const std::string beat = pouch::frame(pouch::Beat{vouched()});
+      if (at - session.heard > kSessionTimeout) link->close();
+    if (at >= heartbeatAt_) {
+      heartbeatAt_ = at + kHeartbeat;
+      const std::string beat = rpc::frame(rpc::Heartbeat{leaderConfirmed()});
       for (auto& [link, session] : sessions_) link->send(beat);
       tellSessions(false);
       const auto counts = registry_.counts(at).byZone;
       if (counts != told_) {
         told_ = counts;
-        const std::string frame = pouch::frame(coresNow());
+        const std::string frame = rpc::frame(coresNow());
         for (auto& [link, session] : sessions_) link->send(frame);
       }
     }
@@ -586,10 +588,10 @@
   asio::io_context& io_;
   program::SettingsFile file_;
   address::Settings settings_;
-  std::uint64_t life_ = 0;
+  std::uint64_t incarnation_ = 0;
   std::mt19937_64 random_;
   Registry registry_;
-  pouch::News news_;
+  rpc::ConfigUpdate update_;
   std::shared_ptr<const address::Configuration> configuration_;
   rounds::LeaseHolder duty_;
   franking::Vault vault_;  // of the holder
@@ -599,19 +601,19 @@
   } standby_;            // what the holder tells of its vault
   franking::Cell cell_;  // of the others
   std::uint64_t epoch_ = 0;
-  pouch::Acceptor acceptor_;
+  rpc::Acceptor acceptor_;
   counter::Server control_, directory_;
   asio::steady_timer timer_, wake_, endTimer_{io_};
   asio::signal_set signals_;
-  std::map<std::string, std::shared_ptr<pouch::Dialer>> stores_, others_;  // by ip
-  std::map<std::string, pouch::Core> cores_;
+  std::map<std::string, std::shared_ptr<rpc::Dialer>> stores_, others_;  // by ip
+  std::map<std::string, rpc::Core> cores_;
   std::map<LinkPtr, Session> sessions_;
   std::map<LinkPtr, std::string> registries_;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
   std::map<std::string, unsigned> told_;
   std::string leader_, holder_;
   std::uint64_t leaderTerm_ = 0, keeperEpoch_ = 0, numbers_ = 0;
-  double lastTick_ = 0, beatAt_ = 0, vouchedAt_ = -1e18, leaseAt_ = 0, reportAt_ = 0, levelsAt_ = 0;
+  double lastTick_ = 0, heartbeatAt_ = 0, confirmedAt_ = -1e18, leaseAt_ = 0, reportAt_ = 0, levelsAt_ = 0;
   double platformMs_ = kFarMost, freeSince_ = 0, changedAt_ = -1e18;
 };
 
--- a/src/registry/platform_list.cpp
+++ b/src/registry/platform_list.cpp
@@ -7,8 +7,8 @@
 
 #include "address/json.hpp"
 #include "http/http.hpp"
-#include "pouch/link.hpp"
 #include "program/start.hpp"
+#include "rpc/link.hpp"
 
 namespace burlwind::registry {
 namespace {
@@ -23,7 +23,7 @@
   const address::Reader servers = root.at("servers");
   for (const auto& [id, value] : servers.fields()) {
     const address::Reader one(value, "servers." + id, fault);
-    pouch::Worker w;
+    rpc::Worker w;
     w.id = id;
     w.service = one.at("backend").text();
     w.address = one.at("address").text();
@@ -88,7 +88,7 @@
       co_return std::nullopt;
     }
     connectMs_ = program::now() - from;
-    pouch::harden(socket_);
+    rpc::harden(socket_);
   }
   const std::string ask = "GET " + target + " HTTP/1.1\r\nHost: " + at_.ip + "\r\n\r\n";
   co_await asio::async_write(socket_, asio::buffer(ask), asio::redirect_error(asio::use_awaitable, error));
--- a/src/registry/platform_list.hpp
+++ b/src/registry/platform_list.hpp
@@ -9,14 +9,14 @@
 #include <string>
 
 #include "address/settings.hpp"
-#include "pouch/messages.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::registry {
 
 class PlatformList {
  public:
   explicit PlatformList(boost::asio::io_context& io) : socket_(io), timer_(io) {}
-  using Workers = std::map<std::string, pouch::Worker>;
+  using Workers = std::map<std::string, rpc::Worker>;
   // `at`: another address than before ends the connection that was kept. Nothing where it can't be read
   // whole; `why` says so. At most `within` ms.
   boost::asio::awaitable<std::optional<Workers>> read(address::Endpoint at, double within, std::string& why);
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -16,18 +16,18 @@
 
 void Registry::refold(double now) {
   seats_.clear();
-  const auto put = [&](const pouch::Seat& seat) {
+  const auto put = [&](const rpc::ProxySession& seat) {
     const auto [found, fresh] = seats_.try_emplace(seat.name, seat);
     // Two registries may hold sessions of one proxy while it moves: ready at one is ready.
-    if (!fresh && (seat.life != found->second.life ? false : seat.ready)) found->second = seat;
+    if (!fresh && (seat.incarnation != found->second.incarnation ? false : seat.ready)) found->second = seat;
     known_[seat.name] = {seat.zone, now};
   };
   for (const auto& [name, seat] : own_) put(seat);
   for (const auto& [registry, others] : others_)
-    for (const pouch::Seat& seat : others.seats) put(seat);
+    for (const rpc::ProxySession& seat : others.seats) put(seat);
 }
 
-void Registry::seat(const pouch::Seat& seat, double now) {
+void Registry::seat(const rpc::ProxySession& seat, double now) {
   const auto found = own_.find(seat.name);
   if (found != own_.end() && found->second.sameAs(seat)) {
     found->second = seat;
@@ -41,16 +41,16 @@
   refold(now);
 }
 
-void Registry::unseat(const std::string& name, std::uint64_t life, double now) {
+void Registry::unseat(const std::string& name, std::uint64_t incarnation, double now) {
   const auto found = own_.find(name);
-  if (found == own_.end() || found->second.life != life) return;
+  if (found == own_.end() || found->second.incarnation != incarnation) return;
   note(now, "proxy gone", name);
   own_.erase(found);
   refold(now);
 }
 
-std::vector<pouch::Seat> Registry::own(double now) const {
-  std::vector<pouch::Seat> out;
+std::vector<rpc::ProxySession> Registry::own(double now) const {
+  std::vector<rpc::ProxySession> out;
   for (const auto& [name, seat] : own_) {
     out.push_back(seat);
     out.back().age = now - seat.bornAt;
@@ -73,12 +73,12 @@
   return std::max(0.0, firstBegan - lastBorn);
 }
 
-void Registry::heard(const std::string& registry, const pouch::Sessions& told, double now) {
+void Registry::heard(const std::string& registry, const rpc::Sessions& told, double now) {
   Others& others = others_[registry];
   others.heard = now;
   if (!told.whole) return;
   others.seats = told.seats;
-  for (pouch::Seat& seat : others.seats) seat.place(now);
+  for (rpc::ProxySession& seat : others.seats) seat.place(now);
   refold(now);
 }
 
@@ -128,9 +128,9 @@
   return out;
 }
 
-std::optional<pouch::Workers> Registry::listed(std::uint64_t epoch,
-                                               const std::map<std::string, pouch::Worker>& all, double now) {
-  pouch::Workers out;
+std::optional<rpc::Workers> Registry::listed(std::uint64_t epoch,
+                                             const std::map<std::string, rpc::Worker>& all, double now) {
+  rpc::Workers out;
   for (const auto& [id, worker] : all) {
     const auto found = workers_.find(id);
     const double coldUntil = worker.coldLeft > 0 ? now + worker.coldLeft : 0;
@@ -162,18 +162,18 @@
   return out;
 }
 
-Registry::Taken Registry::take(const pouch::Workers& told, double now) {
+Registry::Taken Registry::take(const rpc::Workers& told, double now) {
   if (std::pair(told.term, told.number) <= std::pair(epoch_, number_)) return Taken::old;
   if (!told.whole && (told.term != epoch_ || told.before != number_)) return Taken::gap;
   if (told.whole) workers_.clear();
-  for (const pouch::Worker& w : told.put) workers_[w.id] = {w, w.coldLeft > 0 ? now + w.coldLeft : 0};
+  for (const rpc::Worker& w : told.put) workers_[w.id] = {w, w.coldLeft > 0 ? now + w.coldLeft : 0};
   for (const std::string& id : told.gone) workers_.erase(id);
   epoch_ = told.term, number_ = told.number;
   return Taken::news;
 }
 
-pouch::Workers Registry::whole(double now) const {
-  pouch::Workers out;
+rpc::Workers Registry::whole(double now) const {
+  rpc::Workers out;
   out.term = epoch_, out.number = number_, out.whole = true;
   for (const auto& [id, known] : workers_) {
     out.put.push_back(known.worker);
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -3,7 +3,7 @@
 //
 // A cell for each zone keeps the proxies that are seated there, by their own registry's sessions or by what
 // another registry has told of its own. A seat stands while its session does; what another registry told
-// stands while that one is heard. The newest life of a name counts.
+// stands while that one is heard. The newest incarnation of a name counts.
 #pragma once
 
 #include <cstdint>
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-#include "pouch/messages.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::registry {
 
@@ -36,10 +36,10 @@
   void setPlaces(std::map<std::string, std::string> regionOf) { regionOf_ = std::move(regionOf); }
 
   // --- Seats ---
-  void seat(const pouch::Seat& seat, double now);  // opened, or changed
-  void unseat(const std::string& name, std::uint64_t life, double now);
-  std::vector<pouch::Seat> own(double now) const;
-  void heard(const std::string& registry, const pouch::Sessions& told, double now);
+  void seat(const rpc::ProxySession& seat, double now);  // opened, or changed
+  void unseat(const std::string& name, std::uint64_t incarnation, double now);
+  std::vector<rpc::ProxySession> own(double now) const;
+  void heard(const std::string& registry, const rpc::Sessions& told, double now);
   // True where views may have changed.
   bool sweep(double now);
 
@@ -61,16 +61,16 @@
 
   // --- Workers ---
   struct Known {
-    pouch::Worker worker;
+    rpc::Worker worker;
     double coldUntil = 0;
   };
   // The list as the platform tells it now; the difference to what was there, where there is one.
-  std::optional<pouch::Workers> listed(std::uint64_t epoch, const std::map<std::string, pouch::Worker>& all,
-                                       double now);
+  std::optional<rpc::Workers> listed(std::uint64_t epoch, const std::map<std::string, rpc::Worker>& all,
+                                     double now);
   // From the registry that reads the list. `gap`: what is between is missing, a whole one is needed.
   enum class Taken { news, old, gap };
-  Taken take(const pouch::Workers& told, double now);
-  pouch::Workers whole(double now) const;
+  Taken take(const rpc::Workers& told, double now);
+  rpc::Workers whole(double now) const;
   std::uint64_t number() const { return number_; }
   const std::map<std::string, Known>& workers() const { return workers_; }
 
@@ -78,16 +78,16 @@
 
  private:
   struct Others {
-    std::vector<pouch::Seat> seats;
+    std::vector<rpc::ProxySession> seats;
     double heard = 0;
   };
   void note(double now, std::string what, std::string who);
   void refold(double now);
   const std::string self_;
   std::map<std::string, std::string> regionOf_;
-  std::map<std::string, pouch::Seat> own_;                       // by name
+  std::map<std::string, rpc::ProxySession> own_;                 // by name
   std::map<std::string, Others> others_;                         // by registry
-  std::map<std::string, pouch::Seat> seats_;                     // the view: newest life of each name
+  std::map<std::string, rpc::ProxySession> seats_;               // the view: newest incarnation of each name
   std::map<std::string, std::pair<std::string, double>> known_;  // name -> zone, last seen
   std::map<std::string, Known> workers_;
   std::uint64_t epoch_ = 0, number_ = 0;
--- a/src/rounds/lease.hpp
+++ b/src/rounds/lease.hpp
@@ -27,14 +27,14 @@
 
 struct Keeper {
   std::string ip;
-  std::uint64_t life = 0;   // of the process; 0: nobody yet
-  std::uint64_t epoch = 0;  // one more with each keeper
+  std::uint64_t incarnation = 0;  // of the process; 0: nobody yet
+  std::uint64_t epoch = 0;        // one more with each keeper
   bool operator==(const Keeper&) const = default;
-  MSGPACK_DEFINE(ip, life, epoch)
+  MSGPACK_DEFINE(ip, incarnation, epoch)
 };
 struct Asker {
   std::string ip;
-  std::uint64_t life = 0;
+  std::uint64_t incarnation = 0;
   std::uint64_t epoch = 0;  // of the latest keeper that it has been told of
   bool wants = false;       // else it only shows that it is there
 };
@@ -42,9 +42,9 @@
 class LeaseGrantor {
  public:
   enum class Say { grant, refuse, agree };  // agree: granted once the asker is the keeper agreed on
-  void lead(const Keeper& agreed, double now) { until_ = agreed.life ? now + kLonger : now; }
+  void lead(const Keeper& agreed, double now) { until_ = agreed.incarnation ? now + kLonger : now; }
   Say ask(const Keeper& agreed, const Asker& who, double now) {
-    if (who.ip == agreed.ip && who.life == agreed.life) {
+    if (who.ip == agreed.ip && who.incarnation == agreed.incarnation) {
       if (!who.wants) return Say::refuse;
       granted(now);
       return Say::grant;
--- a/src/pouch/frame.hpp
+++ b/src/rpc/frame.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace burlwind::pouch {
+namespace burlwind::rpc {
 
 constexpr std::size_t kMostFrame = 8 * 1024 * 1024;
 
@@ -63,4 +63,4 @@
   return Cut::one;
 }
 
-}  // namespace burlwind::pouch
+}  // namespace burlwind::rpc
--- a/src/pouch/link.cpp
+++ b/src/rpc/link.cpp
@@ -1,4 +1,4 @@
-#include "pouch/link.hpp"
+#include "rpc/link.hpp"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -12,7 +12,7 @@
 
 #include "program/listen.hpp"
 
-namespace burlwind::pouch {
+namespace burlwind::rpc {
 
 void harden(Tcp::socket& socket) {
   Error ignored;
@@ -192,4 +192,4 @@
   });
 }
 
-}  // namespace burlwind::pouch
+}  // namespace burlwind::rpc
--- a/src/pouch/link.hpp
+++ b/src/rpc/link.hpp
@@ -12,9 +12,9 @@
 #include <set>
 #include <string>
 
-#include "pouch/frame.hpp"
+#include "rpc/frame.hpp"
 
-namespace burlwind::pouch {
+namespace burlwind::rpc {
 
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
@@ -113,4 +113,4 @@
   std::set<LinkPtr> links_;
 };
 
-}  // namespace burlwind::pouch
+}  // namespace burlwind::rpc
--- a/src/pouch/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -8,41 +8,41 @@
 #include <string>
 #include <vector>
 
-namespace burlwind::pouch {
+namespace burlwind::rpc {
 
 enum Kind {
-  kHello = 1,
+  kHandshake = 1,
   kAppendRequest,
   kAppendResponse,
   kVoteRequest,
   kVoteResponse,
   kJoin,
   kLeave,
-  kNews,
-  kVouch,
-  kPropose,
-  kOutcome,
-  kRead,
-  kLeaseAsk,
-  kLeaseSay,
+  kConfigUpdate,
+  kLeaderConfirmation,
+  kCommandRequest,
+  kCommandResponse,
+  kReadRequest,
+  kLeaseRequest,
+  kLeaseResponse,
   kSessions,
   kWorkers,
   kCores,
   kStatus,
-  kTokensAsk,
-  kTokensSay,
-  kBeat,
+  kTokenRequest,
+  kTokenResponse,
+  kHeartbeat,
   kLevels
 };
 
 // --- Who speaks ---
-struct Hello {
-  static constexpr Kind kKind = kHello;
+struct Handshake {
+  static constexpr Kind kKind = kHandshake;
   std::string role, name, ip, zone, region;
-  std::uint64_t life = 0;  // drawn at the process's start
-  std::string front;       // a proxy's address for clients
-  double linkMbps = 0;     // of its machine; 0: not told
-  MSGPACK_DEFINE(role, name, ip, zone, region, life, front, linkMbps)
+  std::uint64_t incarnation = 0;  // drawn at the process's start
+  std::string front;              // a proxy's address for clients
+  double linkMbps = 0;            // of its machine; 0: not told
+  MSGPACK_DEFINE(role, name, ip, zone, region, incarnation, front, linkMbps)
 };
 
 // --- Stores among themselves (src/consensus) ---
@@ -89,51 +89,51 @@
 };
 
 // --- A store and its readers ---
-struct News {  // the agreed state, committed
-  static constexpr Kind kKind = kNews;
+struct ConfigUpdate {  // the agreed state, committed
+  static constexpr Kind kKind = kConfigUpdate;
   std::uint64_t term = 0, index = 0;
   std::string configuration;  // as the operator sent it; empty before the first
   std::vector<std::string> evacuated;
   std::vector<std::string> stores;  // ips
   MSGPACK_DEFINE(term, index, configuration, evacuated, stores)
 };
-struct Vouch {  // the leader has just heard a majority
-  static constexpr Kind kKind = kVouch;
+struct LeaderConfirmation {  // the leader has just heard a majority
+  static constexpr Kind kKind = kLeaderConfirmation;
   std::uint64_t term = 0, index = 0;
   std::string holder;       // of the duties' lease: ip; empty: nobody
   std::uint64_t epoch = 0;  // of the keeper of the duties that is agreed on
   std::vector<std::string> stores;
   MSGPACK_DEFINE(term, index, holder, epoch, stores)
 };
-struct Propose {
-  static constexpr Kind kKind = kPropose;
+struct CommandRequest {
+  static constexpr Kind kKind = kCommandRequest;
   std::uint64_t number = 0;
   std::string what;  // "config", "evacuate", "return"
   std::string body;  // the configuration, or the zone
   MSGPACK_DEFINE(number, what, body)
 };
-struct Read {
-  static constexpr Kind kKind = kRead;
+struct ReadRequest {
+  static constexpr Kind kKind = kReadRequest;
   std::uint64_t number = 0;
   MSGPACK_DEFINE(number)
 };
-struct Outcome {
-  static constexpr Kind kKind = kOutcome;
+struct CommandResponse {
+  static constexpr Kind kKind = kCommandResponse;
   std::uint64_t number = 0;
   int status = 0;  // as HTTP has it
   std::string text;
   MSGPACK_DEFINE(number, status, text)
 };
-struct LeaseAsk {
-  static constexpr Kind kKind = kLeaseAsk;
+struct LeaseRequest {
+  static constexpr Kind kKind = kLeaseRequest;
   std::uint64_t number = 0;
   std::string ip;
-  std::uint64_t life = 0, epoch = 0;  // of the asking process; of the keeper that it was told of last
-  bool wants = false;                 // else it only shows that it is there
-  MSGPACK_DEFINE(number, ip, life, epoch, wants)
+  std::uint64_t incarnation = 0, epoch = 0;  // of the asking process; of the keeper that it was told of last
+  bool wants = false;                        // else it only shows that it is there
+  MSGPACK_DEFINE(number, ip, incarnation, epoch, wants)
 };
-struct LeaseSay {  // granted: for `span` from when the question was sent
-  static constexpr Kind kKind = kLeaseSay;
+struct LeaseResponse {  // granted: for `span` from when the question was sent
+  static constexpr Kind kKind = kLeaseResponse;
   std::uint64_t number = 0;
   double span = 0;
   std::uint64_t epoch = 0;  // of this keeper of the duties
@@ -141,25 +141,25 @@
 };
 
 // --- Registries among themselves ---
-struct Seat {  // a proxy's session as its registry tells it
+struct ProxySession {  // a proxy's session as its registry tells it
   std::string name, front, zone, region;
   bool ready = false;
-  std::uint64_t life = 0;
+  std::uint64_t incarnation = 0;
   double linkMbps = 0;
   double age = 0, quiet = 0;  // ms since its process began; from then until it first let a request in
   // The two as times of the clock of who holds this; not told.
   double bornAt = 0, beganAt = 0;
-  bool sameAs(const Seat& o) const {
+  bool sameAs(const ProxySession& o) const {
     return name == o.name && front == o.front && zone == o.zone && region == o.region && ready == o.ready &&
-           life == o.life && linkMbps == o.linkMbps;
+           incarnation == o.incarnation && linkMbps == o.linkMbps;
   }
   void place(double now) { bornAt = now - age, beganAt = bornAt + quiet; }
-  MSGPACK_DEFINE(name, front, zone, region, ready, life, linkMbps, age, quiet)
+  MSGPACK_DEFINE(name, front, zone, region, ready, incarnation, linkMbps, age, quiet)
 };
 struct Sessions {
   static constexpr Kind kKind = kSessions;
   bool whole = false;  // else nothing has changed since the last
-  std::vector<Seat> seats;
+  std::vector<ProxySession> seats;
   MSGPACK_DEFINE(whole, seats)
 };
 
@@ -195,44 +195,44 @@
   static constexpr Kind kKind = kStatus;
   bool ready = false;
   std::uint64_t index = 0, workers = 0;  // what is in force there
-  double age = 0, quiet = 0;             // as in Seat
+  double age = 0, quiet = 0;             // as in ProxySession
   MSGPACK_DEFINE(ready, index, workers, age, quiet)
 };
-struct Beat {
-  static constexpr Kind kKind = kBeat;
-  bool vouched = false;  // the registry has heard the store's leader of late
-  MSGPACK_DEFINE(vouched)
+struct Heartbeat {
+  static constexpr Kind kKind = kHeartbeat;
+  bool confirmed = false;  // the registry has heard the store's leader of late
+  MSGPACK_DEFINE(confirmed)
 };
 
 // --- Quotas ---
-struct Wish {
+struct TokenDemand {
   std::string tenant;
   double want = 0;   // requests, in stock beyond what is held
   double asked = 0;  // requests a second that came
   MSGPACK_DEFINE(tenant, want, asked)
 };
-struct TokensAsk {
-  static constexpr Kind kKind = kTokensAsk;
+struct TokenRequest {
+  static constexpr Kind kKind = kTokenRequest;
   std::uint64_t number = 0;
   std::string proxy;
-  std::uint64_t life = 0;
-  std::vector<Wish> wishes;
-  MSGPACK_DEFINE(number, proxy, life, wishes)
+  std::uint64_t incarnation = 0;
+  std::vector<TokenDemand> wishes;
+  MSGPACK_DEFINE(number, proxy, incarnation, wishes)
 };
-struct Lot {
+struct TokenGrant {
   std::string tenant;
   double granted = 0;
   int use = 0;         // percent of the rate that all ask for
   bool empty = false;  // the store has nothing left
   MSGPACK_DEFINE(tenant, granted, use, empty)
 };
-struct TokensSay {
-  static constexpr Kind kKind = kTokensSay;
+struct TokenResponse {
+  static constexpr Kind kKind = kTokenResponse;
   std::uint64_t number = 0;
   std::string proxy;
-  std::uint64_t life = 0;
-  std::vector<Lot> lots;
-  MSGPACK_DEFINE(number, proxy, life, lots)
+  std::uint64_t incarnation = 0;
+  std::vector<TokenGrant> lots;
+  MSGPACK_DEFINE(number, proxy, incarnation, lots)
 };
 
 struct Level {  // what a tenant's store holds
@@ -247,4 +247,4 @@
   MSGPACK_DEFINE(epoch, levels)
 };
 
-}  // namespace burlwind::pouch
+}  // namespace burlwind::rpc
--- a/src/sorting/core.cpp
+++ b/src/sorting/core.cpp
@@ -35,7 +35,7 @@
   for (auto& [id, s] : workers_) s.region = regionOfZone(s.worker.zone);
 }
 
-void Core::put(const pouch::Worker& w, double now) {
+void Core::put(const rpc::Worker& w, double now) {
   State& s = workers_[w.id];
   if (s.worker.id.empty()) byService_[w.service].push_back(w.id);
   s.worker = w;
@@ -43,7 +43,7 @@
   if (w.coldLeft > 0) s.coldUntil = std::max(s.coldUntil, now + w.coldLeft);
 }
 
-void Core::take(const pouch::Workers& told, double now) {
+void Core::take(const rpc::Workers& told, double now) {
   const auto remove = [&](const std::string& id) {
     const auto found = workers_.find(id);
     if (found == workers_.end()) return;
--- a/src/sorting/core.hpp
+++ b/src/sorting/core.hpp
@@ -21,7 +21,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "pouch/messages.hpp"
+#include "rpc/messages.hpp"
 
 namespace burlwind::sorting {
 
@@ -53,7 +53,7 @@
         coldSlack_(coldSlack) {}
 
   // --- What is known ---
-  void take(const pouch::Workers& told, double now);  // whole, or a difference that joins
+  void take(const rpc::Workers& told, double now);  // whole, or a difference that joins
   std::uint64_t number() const { return number_; }
   void setProxies(std::map<std::string, unsigned> byZone) { proxies_ = std::move(byZone); }
   void setPlaces(std::map<std::string, std::string> regionOf);  // the region of each zone
@@ -85,7 +85,7 @@
 
  private:
   struct State {
-    pouch::Worker worker;
+    rpc::Worker worker;
     std::string region;
     double out = 0;
     double told = 0, toldAt = -1e18;  // load by others, when it was told
@@ -98,7 +98,7 @@
   bool allowed(const State& s, const Ask& ask) const;
   bool mayWarm(State& s, double now);
   double cost(const State& s, const Ask& ask, double now) const;
-  void put(const pouch::Worker& w, double now);
+  void put(const rpc::Worker& w, double now);
   std::string regionOfZone(const std::string& zone) const;
   State* find(const std::string& id);
   const Place self_;
--- a/tests/system/address_test.cpp
+++ b/tests/system/address_test.cpp
@@ -87,7 +87,7 @@
 TEST_CASE("of two changes on one parent one wins, and that very one is known again, also after others") {
   config_store::State state;
   config_store::Lately lately;
-  const auto apply = [&](config_store::State& s, const pouch::Propose& order) {
+  const auto apply = [&](config_store::State& s, const rpc::CommandRequest& order) {
     return config_store::apply(s, lately, order, 0);
   };
   CHECK(apply(state, {1, "config", configuration(3, 0)}).status == 200);
--- a/tests/system/consensus_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -186,7 +186,7 @@
   static bool voted(const std::vector<consensus::Effect>& effects) {
     for (const auto& effect : effects)
       if (const auto* send = std::get_if<consensus::Send>(&effect))
-        if (const auto* say = std::get_if<pouch::VoteResponse>(&send->message))
+        if (const auto* say = std::get_if<rpc::VoteResponse>(&send->message))
           return say->granted && !say->trial;
     return false;
   }
@@ -206,22 +206,22 @@
 
 TEST_CASE("one vote a term: not a second one for another candidate, also not after a restart") {
   Alone voter(three(3));
-  CHECK(Alone::voted(voter.core.receive(pouch::VoteRequest{5, 1, 0, 0, false}, 2000)));
-  CHECK_FALSE(Alone::voted(voter.core.receive(pouch::VoteRequest{5, 2, 0, 0, false}, 2010)));
-  CHECK(Alone::voted(voter.core.receive(pouch::VoteRequest{5, 1, 0, 0, false}, 2020)));  // told once more
+  CHECK(Alone::voted(voter.core.receive(rpc::VoteRequest{5, 1, 0, 0, false}, 2000)));
+  CHECK_FALSE(Alone::voted(voter.core.receive(rpc::VoteRequest{5, 2, 0, 0, false}, 2010)));
+  CHECK(Alone::voted(voter.core.receive(rpc::VoteRequest{5, 1, 0, 0, false}, 2020)));  // told once more
   Alone again(voter.core.record());
-  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteRequest{5, 2, 0, 0, false}, 2000)));
-  CHECK_FALSE(Alone::voted(again.core.receive(pouch::VoteRequest{4, 2, 0, 0, false}, 2010)));
-  CHECK(Alone::voted(again.core.receive(pouch::VoteRequest{6, 2, 0, 0, false}, 2020)));
+  CHECK_FALSE(Alone::voted(again.core.receive(rpc::VoteRequest{5, 2, 0, 0, false}, 2000)));
+  CHECK_FALSE(Alone::voted(again.core.receive(rpc::VoteRequest{4, 2, 0, 0, false}, 2010)));
+  CHECK(Alone::voted(again.core.receive(rpc::VoteRequest{6, 2, 0, 0, false}, 2020)));
 }
 
 TEST_CASE(
     "of two that try for leadership at once and know as much, the higher id goes on, and more knowledge "
     "wins") {
-  const auto trial = [](Core& core, pouch::VoteRequest ask) {
+  const auto trial = [](Core& core, rpc::VoteRequest ask) {
     for (const auto& effect : core.receive(ask, 400))
       if (const auto* send = std::get_if<consensus::Send>(&effect))
-        if (const auto* say = std::get_if<pouch::VoteResponse>(&send->message)) return say->granted;
+        if (const auto* say = std::get_if<rpc::VoteResponse>(&send->message)) return say->granted;
     return false;
   };
   const auto trying = [](PersistentState record) {
@@ -247,10 +247,10 @@
   double now = 0;
   while (core.record().term == 0) {
     out = core.tick(now += 50);
-    core.receive(pouch::VoteResponse{core.record().term + 1, 2, true, true}, now);
+    core.receive(rpc::VoteResponse{core.record().term + 1, 2, true, true}, now);
   }
-  core.receive(pouch::VoteResponse{core.record().term, 2, false, true}, now);
-  core.receive(pouch::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
+  core.receive(rpc::VoteResponse{core.record().term, 2, false, true}, now);
+  core.receive(rpc::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
                now);
   REQUIRE(core.leads());
 }
@@ -263,14 +263,14 @@
   const double now = 3000;
   // Replica 4 stands where 3 has lost its disk.
   core.join({4, "c"}, now);
-  core.receive(pouch::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
+  core.receive(rpc::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
                now);
   core.tick(now);
   REQUIRE(core.record().former.size() == 3);
   REQUIRE(core.record().members[2].id == 4);
   const auto held = [&](Id by) {
     return core.receive(
-        pouch::AppendResponse{core.record().term, by, 2, core.record().lastTerm, core.record().index},
+        rpc::AppendResponse{core.record().term, by, 2, core.record().lastTerm, core.record().index},
         now + 10);
   };
   CHECK_FALSE(Alone::committed(held(4)));  // 1 and 4: of the old members there is one alone
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -105,7 +105,7 @@
   struct Said {
     double at;
     std::size_t to;
-    pouch::Lot lot;
+    rpc::TokenGrant lot;
   };
   const Limit limit;
   const std::vector<std::string> columns;
@@ -308,9 +308,9 @@
   constexpr double kSlack = 62;
   std::vector<TryBudget> budgets(kProxies);
   double firsts = 0, further = 0;
-  for (int life = 0; life < 2; ++life)
+  for (int incarnation = 0; incarnation < 2; ++incarnation)
     for (TryBudget& b : budgets) {
-      if (life) b = TryBudget{};
+      if (incarnation) b = TryBudget{};
       b.set(0.2, kSlack, kProxies);
       for (int i = 0; i < 40; ++i) {
         b.first("s"), ++firsts;
--- a/tests/system/sorting_test.cpp
+++ b/tests/system/sorting_test.cpp
@@ -16,12 +16,12 @@
   Core core{{"a1", "A"}, {{"a1", "A"}, {"a2", "A"}, {"b1", "B"}}, 1.5, 5};
   std::mt19937 random{3};
   std::uint64_t number = 0;
-  void list(std::vector<pouch::Worker> all, double now = 0) {
-    pouch::Workers w;
+  void list(std::vector<rpc::Worker> all, double now = 0) {
+    rpc::Workers w;
     w.whole = true, w.term = 1, w.number = ++number, w.put = std::move(all);
     core.take(w, now);
   }
-  static pouch::Worker worker(const char* id, const char* zone, bool draining = false, double cold = 0) {
+  static rpc::Worker worker(const char* id, const char* zone, bool draining = false, double cold = 0) {
     return {id, "s", std::string("10.0.0.1:") + "80", zone, 3, draining, cold};
   }
   Core::Choice choose(double now = 0, const std::vector<std::string>* homes = nullptr) {
@@ -59,7 +59,7 @@
                          5.0);
     proxies.back().setProxies({{"a1", 3}, {"b1", 2}});
     proxies.back().setService("s", {kRate, 3000});
-    pouch::Workers w;
+    rpc::Workers w;
     w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
     proxies.back().take(w, 0);
   }
@@ -81,7 +81,7 @@
   Core other{{"b1", "B"}, {{"a1", "A"}, {"b1", "B"}}, 1.5, 5};
   other.setProxies({{"a1", 3}, {"b1", 2}});
   other.setService("s", {kRate, 3000});
-  pouch::Workers w;
+  rpc::Workers w;
   w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
   other.take(w, 0);
   Ask ask;
@@ -127,7 +127,7 @@
   const auto far = worker("far", "a2");
   const struct {
     double at;
-    std::vector<pouch::Worker> listed;
+    std::vector<rpc::Worker> listed;
     std::set<std::string> evacuated;
   } timeline[] = {
       {0, {worker("old-1", "a1"), worker("old-2", "a1"), far}, {}},
@@ -181,7 +181,7 @@
 
 TEST_CASE_FIXTURE(Fixture, "a difference that is taken on top leaves the rest as it was") {
   list({worker("one", "a1"), worker("two", "a2")});
-  pouch::Workers w;
+  rpc::Workers w;
   w.before = number, w.number = ++number, w.term = 1;
   w.gone = {"one"}, w.put = {worker("three", "a1")};
   core.take(w, 0);
@@ -192,8 +192,8 @@
 TEST_CASE("the span in which no proxy let anything in is from the last start to the first request") {
   registry::Registry registry("10.0.0.1", {{"a1", "A"}});
   const auto seat = [&](const char* name, double age, double quiet, double now) {
-    pouch::Seat s;
-    s.name = name, s.zone = "a1", s.life = 1, s.age = age, s.quiet = quiet;
+    rpc::ProxySession s;
+    s.name = name, s.zone = "a1", s.incarnation = 1, s.age = age, s.quiet = quiet;
     s.place(now);
     registry.seat(s, now);
   };
--- a/tests/system/timeline.hpp
+++ b/tests/system/timeline.hpp
@@ -37,7 +37,7 @@
  public:
   explicit Stores(unsigned count, unsigned seed = 1, unsigned seats = 0)
       : random_(seed), seats_(seats ? seats : count), replicas_(count) {
-    std::vector<pouch::Member> first;
+    std::vector<rpc::Member> first;
     for (unsigned i = 0; i < count; ++i) first.push_back({100 + i, address(i, 0)});
     for (unsigned i = 0; i < count; ++i) {
       replicas_[i].disk = PersistentState{};
@@ -81,7 +81,8 @@
         if (!r.core->member() || !r.core->leaderIsKnown(now_))
           for (unsigned j = 0; j < replicas_.size(); ++j)
             if (j != i)
-              letters_.push_back({now_ + delay(), i, j, r.core->record().self, {}, r.life, true, r.ip});
+              letters_.push_back(
+                  {now_ + delay(), i, j, r.core->record().self, {}, r.incarnation, true, r.ip});
       }
     }
     check();
@@ -98,11 +99,11 @@
     const double until = now_ + within;
     while (now_ < until) {
       if (const auto i = leader(); i && replicas_[*i].core->mayPropose()) {
-        const unsigned life = replicas_[*i].life;
+        const unsigned incarnation = replicas_[*i].incarnation;
         const auto& before = replicas_[*i].core->record().state;
         acks_.clear();
         carry(*i, replicas_[*i].core->propose(before.empty() ? value : before + "," + value, now_));
-        while (now_ < until && awake(replicas_[*i]) && replicas_[*i].life == life &&
+        while (now_ < until && awake(replicas_[*i]) && replicas_[*i].incarnation == incarnation &&
                replicas_[*i].core->leads()) {
           if (acks_.contains(*i)) return acknowledged_.push_back(value), true;
           step();
@@ -181,14 +182,14 @@
     std::string ip;
     bool frozen = false, deaf = false, mute = false;
     double tickAt = 0, write = 0, busyUntil = 0;
-    unsigned life = 0, moves = 0;
+    unsigned incarnation = 0, moves = 0;
   };
   struct Letter {
     double at;
     unsigned from, to;
     Id id;  // of the reader, or of who wants to join
     consensus::Message message;
-    unsigned life;
+    unsigned incarnation;
     bool join = false;
     std::string ip;
   };
@@ -204,7 +205,7 @@
 
   void start(unsigned i) {
     Replica& r = replicas_[i];
-    ++r.life;
+    ++r.incarnation;
     r.frozen = false;
     r.busyUntil = 0;
     r.core = std::make_unique<Core>(r.disk, consensus::Timeouts{}, seats_, &Stores::draw, this, now_);
@@ -246,7 +247,7 @@
         for (unsigned j = 0; j < replicas_.size(); ++j)
           if (replicas_[j].disk.self == send->to ||
               (replicas_[j].core && replicas_[j].core->record().self == send->to))
-            letters_.push_back({at + delay(), i, j, send->to, send->message, r.life, false, {}});
+            letters_.push_back({at + delay(), i, j, send->to, send->message, r.incarnation, false, {}});
       } else if (std::holds_alternative<consensus::Committed>(effect)) {
         acks_.insert(i);
         CHECK_MESSAGE(holds(r.core->record().state, acknowledged_),
