--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "address/configuration.hpp"
-#include "rounds/lease.hpp"
+#include "lease/lease.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::config_store {
@@ -25,8 +25,8 @@
   std::uint64_t version = 0;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> taken;  // version, digest
   std::map<std::string, unsigned> evacuated;                   // zones, by how many evacuations
-  rounds::Keeper keeper;                                       // of the registries' duties
-  MSGPACK_DEFINE(configuration, version, taken, evacuated, keeper)
+  lease::LeaseOwner owner;                                     // of the registries' duties
+  MSGPACK_DEFINE(configuration, version, taken, evacuated, owner)
 };
 std::string pack(const State& state);
 bool unpack(const std::string& bytes, State& out);  // an empty text is the empty state
--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -13,10 +13,10 @@
 #include "config_store/ledger.hpp"
 #include "config_store/store.hpp"
 #include "consensus/core.hpp"
+#include "lease/lease.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
-#include "rounds/lease.hpp"
 #include "rpc/link.hpp"
 
 namespace burlwind::config_store {
@@ -192,7 +192,7 @@
 
   void committed() {
     unpack(core_->record().state, state_);
-    agreedKeeper();
+    agreedOwner();
     for (auto& [number, link, outcome] : std::exchange(underWay_, {}))
       if (const auto l = link.lock()) l->tell(rpc::CommandResponse{number, outcome.status, outcome.text});
     for (const auto& m : core_->record().members) dial(m.ip);
@@ -202,8 +202,8 @@
 
   void led() {
     program::info("leads", {{"term", core_->record().term}, {"index", core_->record().index}});
-    lease_.lead(state_.keeper, now());
-    nextKeeper_.reset();
+    lease_.lead(state_.owner, now());
+    nextOwner_.reset();
     lately_ = {};
     confirmationAt_ = 0;
   }
@@ -211,7 +211,7 @@
   void stepped() {
     program::info("leads no more", {{"term", core_->record().term}});
     // Whether what was under way lasts is not known here: the links' ends say so, as no clear answer.
-    underWay_.clear(), orders_.clear(), reads_.clear(), leases_.clear(), nextKeeper_.reset();
+    underWay_.clear(), orders_.clear(), reads_.clear(), leases_.clear(), nextOwner_.reset();
     for (auto& [link, reader] : readers_) link->close();
   }
 
@@ -229,12 +229,12 @@
       return true;
     });
     // Not from within: what is committed by now may not have been carried out yet.
-    if (nextKeeper_) asio::post(io_, [this] { proposeNext(); });
+    if (nextOwner_) asio::post(io_, [this] { proposeNext(); });
     if (now() < confirmationAt_) return;
     confirmationAt_ = now() + kConfirmationPause;
     const rpc::LeaderConfirmation confirmation{core_->record().term, core_->committed(),
-                                               lease_.busy(now()) ? state_.keeper.ip : std::string(),
-                                               state_.keeper.epoch, storeIps()};
+                                               lease_.busy(now()) ? state_.owner.ip : std::string(),
+                                               state_.owner.epoch, storeIps()};
     for (auto& [link, reader] : readers_) link->tell(confirmation);
   }
 
@@ -246,28 +246,28 @@
   };
 
   void answerLease(const LeaseAsked& asked) {
-    if (nextKeeper_) return sayLease(asked, 0);  // also to the keeper: it may be none in a moment
-    const rounds::Asker who{asked.ask.ip, asked.ask.incarnation, asked.ask.epoch, asked.ask.wants};
-    const auto say = lease_.ask(state_.keeper, who, now());
-    if (say == rounds::LeaseGrantor::Say::grant)
-      sayLease(asked, rounds::kLeaseSpan);
-    else if (say == rounds::LeaseGrantor::Say::agree)
-      nextKeeper_ = asked;  // proposed with the next entry
+    if (nextOwner_) return sayLease(asked, 0);  // also to the owner: it may be none in a moment
+    const lease::Applicant who{asked.ask.ip, asked.ask.incarnation, asked.ask.epoch, asked.ask.wants};
+    const auto say = lease_.ask(state_.owner, who, now());
+    if (say == lease::LeaseGrantor::Decision::grant)
+      sayLease(asked, lease::kLeaseSpan);
+    else if (say == lease::LeaseGrantor::Decision::agree)
+      nextOwner_ = asked;  // proposed with the next entry
     else
       sayLease(asked, 0);
   }
 
   void sayLease(const LeaseAsked& asked, double span) {
     if (const auto link = asked.link.lock())
-      link->tell(rpc::LeaseResponse{asked.ask.number, span, state_.keeper.epoch});
+      link->tell(rpc::LeaseResponse{asked.ask.number, span, state_.owner.epoch});
   }
 
-  // It is the keeper that all agree on now, and nobody else was granted anything since it asked.
-  void agreedKeeper() {
-    if (!nextKeeper_ || state_.keeper.incarnation != nextKeeper_->ask.incarnation) return;
+  // It is the owner that all agree on now, and nobody else was granted anything since it asked.
+  void agreedOwner() {
+    if (!nextOwner_ || state_.owner.incarnation != nextOwner_->ask.incarnation) return;
     lease_.granted(now());
-    sayLease(*nextKeeper_, rounds::kLeaseSpan);
-    nextKeeper_.reset();
+    sayLease(*nextOwner_, lease::kLeaseSpan);
+    nextOwner_.reset();
     confirmationAt_ = 0;
   }
 
@@ -299,10 +299,9 @@
 
   // All that waits becomes one entry, each order judged on top of those before it.
   void proposeNext() {
-    if ((orders_.empty() && !nextKeeper_) || !core_->mayPropose()) return;
+    if ((orders_.empty() && !nextOwner_) || !core_->mayPropose()) return;
     State next = state_;
-    if (nextKeeper_)
-      next.keeper = {nextKeeper_->ask.ip, nextKeeper_->ask.incarnation, state_.keeper.epoch + 1};
+    if (nextOwner_) next.owner = {nextOwner_->ask.ip, nextOwner_->ask.incarnation, state_.owner.epoch + 1};
     auto waiting = std::exchange(orders_, {});
     for (auto& [propose, link] : waiting) {
       const Judged judged = apply(next, lately_, propose, now());
@@ -325,8 +324,8 @@
     } else if (rpc::LeaseRequest m2; arrived.kind == rpc::kLeaseRequest && arrived.read(m2)) {
       if (!core_->leads()) return;
       const LeaseAsked asked{core_->nextRound(), m2, link};
-      // What the keeper asks waits for the next beat; a change of it is confirmed by its being agreed on.
-      if (m2.incarnation == state_.keeper.incarnation) return leases_.push_back(asked);
+      // What the owner asks waits for the next beat; a change of it is confirmed by its being agreed on.
+      if (m2.incarnation == state_.owner.incarnation) return leases_.push_back(asked);
       answerLease(asked);
       proposeNext();
     }
@@ -483,7 +482,7 @@
   std::optional<consensus::Core> core_;
   State state_;  // committed
   Lately lately_;
-  rounds::LeaseGrantor lease_;
+  lease::LeaseGrantor lease_;
   rpc::Acceptor acceptor_;
   asio::steady_timer timer_, endTimer_{io_};
   asio::signal_set signals_;
@@ -496,7 +495,7 @@
   std::vector<Pending> underWay_;
   std::vector<Asked> reads_;
   std::vector<LeaseAsked> leases_;
-  std::optional<LeaseAsked> nextKeeper_;  // waits to be agreed on
+  std::optional<LeaseAsked> nextOwner_;  // waits to be agreed on
   double lastTick_ = 0, joinAt_ = 0, confirmationAt_ = 0;
   int status_ = 0;
   bool busy_ = false;  // somebody may hold the duties
--- a/src/rounds/lease.hpp
+++ b/src/lease/lease.hpp
@@ -3,13 +3,13 @@
 // margin before the end. Property: at no time do two registries hold the lease, as long as no clock runs
 // faster than another by more than kDrift.
 //
-// Who may hold it is part of what the stores agree on (Keeper): a process that is not the keeper is granted
-// nothing before it has been agreed on as the next one, so that a new leader knows of whom it must wait out a
-// grant that it has not seen. It needs not wait
-//  - for that keeper itself, which goes on under the new leader as if nothing had happened;
-//  - where another process asks from the keeper's own machine and its question bears the keeper's epoch: it
-//    was alive after that one was agreed on, the keeper had asked before, and a machine runs one registry at
-//    a time; so the keeper has ended. A question with an older epoch may have waited in a buffer since
+// Who may hold it is part of what the stores agree on (LeaseOwner): a process that is not the owner is
+// granted nothing before it has been agreed on as the next one, so that a new leader knows of whom it must
+// wait out a grant that it has not seen. It needs not wait
+//  - for that owner itself, which goes on under the new leader as if nothing had happened;
+//  - where another process asks from the owner's own machine and its question bears the owner's epoch: it
+//    was alive after that one was agreed on, the owner had asked before, and a machine runs one registry at
+//    a time; so the owner has ended. A question with an older epoch may have waited in a buffer since
 //    before.
 #pragma once
 
@@ -19,41 +19,41 @@
 #include <msgpack.hpp>
 #include <string>
 
-namespace burlwind::rounds {
+namespace burlwind::lease {
 
 constexpr double kLeaseSpan = 800;   // ms
 constexpr double kDrift = 0.05;      // of the span
 constexpr double kStopBefore = 100;  // ms, with what is left of the span
 
-struct Keeper {
+struct LeaseOwner {
   std::string ip;
   std::uint64_t incarnation = 0;  // of the process; 0: nobody yet
-  std::uint64_t epoch = 0;        // one more with each keeper
-  bool operator==(const Keeper&) const = default;
+  std::uint64_t epoch = 0;        // one more with each owner
+  bool operator==(const LeaseOwner&) const = default;
   MSGPACK_DEFINE(ip, incarnation, epoch)
 };
-struct Asker {
+struct Applicant {
   std::string ip;
   std::uint64_t incarnation = 0;
-  std::uint64_t epoch = 0;  // of the latest keeper that it has been told of
+  std::uint64_t epoch = 0;  // of the latest owner that it has been told of
   bool wants = false;       // else it only shows that it is there
 };
 
 class LeaseGrantor {
  public:
-  enum class Say { grant, refuse, agree };  // agree: granted once the asker is the keeper agreed on
-  void lead(const Keeper& agreed, double now) { until_ = agreed.incarnation ? now + kLonger : now; }
-  Say ask(const Keeper& agreed, const Asker& who, double now) {
+  enum class Decision { grant, refuse, agree };  // agree: granted once the asker is the owner agreed on
+  void lead(const LeaseOwner& agreed, double now) { until_ = agreed.incarnation ? now + kLonger : now; }
+  Decision ask(const LeaseOwner& agreed, const Applicant& who, double now) {
     if (who.ip == agreed.ip && who.incarnation == agreed.incarnation) {
-      if (!who.wants) return Say::refuse;
+      if (!who.wants) return Decision::refuse;
       granted(now);
-      return Say::grant;
+      return Decision::grant;
     }
     if (who.ip == agreed.ip && who.epoch == agreed.epoch) until_ = std::min(until_, now);
-    return now < until_ || !who.wants ? Say::refuse : Say::agree;
+    return now < until_ || !who.wants ? Decision::refuse : Decision::agree;
   }
   void granted(double now) { until_ = std::max(until_, now + kLonger); }
-  // Whether the keeper may hold the lease now.
+  // Whether the owner may hold the lease now.
   bool busy(double now) const { return now < until_; }
 
  private:
@@ -82,4 +82,4 @@
   double until_ = -1e18;
 };
 
-}  // namespace burlwind::rounds
+}  // namespace burlwind::lease
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -13,12 +13,12 @@
 #include "counter/server.hpp"
 #include "franking/cell.hpp"
 #include "franking/vault.hpp"
+#include "lease/lease.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "registry/platform_list.hpp"
 #include "registry/registry.hpp"
-#include "rounds/lease.hpp"
 #include "rpc/link.hpp"
 
 namespace burlwind::registry {
@@ -148,7 +148,7 @@
       leader_ = ip, leaderTerm_ = v.term;
       if (v.index <= update_.index) heardLeader();
       if (v.holder.empty() && (!holder_.empty() || freeSince_ == 0)) freeSince_ = now();
-      holder_ = v.holder, keeperEpoch_ = v.epoch;
+      holder_ = v.holder, ownerEpoch_ = v.epoch;
       askLease(now());
       for (const std::string& store : v.stores) meet(store);
       wake_.cancel();
@@ -195,7 +195,7 @@
     const double leave = std::min(kFarMost, kFarTimes * platformMs_);
     const bool wants = holder_ == settings_.ip || (freeSince_ > 0 && at - freeSince_ >= leave);
     duty_.asked(++numbers_, at);
-    link->tell(rpc::LeaseRequest{numbers_, settings_.ip, incarnation_, keeperEpoch_, wants});
+    link->tell(rpc::LeaseRequest{numbers_, settings_.ip, incarnation_, ownerEpoch_, wants});
   }
 
   void leaseSaid(const rpc::LeaseResponse& m) {
@@ -593,7 +593,7 @@
   Registry registry_;
   rpc::ConfigUpdate update_;
   std::shared_ptr<const address::Configuration> configuration_;
-  rounds::LeaseHolder duty_;
+  lease::LeaseHolder duty_;
   franking::Vault vault_;  // of the holder
   struct {
     std::uint64_t epoch = 0;
@@ -612,7 +612,7 @@
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
   std::map<std::string, unsigned> told_;
   std::string leader_, holder_;
-  std::uint64_t leaderTerm_ = 0, keeperEpoch_ = 0, numbers_ = 0;
+  std::uint64_t leaderTerm_ = 0, ownerEpoch_ = 0, numbers_ = 0;
   double lastTick_ = 0, heartbeatAt_ = 0, confirmedAt_ = -1e18, leaseAt_ = 0, reportAt_ = 0, levelsAt_ = 0;
   double platformMs_ = kFarMost, freeSince_ = 0, changedAt_ = -1e18;
 };
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -101,7 +101,7 @@
   static constexpr Kind kKind = kLeaderConfirmation;
   std::uint64_t term = 0, index = 0;
   std::string holder;       // of the duties' lease: ip; empty: nobody
-  std::uint64_t epoch = 0;  // of the keeper of the duties that is agreed on
+  std::uint64_t epoch = 0;  // of the owner of the duties that is agreed on
   std::vector<std::string> stores;
   MSGPACK_DEFINE(term, index, holder, epoch, stores)
 };
@@ -128,7 +128,7 @@
   static constexpr Kind kKind = kLeaseRequest;
   std::uint64_t number = 0;
   std::string ip;
-  std::uint64_t incarnation = 0, epoch = 0;  // of the asking process; of the keeper that it was told of last
+  std::uint64_t incarnation = 0, epoch = 0;  // of the asking process; of the owner that it was told of last
   bool wants = false;                        // else it only shows that it is there
   MSGPACK_DEFINE(number, ip, incarnation, epoch, wants)
 };
@@ -136,7 +136,7 @@
   static constexpr Kind kKind = kLeaseResponse;
   std::uint64_t number = 0;
   double span = 0;
-  std::uint64_t epoch = 0;  // of this keeper of the duties
+  std::uint64_t epoch = 0;  // of this owner of the duties
   MSGPACK_DEFINE(number, span, epoch)
 };
 
--- a/tests/system/franking_test.cpp
+++ b/tests/system/franking_test.cpp
@@ -9,7 +9,7 @@
 #include "franking/cell.hpp"
 #include "franking/purse.hpp"
 #include "franking/vault.hpp"
-#include "rounds/lease.hpp"
+#include "lease/lease.hpp"
 
 namespace burlwind::franking {
 namespace {
@@ -322,42 +322,42 @@
 }
 
 TEST_CASE("a lease is held by one, stops before it ends, and a new leader waits it out") {
-  using Say = rounds::LeaseGrantor::Say;
-  const rounds::Asker askA{"a", 1, 1, true}, askB{"b", 2, 1, true};
-  rounds::LeaseGrantor leader;
-  rounds::LeaseHolder a;
+  using Say = lease::LeaseGrantor::Decision;
+  const lease::Asker askA{"a", 1, 1, true}, askB{"b", 2, 1, true};
+  lease::LeaseGrantor leader;
+  lease::LeaseHolder a;
   leader.lead({}, 0);
   CHECK(leader.ask({}, askA, 100) == Say::agree);  // nobody has ever held it
-  const rounds::Keeper keeper{"a", 1, 1};
-  constexpr double kSpan = rounds::kLeaseSpan;
+  const lease::LeaseOwner owner{"a", 1, 1};
+  constexpr double kSpan = lease::kLeaseSpan;
   a.asked(1, 100);
   leader.granted(150);
   CHECK(a.answered(1, kSpan));
   CHECK(a.holds(kSpan - 10));
-  CHECK(leader.ask(keeper, askB, 150 + kSpan) == Say::refuse);
+  CHECK(leader.ask(owner, askB, 150 + kSpan) == Say::refuse);
   CHECK_FALSE(a.holds(100 + kSpan));  // renewed by nobody: it has stopped
-  CHECK(leader.ask(keeper, askB, 200 + 1.05 * kSpan) == Say::agree);
-  // A new leader knows the keeper and not when it was granted last; to the keeper itself it grants at once.
-  rounds::LeaseGrantor next;
-  next.lead(keeper, 3000);
-  CHECK(next.ask(keeper, askB, 3100) == Say::refuse);
-  CHECK(next.ask(keeper, askA, 3200) == Say::grant);
-  CHECK(next.ask(keeper, askB, 3200 + kSpan) == Say::refuse);
-  CHECK(next.ask(keeper, askB, 3250 + 1.05 * kSpan) == Say::agree);
+  CHECK(leader.ask(owner, askB, 200 + 1.05 * kSpan) == Say::agree);
+  // A new leader knows the owner and not when it was granted last; to the owner itself it grants at once.
+  lease::LeaseGrantor next;
+  next.lead(owner, 3000);
+  CHECK(next.ask(owner, askB, 3100) == Say::refuse);
+  CHECK(next.ask(owner, askA, 3200) == Say::grant);
+  CHECK(next.ask(owner, askB, 3200 + kSpan) == Say::refuse);
+  CHECK(next.ask(owner, askB, 3250 + 1.05 * kSpan) == Say::agree);
 }
 
-TEST_CASE("a keeper that has ended is not waited for, and nothing old proves its end") {
-  using Say = rounds::LeaseGrantor::Say;
-  const rounds::Keeper keeper{"a", 7, 3};
-  rounds::LeaseGrantor leader;
-  leader.lead(keeper, 1000);
-  // Bytes of the process before the keeper, that waited in a buffer: they can't bear the keeper's epoch.
-  CHECK(leader.ask(keeper, {"a", 6, 2, true}, 1010) == Say::refuse);
-  CHECK(leader.ask(keeper, {"b", 2, 3, true}, 1020) == Say::refuse);
+TEST_CASE("a owner that has ended is not waited for, and nothing old proves its end") {
+  using Say = lease::LeaseGrantor::Decision;
+  const lease::LeaseOwner owner{"a", 7, 3};
+  lease::LeaseGrantor leader;
+  leader.lead(owner, 1000);
+  // Bytes of the process before the owner, that waited in a buffer: they can't bear the owner's epoch.
+  CHECK(leader.ask(owner, {"a", 6, 2, true}, 1010) == Say::refuse);
+  CHECK(leader.ask(owner, {"b", 2, 3, true}, 1020) == Say::refuse);
   // Its machine has another process now, which only shows itself: the duties are free for others too.
-  CHECK(leader.ask(keeper, {"a", 8, 3, false}, 1030) == Say::refuse);
-  CHECK(leader.ask(keeper, {"b", 2, 3, true}, 1040) == Say::agree);
-  // Also under one leader: what the one before said while it lived does not end the keeper of now.
+  CHECK(leader.ask(owner, {"a", 8, 3, false}, 1030) == Say::refuse);
+  CHECK(leader.ask(owner, {"b", 2, 3, true}, 1040) == Say::agree);
+  // Also under one leader: what the one before said while it lived does not end the owner of now.
   leader.granted(1060);
   CHECK(leader.ask({"a", 8, 4}, {"a", 7, 3, true}, 1100) == Say::refuse);
   CHECK(leader.ask({"a", 8, 4}, {"b", 2, 4, true}, 1110) == Say::refuse);
@@ -365,9 +365,9 @@
 
 // Far from the leader an answer takes longer than the pause between two questions.
 TEST_CASE("a holder far away keeps its lease: each answer counts from its own question") {
-  const rounds::Keeper keeper{"far", 1, 1};
-  rounds::LeaseGrantor leader;
-  rounds::LeaseHolder holder;
+  const lease::LeaseOwner owner{"far", 1, 1};
+  lease::LeaseGrantor leader;
+  lease::LeaseHolder holder;
   constexpr double kAway = 200;
   std::vector<std::pair<double, std::uint64_t>> questions;
   std::uint64_t number = 0;
@@ -376,9 +376,9 @@
     if (std::fmod(now, 250.0) < 10) holder.asked(++number, now), questions.push_back({now + kAway, number});
     for (auto& [at, which] : questions)
       if (at == now)
-        CHECK(leader.ask(keeper, {"far", 1, 1, true}, now) == rounds::LeaseGrantor::Say::grant);
+        CHECK(leader.ask(owner, {"far", 1, 1, true}, now) == lease::LeaseGrantor::Decision::grant);
       else if (at + kAway == now)
-        CHECK(holder.answered(which, rounds::kLeaseSpan));
+        CHECK(holder.answered(which, lease::kLeaseSpan));
     if (now > 2500 && !holder.holds(now)) ++lost;
   }
   CHECK(lost == 0);
