--- a/src/counter/server.cpp
+++ b/src/control_api/server.cpp
@@ -1,4 +1,4 @@
-#include "counter/server.hpp"
+#include "control_api/server.hpp"
 
 #include <picojson.h>
 
@@ -13,7 +13,7 @@
 #include "http/http.hpp"
 #include "program/listen.hpp"
 
-namespace burlwind::counter {
+namespace burlwind::control_api {
 namespace {
 
 constexpr auto kIdle = std::chrono::seconds(10);
@@ -163,4 +163,4 @@
   connections_.erase(c);
 }
 
-}  // namespace burlwind::counter
+}  // namespace burlwind::control_api
--- a/src/counter/server.hpp
+++ b/src/control_api/server.hpp
@@ -15,7 +15,7 @@
 #include <string_view>
 #include <vector>
 
-namespace burlwind::counter {
+namespace burlwind::control_api {
 
 namespace asio = boost::asio;
 using Tcp = asio::ip::tcp;
@@ -58,4 +58,4 @@
 
 std::string message(std::string_view text);  // {"message":"..."}
 
-}  // namespace burlwind::counter
+}  // namespace burlwind::control_api
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -2,7 +2,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
-#include "counter/server.hpp"
+#include "control_api/server.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
@@ -18,7 +18,7 @@
         file_(std::move(file)),
         readiness_(*settings.readiness),
         proxy_(io, std::move(settings)),
-        ready_(io, [this](counter::Call call) { return answer(std::move(call)); }),
+        ready_(io, [this](control_api::Call call) { return answer(std::move(call)); }),
         signals_(io, SIGTERM, SIGINT, SIGHUP),
         timer_(io) {}
 
@@ -38,9 +38,10 @@
   }
 
  private:
-  asio::awaitable<counter::Reply> answer(counter::Call call) {
-    if (!call.is("GET", {"api", "ready"})) co_return counter::Reply(404, counter::message("no such call"));
-    co_return counter::Reply(proxy_.ready() ? 200 : 503, "");
+  asio::awaitable<control_api::Reply> answer(control_api::Call call) {
+    if (!call.is("GET", {"api", "ready"}))
+      co_return control_api::Reply(404, control_api::message("no such call"));
+    co_return control_api::Reply(proxy_.ready() ? 200 : 503, "");
   }
   void wait() {
     signals_.async_wait([this](const Error& error, int number) {
@@ -69,7 +70,7 @@
   program::SettingsFile file_;
   const address::Endpoint readiness_;
   Proxy proxy_;
-  counter::Server ready_;
+  control_api::Server ready_;
   asio::signal_set signals_;
   asio::steady_timer timer_;
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
-#include "counter/server.hpp"
+#include "control_api/server.hpp"
 #include "program/listen.hpp"
 #include "program/log.hpp"
 #include "program/start.hpp"
@@ -105,7 +105,7 @@
   std::optional<http::response<http::string_body>> answer;
 
   void end(int code, std::string_view text = {}, double after = -1) {
-    status = code, why = text, body = counter::message(text), retryAfter = after;
+    status = code, why = text, body = control_api::message(text), retryAfter = after;
   }
 };
 
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -10,7 +10,7 @@
 #include <random>
 
 #include "address/configuration.hpp"
-#include "counter/server.hpp"
+#include "control_api/server.hpp"
 #include "franking/cell.hpp"
 #include "franking/vault.hpp"
 #include "lease/lease.hpp"
@@ -25,8 +25,8 @@
 namespace {
 
 namespace asio = boost::asio;
-using counter::Call;
-using counter::Reply;
+using control_api::Call;
+using control_api::Reply;
 using program::now;
 using rpc::Arrived;
 using rpc::Error;
@@ -477,33 +477,34 @@
     const auto [status, text] = co_await askLeader([&](std::uint64_t number) {
       return rpc::CommandRequest{number, what, body};
     });
-    co_return Reply(status, counter::message(text));
+    co_return Reply(status, control_api::message(text));
   }
 
   asio::awaitable<Reply> controlCall(Call call) {
-    if (!call.is("POST", {"api", "rpc"})) co_return Reply(404, counter::message("no such call"));
+    if (!call.is("POST", {"api", "rpc"})) co_return Reply(404, control_api::message("no such call"));
     const std::string name = call.asked("call");
     if (name == "config.replace") co_return co_await order("config", std::move(call.body));
     if (name == "evacuate.begin" || name == "evacuate.finish") {
       const std::string zone = call.asked("of");
-      if (!settings_.regionOf.contains(zone)) co_return Reply(400, counter::message("no such zone: " + zone));
+      if (!settings_.regionOf.contains(zone))
+        co_return Reply(400, control_api::message("no such zone: " + zone));
       co_return co_await order(name == "evacuate.begin" ? "evacuate" : "return", zone);
     }
     if (name == "config.read") {
       const auto [status, text] =
           co_await askLeader([](std::uint64_t number) { return rpc::ReadRequest{number}; });
-      if (status != 200) co_return Reply(status, counter::message(text));
-      if (text.empty()) co_return Reply(404, counter::message("no configuration yet"));
+      if (status != 200) co_return Reply(status, control_api::message(text));
+      if (text.empty()) co_return Reply(404, control_api::message("no configuration yet"));
       co_return Reply(200, text);
     }
-    co_return Reply(404, counter::message("no such call: " + name));
+    co_return Reply(404, control_api::message("no such call: " + name));
   }
 
   asio::awaitable<Reply> directoryCall(Call call) {
-    if (!call.is("GET", {"api", "lookup"})) co_return Reply(404, counter::message("no such call"));
+    if (!call.is("GET", {"api", "lookup"})) co_return Reply(404, control_api::message("no such call"));
     const auto all = registry_.addresses(call.asked("region"), call.asked("zone"), kLeastAddresses,
                                          kMostAddresses, random_);
-    if (all.empty()) co_return Reply(503, counter::message("no gatekeeper is ready"));
+    if (all.empty()) co_return Reply(503, control_api::message("no gatekeeper is ready"));
     std::string out = "{\"addresses\":[";
     for (std::size_t i = 0; i < all.size(); ++i) out += (i ? ",\"" : "\"") + all[i] + "\"";
     co_return Reply(200, out + "],\"ttl\":\"2s\"}");
@@ -602,7 +603,7 @@
   franking::Cell cell_;  // of the others
   std::uint64_t epoch_ = 0;
   rpc::Acceptor acceptor_;
-  counter::Server control_, directory_;
+  control_api::Server control_, directory_;
   asio::steady_timer timer_, wake_, endTimer_{io_};
   asio::signal_set signals_;
   std::map<std::string, std::shared_ptr<rpc::Dialer>> stores_, others_;  // by ip
