--- a/src/address/change.cpp
+++ b/src/config/change.cpp
@@ -1,8 +1,8 @@
-#include "address/change.hpp"
+#include "config/change.hpp"
 
 #include <tuple>
 
-namespace burlwind::address {
+namespace burlwind::config {
 namespace {
 
 bool same(const Bounds& a, const Bounds& b) {
@@ -51,4 +51,4 @@
   return out;
 }
 
-}  // namespace burlwind::address
+}  // namespace burlwind::config
--- a/src/address/change.hpp
+++ b/src/config/change.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "address/settings.hpp"
+#include "config/settings.hpp"
 
-namespace burlwind::address {
+namespace burlwind::config {
 
 struct Change {
   Settings inForce;                  // what holds now, with all that may change taken from the new file
@@ -17,4 +17,4 @@
 
 Change changeOf(const Settings& inForce, const Settings& told);
 
-}  // namespace burlwind::address
+}  // namespace burlwind::config
--- a/src/address/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -1,13 +1,13 @@
-#include "address/configuration.hpp"
+#include "config/configuration.hpp"
 
 #include <algorithm>
 #include <charconv>
 #include <set>
 
-#include "address/json.hpp"
-#include "address/settings.hpp"
+#include "config/json.hpp"
+#include "config/settings.hpp"
 
-namespace burlwind::address {
+namespace burlwind::config {
 namespace {
 
 // "r12" is 12; a plain number is taken as well, since the first version's parent is written 0.
@@ -179,4 +179,4 @@
   return out;
 }
 
-}  // namespace burlwind::address
+}  // namespace burlwind::config
--- a/src/address/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-namespace burlwind::address {
+namespace burlwind::config {
 
 struct Part {  // of a route's traffic
   std::string service;
@@ -75,4 +75,4 @@
 };
 ConfigurationRead readConfiguration(std::string_view json);
 
-}  // namespace burlwind::address
+}  // namespace burlwind::config
--- a/src/address/json.hpp
+++ b/src/config/json.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace burlwind::address {
+namespace burlwind::config {
 
 class Reader {
  public:
@@ -75,4 +75,4 @@
   return out;
 }
 
-}  // namespace burlwind::address
+}  // namespace burlwind::config
--- a/src/address/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,12 +1,12 @@
-#include "address/settings.hpp"
+#include "config/settings.hpp"
 
 #include <charconv>
 #include <fstream>
 #include <iterator>
 
-#include "address/json.hpp"
+#include "config/json.hpp"
 
-namespace burlwind::address {
+namespace burlwind::config {
 
 std::optional<double> milliseconds(std::string_view text) {
   double value = 0;
@@ -142,4 +142,4 @@
   return out;
 }
 
-}  // namespace burlwind::address
+}  // namespace burlwind::config
--- a/src/address/settings.hpp
+++ b/src/config/settings.hpp
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace burlwind::address {
+namespace burlwind::config {
 
 // Milliseconds of a text such as "1500ms" or "2.5s"; nothing where it is neither.
 std::optional<double> milliseconds(std::string_view text);
@@ -55,4 +55,4 @@
 SettingsRead readSettings(std::string_view text);
 SettingsRead readSettingsFile(const std::string& path);
 
-}  // namespace burlwind::address
+}  // namespace burlwind::config
--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -27,7 +27,7 @@
 namespace {
 
 Judged takeConfiguration(State& state, const std::string& body) {
-  const auto read = address::readConfiguration(body);
+  const auto read = config::readConfiguration(body);
   if (!read.configuration) return {400, read.fault, false};
   const std::uint64_t version = read.configuration->version;
   const std::pair mine(version, XXH3_64bits(body.data(), body.size()));
--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -12,7 +12,7 @@
 #include <utility>
 #include <vector>
 
-#include "address/configuration.hpp"
+#include "config/configuration.hpp"
 #include "lease/lease.hpp"
 #include "rpc/messages.hpp"
 
--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -49,7 +49,7 @@
 
 class ConfigStoreServer {
  public:
-  ConfigStoreServer(asio::io_context& io, program::SettingsFile file, address::Settings settings)
+  ConfigStoreServer(asio::io_context& io, program::SettingsFile file, config::Settings settings)
       : io_(io),
         file_(std::move(file)),
         settings_(std::move(settings)),
@@ -477,7 +477,7 @@
 
   asio::io_context& io_;
   program::SettingsFile file_;
-  address::Settings settings_;
+  config::Settings settings_;
   Store store_;
   std::optional<consensus::Core> core_;
   State state_;  // committed
--- a/src/program/settings_file.cpp
+++ b/src/program/settings_file.cpp
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-SettingsFile::SettingsFile(std::string path, address::Settings inForce, Needs needs)
+SettingsFile::SettingsFile(std::string path, config::Settings inForce, Needs needs)
     : path_(std::move(path)), inForce_(std::move(inForce)), needs_(needs), seen_(mark()) {}
 
 SettingsFile::Mark SettingsFile::mark() const {
@@ -26,7 +26,7 @@
   return {about.st_mtim.tv_sec, about.st_mtim.tv_nsec, about.st_size, about.st_ino};
 }
 
-std::optional<address::Settings> SettingsFile::look(double now, bool asked) {
+std::optional<config::Settings> SettingsFile::look(double now, bool asked) {
   if (!asked && now < lookAt_) return {};
   lookAt_ = now + kLook;
   const Mark here = mark();
@@ -39,7 +39,7 @@
     return {};
   }
   told_.clear();
-  auto change = address::changeOf(inForce_, *read.settings);
+  auto change = config::changeOf(inForce_, *read.settings);
   if (!change.waiting.empty()) warn("settings wait for a start", {{"fields", joined(change.waiting)}});
   if (change.taken.empty()) return {};
   info("settings", {{"taken", joined(change.taken)}});
--- a/src/program/settings_file.hpp
+++ b/src/program/settings_file.hpp
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string>
 
-#include "address/change.hpp"
+#include "config/change.hpp"
 #include "program/start.hpp"
 
 namespace burlwind::program {
@@ -15,10 +15,10 @@
 
 class SettingsFile {
  public:
-  SettingsFile(std::string path, address::Settings inForce, Needs needs);
+  SettingsFile(std::string path, config::Settings inForce, Needs needs);
   // To be called at each tick (ms) and, with `asked`, on SIGHUP. What is to hold from now on, where the file
   // has changed something that a running program takes.
-  std::optional<address::Settings> look(double now, bool asked);
+  std::optional<config::Settings> look(double now, bool asked);
 
  private:
   // Which file it is, as far as can be told without reading it.
@@ -29,7 +29,7 @@
   };
   Mark mark() const;
   const std::string path_;
-  address::Settings inForce_;
+  config::Settings inForce_;
   const Needs needs_;
   Mark seen_;
   std::string told_;  // the fault that was told last
--- a/src/program/start.cpp
+++ b/src/program/start.cpp
@@ -12,7 +12,7 @@
 namespace burlwind::program {
 namespace {
 
-std::string missing(const address::Settings& s, Needs needs) {
+std::string missing(const config::Settings& s, Needs needs) {
   if (needs.front && !s.front) return "network.bind.front: not there";
   if (needs.front && !s.readiness) return "network.bind.readiness: not there";
   if (needs.control && !s.control) return "network.bind.control: not there";
@@ -28,8 +28,8 @@
       .count();
 }
 
-address::SettingsRead readChecked(const std::string& path, Needs needs) {
-  address::SettingsRead read = address::readSettingsFile(path);
+config::SettingsRead readChecked(const std::string& path, Needs needs) {
+  config::SettingsRead read = config::readSettingsFile(path);
   if (!read.settings) return read;
   if (const std::string lacks = missing(*read.settings, needs); !lacks.empty())
     return {std::nullopt, path + ": " + lacks};
@@ -61,7 +61,7 @@
   const char* told = std::getenv("BURLWIND_NODE_FILE");
   out.settingsPath = path ? path : told ? told : "";
   std::free(const_cast<char*>(path));
-  address::SettingsRead read;
+  config::SettingsRead read;
   if (out.settingsPath.empty())
     read.fault = "no settings: give --settings FILE or set BURLWIND_NODE_FILE";
   else
--- a/src/program/start.hpp
+++ b/src/program/start.hpp
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-#include "address/settings.hpp"
+#include "config/settings.hpp"
 
 namespace burlwind::program {
 
@@ -15,12 +15,12 @@
 };
 
 struct Started {
-  std::optional<address::Settings> settings;  // nothing: end with `status`
+  std::optional<config::Settings> settings;  // nothing: end with `status`
   std::string settingsPath;
   int status = 0;
 };
 // The file, read and checked for what is needed; nothing, or one plain line that names the fault.
-address::SettingsRead readChecked(const std::string& path, Needs needs);
+config::SettingsRead readChecked(const std::string& path, Needs needs);
 Started start(int argc, const char** argv, const char* program, const char* summary, Needs needs);
 
 double now();  // ms, steady
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -13,7 +13,7 @@
 
 class Program {
  public:
-  Program(asio::io_context& io, program::SettingsFile file, address::Settings settings)
+  Program(asio::io_context& io, program::SettingsFile file, config::Settings settings)
       : io_(io),
         file_(std::move(file)),
         readiness_(*settings.readiness),
@@ -68,7 +68,7 @@
   }
   asio::io_context& io_;
   program::SettingsFile file_;
-  const address::Endpoint readiness_;
+  const config::Endpoint readiness_;
   Proxy proxy_;
   control_api::Server ready_;
   asio::signal_set signals_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -56,7 +56,7 @@
   }
 }
 
-std::size_t bytesOf(const address::Settings& settings) {
+std::size_t bytesOf(const config::Settings& settings) {
   const double mb = settings.memoryMb > 0 ? settings.memoryMb : kMemoryUntold;
   return static_cast<std::size_t>(kBytesPart * mb * 1024 * 1024);
 }
@@ -91,9 +91,9 @@
 
 struct Proxy::Job {
   http::request<http::string_body> request;
-  std::shared_ptr<const address::Configuration> configuration;  // in force when it came
-  const address::Route* route = nullptr;
-  const address::Tenant* tenant = nullptr;
+  std::shared_ptr<const config::Configuration> configuration;  // in force when it came
+  const config::Route* route = nullptr;
+  const config::Tenant* tenant = nullptr;
   std::string service;
   double came = 0, until = 0;      // ms; its time is over
   Budget::Share* bytes = nullptr;  // of its connection
@@ -109,7 +109,7 @@
   }
 };
 
-Proxy::Proxy(asio::io_context& io, address::Settings settings)
+Proxy::Proxy(asio::io_context& io, config::Settings settings)
     : io_(io),
       settings_(std::move(settings)),
       sessions_(io, settings_,
@@ -151,7 +151,7 @@
   return error;
 }
 
-void Proxy::adopt(const address::Settings& settings) {
+void Proxy::adopt(const config::Settings& settings) {
   settings_ = settings;
   sorting_.setPlaces(settings_.regionOf);
   sorting_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
@@ -171,7 +171,7 @@
 
 void Proxy::takeConfigUpdate(const rpc::ConfigUpdate& news) {
   if (news.index <= index_ || news.configuration.empty()) return;
-  auto read = address::readConfiguration(news.configuration);
+  auto read = config::readConfiguration(news.configuration);
   if (!read.configuration) {
     program::error("news does not read", {{"why", read.fault}});
     return;
@@ -313,7 +313,7 @@
     const auto waiting = number<double>(cut(load, ','));
     if (running && waiting) sorting_.load(worker, *running, *waiting, at);
   }
-  if (const auto cold = address::milliseconds(view(answer.response["Cold-Ms"])))
+  if (const auto cold = config::milliseconds(view(answer.response["Cold-Ms"])))
     sorting_.cold(worker, *cold, at);
 }
 
@@ -449,7 +449,7 @@
     });
   };
   for (bool goOn = true; goOn && c->socket.is_open();) {
-    const address::ClientLimits limits = configuration_ ? configuration_->limits : address::ClientLimits{};
+    const config::ClientLimits limits = configuration_ ? configuration_->limits : config::ClientLimits{};
     http::request_parser<http::string_body> parser;
     Budget::Share bytes(bytes_);
     bool fits = true;
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -17,8 +17,8 @@
 #include <set>
 #include <string>
 
-#include "address/configuration.hpp"
-#include "address/settings.hpp"
+#include "config/configuration.hpp"
+#include "config/settings.hpp"
 #include "franking/budget.hpp"
 #include "franking/purse.hpp"
 #include "node/budget.hpp"
@@ -30,8 +30,8 @@
 
 class Proxy {
  public:
-  Proxy(asio::io_context& io, address::Settings settings);
-  void adopt(const address::Settings& settings);  // what a running program may take of a changed file
+  Proxy(asio::io_context& io, config::Settings settings);
+  void adopt(const config::Settings& settings);  // what a running program may take of a changed file
   Error start();  // takes its addresses; nothing is served before it has a configuration
   void leave();   // SIGTERM: serves what it has, takes little more, ends the loop
   bool ready() const;
@@ -58,8 +58,8 @@
   void report(double now);
 
   asio::io_context& io_;
-  address::Settings settings_;
-  std::shared_ptr<const address::Configuration> configuration_;
+  config::Settings settings_;
+  std::shared_ptr<const config::Configuration> configuration_;
   std::uint64_t index_ = 0;  // of the news in force
   Sessions sessions_;
   WorkerSide workers_;
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-Sessions::Sessions(asio::io_context& io, const address::Settings& settings, Hooks hooks)
+Sessions::Sessions(asio::io_context& io, const config::Settings& settings, Hooks hooks)
     : io_(io), settings_(settings), hooks_(std::move(hooks)) {
   std::random_device device;
   random_.seed(std::uint64_t{device()} << 32 | device());
--- a/src/proxy/session.hpp
+++ b/src/proxy/session.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-#include "address/settings.hpp"
+#include "config/settings.hpp"
 #include "rpc/link.hpp"
 #include "rpc/messages.hpp"
 
@@ -29,7 +29,7 @@
     std::function<void(const rpc::TokenResponse&)> tokens;
     std::function<rpc::Status()> status;
   };
-  Sessions(asio::io_context& io, const address::Settings& settings, Hooks hooks);
+  Sessions(asio::io_context& io, const config::Settings& settings, Hooks hooks);
   ~Sessions();
   void start();
   void meetSeeds();       // those that the settings name now
@@ -54,7 +54,7 @@
   unsigned distance(const std::string& ip) const;
   std::string next();
   asio::io_context& io_;
-  const address::Settings& settings_;
+  const config::Settings& settings_;
   Hooks hooks_;
   std::map<std::string, rpc::Core> cores_;  // by ip; zone empty where not told yet
   SessionPtr current_, trial_;
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -9,7 +9,7 @@
 #include <cerrno>
 #include <chrono>
 
-#include "address/settings.hpp"
+#include "config/settings.hpp"
 #include "program/start.hpp"
 
 namespace burlwind::proxy {
@@ -85,7 +85,7 @@
 }
 
 asio::awaitable<WorkerSide::ConnectionPtr> WorkerSide::connect(const std::string& address, double ms) {
-  const auto at = address::endpointOf(address);
+  const auto at = config::endpointOf(address);
   if (!at) co_return nullptr;
   Error error;
   const auto ip = asio::ip::make_address(at->ip, error);
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -9,7 +9,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <random>
 
-#include "address/configuration.hpp"
+#include "config/configuration.hpp"
 #include "control_api/server.hpp"
 #include "franking/cell.hpp"
 #include "franking/vault.hpp"
@@ -61,7 +61,7 @@
 
 class RegistryServer {
  public:
-  RegistryServer(asio::io_context& io, program::SettingsFile file, address::Settings settings)
+  RegistryServer(asio::io_context& io, program::SettingsFile file, config::Settings settings)
       : io_(io),
         file_(std::move(file)),
         settings_(std::move(settings)),
@@ -166,7 +166,7 @@
     for (const std::string& store : news.stores) meet(store);
     const bool same = news.configuration == update_.configuration && news.evacuated == update_.evacuated;
     if (news.configuration != update_.configuration)
-      configuration_ = address::readConfiguration(news.configuration).configuration;
+      configuration_ = config::readConfiguration(news.configuration).configuration;
     update_ = std::move(news);
     wake_.cancel();
     if (same) return;
@@ -588,12 +588,12 @@
 
   asio::io_context& io_;
   program::SettingsFile file_;
-  address::Settings settings_;
+  config::Settings settings_;
   std::uint64_t incarnation_ = 0;
   std::mt19937_64 random_;
   Registry registry_;
   rpc::ConfigUpdate update_;
-  std::shared_ptr<const address::Configuration> configuration_;
+  std::shared_ptr<const config::Configuration> configuration_;
   lease::LeaseHolder duty_;
   franking::Vault vault_;  // of the holder
   struct {
--- a/src/registry/platform_list.cpp
+++ b/src/registry/platform_list.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <chrono>
 
-#include "address/json.hpp"
+#include "config/json.hpp"
 #include "http/http.hpp"
 #include "program/start.hpp"
 #include "rpc/link.hpp"
@@ -17,12 +17,12 @@
 
 bool readPage(const std::string& body, PlatformList::Workers& into, std::string& next, std::string& fault) {
   next.clear();
-  const auto json = address::parseJson(body, fault);
+  const auto json = config::parseJson(body, fault);
   if (!json) return false;
-  const address::Reader root(*json, "", fault);
-  const address::Reader servers = root.at("servers");
+  const config::Reader root(*json, "", fault);
+  const config::Reader servers = root.at("servers");
   for (const auto& [id, value] : servers.fields()) {
-    const address::Reader one(value, "servers." + id, fault);
+    const config::Reader one(value, "servers." + id, fault);
     rpc::Worker w;
     w.id = id;
     w.service = one.at("backend").text();
@@ -32,7 +32,7 @@
         one.has("capacity") ? static_cast<unsigned>(std::clamp(one.at("capacity").number(), 1.0, 1e6)) : 1;
     w.draining = one.at("state").text() == "draining";
     if (one.has("coldLeft")) {
-      const auto cold = address::milliseconds(one.at("coldLeft").text());
+      const auto cold = config::milliseconds(one.at("coldLeft").text());
       if (!cold) one.at("coldLeft").fail("is no time");
       w.coldLeft = cold.value_or(0);
     }
@@ -42,7 +42,7 @@
   return fault.empty();
 }
 
-boost::asio::awaitable<std::optional<PlatformList::Workers>> PlatformList::read(address::Endpoint at,
+boost::asio::awaitable<std::optional<PlatformList::Workers>> PlatformList::read(config::Endpoint at,
                                                                                 double within,
                                                                                 std::string& why) {
   if (!(at == at_)) {
--- a/src/registry/platform_list.hpp
+++ b/src/registry/platform_list.hpp
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include "address/settings.hpp"
+#include "config/settings.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::registry {
@@ -19,14 +19,14 @@
   using Workers = std::map<std::string, rpc::Worker>;
   // `at`: another address than before ends the connection that was kept. Nothing where it can't be read
   // whole; `why` says so. At most `within` ms.
-  boost::asio::awaitable<std::optional<Workers>> read(address::Endpoint at, double within, std::string& why);
+  boost::asio::awaitable<std::optional<Workers>> read(config::Endpoint at, double within, std::string& why);
   std::size_t calls() const { return calls_; }
   std::size_t pages() const { return pages_; }     // of the last list
   double connectMs() const { return connectMs_; }  // of the last connection
 
  private:
   boost::asio::awaitable<std::optional<std::string>> get(std::string target, std::string& why);
-  address::Endpoint at_;
+  config::Endpoint at_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   std::size_t calls_ = 0, pages_ = 1;
--- a/tests/system/address_test.cpp
+++ b/tests/system/config_test.cpp
@@ -1,12 +1,12 @@
 // Settings and configurations: what is wrong is refused whole and told with its place.
 #include <doctest/doctest.h>
 
-#include "address/change.hpp"
-#include "address/configuration.hpp"
-#include "address/settings.hpp"
+#include "config/change.hpp"
+#include "config/configuration.hpp"
+#include "config/settings.hpp"
 #include "config_store/ledger.hpp"
 
-namespace burlwind::address {
+namespace burlwind::config {
 namespace {
 
 const std::string kGood =
@@ -156,4 +156,4 @@
 }
 
 }  // namespace
-}  // namespace burlwind::address
+}  // namespace burlwind::config
