--- a/src/sorting/core.cpp
+++ b/src/load_balancing/core.cpp
@@ -1,9 +1,9 @@
-#include "sorting/core.hpp"
+#include "load_balancing/core.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace burlwind::sorting {
+namespace burlwind::load_balancing {
 namespace {
 
 constexpr double kFade = 200;                         // ms at least, memory of a told load
@@ -218,4 +218,4 @@
   if (State* s = find(id)) s->coldUntil = std::max(s->coldUntil, now + left);
 }
 
-}  // namespace burlwind::sorting
+}  // namespace burlwind::load_balancing
--- a/src/sorting/core.hpp
+++ b/src/load_balancing/core.hpp
@@ -23,7 +23,7 @@
 
 #include "rpc/messages.hpp"
 
-namespace burlwind::sorting {
+namespace burlwind::load_balancing {
 
 struct Ask {
   std::string service;
@@ -114,4 +114,4 @@
   std::uint64_t term_ = 0, number_ = 0;
 };
 
-}  // namespace burlwind::sorting
+}  // namespace burlwind::load_balancing
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -114,15 +114,15 @@
       settings_(std::move(settings)),
       sessions_(io, settings_,
                 {[this](const rpc::ConfigUpdate& n) { takeConfigUpdate(n); },
-                 [this](const rpc::Workers& w) { sorting_.take(w, now()); },
+                 [this](const rpc::Workers& w) { balancer_.take(w, now()); },
                  [this](const rpc::Cores& c) {
                    proxies_ = c.proxies;
                    takeCounts();
                  },
                  [this](const rpc::TokenResponse& t) { takeTokens(t); }, [this] { return status(); }}),
       workers_(io),
-      sorting_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
-               settings_.bounds.coldSlack),
+      balancer_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
+                settings_.bounds.coldSlack),
       bytes_(bytesOf(settings_)),
       front_(io),
       timer_(io) {
@@ -134,12 +134,12 @@
 
 rpc::Status Proxy::status() const {
   const double age = now() - bornAt_;
-  return {ready(), index_, sorting_.number(), age, beganAt_ > 0 ? beganAt_ - bornAt_ : age};
+  return {ready(), index_, balancer_.number(), age, beganAt_ > 0 ? beganAt_ - bornAt_ : age};
 }
 
 double Proxy::draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
 
-bool Proxy::ready() const { return configuration_ && sorting_.size() > 0 && !leaving_; }
+bool Proxy::ready() const { return configuration_ && balancer_.size() > 0 && !leaving_; }
 
 Error Proxy::start() {
   const Error error = program::listenAt(front_, settings_.front->ip, settings_.front->port, 1024);
@@ -153,8 +153,8 @@
 
 void Proxy::adopt(const config::Settings& settings) {
   settings_ = settings;
-  sorting_.setPlaces(settings_.regionOf);
-  sorting_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
+  balancer_.setPlaces(settings_.regionOf);
+  balancer_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
   sessions_.meetSeeds();
   bytes_.setMost(bytesOf(settings_));
   if (!proxies_.empty()) takeCounts();
@@ -164,7 +164,7 @@
 void Proxy::takeCounts() {
   unsigned all = 0;
   for (const auto& [zone, count] : proxies_) all += count;
-  sorting_.setProxies(proxies_);
+  balancer_.setProxies(proxies_);
   tokenCache_.setProxies(all, settings_.bounds.quotaSlack);
   budget_.set(settings_.bounds.retryRatio, settings_.bounds.retrySlack, all);
 }
@@ -180,8 +180,8 @@
   configuration_ = std::move(read.configuration);
   index_ = news.index;
   for (const auto& service : configuration_->services)
-    sorting_.setService(service.name, {service.coldRate, service.coldFor});
-  sorting_.setEvacuated({news.evacuated.begin(), news.evacuated.end()}, now());
+    balancer_.setService(service.name, {service.coldRate, service.coldFor});
+  balancer_.setEvacuated({news.evacuated.begin(), news.evacuated.end()}, now());
   program::info(
       "in force",
       {{"version", configuration_->version}, {"index", index_}, {"evacuated", news.evacuated.size()}});
@@ -287,34 +287,34 @@
   const double at = now();
   switch (answer.end) {
     case End::answer:
-      sorting_.answered(worker, answer.took, at);
+      balancer_.answered(worker, answer.took, at);
       break;
     case End::notRun:
       if (answer.full)
-        sorting_.full(worker, at);
+        balancer_.full(worker, at);
       else
-        sorting_.released(worker);
+        balancer_.released(worker);
       break;
     case End::elsewhere:
-      sorting_.failed(worker, true, at);
+      balancer_.failed(worker, true, at);
       workers_.forget(worker);
       break;
     case End::unreachable:
-      sorting_.failed(worker, true, at);
+      balancer_.failed(worker, true, at);
       break;
     case End::broken:
     case End::late:
-      sorting_.failed(worker, false, at);
+      balancer_.failed(worker, false, at);
       break;
   }
   std::string_view load = view(answer.response["Server-Load"]);
   if (!load.empty() && answer.end == End::answer) {
     const auto running = number<double>(cut(load, ','));
     const auto waiting = number<double>(cut(load, ','));
-    if (running && waiting) sorting_.load(worker, *running, *waiting, at);
+    if (running && waiting) balancer_.load(worker, *running, *waiting, at);
   }
   if (const auto cold = config::milliseconds(view(answer.response["Cold-Ms"])))
-    sorting_.cold(worker, *cold, at);
+    balancer_.cold(worker, *cold, at);
 }
 
 asio::awaitable<void> Proxy::forward(Job& job) {
@@ -344,16 +344,16 @@
       giveUp("no further try in the budget", 300);
       co_return;
     }
-    sorting::Ask ask;
+    load_balancing::Ask ask;
     ask.service = job.service;
     ask.aim = job.route->target > 0 ? job.route->target : 1000;
     ask.homes = &job.route->homes;
     if (job.tenant) ask.otherHomes = &job.tenant->homes;
     ask.tried = &tried;
     ask.repeatable = safe;
-    const auto choice = sorting_.choose(ask, draw(), now());
+    const auto choice = balancer_.choose(ask, draw(), now());
     if (choice.id.empty()) {
-      if (choice.why == sorting::Why::nobody)
+      if (choice.why == load_balancing::Why::nobody)
         giveUp("no worker may serve it", 500);
       else
         giveUp("all workers are busy", 250);
@@ -370,11 +370,11 @@
     out.mostAnswer = job.bytes->room() / 2;  // it is held as it comes and as it goes out
     // A repeatable request leaves the time for another worker, once any usual answer would have come: long
     // work is the request's own, and is no shorter elsewhere.
-    const double another = std::max(500.0, 3 * sorting_.usual(job.service));
-    if (safe && arrivals + 1 < job.route->tries && left - another > 8 * sorting_.usual(job.service))
+    const double another = std::max(500.0, 3 * balancer_.usual(job.service));
+    if (safe && arrivals + 1 < job.route->tries && left - another > 8 * balancer_.usual(job.service))
       out.answerWithin = left - another;
     const std::size_t bytes = out.text.size();
-    sorting_.sent(choice.id, now());
+    balancer_.sent(choice.id, now());
     Answer answer = co_await workers_.exchange(std::move(out));
     job.bytes->growTo(2 * (job.request.body().size() + answer.response.body().size()));
     note(choice.id, answer);
@@ -390,7 +390,7 @@
         mayHaveRun = true, ++arrivals;
         job.status = status;
         job.answer = std::move(answer.response);
-        if (job.until - now() > 2 * sorting_.usual(job.service)) continue;
+        if (job.until - now() > 2 * balancer_.usual(job.service)) continue;
         co_return;
       }
       if (promise) {
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -21,10 +21,10 @@
 #include "config/settings.hpp"
 #include "distributed_quota/budget.hpp"
 #include "distributed_quota/token_cache.hpp"
+#include "load_balancing/core.hpp"
 #include "node/budget.hpp"
 #include "proxy/session.hpp"
 #include "proxy/worker_side.hpp"
-#include "sorting/core.hpp"
 
 namespace burlwind::proxy {
 
@@ -63,7 +63,7 @@
   std::uint64_t index_ = 0;  // of the news in force
   Sessions sessions_;
   WorkerSide workers_;
-  sorting::Core sorting_;
+  load_balancing::Core balancer_;
   distributed_quota::TokenCache tokenCache_;
   distributed_quota::TryBudget budget_;
   Budget bytes_;  // of bodies that are held whole, both ways
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -24,7 +24,7 @@
 // A worker may forget idle connections without a word, and resets what is sent on them next. What has been
 // sent may have run, so after one such loss requests that may run once go on connections of their own for a
 // while; others are sent again.
-constexpr double kCareful = 10000;  // ms
+constexpr double kAvoidIdleFor = 10000;  // ms
 
 std::chrono::microseconds span(double ms) { return std::chrono::microseconds(static_cast<long>(ms * 1000)); }
 
@@ -102,7 +102,7 @@
 
 asio::awaitable<Answer> WorkerSide::exchange(Outgoing out) {
   Answer answer;
-  ConnectionPtr c = out.once && now() < carefulUntil_ ? nullptr : kept(out.id);
+  ConnectionPtr c = out.once && now() < avoidIdleUntil_ ? nullptr : kept(out.id);
   answer.reused = c != nullptr;
   if (!c) c = co_await connect(out.address, std::min(out.connectWithin, out.answerWithin));
   if (!c) co_return answer;
@@ -150,7 +150,7 @@
     co_return answer;
   }
   if (c->overdue) answer.end = End::late;
-  if (answer.reused && !c->overdue && !begun) carefulUntil_ = now() + kCareful;
+  if (answer.reused && !c->overdue && !begun) avoidIdleUntil_ = now() + kAvoidIdleFor;
   answer.took = now() - from;
   c->timer.cancel();
   Error ignored;
--- a/src/proxy/worker_side.hpp
+++ b/src/proxy/worker_side.hpp
@@ -42,7 +42,7 @@
   std::string text;  // the whole request
   std::string tryId;
   bool head = false;                                // an answer to HEAD has no body
-  bool once = false;                                // it may run once only: see kCareful
+  bool once = false;                                // it may run once only: see kAvoidIdleFor
   double connectWithin = 400, answerWithin = 1000;  // ms
   std::uint64_t mostAnswer = kMostBody;             // bytes of its body
 };
@@ -72,7 +72,7 @@
   asio::io_context& io_;
   std::unordered_map<std::string, std::deque<ConnectionPtr>> idle_;
   std::size_t opened_ = 0;
-  double carefulUntil_ = -1e18;
+  double avoidIdleUntil_ = -1e18;
 };
 
 }  // namespace burlwind::proxy
--- a/tests/system/sorting_test.cpp
+++ b/tests/system/load_balancing_test.cpp
@@ -6,10 +6,10 @@
 #include <random>
 #include <set>
 
+#include "load_balancing/core.hpp"
 #include "registry/registry.hpp"
-#include "sorting/core.hpp"
 
-namespace burlwind::sorting {
+namespace burlwind::load_balancing {
 namespace {
 
 struct Fixture {
@@ -212,4 +212,4 @@
 }
 
 }  // namespace
-}  // namespace burlwind::sorting
+}  // namespace burlwind::load_balancing
