Tests: names after the renames

The tests of the system follow the renames of the folders and messages before; assertions are unchanged.

--- a/tests/system/consensus_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -187,7 +187,7 @@
     for (const auto& effect : effects)
       if (const auto* send = std::get_if<consensus::Send>(&effect))
         if (const auto* say = std::get_if<rpc::VoteResponse>(&send->message))
-          return say->granted && !say->trial;
+          return say->granted && !say->preVote;
     return false;
   }
   static bool committed(const std::vector<consensus::Effect>& effects) {
@@ -218,7 +218,7 @@
 TEST_CASE(
     "of two that try for leadership at once and know as much, the higher id goes on, and more knowledge "
     "wins") {
-  const auto trial = [](Core& core, rpc::VoteRequest ask) {
+  const auto preVoteGranted = [](Core& core, rpc::VoteRequest ask) {
     for (const auto& effect : core.receive(ask, 400))
       if (const auto* send = std::get_if<consensus::Send>(&effect))
         if (const auto* say = std::get_if<rpc::VoteResponse>(&send->message)) return say->granted;
@@ -231,14 +231,14 @@
     return out;
   };
   Alone low = trying(three(2)), high = trying(three(3));
-  CHECK(trial(low.core, {1, 3, 0, 0, true}));
-  CHECK_FALSE(trial(high.core, {1, 2, 0, 0, true}));
+  CHECK(preVoteGranted(low.core, {1, 3, 0, 0, true}));
+  CHECK_FALSE(preVoteGranted(high.core, {1, 2, 0, 0, true}));
   PersistentState older = three(3);
   older.lastTerm = 0, older.index = 0;
   Alone old = trying(older);
-  CHECK(pre - vote(old.core, {1, 2, 1, 4, true}));  // a lower id that knows more
+  CHECK(preVoteGranted(old.core, {1, 2, 1, 4, true}));  // a lower id that knows more
   Alone still(three(3));
-  CHECK(pre - vote(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
+  CHECK(preVoteGranted(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
 }
 
 // Makes replica 1 lead its two fellows.
--- a/tests/system/distributed_quota_test.cpp
+++ b/tests/system/distributed_quota_test.cpp
@@ -324,7 +324,7 @@
 
 TEST_CASE("a lease is held by one, stops before it ends, and a new leader waits it out") {
   using Say = lease::LeaseGrantor::Decision;
-  const lease::Asker askA{"a", 1, 1, true}, askB{"b", 2, 1, true};
+  const lease::Applicant askA{"a", 1, 1, true}, askB{"b", 2, 1, true};
   lease::LeaseGrantor leader;
   lease::LeaseHolder a;
   leader.lead({}, 0);
--- a/tests/system/programs_test.cpp
+++ b/tests/system/programs_test.cpp
@@ -29,8 +29,9 @@
   const std::regex day(
       R"(system_clock|gettimeofday|CLOCK_REALTIME|\btime\((NULL|nullptr|0)\)|localtime|gmtime|strftime)");
   unsigned files = 0;
-  for (const char* package : {"address", "consensus", "counter", "proxy", "distributed_quota", "http",
-                              "config_store", "registry", "rpc", "program", "quota", "rounds", "sorting"})
+  for (const char* package :
+       {"config", "consensus", "control_api", "proxy", "distributed_quota", "http", "config_store",
+        "registry", "rpc", "program", "quota", "lease", "load_balancing"})
     for (const auto& file : fs::directory_iterator(fs::path(BURLWIND_SOURCES) / package)) {
       std::ifstream in(file.path());
       const std::string text((std::istreambuf_iterator<char>(in)), {});
