Consensus: let the model checker read the core's state

The explorer to come (src/model_checking) tells visited states apart by the whole state of each core. A friend that only reads needs no accessor for each member; nothing else changes.

--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -28,6 +28,10 @@
 
 #include "rpc/messages.hpp"
 
+namespace burlwind::model_checking {
+struct CoreInspector;
+}
+
 namespace burlwind::consensus {
 
 using rpc::Member;
@@ -97,6 +101,7 @@
   std::uint64_t late() const { return late_; }  // messages dropped for an old number
 
  private:
+  friend struct model_checking::CoreInspector;  // reads the whole state, to tell visited states apart
   enum class Role { follower, preCandidate, candidate, leader };
   struct Peer {
     std::uint64_t round = 0;                // latest answered
