Consensus: the properties stand first, with what is assumed of disks

Cause: the header promised three things in passing; who reads or tests the core needs them as properties. No change of code.

--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -3,16 +3,39 @@
 // is never needed. Terms, votes and the election restriction are Raft's; so are joint majorities while the
 // members change.
 //
-// What it promises, as properties of histories:
-//  - One leader a term. Of two entries committed, one was made from the other.
-//  - What was told committed is in every later leader's state, as long as of each set of members a majority
-//    keeps its disk. Safety never gives way; without a majority nothing goes on, for as long as that lasts.
-//  - A replica is known by an id that is drawn when its disk is empty, and members are ids. One that comes
-//  back
-//    with an empty disk is another replica: its old votes can't be cast again, its acknowledgements count for
-//    nothing until the leader has made it a member, by joint majorities of the old and the new members. The
-//    lost id never speaks again, so the old majority in that change is one of replicas that have forgotten
-//    nothing.
+// Properties, of every history, whatever is lost, late, repeated or stopped. f: what may be lost of 2f + 1.
+//
+//  One leader a term. A voter persists its vote before it tells it, and a candidate needs majorities of its
+//  members (and of the outgoing ones while they change).
+//
+//  What was acknowledged is in each later leader's state. An entry is committed once majorities have it
+//  synced; a candidate needs votes of majorities, and nobody votes for one that holds less; so one of those
+//  that hold the entry has voted. Of two committed entries, one was made from the other.
+//
+//  A leader without a majority neither confirms, refuses nor hands out. It has authority while majorities
+//  have answered rounds that it SENT less than `electLeast` ago. Answers that waited in a socket while it
+//  stood still are as old as the round they answer. The check precedes everything that is processed; who
+//  fails it steps down first. Since who answered a round hears that leader, and votes for nobody for
+//  `electLeast` from then, no other leader begins meanwhile, but for voters that restart: they have forgotten
+//  whom they heard. So authority alone answers no read: a read waits for a round that is begun after it
+//  (`confirm`), and a change for its commit.
+//
+//  No replica votes or counts that doesn't hold what every majority could have committed. A replica is known
+//  by an id that is drawn when its disk is empty, and members are ids. One that comes back with an empty disk
+//  is another replica: its old votes can't be cast again, and what it says counts for nothing until it is a
+//  member. It is a learner first, and a member by joint majorities. Its vote counts only for who holds the
+//  entry with the new members, thus all before it. The lost id never speaks again.
+//
+//  A member that returns with an older disk. Assumed: what is synced outlives process and power, or the disk
+//  is lost as a whole and comes back empty; at most f are lost so, also while all others are without power.
+//  A write that was cut short is no older disk: `persist` precedes whatever counts on it, so the generation
+//  that didn't last was told to nobody (a leader sends its entry before its own write, but counts itself only
+//  after it), and neither its vote nor its entry counts anywhere. A disk that
+//  forgets what it had synced and keeps its id breaks the assumption: an entry at two of three, one of which
+//  forgets it and the other is away, is lost, and a vote may be cast twice. No protocol of 2f + 1 mends that:
+//  the one that forgot and the one that never had it see what they would see if the third were lost for good,
+//  and then they have to go on. What is closed: while a leader is there, it gives who forgot the state anew;
+//  and a replica never stands in a term that its own record shows as used.
 //
 // Order of effects: `persist` is carried out before whatever follows it in the list.
 // Cost: a write of the whole state for each entry and each vote; memory: the state, twice.
