Consensus: a leader's authority counts from when its rounds were sent

Cause: an answer that had waited in a socket while the leader stood still counted as heard now. A leader that woke after 0.9 or 1.2 s confirmed rounds of before its stop, took an order and said that it led, until its next tick, and past that once such an answer had come.

Change: the beginnings of rounds are kept (3 s), a peer was heard when the newest round was sent that it has answered, and authority (majorities heard within the least election timeout) is checked before whatever a tick, message, join, leave, proposal or read does; leads(now) says it between events. An answer alone may show that there is authority still; nothing is confirmed or committed without it. A replica that asks for a seat counts as heard only for its question.

Test: a leader frozen for 0.6, 0.9 and 1.2 s wakes among a greeting, a read and an order (120 plays); a check in all plays that each confirmed round is younger than the election timeout. The test of joint majorities asked a leader that had heard nobody for 2.6 s; it asks 0.5 s after the election now, with the same demands.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -51,6 +51,31 @@
   return majority(record_.members, holds) && (record_.former.empty() || majority(record_.former, holds));
 }
 
+Time Core::heardFrom(Id id) const {
+  const auto peer = peers_.find(id);
+  return peer == peers_.end() ? wonAt_ : std::max(peer->second.heard, wonAt_);
+}
+
+bool Core::hasAuthority(Time now) const {
+  return quorum([&](Id id) { return id == record_.self || now - heardFrom(id) < timeouts_.electLeast; });
+}
+
+void Core::stepDownIfStale(Time now, std::vector<Effect>& out) {
+  if (role_ == Role::leader && !hasAuthority(now)) follow(record_.term, 0, now, out);
+}
+
+void Core::beginRound(Time now) {
+  ++round_;
+  sentAt_.push_back(now);
+  while (now - sentAt_.front() > timeouts_.roundKept) sentAt_.pop_front();
+}
+
+std::optional<Time> Core::sentAt(std::uint64_t round) const {
+  const std::uint64_t oldest = round_ + 1 - sentAt_.size();
+  if (round < oldest || round > round_) return std::nullopt;
+  return sentAt_[round - oldest];
+}
+
 std::set<Id> Core::everyone() const {
   std::set<Id> out;
   for (const Member& m : record_.members) out.insert(m.id);
@@ -75,14 +100,9 @@
 
 std::vector<Effect> Core::tick(Time now) {
   std::vector<Effect> out;
+  stepDownIfStale(now, out);
   if (role_ == Role::leader) {
-    // One that no majority has answered for so long leads nobody; it wakes from a stop here as well.
-    const bool heard = quorum([&](Id id) {
-      return id == record_.self || now - std::max(peers_[id].heard, wonAt_) < timeouts_.electLeast;
-    });
-    if (!heard) {
-      follow(record_.term, 0, now, out);
-    } else if (now >= heartbeatAt_) {
+    if (now >= heartbeatAt_) {
       sendHeartbeats(now, out);
       changeMembers(now, out);
     }
@@ -132,6 +152,7 @@
   wonAt_ = heard_ = now;
   peers_.clear();
   applicants_.clear();
+  sentAt_.clear();
   begin(now, out);  // its state under its own term: what was there before is committed by this or not at all
 }
 
@@ -147,7 +168,7 @@
 
 void Core::sendHeartbeats(Time now, std::vector<Effect>& out) {
   heartbeatAt_ = now + timeouts_.heartbeat;
-  ++round_;
+  beginRound(now);
   for (const Id id : everyone()) sendTo(id, now, out);
 }
 
@@ -198,7 +219,7 @@
 void Core::changeMembers(Time now, std::vector<Effect>& out) {
   if (!mayPropose()) return;
   std::erase_if(applicants_, [&](const auto& a) {
-    return isMember(a.first) || now - peers_[a.first].heard > timeouts_.gone;
+    return isMember(a.first) || now - std::max(peers_[a.first].heard, peers_[a.first].asked) > timeouts_.gone;
   });
   for (const auto& [id, applicant] : applicants_) {
     auto& members = record_.members;
@@ -207,8 +228,7 @@
     if (seat == members.end())
       seat = std::find_if(members.begin(), members.end(), [&](const Member& m) {
         if (m.id == record_.self) return false;
-        const Peer& peer = peers_[m.id];
-        return peer.leaving || now - std::max(peer.heard, wonAt_) > timeouts_.gone;
+        return peers_[m.id].leaving || now - heardFrom(m.id) > timeouts_.gone;
       });
     if (seat == members.end() && members.size() >= seats_) continue;
     record_.former = members;
@@ -222,14 +242,16 @@
 
 std::vector<Effect> Core::join(const Member& member, Time now) {
   std::vector<Effect> out;
+  stepDownIfStale(now, out);
   if (role_ != Role::leader || isMember(member.id) || member.id == 0) return out;
   applicants_[member.id] = member;
-  peers_[member.id].heard = now;
+  peers_[member.id].asked = now;
   return out;
 }
 
 std::vector<Effect> Core::leave(Id member, Time now) {
   std::vector<Effect> out;
+  stepDownIfStale(now, out);
   if (role_ != Role::leader) return out;
   peers_[member].leaving = true;
   changeMembers(now, out);
@@ -239,12 +261,16 @@
 std::vector<Effect> Core::propose(std::string state, Time now) {
   assert(mayPropose());
   std::vector<Effect> out;
+  stepDownIfStale(now, out);
+  if (!mayPropose()) return out;
   record_.state = std::move(state);
   begin(now, out);
   return out;
 }
 
 std::uint64_t Core::confirm(Time now, std::vector<Effect>& out) {
+  stepDownIfStale(now, out);
+  if (!led_) return kNeverConfirmed;
   sendHeartbeats(now, out);
   const std::uint64_t mine = round_;
   advance(now, out);
@@ -253,6 +279,9 @@
 
 std::vector<Effect> Core::receive(const Message& message, Time now) {
   std::vector<Effect> out;
+  // First. But an answer may show that there is authority still: it is as old as its round, however long it
+  // has waited, and nothing follows from it without authority.
+  if (!std::holds_alternative<rpc::AppendResponse>(message)) stepDownIfStale(now, out);
   std::visit([&](const auto& m) { on(m, now, out); }, message);
   return out;
 }
@@ -281,15 +310,20 @@
     ++late_;
     return;
   }
-  Peer& peer = peers_[m.from];
-  peer.heard = now;
+  const auto found = peers_.find(m.from);
+  if (found == peers_.end()) {
+    ++late_;
+    return;
+  }
+  Peer& peer = found->second;
+  if (const auto sent = sentAt(m.round)) peer.heard = std::max(peer.heard, *sent);
   if (m.round < peer.round) {
     ++late_;
     return;
   }
   peer.round = m.round;
   peer.lastTerm = m.lastTerm, peer.index = m.index;
-  advance(now, out);
+  if (hasAuthority(now)) advance(now, out);
 }
 
 void Core::on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out) {
--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -42,6 +42,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -74,6 +75,7 @@
   Time firstLeast = 80, firstMost = 360;    // the same, after a start
   Time reachedMost = 40;                    // at most, once another one is reached after a start
   Time gone = 1500;                         // silence until a member may be replaced
+  Time roundKept = 3000;                    // how long the beginning of a round is known
 };
 
 using Message = std::variant<rpc::AppendRequest, rpc::AppendResponse, rpc::VoteRequest, rpc::VoteResponse>;
@@ -85,9 +87,10 @@
 struct Committed {};  // record().state, by this leader
 struct Led {};        // leads, and what it leads with is committed
 struct Stepped {};    // no longer leads; what was proposed and not committed may or may not last
-struct Confirmed {    // a majority has answered this round: it still leads
+struct Confirmed {    // majorities have answered this round within `electLeast` of its beginning
   std::uint64_t round = 0;
 };
+constexpr std::uint64_t kNeverConfirmed = ~std::uint64_t{0};
 using Effect = std::variant<Persist, Send, Committed, Led, Stepped, Confirmed>;
 
 class Core {
@@ -104,15 +107,20 @@
   // A replica that wants to be a member, or be told so again.
   std::vector<Effect> join(const Member& member, Time now);
   std::vector<Effect> leave(Id member, Time now);  // it has said that it goes
-  // Leader, leading, nothing under way: begins an entry.
+  // Leader, leading, nothing under way: begins an entry. Begins none and steps down where it turns out that
+  // no majority has been heard.
   bool mayPropose() const { return led_ && !inFlight_; }
   std::vector<Effect> propose(std::string state, Time now);
-  // The round whose confirmation proves leadership from now on; it is begun at once.
+  // The round whose confirmation proves leadership from now on; it is begun at once. kNeverConfirmed where
+  // this one leads no more.
   std::uint64_t confirm(Time now, std::vector<Effect>& out);
   std::uint64_t nextRound() const { return round_ + 1; }  // the same, at the next beat
 
   const PersistentState& record() const { return record_; }
   bool leads() const { return led_; }
+  // The same, and majorities have answered rounds that are young enough: what is asked of a leader between
+  // two events goes by this.
+  bool leads(Time now) const { return led_ && hasAuthority(now); }
   bool leaderIsKnown(Time now) const { return role_ == Role::leader || now - heard_ < timeouts_.electLeast; }
   Id leader() const { return leader_; }
   std::uint64_t committed() const { return committed_; }
@@ -124,10 +132,17 @@
   struct Peer {
     std::uint64_t round = 0;                // latest answered
     std::uint64_t lastTerm = 0, index = 0;  // what it holds
-    Time heard = 0, sentWhole = -1e9;
+    Time heard = -1e9;                      // when the newest round was sent that it has answered
+    Time asked = -1e9;                      // to be a member
+    Time sentWhole = -1e9;
     bool leaving = false;
   };
   bool isMember(Id id) const;
+  bool hasAuthority(Time now) const;
+  void stepDownIfStale(Time now, std::vector<Effect>& out);
+  Time heardFrom(Id id) const;  // a member; the won election counts as a word of all
+  void beginRound(Time now);
+  std::optional<Time> sentAt(std::uint64_t round) const;
   template <class Holds>
   bool majority(const std::vector<Member>& of, Holds holds) const;
   template <class Holds>
@@ -162,6 +177,7 @@
   std::set<Id> votes_;
   std::map<Id, Peer> peers_;
   std::map<Id, Member> applicants_;
+  std::deque<Time> sentAt_;  // the latest rounds' beginnings, the last one's last
 };
 
 }  // namespace burlwind::consensus
--- a/tests/system/consensus_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -44,6 +44,40 @@
   s.act(old, "has=a,b,c");
 }
 
+// Answers to its rounds wait in its sockets meanwhile, and come before anything else that it does.
+TEST_CASE("a leader that stood still wakes among a greeting, a read and an order") {
+  for (const double span : {600.0, 900.0, 1200.0})
+    for (unsigned seed = 1; seed <= 40; ++seed) {
+      CAPTURE(span);
+      CAPTURE(seed);
+      Stores s(3, seed);
+      s.play("0 start start start");
+      s.play("2000 put=a");
+      const unsigned old = *s.leader();
+      s.run(10.0 * (seed % 20));
+      CHECK(s.read(old));
+      s.act(old, "freeze");
+      s.run(span);
+      const auto before = s.confirmations();
+      s.act(old, "thaw");
+      const bool stale = span > consensus::Timeouts{}.electLeast;
+      // Before what waited is read it may know of no majority, also where there is one.
+      const bool asked = seed % 4 == 1 ? s.read(old) : seed % 4 == 2 ? s.order(old, "b") : false;
+      if (seed % 4 == 0 && stale) CHECK_FALSE(s.says(old));
+      if (stale) CHECK_FALSE(asked);
+      s.step();  // what waited
+      if (stale) {
+        s.act(old, "follows");
+        CHECK(s.confirmations() == before);
+      } else if (asked || seed % 4 == 0 || seed % 4 == 3) {
+        CHECK(s.says(old));
+      }
+      s.run(3000);
+      CHECK(s.put("c"));
+      CHECK(s.everythingAcknowledgedIsHeld());
+    }
+}
+
 TEST_CASE("one-way cuts: a leader that is not heard, one that does not hear") {
   for (const char* way : {"mute", "deaf"}) {
     CAPTURE(way);
@@ -241,8 +275,8 @@
   CHECK(preVoteGranted(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
 }
 
-// Makes replica 1 lead its two fellows.
-void lead(Core& core) {
+// Makes replica 1 lead its two fellows; the time at which it does.
+double lead(Core& core) {
   std::vector<consensus::Effect> out;
   double now = 0;
   while (core.record().term == 0) {
@@ -253,14 +287,14 @@
   core.receive(rpc::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
                now);
   REQUIRE(core.leads());
+  return now;
 }
 
 TEST_CASE(
     "while members change, what the new ones hold without a majority of the old ones is not committed") {
   Alone leader(three(1));
   Core& core = leader.core;
-  lead(core);
-  const double now = 3000;
+  const double now = lead(core) + 500;
   // Replica 4 stands where 3 has lost its disk.
   core.join({4, "c"}, now);
   core.receive(rpc::AppendResponse{core.record().term, 2, 1, core.record().lastTerm, core.record().index},
--- a/tests/system/timeline.hpp
+++ b/tests/system/timeline.hpp
@@ -8,7 +8,8 @@
 // nobody), mute (is heard by nobody), cut (both), heal, slow=N (each write takes N ms), renew (kill; an empty
 // replica at another address takes its column), leave. Checks: leads, follows, has=x (its record holds x),
 // member, stranger. In the last column, `lead` stands for the replica that leads, wherever it is: put=x
-// proposes there and waits up to 3 s until it is committed; read gives what the history must hold.
+// proposes there and waits up to 3 s until it is committed; read asks the one that leads by its own word, and
+// when its round is confirmed, its state must hold what was acknowledged before the read.
 // Nothing sleeps: a step is 10 ms of virtual time, a message takes 5 to 25.
 #pragma once
 
@@ -23,6 +24,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "consensus/core.hpp"
@@ -94,6 +96,29 @@
     return std::nullopt;
   }
 
+  // As a caller that has a link to this one: what it would be told at once, by its own word.
+  bool says(unsigned i) const { return awake(replicas_[i]) && replicas_[i].core->leads(now_); }
+  // Asks replica i to read: true where it took the question.
+  bool read(unsigned i) {
+    Replica& r = replicas_[i];
+    if (!awake(r) || !r.core->leads()) return false;
+    std::vector<consensus::Effect> out;
+    const std::uint64_t round = r.core->confirm(now_, out);
+    const bool taken = round != consensus::kNeverConfirmed;
+    if (taken) reads_.push_back({i, r.incarnation, round, acknowledged_});
+    carry(i, out);
+    return taken;
+  }
+  // Asks it for a change, without waiting: false where it does not take it.
+  bool order(unsigned i, const std::string& value) {
+    Replica& r = replicas_[i];
+    if (!awake(r) || !r.core->mayPropose()) return false;
+    const auto& before = r.core->record().state;
+    carry(i, r.core->propose(before.empty() ? value : before + "," + value, now_));
+    return r.core->leads();
+  }
+  std::size_t confirmations() const { return confirmations_; }
+
   // Proposes where somebody leads; true once it is committed. False: no clear answer.
   bool put(const std::string& value, double within = 3000) {
     const double until = now_ + within;
@@ -149,6 +174,8 @@
       r.write = std::stod(value);
     else if (verb == "leave")
       leave(i);
+    else if (verb == "read")
+      CHECK(read(*leader()));
     else if (verb == "leads")
       CHECK_MESSAGE((r.core && r.core->leads()), "leads");
     else if (verb == "follows")
@@ -194,6 +221,12 @@
     std::string ip;
   };
 
+  struct Read {
+    unsigned from, incarnation;
+    std::uint64_t round;
+    std::vector<std::string> before;  // acknowledged when it was asked
+  };
+
   static std::string address(unsigned i, unsigned moves) {
     return "10.0." + std::to_string(moves) + "." + std::to_string(i);
   }
@@ -244,6 +277,8 @@
         at += r.write;
         r.busyUntil = std::max(r.busyUntil, at);
       } else if (const auto* send = std::get_if<consensus::Send>(&effect)) {
+        if (const auto* append = std::get_if<rpc::AppendRequest>(&send->message))
+          rounds_.emplace(std::tuple(i, r.incarnation, append->round), now_);
         for (unsigned j = 0; j < replicas_.size(); ++j)
           if (replicas_[j].disk.self == send->to ||
               (replicas_[j].core && replicas_[j].core->record().self == send->to))
@@ -253,6 +288,8 @@
         CHECK_MESSAGE(holds(r.core->record().state, acknowledged_),
                       "what was acknowledged is not in what is committed");
         commits_.insert(r.core->record().state);
+      } else if (const auto* confirmed = std::get_if<consensus::Confirmed>(&effect)) {
+        confirm(i, confirmed->round);
       } else if (std::holds_alternative<consensus::Led>(effect)) {
         CHECK_MESSAGE(leaders_.emplace(r.core->record().term, r.core->record().self).second,
                       "two leaders of a term");
@@ -261,6 +298,19 @@
     }
   }
 
+  // What a leader says after a confirmed round must be young, and hold what was acknowledged before a read.
+  void confirm(unsigned i, std::uint64_t round) {
+    const Replica& r = replicas_[i];
+    ++confirmations_;
+    if (const auto begun = rounds_.find({i, r.incarnation, round}); begun != rounds_.end())
+      CHECK_MESSAGE(now_ - begun->second < consensus::Timeouts{}.electLeast, "an old round is confirmed");
+    std::erase_if(reads_, [&](const Read& read) {
+      if (read.from != i || read.incarnation != r.incarnation || read.round > round) return false;
+      if (r.core->leads()) CHECK_MESSAGE(holds(r.core->record().state, read.before), "an old state is read");
+      return true;
+    });
+  }
+
   static bool holds(const std::string& state, const std::vector<std::string>& values) {
     std::istringstream parts(state);
     std::vector<std::string> all;
@@ -293,6 +343,9 @@
   std::set<std::string> commits_;
   std::set<unsigned> acks_;
   std::map<std::uint64_t, Id> leaders_;
+  std::vector<Read> reads_;
+  std::map<std::tuple<unsigned, unsigned, std::uint64_t>, double> rounds_;  // their beginnings
+  std::size_t confirmations_ = 0;
   double now_ = 0;
   Id ids_ = 1000;
 };
