Consensus: learners first, seats by silence, a restart keeps its seat

Cause: who asked for a seat was in the joint majorities before it held anything. A member that had said that it goes was replaced by whoever asked next, also when it was back; the seat of an address was given to whoever claimed it, also while its member was heard. Where change followed change no newcomer was ever taken in.

Change: an applicant gets the state as a learner, and a seat once it answers and holds all but the entry under way, one seat at a time; also right after a commit. Gone is who was silent for 2 s (1.5 before), 1.2 s after its leave, which is taken back when another incarnation of it answers (AppendResponse and Leave bear the process's incarnation, added at their ends). A member that is heard loses its seat to nobody. The silence of the leader before counts from its last word, not from the election. A seat is taken while majorities without the silent one are heard, an empty one while all are; why not 'all' of five stands in the header. A vote that takes up a new term is one write, not two.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -11,11 +11,27 @@
   return std::pair(termA, indexA) > std::pair(termB, indexB);
 }
 
+// Never 0. Exact as a double.
+std::uint64_t drawIncarnation(double (*draw)(void*), void* drawer) {
+  constexpr double kMost = 9007199254740992;  // 2^53
+  return 1 + static_cast<std::uint64_t>(draw(drawer) * (kMost - 1));
+}
+
+// Once for all that an event changes before it tells of it.
+void persist(std::vector<Effect>& out) {
+  if (out.empty() || !std::holds_alternative<Persist>(out.back())) out.push_back(Persist{});
+}
+
 }  // namespace
 
 Core::Core(PersistentState record, Timeouts timeouts, unsigned seats, double (*draw)(void*), void* drawer,
            Time now)
-    : record_(std::move(record)), timeouts_(timeouts), seats_(seats), draw_(draw), drawer_(drawer) {
+    : record_(std::move(record)),
+      timeouts_(timeouts),
+      seats_(seats),
+      draw_(draw),
+      drawer_(drawer),
+      incarnation_(drawIncarnation(draw, drawer)) {
   rest(now);
 }
 
@@ -76,6 +92,14 @@
   return sentAt_[round - oldest];
 }
 
+Time Core::lastWordOf(Id id) const {
+  if (id == formerLeader_ && wonAt_ > formerLeaderHeard_) {
+    const auto peer = peers_.find(id);
+    return peer == peers_.end() ? formerLeaderHeard_ : std::max(peer->second.heard, formerLeaderHeard_);
+  }
+  return heardFrom(id);
+}
+
 std::set<Id> Core::everyone() const {
   std::set<Id> out;
   for (const Member& m : record_.members) out.insert(m.id);
@@ -91,7 +115,7 @@
   led_ = inFlight_ = false;
   if (term > record_.term) {
     record_.term = term, record_.votedFor = 0;
-    out.push_back(Persist{});
+    persist(out);
   }
   leader_ = leader;
   rest(now);
@@ -131,7 +155,7 @@
   role_ = Role::candidate;
   ++record_.term;
   record_.votedFor = record_.self;
-  out.push_back(Persist{});
+  persist(out);
   votes_ = {record_.self};
   rest(now);
   for (const Id id : everyone())
@@ -149,7 +173,9 @@
 void Core::lead(Time now, std::vector<Effect>& out) {
   role_ = Role::leader;
   leader_ = record_.self;
+  formerLeader_ = heardLeader_, formerLeaderHeard_ = heard_;
   wonAt_ = heard_ = now;
+  heardLeader_ = record_.self;
   peers_.clear();
   applicants_.clear();
   sentAt_.clear();
@@ -162,7 +188,7 @@
   ++record_.index;
   for (const Id id : everyone()) peers_[id].sentWhole = -1e9;
   sendHeartbeats(now, out);  // before the own write: both disks work at the same time
-  out.push_back(Persist{});
+  persist(out);
   advance(now, out);
 }
 
@@ -210,33 +236,86 @@
   if (!std::exchange(led_, true)) out.push_back(Led{});
   if (!record_.former.empty()) {  // both majorities have the new members: the old ones are done with
     record_.former.clear();
-    begin(now, out);
+    return begin(now, out);
   }
+  changeMembers(now, out);  // here as well: where change follows change, nothing else finds none under way
 }
 
-// One at a time: first who has a lost disk at a member's address, then who stands where a member is gone or
-// goes, then an empty seat.
-void Core::changeMembers(Time now, std::vector<Effect>& out) {
-  if (!mayPropose()) return;
+void Core::forgetApplicants(Time now) {
   std::erase_if(applicants_, [&](const auto& a) {
-    return isMember(a.first) || now - std::max(peers_[a.first].heard, peers_[a.first].asked) > timeouts_.gone;
+    const Peer& peer = peers_[a.first];
+    return isMember(a.first) || now - std::max(peer.heard, peer.asked) > timeouts_.gone;
   });
-  for (const auto& [id, applicant] : applicants_) {
-    auto& members = record_.members;
-    auto seat =
-        std::find_if(members.begin(), members.end(), [&](const Member& m) { return m.ip == applicant.ip; });
-    if (seat == members.end())
-      seat = std::find_if(members.begin(), members.end(), [&](const Member& m) {
-        if (m.id == record_.self) return false;
-        return peers_[m.id].leaving || now - heardFrom(m.id) > timeouts_.gone;
-      });
-    if (seat == members.end() && members.size() >= seats_) continue;
-    record_.former = members;
-    if (seat == members.end())
-      members.push_back(applicant);
-    else
-      *seat = applicant;
-    return begin(now, out);
+  const std::set<Id> known = everyone();
+  std::erase_if(peers_, [&](const auto& peer) { return !known.contains(peer.first); });
+}
+
+bool Core::isHeard(Id member, Time now) const {
+  return member == record_.self || now - lastWordOf(member) < timeouts_.electLeast;
+}
+
+bool Core::isGone(const Member& member, Time now) const {
+  if (member.id == record_.self) return false;
+  const auto peer = peers_.find(member.id);
+  const bool leaving = peer != peers_.end() && peer->second.leaving();
+  return now - lastWordOf(member.id) > (leaving ? timeouts_.goneAfterLeave : timeouts_.gone);
+}
+
+// It answers and holds all but the entry under way.
+bool Core::isReady(Id applicant, Time now) const {
+  const auto found = peers_.find(applicant);
+  if (found == peers_.end()) return false;
+  const Peer& peer = found->second;
+  return now - peer.heard < timeouts_.electLeast && peer.lastTerm == record_.lastTerm &&
+         peer.index + 1 >= record_.index;
+}
+
+bool Core::addressIsInUse(const std::string& ip, Time now) const {
+  return std::any_of(record_.members.begin(), record_.members.end(),
+                     [&](const Member& m) { return m.ip == ip && isHeard(m.id, now); });
+}
+
+// The change can be agreed on without this silent one.
+bool Core::mayReplace(const Member& member, Time now) const {
+  return majority(record_.members, [&](Id id) { return id != member.id && isHeard(id, now); });
+}
+
+Core::Seat Core::seatOfAddress(const Member& applicant, Time now) {
+  return std::find_if(record_.members.begin(), record_.members.end(), [&](const Member& m) {
+    return m.ip == applicant.ip && !isHeard(m.id, now) && mayReplace(m, now);
+  });
+}
+
+Core::Seat Core::seatOfGone(Time now) {
+  return std::find_if(record_.members.begin(), record_.members.end(),
+                      [&](const Member& m) { return isGone(m, now) && mayReplace(m, now); });
+}
+
+void Core::seat(Seat seat, const Member& applicant, Time now, std::vector<Effect>& out) {
+  std::vector<Member> members = record_.members;
+  if (seat == record_.members.end())
+    members.push_back(applicant);
+  else
+    members[static_cast<std::size_t>(seat - record_.members.begin())] = applicant;
+  record_.former = std::exchange(record_.members, std::move(members));
+  begin(now, out);
+}
+
+void Core::changeMembers(Time now, std::vector<Effect>& out) {
+  if (!mayPropose()) return;
+  forgetApplicants(now);
+  std::vector<Member> ready;
+  for (const auto& [id, applicant] : applicants_)
+    if (isReady(id, now) && !addressIsInUse(applicant.ip, now)) ready.push_back(applicant);
+  for (const Member& applicant : ready)
+    if (const Seat own = seatOfAddress(applicant, now); own != record_.members.end())
+      return seat(own, applicant, now, out);
+  for (const Member& applicant : ready) {
+    if (const Seat free = seatOfGone(now); free != record_.members.end())
+      return seat(free, applicant, now, out);
+    const bool allHeard = std::all_of(record_.members.begin(), record_.members.end(),
+                                      [&](const Member& m) { return isHeard(m.id, now); });
+    if (allHeard && record_.members.size() < seats_) return seat(record_.members.end(), applicant, now, out);
   }
 }
 
@@ -244,17 +323,20 @@
   std::vector<Effect> out;
   stepDownIfStale(now, out);
   if (role_ != Role::leader || isMember(member.id) || member.id == 0) return out;
+  const bool known = applicants_.contains(member.id);
+  if (!known && applicants_.size() >= kMostApplicants) return out;
   applicants_[member.id] = member;
   peers_[member.id].asked = now;
+  if (!known) sendTo(member.id, now, out);
   return out;
 }
 
-std::vector<Effect> Core::leave(Id member, Time now) {
+std::vector<Effect> Core::leave(Id member, Time now, std::uint64_t incarnation) {
   std::vector<Effect> out;
   stepDownIfStale(now, out);
-  if (role_ != Role::leader) return out;
-  peers_[member].leaving = true;
-  changeMembers(now, out);
+  if (role_ != Role::leader || !isMember(member)) return out;
+  Peer& peer = peers_[member];
+  peer.left = incarnation ? incarnation : peer.incarnation;
   return out;
 }
 
@@ -289,19 +371,20 @@
 void Core::on(const rpc::AppendRequest& m, Time now, std::vector<Effect>& out) {
   if (m.term < record_.term) {
     ++late_;
-    out.push_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, 0, 0, 0}});
+    out.push_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, 0, 0, 0, incarnation_}});
     return;
   }
   follow(m.term, m.from, now, out);
   heard_ = now;
+  heardLeader_ = m.from;
   if (m.whole && newer(m.lastTerm, m.index, record_.lastTerm, record_.index)) {
     record_.lastTerm = m.lastTerm, record_.index = m.index;
     record_.members = m.members, record_.former = m.former, record_.state = m.state;
-    out.push_back(Persist{});
+    persist(out);
   }
   committed_ = std::max(committed_, std::min(m.committed, record_.index));
-  out.push_back(Send{
-      m.from, rpc::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm, record_.index}});
+  out.push_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm,
+                                                 record_.index, incarnation_}});
 }
 
 void Core::on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out) {
@@ -323,7 +406,10 @@
   }
   peer.round = m.round;
   peer.lastTerm = m.lastTerm, peer.index = m.index;
-  if (hasAuthority(now)) advance(now, out);
+  peer.incarnation = m.incarnation;
+  if (!hasAuthority(now)) return;
+  advance(now, out);
+  if (applicants_.contains(m.from)) changeMembers(now, out);
 }
 
 void Core::on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out) {
@@ -347,7 +433,7 @@
   if (granted && record_.votedFor == 0) {
     role_ = Role::follower;
     record_.votedFor = m.from;
-    out.push_back(Persist{});
+    persist(out);
     rest(now);
   }
   out.push_back(Send{m.from, rpc::VoteResponse{record_.term, record_.self, false, granted}});
--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -23,8 +23,18 @@
 //  No replica votes or counts that doesn't hold what every majority could have committed. A replica is known
 //  by an id that is drawn when its disk is empty, and members are ids. One that comes back with an empty disk
 //  is another replica: its old votes can't be cast again, and what it says counts for nothing until it is a
-//  member. It is a learner first, and a member by joint majorities. Its vote counts only for who holds the
-//  entry with the new members, thus all before it. The lost id never speaks again.
+//  member. Its vote counts only for who holds the entry with the new members, thus all before it. The lost
+//  id never speaks again.
+//
+//  Who applies is a learner first: it gets the state, and is in no majority. Once it holds all but the entry
+//  under way it takes a seat, one at a time, by joint majorities: the seat of a member that has lost its disk
+//  at the same address, then that of one that is gone, then an empty one. A member that is heard loses its
+//  seat to nobody, also where its address is claimed or it has said that it goes: gone is who was silent for
+//  `gone`, `goneAfterLeave` where it left and no later incarnation has answered. A seat is taken while
+//  majorities without the silent member are heard (of three: all others), an empty one while all are. So a
+//  change never lowers the number of further losses that are borne: one who is heard and holds the state
+//  stands where nobody was. Of five, it must not wait for a second silent one: that may never be back.
+//  Weighed: a seat before the state is there (a loss meanwhile leaves a majority that holds nothing).
 //
 //  A member that returns with an older disk. Assumed: what is synced outlives process and power, or the disk
 //  is lost as a whole and comes back empty; at most f are lost so, also while all others are without power.
@@ -74,7 +84,8 @@
   Time electLeast = 700, electMost = 1300;  // silence until an election
   Time firstLeast = 80, firstMost = 360;    // the same, after a start
   Time reachedMost = 40;                    // at most, once another one is reached after a start
-  Time gone = 1500;                         // silence until a member may be replaced
+  Time gone = 2000;                         // silence until a member may be replaced
+  Time goneAfterLeave = 1200;               // the same, where it has said that it goes
   Time roundKept = 3000;                    // how long the beginning of a round is known
 };
 
@@ -90,6 +101,7 @@
 struct Confirmed {    // majorities have answered this round within `electLeast` of its beginning
   std::uint64_t round = 0;
 };
+constexpr std::size_t kMostApplicants = 8;
 constexpr std::uint64_t kNeverConfirmed = ~std::uint64_t{0};
 using Effect = std::variant<Persist, Send, Committed, Led, Stepped, Confirmed>;
 
@@ -104,9 +116,12 @@
   // A link to another replica has come up. After a start this one need not wait longer to ask for votes.
   void reached(Time now);
   void setSeats(unsigned seats) { seats_ = seats; }  // how many members a leader brings together
-  // A replica that wants to be a member, or be told so again.
+  // A replica that wants to be a member, or be told so again: it is a learner, and a member once it has
+  // caught up and there is a seat. At most kMostApplicants at a time.
   std::vector<Effect> join(const Member& member, Time now);
-  std::vector<Effect> leave(Id member, Time now);  // it has said that it goes
+  // It has said that it goes; `incarnation` of its process, 0: the one that answered last. It stays a member
+  // and is sooner held to be gone, unless another incarnation of it answers.
+  std::vector<Effect> leave(Id member, Time now, std::uint64_t incarnation = 0);
   // Leader, leading, nothing under way: begins an entry. Begins none and steps down where it turns out that
   // no majority has been heard.
   bool mayPropose() const { return led_ && !inFlight_; }
@@ -116,6 +131,7 @@
   std::uint64_t confirm(Time now, std::vector<Effect>& out);
   std::uint64_t nextRound() const { return round_ + 1; }  // the same, at the next beat
 
+  std::uint64_t incarnation() const { return incarnation_; }  // of this process, drawn at its start
   const PersistentState& record() const { return record_; }
   bool leads() const { return led_; }
   // The same, and majorities have answered rounds that are young enough: what is asked of a leader between
@@ -135,12 +151,17 @@
     Time heard = -1e9;                      // when the newest round was sent that it has answered
     Time asked = -1e9;                      // to be a member
     Time sentWhole = -1e9;
-    bool leaving = false;
+    std::uint64_t incarnation = 0;      // of the process that answered last
+    std::optional<std::uint64_t> left;  // the incarnation that has said that it goes
+    bool leaving() const { return left && *left == incarnation; }
   };
   bool isMember(Id id) const;
   bool hasAuthority(Time now) const;
   void stepDownIfStale(Time now, std::vector<Effect>& out);
   Time heardFrom(Id id) const;  // a member; the won election counts as a word of all
+  // The same, but for the leader before: its silence is the reason for the election, and counts from its
+  // start.
+  Time lastWordOf(Id id) const;
   void beginRound(Time now);
   std::optional<Time> sentAt(std::uint64_t round) const;
   template <class Holds>
@@ -158,6 +179,16 @@
   void sendTo(Id to, Time now, std::vector<Effect>& out);
   void advance(Time now, std::vector<Effect>& out);
   void changeMembers(Time now, std::vector<Effect>& out);
+  void forgetApplicants(Time now);
+  bool isHeard(Id member, Time now) const;
+  bool isGone(const Member& member, Time now) const;
+  bool isReady(Id applicant, Time now) const;
+  bool addressIsInUse(const std::string& ip, Time now) const;
+  bool mayReplace(const Member& member, Time now) const;
+  using Seat = std::vector<Member>::iterator;
+  Seat seatOfAddress(const Member& applicant, Time now);
+  Seat seatOfGone(Time now);
+  void seat(Seat seat, const Member& applicant, Time now, std::vector<Effect>& out);
   void rest(Time now);
   void on(const rpc::AppendRequest& m, Time now, std::vector<Effect>& out);
   void on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out);
@@ -169,15 +200,18 @@
   unsigned seats_;
   double (*draw_)(void*);
   void* drawer_;
+  std::uint64_t incarnation_;
   Role role_ = Role::follower;
   bool led_ = false, inFlight_ = false;
-  Id leader_ = 0;
+  Id leader_ = 0, heardLeader_ = 0;  // who leads now; who was heard last
+  Id formerLeader_ = 0;              // before this one led
+  Time formerLeaderHeard_ = -1e9;
   Time heard_ = -1e9, electAt_ = 0, heartbeatAt_ = 0, wonAt_ = 0;
   std::uint64_t committed_ = 0, round_ = 0, confirmed_ = 0, late_ = 0;
   std::set<Id> votes_;
   std::map<Id, Peer> peers_;
-  std::map<Id, Member> applicants_;
-  std::deque<Time> sentAt_;  // the latest rounds' beginnings, the last one's last
+  std::map<Id, Member> applicants_;  // learners
+  std::deque<Time> sentAt_;          // the latest rounds' beginnings, the last one's last
 };
 
 }  // namespace burlwind::consensus
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -63,7 +63,8 @@
 struct AppendResponse {
   static constexpr Kind kKind = kAppendResponse;
   std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0;
-  MSGPACK_DEFINE(term, from, round, lastTerm, index)
+  std::uint64_t incarnation = 0;  // of the process that answers
+  MSGPACK_DEFINE(term, from, round, lastTerm, index, incarnation)
 };
 struct VoteRequest {
   static constexpr Kind kKind = kVoteRequest;
@@ -85,7 +86,8 @@
 struct Leave {
   static constexpr Kind kKind = kLeave;
   std::uint64_t from = 0;
-  MSGPACK_DEFINE(from)
+  std::uint64_t incarnation = 0;  // of the process that ends
+  MSGPACK_DEFINE(from, incarnation)
 };
 
 // --- A store and its readers ---
