Model checking: the merged core's state; fingerprints without allocation

Cause: learners, incarnations and the beginnings of rounds are state of the core now, and the search spent its time in memory for fingerprints. Change: the inspector reads them; numbers are mixed in place; each life of a replica draws a number of its own, so that incarnations differ.

--- a/src/model_checking/cluster.cpp
+++ b/src/model_checking/cluster.cpp
@@ -23,6 +23,20 @@
   return std::to_string(record.lastTerm) + "/" + std::to_string(record.index);
 }
 
+// One number for each life of each replica, all near the middle: who is started again is told from who was
+// there before.
+constexpr unsigned kLives = 64;
+constexpr double kLivesApart = 1e-5;
+double drawFixed(void* drawer) { return *static_cast<const double*>(drawer); }
+void* drawerOfLife(Id replica, unsigned life) {
+  static std::vector<double> draws = [] {
+    std::vector<double> out;
+    for (unsigned i = 0; i < kLives * kLives; ++i) out.push_back(0.5 + i * kLivesApart);
+    return out;
+  }();
+  return &draws[replica % kLives * kLives + life % kLives];
+}
+
 void note(Notes* notes, std::string text) {
   if (notes) notes->push_back(std::move(text));
 }
@@ -57,17 +71,15 @@
     PersistentState disk = i < shape.members ? first : PersistentState{};
     disk.self = firstId(i);
     replicas_.push_back(nullptr);
-    put(i, begin(std::move(disk), address(i, 1), kClockAtStart));
+    put(i, begin(std::move(disk), address(i, 1), kClockAtStart, 0));
   }
 }
 
-Core Cluster::start(const PersistentState& disk, Time now) const {
-  return Core(disk, timeouts_, seats_, randomness_.draw, randomness_.drawer, now);
-}
-
-Cluster::Replica Cluster::begin(PersistentState disk, std::string ip, Time now) const {
-  Core core = start(disk, now);
-  return {std::move(core), std::move(disk), std::move(ip), now, {}, {}, 0};
+Cluster::Replica Cluster::begin(PersistentState disk, std::string ip, Time now, unsigned life) const {
+  const bool fixed = randomness_.draw == nullptr;
+  Core core(disk, timeouts_, seats_, fixed ? &drawFixed : randomness_.draw,
+            fixed ? drawerOfLife(disk.self / kIdsPerReplica, life) : randomness_.drawer, now);
+  return {std::move(core), std::move(disk), std::move(ip), now, life, {}, {}, 0};
 }
 
 void Cluster::put(unsigned replica, Replica&& changed) {
@@ -91,6 +103,7 @@
 }
 
 Properties& Cluster::changeProperties() {
+  propertiesFingerprint_.reset();
   if (properties_.use_count() > 1) properties_ = std::make_shared<Properties>(*properties_);
   return *properties_;
 }
@@ -104,7 +117,8 @@
 Fingerprint Cluster::fingerprint() const {
   FingerprintBuilder out;
   for (const auto& replica : replicas_) out.add(replica->fingerprint);
-  out.add(properties_->fingerprint());
+  if (!propertiesFingerprint_) propertiesFingerprint_ = properties_->fingerprint();
+  out.add(*propertiesFingerprint_);
   return out.result();
 }
 
@@ -274,7 +288,7 @@
 
 void Cluster::restart(unsigned replica) {
   const Replica& before = *replicas_[replica];
-  put(replica, begin(before.disk, before.ip, before.now));
+  put(replica, begin(before.disk, before.ip, before.now, before.life + 1));
 }
 
 void Cluster::wipe(unsigned replica, bool atAnotherAddress) {
@@ -282,7 +296,7 @@
   PersistentState empty;
   empty.self = before.disk.self + 1;
   const std::string ip = atAnotherAddress ? address(replica, empty.self % kIdsPerReplica) : before.ip;
-  put(replica, begin(std::move(empty), ip, before.now));
+  put(replica, begin(std::move(empty), ip, before.now, before.life + 1));
 }
 
 }  // namespace burlwind::model_checking
--- a/src/model_checking/cluster.hpp
+++ b/src/model_checking/cluster.hpp
@@ -19,7 +19,9 @@
 
 namespace burlwind::model_checking {
 
-struct Randomness {  // as consensus::Core takes it
+// As consensus::Core takes it. Without a `draw`, each life of a replica draws one number of its own each
+// time, near the middle of the range.
+struct Randomness {
   double (*draw)(void*) = nullptr;
   void* drawer = nullptr;
 };
@@ -92,14 +94,14 @@
     PersistentState disk;
     std::string ip;
     Time now = 0;
+    unsigned life = 0;
     std::vector<Round> rounds;  // of its own, in its term, not yet confirmed
     EntryNumber served;         // what its host would hand out
     Fingerprint fingerprint = 0;
   };
   using ReplicaPtr = std::shared_ptr<const Replica>;
 
-  consensus::Core start(const PersistentState& disk, Time now) const;
-  Replica begin(PersistentState disk, std::string ip, Time now) const;
+  Replica begin(PersistentState disk, std::string ip, Time now, unsigned life) const;
   void put(unsigned replica, Replica&& changed);
   template <class Call>
   StepResult step(unsigned replica, PowerLoss loss, Notes* notes, Call call);
@@ -114,6 +116,7 @@
   Randomness randomness_;
   std::vector<ReplicaPtr> replicas_;
   std::shared_ptr<Properties> properties_;  // shared until it changes
+  mutable std::optional<Fingerprint> propertiesFingerprint_;
   Properties& changeProperties();
 };
 
--- a/src/model_checking/core_inspector.cpp
+++ b/src/model_checking/core_inspector.cpp
@@ -39,45 +39,64 @@
 
 void CoreInspector::add(FingerprintBuilder& out, const Core& core, Time now) {
   // A member of the core that is not added below would make different states look equal.
-  static_assert(sizeof(Core) == 424, "the core has changed: bring this fingerprint up to date");
+  static_assert(sizeof(Core) == 552, "the core has changed: bring this fingerprint up to date");
   const consensus::Timeouts& timeouts = core.timeouts_;
-  const bool leads = core.role_ == Core::Role::leader;
+  const Time longest = std::max({timeouts.electLeast, timeouts.gone, timeouts.goneAfterLeave,
+                                 timeouts.roundKept, 3 * timeouts.heartbeat}) +
+                       1;
+  const auto addAge = [&](Time then) { out.add(age(now, then, longest)); };
   model_checking::add(out, core.record_);
   out.add(core.seats_);
+  out.add(core.incarnation_);
   out.add(static_cast<std::uint64_t>(core.role_));
   out.add(core.led_);
   out.add(core.inFlight_);
   out.add(core.leader_);
+  out.add(core.heardLeader_);
   out.add(core.heard_ < 0);
-  out.add(age(now, core.heard_, timeouts.electLeast));
+  addAge(core.heard_);
   out.add(core.committed_);
   out.add(core.round_);
   out.add(core.confirmed_);
-  if (!leads) {
-    out.add(remaining(now, core.electAt_));
-    const bool stands = core.role_ != Core::Role::follower;
-    out.add(stands ? core.votes_.size() : 0);
-    if (stands)
-      for (const auto id : core.votes_) out.add(id);
-    return;
-  }
+  if (core.role_ == Core::Role::leader)
+    addLeader(out, core, now, longest);
+  else
+    addOther(out, core, now);
+}
+
+void CoreInspector::addOther(FingerprintBuilder& out, const Core& core, Time now) {
+  out.add(remaining(now, core.electAt_));
+  if (core.role_ == Core::Role::follower) return;
+  out.add(core.votes_.size());
+  for (const auto id : core.votes_) out.add(id);
+}
+
+void CoreInspector::addLeader(FingerprintBuilder& out, const Core& core, Time now, Time longest) {
+  const auto addAge = [&](Time then) { out.add(age(now, then, longest)); };
   out.add(remaining(now, core.heartbeatAt_));
-  out.add(age(now, core.wonAt_, timeouts.gone));
+  addAge(core.wonAt_);
+  out.add(core.formerLeader_);
+  addAge(core.formerLeaderHeard_);
   out.add(core.peers_.size());
   for (const auto& [id, peer] : core.peers_) {
     out.add(id);
     out.add(peer.round);
     out.add(peer.lastTerm);
     out.add(peer.index);
-    out.add(age(now, peer.heard, timeouts.gone + 1));
-    out.add(age(now, peer.sentWhole, 3 * timeouts.heartbeat + 1));
-    out.add(peer.leaving);
+    addAge(peer.heard);
+    addAge(peer.asked);
+    addAge(peer.sentWhole);
+    out.add(peer.incarnation);
+    out.add(peer.left.has_value());
+    out.add(peer.left.value_or(0));
   }
   out.add(core.applicants_.size());
   for (const auto& [id, member] : core.applicants_) {
     out.add(id);
     out.add(member.ip);
   }
+  out.add(core.sentAt_.size());
+  for (const Time sent : core.sentAt_) addAge(sent);
 }
 
 Time CoreInspector::deadline(const Core& core) { return isLeader(core) ? core.heartbeatAt_ : core.electAt_; }
--- a/src/model_checking/core_inspector.hpp
+++ b/src/model_checking/core_inspector.hpp
@@ -20,6 +20,11 @@
   static const char* roleName(const consensus::Core& core);
   // A replica that asked this leader to be a member and is not yet one.
   static bool isApplicant(const consensus::Core& core, consensus::Id id);
+
+ private:
+  static void addOther(FingerprintBuilder& out, const consensus::Core& core, consensus::Time now);
+  static void addLeader(FingerprintBuilder& out, const consensus::Core& core, consensus::Time now,
+                        consensus::Time longest);
 };
 
 void add(FingerprintBuilder& out, const consensus::PersistentState& record);
--- a/src/model_checking/fingerprint.cpp
+++ b/src/model_checking/fingerprint.cpp
@@ -5,6 +5,9 @@
 
 namespace burlwind::model_checking {
 
-Fingerprint FingerprintBuilder::result() const { return XXH3_64bits(bytes_.data(), bytes_.size()); }
+void FingerprintBuilder::add(std::string_view text) {
+  add(std::uint64_t{text.size()});
+  add(XXH3_64bits(text.data(), text.size()));
+}
 
 }  // namespace burlwind::model_checking
--- a/src/model_checking/world.cpp
+++ b/src/model_checking/world.cpp
@@ -11,8 +11,6 @@
 // Longer than the shortest election timeout, shorter than what the host itself takes for a stop.
 constexpr Time kPause = 900;
 
-double middle(void*) { return 0.5; }
-
 ClusterShape shapeOf(const Scenario& scenario) {
   ClusterShape shape;
   shape.members = scenario.members;
@@ -23,7 +21,7 @@
 
 }  // namespace
 
-World::World(const Scenario& scenario) : cluster_(shapeOf(scenario), {&middle, nullptr}) {
+World::World(const Scenario& scenario) : cluster_(shapeOf(scenario), {}) {
   if (scenario.start != Start::cold) {
     apply({EventKind::election, 0, 0, PowerLoss::none, 0});
     settle();
