Consensus: a leader that ends hands leadership to a member that holds all

Cause: after a leader's SIGTERM the others waited out an election.

Change: transferLeadership: no further proposals; once what is under way is committed and a member that is heard and stays holds it, the leader steps down and tells that one to stand at once (TimeoutNow). That election needs no pre-vote, and its vote requests are granted also by who hears a leader, for exactly the term after the one that was given up.

Tests besides: the newest entry on the leaving leader's disk alone; random handovers under losses; the term's fence, each side asked by hand.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -113,6 +113,7 @@
   const bool led = role_ == Role::leader;
   role_ = Role::follower;
   led_ = inFlight_ = false;
+  transferUntil_.reset();
   if (term > record_.term) {
     record_.term = term, record_.votedFor = 0;
     persist(out);
@@ -126,7 +127,8 @@
   std::vector<Effect> out;
   stepDownIfStale(now, out);
   if (role_ == Role::leader) {
-    if (now >= heartbeatAt_) {
+    handOver(now, out);
+    if (role_ == Role::leader && now >= heartbeatAt_) {
       sendHeartbeats(now, out);
       changeMembers(now, out);
     }
@@ -151,7 +153,7 @@
   countVotes(now, out);
 }
 
-void Core::elect(Time now, std::vector<Effect>& out) {
+void Core::elect(Time now, bool handover, std::vector<Effect>& out) {
   role_ = Role::candidate;
   ++record_.term;
   record_.votedFor = record_.self;
@@ -159,14 +161,14 @@
   votes_ = {record_.self};
   rest(now);
   for (const Id id : everyone())
-    out.push_back(
-        Send{id, rpc::VoteRequest{record_.term, record_.self, record_.lastTerm, record_.index, false}});
+    out.push_back(Send{
+        id, rpc::VoteRequest{record_.term, record_.self, record_.lastTerm, record_.index, false, handover}});
   countVotes(now, out);
 }
 
 void Core::countVotes(Time now, std::vector<Effect>& out) {
   if (!quorum([&](Id id) { return votes_.contains(id); })) return;
-  if (role_ == Role::preCandidate) return elect(now, out);
+  if (role_ == Role::preCandidate) return elect(now, false, out);
   if (role_ == Role::candidate) lead(now, out);
 }
 
@@ -350,6 +352,42 @@
   return out;
 }
 
+std::vector<Effect> Core::transferLeadership(Time now) {
+  std::vector<Effect> out;
+  stepDownIfStale(now, out);
+  if (role_ != Role::leader) return out;
+  transferUntil_ = now + timeouts_.electLeast;
+  handOver(now, out);
+  return out;
+}
+
+void Core::handOver(Time now, std::vector<Effect>& out) {
+  if (!transferUntil_) return;
+  if (now >= *transferUntil_) return transferUntil_.reset();
+  if (inFlight_) return;
+  const auto to = successor(now);
+  if (!to) return;
+  const rpc::TimeoutNow message{record_.term, record_.self, record_.lastTerm, record_.index};
+  follow(record_.term, 0, now, out);  // before anybody else may lead
+  out.push_back(Send{*to, message});
+}
+
+// Of the members that hold everything and stay, the one that was heard last.
+std::optional<Id> Core::successor(Time now) const {
+  std::optional<Id> best;
+  Time heard = now - timeouts_.electLeast;
+  for (const Member& m : record_.members) {
+    const auto found = peers_.find(m.id);
+    if (m.id == record_.self || found == peers_.end()) continue;
+    const Peer& peer = found->second;
+    const bool holdsAll = peer.lastTerm == record_.lastTerm && peer.index == record_.index;
+    if (!holdsAll || peer.leaving() || peer.heard <= heard) continue;
+    best = m.id;
+    heard = peer.heard;
+  }
+  return best;
+}
+
 std::uint64_t Core::confirm(Time now, std::vector<Effect>& out) {
   stepDownIfStale(now, out);
   if (!led_) return kNeverConfirmed;
@@ -409,13 +447,15 @@
   peer.incarnation = m.incarnation;
   if (!hasAuthority(now)) return;
   advance(now, out);
+  handOver(now, out);
   if (applicants_.contains(m.from)) changeMembers(now, out);
 }
 
 void Core::on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out) {
   const bool hasAll = !newer(record_.lastTerm, record_.index, m.lastTerm, m.index);
   // Who hears a leader, or is one, takes part in no election against it.
-  const bool content = role_ == Role::leader || now - heard_ < timeouts_.electLeast;
+  const bool handedOver = m.handover && m.term == record_.term + 1;
+  const bool content = role_ == Role::leader || (!handedOver && now - heard_ < timeouts_.electLeast);
   if (m.preVote) {
     // Of several that try at the same time and know as much, the one with the highest id goes on: they would
     // split the votes.
@@ -451,4 +491,14 @@
   countVotes(now, out);
 }
 
+// Late is harmless: nobody leads that term any more, and a later one is not disturbed.
+void Core::on(const rpc::TimeoutNow& m, Time now, std::vector<Effect>& out) {
+  const bool holdsAll = !newer(m.lastTerm, m.index, record_.lastTerm, record_.index);
+  if (m.term != record_.term || role_ != Role::follower || !member() || !holdsAll) {
+    ++late_;
+    return;
+  }
+  elect(now, true, out);
+}
+
 }  // namespace burlwind::consensus
--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -8,6 +8,11 @@
 //  One leader a term. A voter persists its vote before it tells it, and a candidate needs majorities of its
 //  members (and of the outgoing ones while they change).
 //
+//  Leadership that is handed over is never held twice: the leader steps down before it tells its successor,
+//  and that one needs majorities' votes for the next term like any other. Its request is granted also by who
+//  hears a leader, but only for the term right after the one that was given up: no other leader can be
+//  disturbed.
+//
 //  What was acknowledged is in each later leader's state. An entry is committed once majorities have it
 //  synced; a candidate needs votes of majorities, and nobody votes for one that holds less; so one of those
 //  that hold the entry has voted. Of two committed entries, one was made from the other.
@@ -89,7 +94,8 @@
   Time roundKept = 3000;                    // how long the beginning of a round is known
 };
 
-using Message = std::variant<rpc::AppendRequest, rpc::AppendResponse, rpc::VoteRequest, rpc::VoteResponse>;
+using Message = std::variant<rpc::AppendRequest, rpc::AppendResponse, rpc::VoteRequest, rpc::VoteResponse,
+                             rpc::TimeoutNow>;
 struct Send {
   Id to = 0;
   Message message;
@@ -122,9 +128,13 @@
   // It has said that it goes; `incarnation` of its process, 0: the one that answered last. It stays a member
   // and is sooner held to be gone, unless another incarnation of it answers.
   std::vector<Effect> leave(Id member, Time now, std::uint64_t incarnation = 0);
+  // A leader that is about to end: takes no more proposals, and once what is under way is committed and a
+  // member that is heard holds it, it steps down and tells that member to stand at once. Where none does
+  // within `electLeast`, it leads on.
+  std::vector<Effect> transferLeadership(Time now);
   // Leader, leading, nothing under way: begins an entry. Begins none and steps down where it turns out that
   // no majority has been heard.
-  bool mayPropose() const { return led_ && !inFlight_; }
+  bool mayPropose() const { return led_ && !inFlight_ && !transferUntil_; }
   std::vector<Effect> propose(std::string state, Time now);
   // The round whose confirmation proves leadership from now on; it is begun at once. kNeverConfirmed where
   // this one leads no more.
@@ -171,7 +181,9 @@
   std::set<Id> everyone() const;
   void follow(std::uint64_t term, Id leader, Time now, std::vector<Effect>& out);
   void stand(Time now, std::vector<Effect>& out);
-  void elect(Time now, std::vector<Effect>& out);
+  void elect(Time now, bool handover, std::vector<Effect>& out);
+  void handOver(Time now, std::vector<Effect>& out);
+  std::optional<Id> successor(Time now) const;
   void countVotes(Time now, std::vector<Effect>& out);
   void lead(Time now, std::vector<Effect>& out);
   void begin(Time now, std::vector<Effect>& out);  // the entry that record_ now holds
@@ -194,6 +206,7 @@
   void on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out);
   void on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out);
   void on(const rpc::VoteResponse& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::TimeoutNow& m, Time now, std::vector<Effect>& out);
 
   PersistentState record_;
   const Timeouts timeouts_;
@@ -207,6 +220,7 @@
   Id formerLeader_ = 0;              // before this one led
   Time formerLeaderHeard_ = -1e9;
   Time heard_ = -1e9, electAt_ = 0, heartbeatAt_ = 0, wonAt_ = 0;
+  std::optional<Time> transferUntil_;  // while leadership is being handed over
   std::uint64_t committed_ = 0, round_ = 0, confirmed_ = 0, late_ = 0;
   std::set<Id> votes_;
   std::map<Id, Peer> peers_;
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -32,7 +32,8 @@
   kTokenRequest,
   kTokenResponse,
   kHeartbeat,
-  kLevels
+  kLevels,
+  kTimeoutNow
 };
 
 // --- Who speaks ---
@@ -69,8 +70,9 @@
 struct VoteRequest {
   static constexpr Kind kKind = kVoteRequest;
   std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
-  bool preVote = false;  // asks whether it would be granted; binds nobody
-  MSGPACK_DEFINE(term, from, lastTerm, index, preVote)
+  bool preVote = false;   // asks whether it would be granted; binds nobody
+  bool handover = false;  // the leader of the term before has stepped down and asked for this election
+  MSGPACK_DEFINE(term, from, lastTerm, index, preVote, handover)
 };
 struct VoteResponse {
   static constexpr Kind kKind = kVoteResponse;
@@ -78,6 +80,11 @@
   bool preVote = false, granted = false;
   MSGPACK_DEFINE(term, from, preVote, granted)
 };
+struct TimeoutNow {  // the leader of `term` has stepped down: who gets this stands for election at once
+  static constexpr Kind kKind = kTimeoutNow;
+  std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
+  MSGPACK_DEFINE(term, from, lastTerm, index)
+};
 struct Join {
   static constexpr Kind kKind = kJoin;
   Member member;
--- a/tests/system/consensus_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -388,6 +388,101 @@
   }
 }
 
+// Change after change while the leader gets SIGTERM: the longest time from one acknowledgement to the next,
+// in ms; least, mean and most of 40 plays.
+struct Spans {
+  double least = 1e9, sum = 0, most = 0;
+};
+Spans longestGapAroundSigterm(unsigned count, bool handsOver) {
+  Spans out;
+  for (unsigned seed = 1; seed <= 40; ++seed) {
+    CAPTURE(seed);
+    Stores s(count, seed);
+    s.play(count == 3 ? "0 start start start" : "0 start start start start start");
+    s.play("2000 put=a");
+    s.run(10.0 * (seed % 20));
+    const double begun = s.now();
+    s.end(*s.leader(), handsOver);
+    double last = begun, longest = 0;
+    for (int i = 0; s.now() < begun + 3000; ++i) {
+      if (!s.put("b" + std::to_string(i), 1500)) continue;
+      longest = std::max(longest, s.now() - last);
+      last = s.now();
+    }
+    out.least = std::min(out.least, longest), out.most = std::max(out.most, longest), out.sum += longest;
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+  return out;
+}
+
+TEST_CASE("a leader that ends hands over: changes go on without an election's wait") {
+  for (const unsigned count : {3u, 5u}) {
+    const Spans waited = longestGapAroundSigterm(count, false), handed = longestGapAroundSigterm(count, true);
+    MESSAGE(
+        count
+        << " replicas, longest gap of acknowledgements around a leader's SIGTERM, least/mean/most: election "
+        << waited.least << "/" << waited.sum / 40 << "/" << waited.most << " ms, handed over " << handed.least
+        << "/" << handed.sum / 40 << "/" << handed.most << " ms");
+    CHECK(handed.most < 300);
+    CHECK(waited.sum > 3 * handed.sum);
+  }
+}
+
+TEST_CASE("a leaving leader with the newest entry alone commits it first, or leaves it without an answer") {
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    Stores s(3, seed);
+    s.play("0 start start start");
+    s.play("2000 put=a");
+    const unsigned leader = *s.leader(), other = (leader + 1 + seed % 2) % 3;
+    if (seed % 3 == 1) s.act(other, "kill");
+    if (seed % 3 == 2) s.act(other, "slow=200");
+    CHECK(s.order(leader, "b"));  // on its disk alone
+    s.end(leader);
+    s.run(10.0 * (seed % 7));
+    const bool lastOne = seed % 3 == 1;  // then one of three is left
+    s.run(300);
+    if (lastOne) s.act(other, "start");
+    s.run(3000);
+    CHECK(s.acknowledged().size() == 2);
+    CHECK(s.put("c"));
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+}
+
+TEST_CASE("leadership is handed over under losses: never two, and an election follows where it fails") {
+  for (unsigned seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    Stores s(seed % 2 ? 3 : 5, seed);
+    s.play(seed % 2 ? "0 start start start" : "0 start start start start start");
+    const unsigned count = seed % 2 ? 3 : 5;
+    s.play("2000 put=a");
+    for (int turn = 0; turn < 10; ++turn) {
+      if (const auto leader = s.leader()) {
+        const unsigned other = (*leader + 1 + random() % (count - 1)) % count;
+        s.order(*leader, "o" + std::to_string(turn));
+        const char* const troubles[] = {"mute", "deaf", "freeze", "slow=200", "kill"};
+        s.act(other, troubles[random() % 5]);
+        if (random() % 3 == 0) s.act(*leader, "mute");
+        s.run(10.0 * (random() % 30));
+        s.end(*leader);
+        s.run(200 + random() % 1500);
+      }
+      for (unsigned i = 0; i < count; ++i) {
+        s.act(i, "heal");
+        s.act(i, "thaw");
+        s.act(i, "slow=0");
+        if (!s.up(i)) s.act(i, "start");
+      }
+      s.put("v" + std::to_string(turn), 100 + random() % 900);
+    }
+    s.run(3000);
+    CHECK(s.put("last"));
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+}
+
 // One replica alone, asked by hand.
 struct Alone {
   explicit Alone(PersistentState record)
@@ -452,6 +547,30 @@
   CHECK(preVoteGranted(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
 }
 
+TEST_CASE("a handed over election is for the one term after, and only then by who hears a leader") {
+  PersistentState record = three(3);
+  record.term = 4;
+  Alone voter(record);
+  voter.core.receive(rpc::AppendRequest{4, 1, 1, 0, 0, 0, false, {}, {}, {}}, 1000);
+  CHECK_FALSE(Alone::voted(voter.core.receive(rpc::VoteRequest{5, 2, 0, 0, false, false}, 1010)));
+  CHECK_FALSE(Alone::voted(voter.core.receive(rpc::VoteRequest{6, 2, 0, 0, false, true}, 1010)));
+  CHECK(voter.core.record().term == 4);
+  CHECK(Alone::voted(voter.core.receive(rpc::VoteRequest{5, 2, 0, 0, false, true}, 1020)));
+  CHECK_FALSE(Alone::voted(voter.core.receive(rpc::VoteRequest{5, 1, 0, 0, false, true}, 1030)));
+  // The one that was told stands only if it is of that term and holds what the leader held.
+  const auto stands = [](Core& core, const rpc::TimeoutNow& message) {
+    const auto term = core.record().term;
+    core.receive(message, 1100);
+    return core.record().term == term + 1 && core.record().votedFor == core.record().self;
+  };
+  Alone told(record);
+  CHECK_FALSE(stands(told.core, {3, 1, 0, 0}));
+  CHECK_FALSE(stands(told.core, {5, 1, 0, 0}));
+  CHECK_FALSE(stands(told.core, {4, 1, 4, 9}));
+  CHECK(stands(told.core, {4, 1, 0, 0}));
+  CHECK_FALSE(stands(told.core, {4, 1, 0, 0}));  // once
+}
+
 // Makes replica 1 lead its two fellows; the time at which it does.
 double lead(Core& core) {
   std::vector<consensus::Effect> out;
--- a/tests/system/timeline.hpp
+++ b/tests/system/timeline.hpp
@@ -78,6 +78,7 @@
     for (auto& letter : due) deliver(letter);
     for (unsigned i = 0; i < replicas_.size(); ++i) {
       Replica& r = replicas_[i];
+      if (r.core && now_ >= r.endAt) r.core.reset();
       if (!awake(r)) continue;
       if (now_ >= r.tickAt) {
         r.tickAt = now_ + 50;
@@ -111,14 +112,22 @@
     carry(i, out);
     return taken;
   }
-  // Asks it for a change, without waiting: false where it does not take it.
+  // Asks it for a change, without waiting: false where it does not take it. Acknowledged once it is
+  // committed.
   bool order(unsigned i, const std::string& value) {
     Replica& r = replicas_[i];
     if (!awake(r) || !r.core->mayPropose()) return false;
     const auto& before = r.core->record().state;
+    orders_[i] = value;
     carry(i, r.core->propose(before.empty() ? value : before + "," + value, now_));
     return r.core->leads();
   }
+  // SIGTERM: it says that it goes, hands leadership over if it has it, and ends 300 ms later.
+  void end(unsigned i, bool handsOver = true) {
+    leave(i);
+    if (handsOver) carry(i, replicas_[i].core->transferLeadership(now_));
+    replicas_[i].endAt = now_ + 300;
+  }
   // An empty replica at the address of another one.
   void takeAddress(unsigned i, unsigned of) {
     replicas_[i].core.reset();
@@ -221,6 +230,7 @@
     std::string ip;
     bool frozen = false, deaf = false, mute = false;
     double tickAt = 0, write = 0, busyUntil = 0;
+    double endAt = 1e18;
     unsigned incarnation = 0, moves = 0;
   };
   struct Letter {
@@ -254,6 +264,8 @@
     ++r.incarnation;
     r.frozen = false;
     r.busyUntil = 0;
+    r.endAt = 1e18;
+    orders_.erase(i);
     r.core = std::make_unique<Core>(r.disk, consensus::Timeouts{}, seats_, &Stores::draw, this, now_);
   }
   void empty(unsigned i, const std::string& ip) {
@@ -299,9 +311,15 @@
             letters_.push_back({at + delay(), i, j, send->to, send->message, r.incarnation, false, {}});
       } else if (std::holds_alternative<consensus::Committed>(effect)) {
         acks_.insert(i);
+        if (const auto order = orders_.find(i); order != orders_.end()) {
+          acknowledged_.push_back(order->second);
+          orders_.erase(order);
+        }
         CHECK_MESSAGE(holds(r.core->record().state, acknowledged_),
                       "what was acknowledged is not in what is committed");
         commits_.insert(r.core->record().state);
+      } else if (std::holds_alternative<consensus::Stepped>(effect)) {
+        orders_.erase(i);
       } else if (const auto* confirmed = std::get_if<consensus::Confirmed>(&effect)) {
         confirm(i, confirmed->round);
       } else if (std::holds_alternative<consensus::Led>(effect)) {
@@ -357,6 +375,7 @@
   std::set<std::string> commits_;
   std::set<unsigned> acks_;
   std::map<std::uint64_t, Id> leaders_;
+  std::map<unsigned, std::string> orders_;  // by replica, not answered yet
   std::vector<Read> reads_;
   std::map<std::tuple<unsigned, unsigned, std::uint64_t>, double> rounds_;  // their beginnings
   std::map<unsigned, std::size_t> confirmations_;
