Config store: service without I/O, links to peers, and wiring apart

main.cpp was one class of 515 lines: nothing of what a store answers could be played in a test. Now service (orders, reads, leases, confirmations: time handed in, connections as numbers, effects as values), bootstrap (the record of an empty disk), peers (links to other stores) and a main that wires sockets, disk and signals. Behaviour is the same, but for the next entry being proposed within the input that committed the one before.

Messages: ConfirmationRequest, and new last fields of LeaderConfirmation (number) and CommandRequest (caller, sequence); nothing uses them yet.

--- /dev/null
+++ b/src/config_store/service.cpp
@@ -0,0 +1,254 @@
+#include "config_store/service.hpp"
+
+#include <utility>
+
+namespace burlwind::config_store {
+namespace {
+
+constexpr Time kProcessStallThreshold = 1000;  // ms between two inputs: this process stood still
+constexpr Time kConfirmationPause = 300;       // ms
+
+}  // namespace
+
+Service::Service(consensus::Core core, State state, Time now)
+    : core_(std::move(core)), state_(std::move(state)), lastInput_(now) {}
+
+// --- Inputs ---
+
+Effects Service::tick(Time now) {
+  Effects out;
+  detectStall(now, out);
+  // Who waits for the duties hears at the next heartbeat that they are free.
+  const bool busy = lease_.busy(now);
+  if (std::exchange(leaseWasBusy_, busy) && !busy) confirmationAt_ = 0;
+  translate(core_.tick(now), now, out);
+  return out;
+}
+
+Effects Service::fromStore(const consensus::Message& message, Time now) {
+  Effects out;
+  detectStall(now, out);
+  translate(core_.receive(message, now), now, out);
+  return out;
+}
+
+Effects Service::joinRequested(const rpc::Member& member, Time now) {
+  Effects out;
+  detectStall(now, out);
+  translate(core_.join(member, now), now, out);
+  return out;
+}
+
+Effects Service::leaveAnnounced(consensus::Id member, Time now) {
+  Effects out;
+  detectStall(now, out);
+  translate(core_.leave(member, now), now, out);
+  return out;
+}
+
+Effects Service::storeReached(Time now) {
+  core_.reached(now);
+  return {};
+}
+
+Effects Service::readerGreeted(ReaderId reader, Time now) {
+  Effects out;
+  detectStall(now, out);
+  readers_[reader] = {};
+  if (core_.leads()) send(reader, configUpdate(), out);
+  confirmationAt_ = 0;
+  return out;
+}
+
+Effects Service::fromReader(ReaderId reader, const ReaderRequest& request, Time now) {
+  Effects out;
+  detectStall(now, out);
+  if (!readers_.contains(reader)) return out;
+  std::visit([&](const auto& m) { on(reader, m, now, out); }, request);
+  return out;
+}
+
+void Service::readerEnded(ReaderId reader) { readers_.erase(reader); }
+
+// Who has stood still answers nothing that came before it woke: orders may have been sent again meanwhile,
+// and taken back.
+void Service::detectStall(Time now, Effects& out) {
+  const bool stalled = now - lastInput_ > kProcessStallThreshold;
+  lastInput_ = now;
+  if (!stalled) return;
+  out.emplace_back(StallDetected{});
+  translate(core_.tick(now), now, out);
+  for (const auto& [reader, known] : readers_) out.emplace_back(CloseReader{reader});
+  readers_.clear();
+}
+
+// --- What the agreement says ---
+
+void Service::translate(const std::vector<consensus::Effect>& effects, Time now, Effects& out) {
+  for (const auto& effect : effects) translateOne(effect, now, out);
+  proposeNext(now, out);
+}
+
+void Service::translateOne(const consensus::Effect& effect, Time now, Effects& out) {
+  if (std::holds_alternative<consensus::Persist>(effect)) {
+    out.emplace_back(Persist{});
+  } else if (const auto* send = std::get_if<consensus::Send>(&effect)) {
+    out.emplace_back(SendToStore{send->to, send->message});
+  } else if (std::holds_alternative<consensus::Committed>(effect)) {
+    committed(now, out);
+  } else if (std::holds_alternative<consensus::Led>(effect)) {
+    leadershipGained(now, out);
+  } else if (std::holds_alternative<consensus::Stepped>(effect)) {
+    leadershipLost(out);
+  } else if (const auto* confirmed = std::get_if<consensus::Confirmed>(&effect)) {
+    roundConfirmed(confirmed->round, now, out);
+  }
+}
+
+void Service::committed(Time now, Effects& out) {
+  unpack(core_.record().state, state_);
+  ownerAgreed(now, out);
+  for (const JudgedOrder& order : std::exchange(underWay_, {}))
+    send(order.reader, rpc::CommandResponse{order.number, order.judged.status, order.judged.text}, out);
+  for (const auto& member : core_.record().members) out.emplace_back(DialStore{member.ip});
+  if (core_.leads()) sendToAll(configUpdate(), out);
+}
+
+void Service::leadershipGained(Time now, Effects& out) {
+  out.emplace_back(LeadershipGained{core_.record().term, core_.record().index});
+  lease_.lead(state_.owner, now);
+  nextOwner_.reset();
+  lately_ = {};
+  confirmationAt_ = 0;
+}
+
+// Whether what was under way lasts is not known here: the links' ends say so, as no clear answer.
+void Service::leadershipLost(Effects& out) {
+  out.emplace_back(LeadershipLost{core_.record().term});
+  underWay_.clear();
+  orders_.clear();
+  reads_.clear();
+  leases_.clear();
+  nextOwner_.reset();
+  for (const auto& [reader, known] : readers_) out.emplace_back(CloseReader{reader});
+  readers_.clear();
+}
+
+void Service::roundConfirmed(std::uint64_t round, Time now, Effects& out) {
+  if (!core_.leads()) return;
+  std::erase_if(reads_, [&](const PendingRead& read) {
+    if (read.round > round) return false;
+    send(read.reader, rpc::CommandResponse{read.number, 200, state_.configuration}, out);
+    return true;
+  });
+  std::erase_if(leases_, [&](const PendingLease& asked) {
+    if (asked.round > round) return false;
+    answerLease(asked, now, out);
+    return true;
+  });
+  if (now < confirmationAt_) return;
+  confirmationAt_ = now + kConfirmationPause;
+  sendToAll(leaderConfirmation(now), out);
+}
+
+// All that waits becomes one entry, each order judged on top of those before it.
+void Service::proposeNext(Time now, Effects& out) {
+  if ((orders_.empty() && !nextOwner_) || !core_.mayPropose()) return;
+  State next = state_;
+  if (nextOwner_)
+    next.owner = {nextOwner_->request.ip, nextOwner_->request.incarnation, state_.owner.epoch + 1};
+  for (const WaitingOrder& order : std::exchange(orders_, {})) {
+    const Judged judged = apply(next, lately_, order.request, now);
+    out.emplace_back(OrderJudged{order.request.what, judged.status, judged.text});
+    underWay_.push_back({order.reader, order.request.number, judged});
+  }
+  // What changes nothing is answered only once this replica is known to lead still.
+  translate(core_.propose(pack(next), now), now, out);
+}
+
+// --- What readers ask ---
+
+void Service::on(ReaderId reader, const rpc::CommandRequest& request, Time now, Effects& out) {
+  if (!core_.leads()) return send(reader, rpc::CommandResponse{request.number, 503, "does not lead"}, out);
+  orders_.push_back({reader, request});
+  proposeNext(now, out);
+}
+
+void Service::on(ReaderId reader, const rpc::ReadRequest& request, Time now, Effects& out) {
+  if (!core_.leads()) return send(reader, rpc::CommandResponse{request.number, 503, "does not lead"}, out);
+  std::vector<consensus::Effect> effects;
+  const std::uint64_t round = core_.confirm(now, effects);
+  reads_.push_back({round, reader, request.number});
+  translate(effects, now, out);
+}
+
+void Service::on(ReaderId reader, const rpc::LeaseRequest& request, Time now, Effects& out) {
+  if (!core_.leads()) return;
+  const PendingLease asked{core_.nextRound(), reader, request};
+  // What the owner asks waits for the next heartbeat; a change of it is confirmed by its being agreed on.
+  if (request.incarnation == state_.owner.incarnation) return leases_.push_back(asked);
+  answerLease(asked, now, out);
+  proposeNext(now, out);
+}
+
+void Service::on(ReaderId, const rpc::ConfirmationRequest&, Time, Effects&) {}  // not answered yet
+
+// --- The lease of the registries' duties ---
+
+void Service::answerLease(const PendingLease& asked, Time now, Effects& out) {
+  if (nextOwner_) return sendLease(asked, 0, out);  // also to the owner: it may be none in a moment
+  const rpc::LeaseRequest& request = asked.request;
+  const lease::Applicant applicant{request.ip, request.incarnation, request.epoch, request.wants};
+  const auto decision = lease_.ask(state_.owner, applicant, now);
+  if (decision == lease::LeaseGrantor::Decision::grant)
+    sendLease(asked, lease::kLeaseSpan, out);
+  else if (decision == lease::LeaseGrantor::Decision::agree)
+    nextOwner_ = asked;  // proposed with the next entry
+  else
+    sendLease(asked, 0, out);
+}
+
+void Service::sendLease(const PendingLease& asked, double span, Effects& out) {
+  send(asked.reader, rpc::LeaseResponse{asked.request.number, span, state_.owner.epoch}, out);
+}
+
+// It is the owner that all agree on now, and nobody else was granted anything since it asked.
+void Service::ownerAgreed(Time now, Effects& out) {
+  if (!nextOwner_ || state_.owner.incarnation != nextOwner_->request.incarnation) return;
+  lease_.granted(now);
+  sendLease(*nextOwner_, lease::kLeaseSpan, out);
+  nextOwner_.reset();
+  confirmationAt_ = 0;
+}
+
+// --- What readers are told ---
+
+void Service::send(ReaderId reader, ReaderMessage message, Effects& out) {
+  if (readers_.contains(reader)) out.emplace_back(SendToReaders{{reader}, std::move(message)});
+}
+
+void Service::sendToAll(ReaderMessage message, Effects& out) {
+  if (readers_.empty()) return;
+  std::vector<ReaderId> all;
+  for (const auto& [reader, known] : readers_) all.push_back(reader);
+  out.emplace_back(SendToReaders{std::move(all), std::move(message)});
+}
+
+std::vector<std::string> Service::storeIps() const {
+  std::vector<std::string> out;
+  for (const auto& member : core_.record().members) out.push_back(member.ip);
+  return out;
+}
+
+rpc::ConfigUpdate Service::configUpdate() const {
+  std::vector<std::string> zones;
+  for (const auto& [zone, count] : state_.evacuated) zones.push_back(zone);
+  return {core_.record().term, core_.committed(), state_.configuration, std::move(zones), storeIps()};
+}
+
+rpc::LeaderConfirmation Service::leaderConfirmation(Time now) const {
+  const std::string holder = lease_.busy(now) ? state_.owner.ip : std::string();
+  return {core_.record().term, core_.committed(), holder, state_.owner.epoch, storeIps(), 0};
+}
+
+}  // namespace burlwind::config_store
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -32,7 +32,8 @@
   kTokenRequest,
   kTokenResponse,
   kHeartbeat,
-  kLevels
+  kLevels,
+  kConfirmationRequest
 };
 
 // --- Who speaks ---
@@ -97,20 +98,31 @@
   std::vector<std::string> stores;  // ips
   MSGPACK_DEFINE(term, index, configuration, evacuated, stores)
 };
-struct LeaderConfirmation {  // the leader has just heard a majority
+struct ConfirmationRequest {  // a reader asks whether this store still leads
+  static constexpr Kind kKind = kConfirmationRequest;
+  std::uint64_t number = 0;  // grows with each question of this reader; from 1
+  MSGPACK_DEFINE(number)
+};
+// The leader has heard a majority in a round that it began after the reader's question `number` came.
+struct LeaderConfirmation {
   static constexpr Kind kKind = kLeaderConfirmation;
   std::uint64_t term = 0, index = 0;
   std::string holder;       // of the duties' lease: ip; empty: nobody
   std::uint64_t epoch = 0;  // of the owner of the duties that is agreed on
   std::vector<std::string> stores;
-  MSGPACK_DEFINE(term, index, holder, epoch, stores)
+  std::uint64_t number = 0;  // the newest question that is covered; 0: none, only a hint whom to ask
+  MSGPACK_DEFINE(term, index, holder, epoch, stores, number)
 };
+// An order of an operator. `caller` and `sequence` name the call that the registry accepted, so that its own
+// repeats of it are one order, whoever leads.
 struct CommandRequest {
   static constexpr Kind kKind = kCommandRequest;
-  std::uint64_t number = 0;
-  std::string what;  // "config", "evacuate", "return"
-  std::string body;  // the configuration, or the zone
-  MSGPACK_DEFINE(number, what, body)
+  std::uint64_t number = 0;  // of this question on its link
+  std::string what;          // "config", "evacuate", "return"
+  std::string body;          // the configuration, or the zone
+  std::uint64_t caller = 0;  // incarnation of the registry; 0: not told
+  std::uint64_t sequence = 0;
+  MSGPACK_DEFINE(number, what, body, caller, sequence)
 };
 struct ReadRequest {
   static constexpr Kind kKind = kReadRequest;
