Registry: main only wires, one module a job

registry/main.cpp held one class of 560 lines with leader, lease, quotas, sessions, orders and calls in it. Now: leader_tracker and duty_lease (decisions, without I/O), order_forwarder, list_reader, quota_service, proxy_sessions, registry_peers, outside_calls, dialer_set; main wires them.

--- /dev/null
+++ b/src/registry/outside_calls.cpp
@@ -0,0 +1,52 @@
+#include "registry/outside_calls.hpp"
+
+#include <utility>
+
+namespace burlwind::registry {
+namespace {
+
+using control_api::Call;
+using control_api::message;
+using control_api::Reply;
+
+constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
+
+}  // namespace
+
+asio::awaitable<Reply> OutsideCalls::order(std::string what, std::string body) {
+  LeaderAnswer answer = co_await orders_.order(std::move(what), std::move(body));
+  co_return Reply(answer.status, message(answer.text));
+}
+
+asio::awaitable<Reply> OutsideCalls::readConfiguration() {
+  LeaderAnswer answer = co_await orders_.read();
+  if (answer.status != 200) co_return Reply(answer.status, message(answer.text));
+  if (answer.text.empty()) co_return Reply(404, message("no configuration yet"));
+  co_return Reply(200, answer.text);
+}
+
+asio::awaitable<Reply> OutsideCalls::control(Call call) {
+  if (!call.is("POST", {"api", "rpc"})) co_return Reply(404, message("no such call"));
+  const std::string name = call.asked("call");
+  if (name == "config.replace") co_return co_await order("config", std::move(call.body));
+  if (name == "evacuate.begin" || name == "evacuate.finish") {
+    const std::string zone = call.asked("of");
+    if (!settings_.regionOf.contains(zone)) co_return Reply(400, message("no such zone: " + zone));
+    std::string what = name == "evacuate.begin" ? "evacuate" : "return";
+    co_return co_await order(std::move(what), zone);
+  }
+  if (name == "config.read") co_return co_await readConfiguration();
+  co_return Reply(404, message("no such call: " + name));
+}
+
+asio::awaitable<Reply> OutsideCalls::directory(Call call) {
+  if (!call.is("GET", {"api", "lookup"})) co_return Reply(404, message("no such call"));
+  const auto all =
+      registry_.addresses(call.asked("region"), call.asked("zone"), kLeastAddresses, kMostAddresses, random_);
+  if (all.empty()) co_return Reply(503, message("no gatekeeper is ready"));
+  std::string out = "{\"addresses\":[";
+  for (std::size_t i = 0; i < all.size(); ++i) out += (i ? ",\"" : "\"") + all[i] + "\"";
+  co_return Reply(200, out + "],\"ttl\":\"2s\"}");
+}
+
+}  // namespace burlwind::registry
--- /dev/null
+++ b/src/registry/proxy_sessions.cpp
@@ -0,0 +1,69 @@
+#include "registry/proxy_sessions.hpp"
+
+#include "program/log.hpp"
+
+namespace burlwind::registry {
+namespace {
+constexpr double kSessionTimeout = 1500;  // ms: a proxy that says nothing for so long is gone
+}
+
+void ProxySessions::greet(const LinkPtr& link, const rpc::Handshake& handshake, double now) {
+  for (auto& [other, session] : sessions_)
+    if (session.seat.name == handshake.name && other != link) other->close();
+  Session& session = sessions_[link];
+  session.seat.name = handshake.name, session.seat.front = handshake.front;
+  session.seat.zone = handshake.zone, session.seat.region = handshake.region;
+  session.seat.incarnation = handshake.incarnation, session.seat.linkMbps = handshake.linkMbps;
+  session.heard = now;
+  program::info("session", {{"proxy", handshake.name}});
+  hooks_.welcome(link);
+}
+
+bool ProxySessions::arrived(const LinkPtr& link, const rpc::Arrived& arrived, double now) {
+  const auto found = sessions_.find(link);
+  if (found == sessions_.end()) return false;
+  Session& session = found->second;
+  session.heard = now;
+  if (rpc::Status status; arrived.kind == rpc::kStatus && arrived.read(status)) {
+    onStatus(session, status, now);
+  } else if (rpc::TokenRequest request; arrived.kind == rpc::kTokenRequest && arrived.read(request)) {
+    request.proxy = session.seat.name, request.incarnation = session.seat.incarnation;
+    hooks_.demand(request);
+  }
+  return true;
+}
+
+void ProxySessions::onStatus(Session& session, const rpc::Status& status, double now) {
+  const bool changed = session.seat.ready != status.ready;
+  session.index = status.index, session.workers = status.workers;
+  session.seat.ready = status.ready, session.seat.age = status.age, session.seat.quiet = status.quiet;
+  session.seat.place(now);
+  registry_.seat(session.seat, now);
+  if (changed) hooks_.changed();
+}
+
+void ProxySessions::ended(const LinkPtr& link, double now) {
+  const auto found = sessions_.find(link);
+  if (found == sessions_.end()) return;
+  program::info("session ends", {{"proxy", found->second.seat.name}});
+  registry_.unseat(found->second.seat.name, found->second.seat.incarnation, now);
+  sessions_.erase(found);
+  hooks_.changed();
+}
+
+void ProxySessions::closeSilent(double now) {
+  for (auto& [link, session] : sessions_)
+    if (now - session.heard > kSessionTimeout) link->close();
+}
+
+void ProxySessions::broadcast(const std::string& frame) {
+  for (auto& [link, session] : sessions_) link->send(frame);
+}
+
+void ProxySessions::tell(const rpc::TokenResponse& response) {
+  for (auto& [link, session] : sessions_)
+    if (session.seat.name == response.proxy && session.seat.incarnation == response.incarnation)
+      link->tell(response);
+}
+
+}  // namespace burlwind::registry
--- /dev/null
+++ b/src/registry/proxy_sessions.hpp
@@ -0,0 +1,47 @@
+// Sessions of the proxies with this registry: who is linked, what each has told of itself. The newest session
+// of a proxy is the one that counts.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "registry/dialer_set.hpp"
+#include "registry/registry.hpp"
+#include "rpc/link.hpp"
+#include "rpc/messages.hpp"
+
+namespace burlwind::registry {
+
+class ProxySessions {
+ public:
+  struct Hooks {
+    std::function<void(const LinkPtr&)> welcome;  // a new session: tell it what is known
+    std::function<void()> changed;                // other registries must be told
+    std::function<void(const rpc::TokenRequest&)> demand;
+  };
+  ProxySessions(Registry& registry, Hooks hooks) : registry_(registry), hooks_(std::move(hooks)) {}
+
+  void greet(const LinkPtr& link, const rpc::Handshake& handshake, double now);
+  // False where the link is no session.
+  bool arrived(const LinkPtr& link, const rpc::Arrived& arrived, double now);
+  void ended(const LinkPtr& link, double now);
+  void closeSilent(double now);
+  void broadcast(const std::string& frame);
+  void tell(const rpc::TokenResponse& response);  // to the proxy that it names, where it is here
+
+ private:
+  struct Session {
+    rpc::ProxySession seat;
+    double heard = 0;
+    std::uint64_t index = 0, workers = 0;  // in force there
+  };
+  void onStatus(Session& session, const rpc::Status& status, double now);
+
+  Registry& registry_;
+  const Hooks hooks_;
+  std::map<LinkPtr, Session> sessions_;
+};
+
+}  // namespace burlwind::registry
