Proxy: what a worker's answer means is decided in a core without sockets

Also found: 1xx other than 100 were passed on as answers; a success without seal was passed on; an own refusal of HEAD carried a body, whose bytes stood where the next answer is due; connecting (400 ms) came on top of the request's time; a timer that had fired in the turn in which its exchange ended closed the next one's connection.

Change: worker_exchange (bytes in, typed outcome and reusability out), idle_connections, retry_policy, routing and message_text decide; worker_side, client_server, token_gate and forwarder move bytes; proxy.cpp only wires. An answer is the request's own only with exactly one Try-Id, its own. A request without an id takes a connection of its own. What took not a byte of the request has certainly not run, and an idle connection that takes nothing is replaced by a new one. program/deadline.hpp: a deadline that was disarmed never passes. The bodies' budget is shared by the connections, whose coroutines end after the proxy object.

--- /dev/null
+++ b/src/proxy/client_server.cpp
@@ -0,0 +1,198 @@
+#include "proxy/client_server.hpp"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include "program/deadline.hpp"
+#include "program/listen.hpp"
+#include "program/log.hpp"
+#include "program/start.hpp"
+#include "proxy/message_text.hpp"
+
+namespace burlwind::proxy {
+namespace {
+
+using asio::redirect_error;
+using asio::use_awaitable;
+using program::now;
+
+constexpr int kBacklog = 1024;
+constexpr auto kAcceptPause = std::chrono::milliseconds(20);  // after an error: no descriptors
+constexpr double kBodyWithinMs = 20000;                       // beside what a head may take
+constexpr double kWriteWithinMs = 10000;
+constexpr double kNoRoomRetryMs = 1000;  // until there may be room for a body again
+
+using Parser = http::request_parser<http::string_body>;
+
+// Bytes that a body holds, or will, by what is known of it.
+std::size_t bodyBytes(const Parser& parser) {
+  const auto told = parser.content_length();
+  return std::max<std::size_t>(parser.get().body().size(), told ? static_cast<std::size_t>(*told) : 0);
+}
+
+bool expectsContinue(const Parser& parser) {
+  return parser.is_header_done() && beast::iequals(parser.get()[http::field::expect], "100-continue");
+}
+
+// What the client did can be told to it: not the connection's end, but bytes that are no proper request.
+bool isBadRequest(const Error& error) {
+  if (error.category() != http::make_error_code(http::error::bad_version).category()) return false;
+  return error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+unsigned statusOf(const Error& badRequest) {
+  if (badRequest == http::error::header_limit) return 431;
+  return badRequest == http::error::body_limit ? 413 : 400;
+}
+
+}  // namespace
+
+struct ClientServer::Connection {
+  Connection(Tcp::socket s, asio::io_context& io, std::shared_ptr<Budget> all)
+      : socket(std::move(s)), deadline(io), budget(std::move(all)), bytes(*budget) {}
+  Tcp::socket socket;
+  program::Deadline deadline;
+  beast::flat_buffer in;  // read, and not yet part of a request
+  const std::shared_ptr<Budget> budget;
+  Budget::Share bytes;  // of the request at work
+  bool idle = true;     // no byte of a request has come
+  void close() {
+    Error ignored;
+    socket.close(ignored);
+    deadline.disarm();
+  }
+  static void closeAfter(const ConnectionPtr& connection, double ms) {
+    connection->deadline.arm(ms, [weak = std::weak_ptr<Connection>(connection)] {
+      if (const auto late = weak.lock()) late->close();
+    });
+  }
+};
+
+ClientServer::ClientServer(asio::io_context& io, std::shared_ptr<Budget> bytes, Limits limits,
+                           Handler handler)
+    : io_(io),
+      bytes_(std::move(bytes)),
+      limits_(std::move(limits)),
+      handler_(std::move(handler)),
+      acceptor_(io) {}
+
+Error ClientServer::listen(const std::string& ip, std::uint16_t port) {
+  const Error error = program::listenAt(acceptor_, ip, port, kBacklog);
+  if (!error) asio::co_spawn(io_, accept(), asio::detached);
+  return error;
+}
+
+void ClientServer::stopAccepting() {
+  Error ignored;
+  acceptor_.close(ignored);
+}
+
+void ClientServer::closeIdle() {
+  for (const auto& connection : std::set<ConnectionPtr>(connections_))
+    if (connection->idle) connection->close();
+}
+
+asio::awaitable<void> ClientServer::accept() {
+  asio::steady_timer pause(io_);
+  while (acceptor_.is_open()) {
+    Error error;
+    Tcp::socket socket = co_await acceptor_.async_accept(redirect_error(use_awaitable, error));
+    if (!acceptor_.is_open()) co_return;
+    if (error) {
+      pause.expires_after(kAcceptPause);
+      co_await pause.async_wait(redirect_error(use_awaitable, error));
+      continue;
+    }
+    socket.set_option(Tcp::no_delay(true), error);
+    auto connection = std::make_shared<Connection>(std::move(socket), io_, bytes_);
+    connections_.insert(connection);
+    asio::co_spawn(io_, serve(connection), asio::detached);
+  }
+}
+
+asio::awaitable<void> ClientServer::serve(ConnectionPtr connection) {
+  for (bool goOn = true; goOn && connection->socket.is_open();) {
+    ClientRequest request;
+    request.bytes = &connection->bytes;
+    const Read read = co_await readRequest(connection, request);
+    if (read == Read::ended) break;
+    if (read == Read::request) co_await handler_(request);
+    goOn = read == Read::request && request.message.keep_alive() && !closeBehindAnswers_;
+    ++answers_[{request.answer.statusCode(),
+                request.answer.fromWorker ? std::string_view("a worker's") : request.answer.reason}];
+    const bool written = co_await writeAnswer(connection, request, !goOn);
+    if (!written) break;
+    connection->bytes.shrinkTo(0);
+  }
+  connection->close();
+  connections_.erase(connection);
+}
+
+asio::awaitable<ClientServer::Read> ClientServer::readRequest(ConnectionPtr connection,
+                                                              ClientRequest& request) {
+  const config::ClientLimits limits = limits_();
+  Parser parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits.header));
+  parser.body_limit(std::min<std::uint64_t>(limits.body, kMostBody));
+  auto& in = connection->in;
+  connection->idle = in.size() == 0;
+  bool toldToContinue = false;
+  Connection::closeAfter(connection, connection->idle ? limits.idle : limits.headerRead);
+  Error error;
+  while (!parser.is_done()) {
+    if (in.size() > 0 && feed(parser, in, error)) break;
+    if (error) break;
+    // What will not fit is refused by its head; what tells no length, once it does not fit any more.
+    if (parser.is_header_done() && !connection->bytes.growTo(2 * bodyBytes(parser))) {
+      request.arrivedAt = now();
+      request.answer.refuse(503, "too many bytes are held", kNoRoomRetryMs);
+      co_return Read::refused;
+    }
+    if (!toldToContinue && expectsContinue(parser)) {
+      toldToContinue = true;
+      static const std::string go = "HTTP/1.1 100 Continue\r\n\r\n";
+      co_await asio::async_write(connection->socket, asio::buffer(go), redirect_error(use_awaitable, error));
+    }
+    const std::size_t read = co_await connection->socket.async_read_some(
+        in.prepare(kReadStep), redirect_error(use_awaitable, error));
+    if (error) break;
+    in.commit(read);
+    if (!connection->idle) continue;
+    connection->idle = false;
+    Connection::closeAfter(connection, limits.headerRead + kBodyWithinMs);
+  }
+  connection->deadline.disarm();
+  if (!connection->socket.is_open()) co_return Read::ended;
+  request.arrivedAt = now();
+  if (error) {
+    if (!isBadRequest(error)) co_return Read::ended;
+    request.answer.refuse(statusOf(error), "it does not read");
+    co_return Read::refused;
+  }
+  request.message = parser.release();
+  if (plainFraming(request.message)) co_return Read::request;
+  request.answer.refuse(400, "its length is told in two ways");
+  co_return Read::refused;
+}
+
+asio::awaitable<bool> ClientServer::writeAnswer(ConnectionPtr connection, const ClientRequest& request,
+                                                bool close) {
+  const std::string text = clientAnswerText(request, close);
+  Connection::closeAfter(connection, kWriteWithinMs);
+  Error error;
+  co_await asio::async_write(connection->socket, asio::buffer(text), redirect_error(use_awaitable, error));
+  connection->deadline.disarm();
+  co_return !error;
+}
+
+void ClientServer::report() {
+  for (const auto& [what, count] : std::exchange(answers_, {}))
+    program::info("answers", {{"status", what.first}, {"why", what.second}, {"count", count}});
+}
+
+}  // namespace burlwind::proxy
