Model checking: handover, learners and divided starts; what is committed counts from its leader's term

Cause: the core hands leadership over and takes learners now; and an entry that a later leader's entry was made from is committed in that leader's term, so a leader of a term between owes nothing (the scenario 'divided' took it for a violation: a fault of the property).

--- a/src/model_checking/cluster.hpp
+++ b/src/model_checking/cluster.hpp
@@ -78,6 +78,8 @@
   StepResult read(unsigned replica, Notes* notes);
   StepResult join(unsigned leader, unsigned applicant, PowerLoss loss, Notes* notes);
   StepResult leave(unsigned leader, unsigned leaving, PowerLoss loss, Notes* notes);
+  // The leader is about to end, and hands leadership over.
+  StepResult transferLeadership(unsigned leader, PowerLoss loss, Notes* notes);
   // The process ends, or the machine loses its power, between two steps; it starts again from its disk.
   void restart(unsigned replica);
   // Its disk is lost: it starts with an empty one, thus a new id; at the same or at another address.
@@ -97,6 +99,7 @@
     unsigned life = 0;
     std::vector<Round> rounds;  // of its own, in its term, not yet confirmed
     EntryNumber served;         // what its host would hand out
+    std::uint64_t servedInTerm = 0;
     Fingerprint fingerprint = 0;
   };
   using ReplicaPtr = std::shared_ptr<const Replica>;
@@ -108,7 +111,7 @@
   StepResult carryOut(Replica& changed, const Replica& before, const std::vector<consensus::Effect>& effects,
                       PowerLoss loss, Notes* notes);
   void carryOutSend(Replica& changed, const consensus::Send& send, StepResult& result, Notes* notes);
-  void carryOutCommitted(Replica& changed);
+  void carryOutCommitted(Replica& changed, const Replica& before);
   void carryOutConfirmed(Replica& changed, const Replica& before, std::uint64_t round);
 
   unsigned seats_;
--- a/src/model_checking/letter.cpp
+++ b/src/model_checking/letter.cpp
@@ -28,7 +28,7 @@
 std::string text(const rpc::VoteRequest& m) {
   std::ostringstream out;
   out << (m.preVote ? "PreVoteRequest(term " : "VoteRequest(term ") << m.term << ", holds "
-      << entry(m.lastTerm, m.index) << ")";
+      << entry(m.lastTerm, m.index) << (m.handover ? ", handed over)" : ")");
   return out.str();
 }
 
@@ -39,6 +39,10 @@
   return out.str();
 }
 
+std::string text(const rpc::TimeoutNow& m) {
+  return "TimeoutNow(term " + std::to_string(m.term) + ", entry " + entry(m.lastTerm, m.index) + ")";
+}
+
 }  // namespace
 
 LetterPtr makeLetter(consensus::Id from, const consensus::Send& send) {
--- a/src/model_checking/play.hpp
+++ b/src/model_checking/play.hpp
@@ -29,6 +29,7 @@
   powerLossOfAll,
   wipe,      // its disk is lost; an empty one starts after `span`
   replace,   // the same, at another address
+  transfer,  // it hands leadership over where it leads, says that it goes, ends, and starts after `span`
   retire,    // it says that it goes, ends, and is replaced
   cut,       // nothing passes from `replica` to `other` for `span`
   isolate,   // nothing passes from or to it for `span`
--- a/src/model_checking/properties.hpp
+++ b/src/model_checking/properties.hpp
@@ -7,7 +7,8 @@
 //  2. Of two committed entries, one was made from the other. An entry is committed only when majorities of
 //  its
 //     members, and of the outgoing ones while they change, have it synced.
-//  3. What was committed is in the state of each leader of a later term.
+//  3. What was committed is in the state of each leader of a later term: later than that of the leader which
+//     committed it, or an entry that was made from it.
 //  4. A round is confirmed only when majorities have processed it or a later one of the same term, and less
 //     than the shortest election timeout after it was begun on the leader's clock. What the leader hands out
 //     then holds everything that was committed anywhere before the round was begun.
@@ -84,7 +85,8 @@
   void leaderSpoke(std::uint64_t term, Id leader);
   // A replica has processed a leader's round in that leader's term.
   void answered(Id replica, std::uint64_t term, std::uint64_t round);
-  void committed(Id leader, EntryNumber entry);
+  // The leader of `term` tells its host that this entry is committed.
+  void committed(Id leader, std::uint64_t term, EntryNumber entry);
   // `before`, `after`: the members by the leader's record on both sides of the step that confirms.
   void confirmed(std::uint64_t term, std::uint64_t round, Time age, const Membership& before,
                  const Membership& after);
@@ -105,6 +107,7 @@
     Membership membership;
     std::vector<Id> holders;  // have had it synced
     bool committed = false;   // or made into one that is
+    std::uint64_t committedInTerm = 0;
   };
   struct Leader {
     std::uint64_t term;
--- a/src/model_checking/scenario.hpp
+++ b/src/model_checking/scenario.hpp
@@ -23,23 +23,28 @@
   unsigned disksLost = 0;    // at the same address or at another one
   unsigned joins = 0;        // a replica that is no member asks a leader
   unsigned leaves = 0;       // a member tells a leader that it goes
+  unsigned transfers = 0;    // a leader is about to end, and hands leadership over
   bool operator==(const Budget&) const = default;
 };
 
 enum class Start {
   cold,     // nobody has been elected yet
   settled,  // the first replica leads, its first entry is held by all members and committed
-  ordered   // settled, with one order committed and held by all members
+  ordered,  // settled, with one order committed and held by all members
+  silent,   // ordered, and the last member has said nothing for so long that it may be replaced
+  learner,  // silent, and its successor at another address has got the state; its first answer is on its way
+  divided   // each of the first two has led and holds an entry that nobody else has; nobody leads
 };
 
 struct Scenario {
-  std::string name;
-  std::string summary;
+  std::string name = {};
+  std::string summary = {};
   Start start = Start::settled;
-  Budget budget;
+  Budget budget = {};
   unsigned depth = 0;  // unless another is asked for
-  unsigned applicants = 0;
   unsigned members = 3;
+  unsigned applicants = 0;  // empty replicas that nobody knows yet
+  consensus::Timeouts timeouts = {};
   std::vector<Property> unchecked = {};
 };
 
--- a/src/model_checking/world.hpp
+++ b/src/model_checking/world.hpp
@@ -37,7 +37,8 @@
   wipe,
   replace,
   join,
-  leave
+  leave,
+  transfer
 };
 
 struct Event {
@@ -73,9 +74,18 @@
   void pause(unsigned replica, Notes* notes);
   void send(const std::vector<Sent>& sent);
   void dropVoid();
+  // --- The start ---
+  void begin(Start start);
   void settle();
+  void beSilent();
+  void beLearner();
+  void beDivided();
+  void act(EventKind kind, unsigned replica, unsigned other = 0);
+  void deliverAllTo(unsigned replica);
 
   Cluster cluster_;
+  consensus::Timeouts timeouts_;
+  unsigned members_;
   Budget budget_;
   unsigned orders_ = 0;
   std::vector<LetterPtr> letters_;  // by fingerprint
