--- /dev/null
+++ b/tests/model_checking/planted_bugs_test.cpp
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
