--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -31,7 +31,7 @@
 constexpr double kWriteTimeout = 10000;  // ms, until a process whose disk refuses all ends
 constexpr auto kWritePause = std::chrono::milliseconds(100);  // between tries
 constexpr double kSlowWrite = 200;                            // ms, from which on it is logged
-constexpr auto kLeavePause = std::chrono::milliseconds(300);  // for the others to hear of the leave
+constexpr auto kLeavePause = std::chrono::milliseconds(300);  // for the others to hear of it, and to lead
 
 std::uint64_t drawId() {
   std::random_device device;
@@ -201,11 +201,14 @@
       case rpc::kVoteResponse:
         receive<rpc::VoteResponse>(arrived);
         break;
+      case rpc::kTimeoutNow:
+        receive<rpc::TimeoutNow>(arrived);
+        break;
       case rpc::kJoin:
         joinRequested(arrived);
         break;
       case rpc::kLeave:
-        if (rpc::Leave m; arrived.read(m)) carryOut(service_->leaveAnnounced(m.from, now()));
+        if (rpc::Leave m; arrived.read(m)) carryOut(service_->leaveAnnounced(m.from, now(), m.incarnation));
         break;
       default:
         return false;
@@ -305,7 +308,8 @@
   }
 
   void leave() {
-    peers_.sendToAll(rpc::Leave{service_->record().self});
+    peers_.sendToAll(rpc::Leave{service_->record().self, service_->incarnation()});
+    carryOut(service_->transferLeadership(now()));
     endTimer_.expires_after(kLeavePause);
     endTimer_.async_wait([this](const rpc::Error&) {
       peers_.close();
--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -39,10 +39,17 @@
   return out;
 }
 
-Effects Service::leaveAnnounced(consensus::Id member, Time now) {
+Effects Service::leaveAnnounced(consensus::Id member, Time now, std::uint64_t incarnation) {
   Effects out;
   detectStall(now, out);
-  translate(core_.leave(member, now), now, out);
+  translate(core_.leave(member, now, incarnation), now, out);
+  return out;
+}
+
+Effects Service::transferLeadership(Time now) {
+  Effects out;
+  detectStall(now, out);
+  translate(core_.transferLeadership(now), now, out);
   return out;
 }
 
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -73,7 +73,10 @@
   // --- The other stores ---
   Effects fromStore(const consensus::Message& message, Time now);
   Effects joinRequested(const rpc::Member& member, Time now);
-  Effects leaveAnnounced(consensus::Id member, Time now);
+  // `incarnation`: of the process that ends; 0: not told.
+  Effects leaveAnnounced(consensus::Id member, Time now, std::uint64_t incarnation = 0);
+  // This process is about to end: another store is made leader where this one is.
+  Effects transferLeadership(Time now);
   Effects storeReached(Time now);  // a link to another store has come up
   // --- Readers ---
   Effects readerGreeted(ReaderId reader, Time now);
@@ -83,6 +86,7 @@
   void setSeats(unsigned seats) { core_.setSeats(seats); }
   const consensus::PersistentState& record() const { return core_.record(); }
   bool leads() const { return core_.leads(); }
+  std::uint64_t incarnation() const { return core_.incarnation(); }  // of this process
   // It is no member, or has not heard of a leader: it asks to be let in.
   bool wantsToJoin(Time now) const { return !core_.member() || !core_.leaderIsKnown(now); }
 
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <poll.h>
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -60,6 +61,27 @@
     said_.erase(0, at + what.size());
     return true;
   }
+  // Which of these says it first, read as above; none: all end before.
+  static Process* firstToSay(const std::vector<Process*>& processes, const std::string& what) {
+    std::vector<pollfd> open;
+    for (const Process* process : processes) open.push_back({process->out_, POLLIN, 0});
+    while (true) {
+      for (Process* process : processes)
+        if (const auto at = process->said_.find(what); at != std::string::npos)
+          return process->said_.erase(0, at + what.size()), process;
+      if (std::all_of(open.begin(), open.end(), [](const pollfd& p) { return p.fd < 0; })) return nullptr;
+      REQUIRE(::poll(open.data(), open.size(), -1) > 0);
+      for (std::size_t i = 0; i < open.size(); ++i) {
+        if (open[i].revents == 0) continue;
+        char piece[512];
+        const auto n = ::read(open[i].fd, piece, sizeof piece);
+        if (n > 0)
+          processes[i]->said_.append(piece, static_cast<std::size_t>(n));
+        else
+          open[i].fd = -1;
+      }
+    }
+  }
   // The same for several, in whatever order they are said.
   bool saysAll(const std::vector<std::string>& all) {
     char piece[512];
--- a/tests/system/programs_test.cpp
+++ b/tests/system/programs_test.cpp
@@ -5,8 +5,10 @@
 
 #include <filesystem>
 #include <fstream>
+#include <memory>
 #include <regex>
 #include <string>
+#include <vector>
 
 #include "process.hpp"
 
@@ -118,5 +120,35 @@
   }
 }
 
+std::string storeSettings(const std::string& ip, const fs::path& data) {
+  return R"({"self":{"nodeName":")" + ip + R"(","ipAddress":")" + ip +
+         R"(","zone":"a","region":"A","firstBoot":true,"dataFolder":")" + data.string() +
+         R"(","limits":{}},"network":{"bind":{"front":")" + ip + R"(:18389","readiness":")" + ip +
+         R"(:18384","control":")" + ip + R"(:18383","directory":")" + ip +
+         R"(:18385"},"internalPorts":[17460,17475],"seedNodes":["127.78.0.1:18383","127.78.0.2:18383",)" +
+         R"("127.78.0.3:18383"],"zones":{"a":"A"}},"provider":{},"settings":{"tolerance":{"machines":1},)" +
+         R"("bounds":{"grace":"4s"}}})";
+}
+
+TEST_CASE("a config store that leads hands leadership over when it gets SIGTERM") {
+  Folder folder;
+  std::vector<std::unique_ptr<Process>> stores;
+  std::vector<Process*> running;
+  for (const std::string ip : {"127.78.0.1", "127.78.0.2", "127.78.0.3"}) {
+    const fs::path file = folder.path / (ip + ".json");
+    std::ofstream(file) << storeSettings(ip, folder.path / ip);
+    stores.push_back(std::make_unique<Process>(BURLWIND_CONFIG_STORE, std::vector<std::string>{}, file));
+    running.push_back(stores.back().get());
+  }
+  Process* leader = Process::firstToSay(running, "\"what\":\"leads\"");
+  REQUIRE(leader);
+  leader->signal(SIGTERM);
+  REQUIRE(leader->says("\"what\":\"ends\""));
+  CHECK(leader->says("\"what\":\"leads no more\""));
+  CHECK(leader->ends() == 0);
+  std::erase(running, leader);
+  CHECK(Process::firstToSay(running, "\"what\":\"leads\""));
+}
+
 }  // namespace
 }  // namespace burlwind
