Consensus: a follower's committed number is one of the leader's own entries

A follower took the leader's committed number also while its own entry of that number or a later one was of another term. Nobody asked a follower for it, and one that leads commits its own entry first, so it did no harm; it does now say what it says. Test by hand, seen to fail on the code before.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -420,7 +420,8 @@
     record_.members = m.members, record_.former = m.former, record_.state = m.state;
     persist(out);
   }
-  committed_ = std::max(committed_, std::min(m.committed, record_.index));
+  // The leader's numbers are those of its entries: one of another term here has a number of its own.
+  if (record_.lastTerm == m.lastTerm) committed_ = std::max(committed_, std::min(m.committed, record_.index));
   out.push_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm,
                                                  record_.index, incarnation_}});
 }
--- a/tests/system/consensus_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -547,6 +547,20 @@
   CHECK(preVoteGranted(still.core, {1, 2, 0, 0, true}));  // who does not try itself has no reason to refuse
 }
 
+TEST_CASE("a follower takes no entry of another term for committed, whatever the leader's number is") {
+  PersistentState record = three(3);
+  record.term = 1, record.lastTerm = 1, record.index = 7, record.state = "never committed";
+  Alone follower(record);
+  // The leader's own sixth is committed by others, and has not come here yet.
+  follower.core.receive(rpc::AppendRequest{2, 1, 1, 2, 6, 6, false, {}, {}, {}}, 1000);
+  CHECK(follower.core.committed() == 0);
+  follower.core.receive(rpc::AppendRequest{2, 1, 2, 2, 6, 6, true, record.members, {}, "committed"}, 1010);
+  CHECK(follower.core.committed() == 6);
+  CHECK(follower.core.record().state == "committed");
+  follower.core.receive(rpc::AppendRequest{2, 1, 3, 2, 8, 7, false, {}, {}, {}}, 1020);
+  CHECK(follower.core.committed() == 6);  // what it holds, no more
+}
+
 TEST_CASE("a handed over election is for the one term after, and only then by who hears a leader") {
   PersistentState record = three(3);
   record.term = 4;
