--- a/src/model_checking/cluster.cpp
+++ b/src/model_checking/cluster.cpp
@@ -221,10 +221,12 @@
 
 void Cluster::carryOutSend(Replica& changed, const consensus::Send& send, StepResult& result, Notes* notes) {
   if (const auto* append = std::get_if<rpc::AppendRequest>(&send.message)) {
-    changeProperties().leaderSpoke(append->term, append->from);
+    changeProperties().leaderSpoke(append->term, append->from, lastEntry(changed.core.record()));
     if (changed.rounds.empty() || changed.rounds.back().number < append->round)
       changed.rounds.push_back({append->round, properties_->newestCommitted(), changed.now});
   }
+  if (const auto* handover = std::get_if<rpc::TimeoutNow>(&send.message))
+    changeProperties().handedOver(handover->term);
   LetterPtr letter = makeLetter(changed.core.record().self, send);
   note(notes, "> " + nameOf(send.to) + ": " + describe(send.message));
   result.sent.push_back({std::move(letter), result.writes});
@@ -239,6 +241,7 @@
                    : index == old.index  ? lastEntry(old)
                                          : EntryNumber{record.term, index};
   changed.servedInTerm = record.term;
+  changeProperties().acted(record.term);
   changeProperties().committed(record.self, record.term, changed.served);
 }
 
@@ -248,6 +251,7 @@
   const auto begun =
       std::find_if(rounds.begin(), rounds.end(), [round](const Round& r) { return r.number == round; });
   if (begun == rounds.end()) return;  // of a leader that is alone: nobody was asked
+  changeProperties().acted(record.term);
   changeProperties().confirmed(record.term, round, changed.now - begun->begun,
                                membershipOf(before.core.record()), membershipOf(record));
   if (changed.core.leads() && changed.servedInTerm == record.term)
--- a/src/model_checking/play.cpp
+++ b/src/model_checking/play.cpp
@@ -20,6 +20,7 @@
 constexpr Time kFirstOrder = 1500;
 constexpr Time kCalm = 15'000;  // after the last event, until an order must be taken
 constexpr std::size_t kRowsShown = 60;
+constexpr unsigned kDrawsOfDelays = 4;  // tried before an event is taken for needed
 
 // SplitMix64: a stream of numbers from a seed.
 class Numbers {
@@ -71,7 +72,7 @@
   Player(const Play& play, bool withRows)
       : play_(play),
         withRows_(withRows),
-        spread_(play.seed ^ 0x5bd1e995),
+        spread_((play.seed + play.delays * 7919) ^ 0x5bd1e995),
         cluster_(shapeOf(play), {&drawFraction, &spread_}),
         machines_(play.replicas) {}
 
@@ -195,7 +196,7 @@
   // --- Messages ---
   Numbers numbersOf(unsigned from, unsigned to) {
     const std::uint64_t count = ++sentOn_[{from, to}];
-    return Numbers(play_.seed * 1'000'003 + (from * 64 + to) * 0x100000000 + count);
+    return Numbers((play_.seed + play_.delays * 7919) * 1'000'003 + (from * 64 + to) * 0x100000000 + count);
   }
 
   void sendArrival(const Arrival& arrival, Time after) {
@@ -444,7 +445,9 @@
 
 Play drawPlay(std::uint64_t seed, unsigned replicas, unsigned orders) {
   Numbers numbers(seed);
-  Play play{seed, replicas, {}};
+  Play play;
+  play.seed = seed;
+  play.replicas = replicas;
   const Time ordersApart = numbers.between(30, 200);
   const Time faultsApart = numbers.between(150, 3000);
   const Time end = kFirstOrder + orders * ordersApart;
@@ -461,23 +464,39 @@
 
 PlayResult run(const Play& play, bool withRows) { return Player(play, withRows).run(); }
 
+namespace {
+
+bool breaks(const Play& play, Property property) {
+  const PlayResult result = run(play);
+  return result.violation && result.violation->property == property;
+}
+
+// Leaves `count` events out from `from` on; where the rest breaks the property by none of some draws of the
+// delays, nothing.
+std::optional<Play> without(const Play& play, std::size_t from, std::size_t count, Property property) {
+  Play trial = play;
+  const auto begin = trial.events.begin() + static_cast<std::ptrdiff_t>(from);
+  const auto left = static_cast<std::size_t>(trial.events.end() - begin);
+  trial.events.erase(begin, begin + static_cast<std::ptrdiff_t>(std::min(count, left)));
+  for (unsigned draws = 0; draws < kDrawsOfDelays; ++draws, ++trial.delays)
+    if (breaks(trial, property)) return trial;
+  return std::nullopt;
+}
+
+}  // namespace
+
 Play shrink(const Play& play, Property property) {
   Play least = play;
-  const auto stillFails = [property](const Play& trial) {
-    const PlayResult result = run(trial);
-    return result.violation && result.violation->property == property;
-  };
-  for (std::size_t part = least.events.size() / 2; part > 0; part /= 2)
-    for (std::size_t from = 0; from < least.events.size();) {
-      Play trial = least;
-      const auto begin = trial.events.begin() + static_cast<std::ptrdiff_t>(from);
-      const auto left = static_cast<std::size_t>(trial.events.end() - begin);
-      trial.events.erase(begin, begin + static_cast<std::ptrdiff_t>(std::min(part, left)));
-      if (stillFails(trial))
-        least = std::move(trial);
-      else
-        from += part;
-    }
+  for (bool smaller = true; std::exchange(smaller, false);)
+    for (std::size_t part = std::max<std::size_t>(least.events.size() / 2, 1); part > 0; part /= 2)
+      for (std::size_t from = 0; from < least.events.size();) {
+        if (auto less = without(least, from, part, property)) {
+          least = std::move(*less);
+          smaller = true;
+        } else {
+          from += part;
+        }
+      }
   return least;
 }
 
--- a/src/model_checking/play.hpp
+++ b/src/model_checking/play.hpp
@@ -48,6 +48,7 @@
 
 struct Play {
   std::uint64_t seed = 0;
+  std::uint64_t delays = 0;  // another draw of what the events don't say
   unsigned replicas = 5;
   std::vector<PlannedEvent> events;  // by time
   std::vector<Property> unchecked = {};
--- a/src/model_checking/properties.cpp
+++ b/src/model_checking/properties.cpp
@@ -60,6 +60,8 @@
     {Property::majoritiesIntersect, "majorities-intersect",
      "a change of members leaves no two disjoint majorities"},
     {Property::memberHasState, "member-has-state", "who is made a member has held the state"},
+    {Property::handedOverIsOver, "handed-over-is-over",
+     "who has handed leadership over confirms and commits nothing more"},
     {Property::goesOn, "goes-on", "after all faults have ended, orders are taken"},
 };
 
@@ -153,7 +155,7 @@
       {lastEntry(after), parent.value_or(0), contentOf(after), membershipOf(after), {}, false, 0});
   checkMembershipChange(entries_[position]);
   checkNewMembers(entries_[position]);
-  checkLeaderHasCommitted(position);
+  checkLeaderHasCommitted(after.lastTerm, position);
 }
 
 // Every set of members back to the newest committed one may still be in force.
@@ -177,13 +179,13 @@
   }
 }
 
-void Properties::checkLeaderHasCommitted(std::size_t entry) {
+void Properties::checkLeaderHasCommitted(std::uint64_t term, std::size_t entry) {
   for (std::size_t i = entries_.size(); i-- > 0;) {
-    if (!entries_[i].committed || entries_[i].committedInTerm >= entries_[entry].number.term) continue;
+    if (!entries_[i].committed || entries_[i].committedInTerm >= term) continue;
     if (!descends(entry, i))
-      violate(Property::leaderHasCommitted, "entry " + text(entries_[entry].number) +
-                                                " was not made from the committed " +
-                                                text(entries_[i].number));
+      violate(Property::leaderHasCommitted,
+              "entry " + text(entries_[entry].number) + " of the leader of term " + std::to_string(term) +
+                  " was not made from the committed " + text(entries_[i].number));
     return;  // the others are what this one was made from
   }
 }
@@ -198,7 +200,7 @@
   }
 }
 
-void Properties::leaderSpoke(std::uint64_t term, Id leader) {
+void Properties::leaderSpoke(std::uint64_t term, Id leader, EntryNumber held) {
   for (std::size_t i = leaders_.size(); i-- > 0;) {
     if (leaders_[i].term != term) continue;
     if (leaders_[i].id != leader)
@@ -209,7 +211,20 @@
   }
   const auto later = std::find_if(leaders_.begin(), leaders_.end(),
                                   [term](const Leader& known) { return known.term > term; });
-  leaders_.insert(later, {term, leader});
+  leaders_.insert(later, {term, leader, false});
+  if (const auto entry = find(held)) checkLeaderHasCommitted(term, *entry);
+}
+
+void Properties::handedOver(std::uint64_t term) {
+  for (Leader& leader : leaders_)
+    if (leader.term == term) leader.handedOver = true;
+}
+
+void Properties::acted(std::uint64_t term) {
+  for (const Leader& leader : leaders_)
+    if (leader.term == term && leader.handedOver)
+      violate(Property::handedOverIsOver, std::to_string(leader.id) + " still acts as leader of term " +
+                                              std::to_string(term) + ", which it handed over");
 }
 
 void Properties::answered(Id replica, std::uint64_t term, std::uint64_t round) {
@@ -307,6 +322,7 @@
   for (const Leader& leader : leaders_) {
     out.add(leader.term);
     out.add(leader.id);
+    out.add(leader.handedOver);
   }
   for (const Answer& answer : answers_) {
     out.add(answer.replica);
--- a/src/model_checking/properties.hpp
+++ b/src/model_checking/properties.hpp
@@ -17,7 +17,8 @@
 //  6. No change of members leaves two disjoint majorities: each set of members that may still be in force has
 //     none that is disjoint from one of the new set.
 //  7. Who is made a member has held the state before (all but the entry that was under way).
-//  8. In plays only: some time after the last fault, orders are taken again.
+//  8. Who has told another one to take over leadership confirms and commits nothing more in that term.
+//  9. In plays only: some time after the last fault, orders are taken again.
 #pragma once
 
 #include <cstdint>
@@ -59,6 +60,7 @@
   committedIsHeld,
   majoritiesIntersect,
   memberHasState,
+  handedOverIsOver,
   goesOn
 };
 const char* describe(Property property);
@@ -82,7 +84,11 @@
   void recordChanged(const PersistentState& before, const PersistentState& after);
   // A write is synced over what stood on the same disk.
   void persisted(const PersistentState& before, const PersistentState& after);
-  void leaderSpoke(std::uint64_t term, Id leader);
+  // `held`: the last entry of its record then.
+  void leaderSpoke(std::uint64_t term, Id leader, EntryNumber held);
+  void handedOver(std::uint64_t term);  // the leader of this term told another one to stand
+  // A leader confirmed or committed something.
+  void acted(std::uint64_t term);
   // A replica has processed a leader's round in that leader's term.
   void answered(Id replica, std::uint64_t term, std::uint64_t round);
   // The leader of `term` tells its host that this entry is committed.
@@ -112,6 +118,7 @@
   struct Leader {
     std::uint64_t term;
     Id id;
+    bool handedOver = false;
   };
   struct Answer {
     Id replica;
@@ -124,7 +131,7 @@
   void create(const PersistentState& before, const PersistentState& after);
   void checkMembershipChange(const Entry& created);
   void checkNewMembers(const Entry& created);
-  void checkLeaderHasCommitted(std::size_t entry);
+  void checkLeaderHasCommitted(std::uint64_t term, std::size_t entry);
   void violate(Property property, std::string detail);
 
   Time electLeast_;
--- a/src/model_checking/scenario.hpp
+++ b/src/model_checking/scenario.hpp
@@ -28,12 +28,13 @@
 };
 
 enum class Start {
-  cold,     // nobody has been elected yet
-  settled,  // the first replica leads, its first entry is held by all members and committed
-  ordered,  // settled, with one order committed and held by all members
-  silent,   // ordered, and the last member has said nothing for so long that it may be replaced
-  learner,  // silent, and its successor at another address has got the state; its first answer is on its way
-  divided   // each of the first two has led and holds an entry that nobody else has; nobody leads
+  cold,      // nobody has been elected yet
+  settled,   // the first replica leads, its first entry is held by all members and committed
+  ordered,   // settled, with one order committed and held by all members
+  silent,    // ordered, and the last member has said nothing for so long that it may be replaced
+  learner,   // silent, and its successor at another address has got the state; its first answer is on its way
+  divided,   // each of the first two has led and holds an entry that nobody else has; nobody leads
+  reelected  // divided, and the first one has been elected again: what it tells the others is on its way
 };
 
 struct Scenario {
--- a/src/model_checking/world.cpp
+++ b/src/model_checking/world.cpp
@@ -37,7 +37,9 @@
   act(EventKind::election, 0);
   settle();
   if (start == Start::settled) return;
-  if (start == Start::divided) return beDivided();
+  if (start == Start::divided || start == Start::reelected) beDivided();
+  if (start == Start::reelected) beReelected();
+  if (start == Start::divided || start == Start::reelected) return;
   act(EventKind::propose, 0);
   settle();
   if (start == Start::silent || start == Start::learner) beSilent();
@@ -90,6 +92,14 @@
     deliverAllTo(1);
   }
   letters_.clear();
+  if (cluster_.core(1).record().lastTerm != cluster_.core(1).record().term) {
+    // A core that makes no entry when it begins to lead: a planted bug.
+    act(EventKind::heartbeat, 1);
+    deliverAllTo(2);
+    deliverAllTo(1);
+    act(EventKind::propose, 1);
+    letters_.clear();
+  }
   act(EventKind::heartbeat, 1);  // without the state, which it has just sent
   deliverAllTo(0);
   letters_.clear();
@@ -98,6 +108,14 @@
   letters_.clear();
 }
 
+void World::beReelected() {
+  act(EventKind::election, 0);
+  for (unsigned turns = 0; turns < 2; ++turns) {
+    deliverAllTo(2);
+    deliverAllTo(0);
+  }
+}
+
 Fingerprint World::fingerprint() const {
   FingerprintBuilder out;
   out.add(cluster_.fingerprint());
--- a/src/model_checking/world.hpp
+++ b/src/model_checking/world.hpp
@@ -80,6 +80,7 @@
   void beSilent();
   void beLearner();
   void beDivided();
+  void beReelected();
   void act(EventKind kind, unsigned replica, unsigned other = 0);
   void deliverAllTo(unsigned replica);
 
--- a/tests/model_checking/explorer_test.cpp
+++ b/tests/model_checking/explorer_test.cpp
@@ -9,7 +9,6 @@
 #include "model_checking/report.hpp"
 #include "model_checking/search.hpp"
 
-
 namespace burlwind::model_checking {
 namespace {
 
@@ -37,9 +36,11 @@
 TEST_CASE("exhaustive: power") { exploreAll("power"); }
 TEST_CASE("exhaustive: stopped-leader") { exploreAll("stopped-leader"); }
 TEST_CASE("exhaustive: first-election") { exploreAll("first-election"); }
+TEST_CASE("exhaustive: first-power") { exploreAll("first-power"); }
 TEST_CASE("exhaustive: new-leader") { exploreAll("new-leader"); }
 TEST_CASE("exhaustive: two-leaders") { exploreAll("two-leaders"); }
 TEST_CASE("exhaustive: divided") { exploreAll("divided"); }
+TEST_CASE("exhaustive: reelected") { exploreAll("reelected"); }
 TEST_CASE("exhaustive: handover") { exploreAll("handover"); }
 TEST_CASE("exhaustive: lost-disk") { exploreAll("lost-disk"); }
 TEST_CASE("exhaustive: applicant") { exploreAll("applicant"); }
@@ -73,7 +74,8 @@
 }
 
 TEST_CASE("majorities that have no replica in common are found") {
-  CHECK_FALSE(haveDisjointQuorums({{1, 2, 3}, {}}, {{1, 2, 4}, {}}));  // one replaced: they still meet
+  CHECK_FALSE(haveDisjointQuorums({{1, 2, 3}, {}}, {{1, 2, 3, 4}, {}}));
+  CHECK(haveDisjointQuorums({{1, 2, 3}, {}}, {{1, 2, 4}, {}}));  // 1 and 3, 2 and 4
   CHECK(haveDisjointQuorums({{1, 2, 3}, {}}, {{1, 4, 5}, {}}));
   CHECK_FALSE(haveDisjointQuorums({{1, 2, 3}, {}}, {{1, 4, 5}, {1, 2, 3}}));
   CHECK(haveDisjointQuorums({{1, 2}, {}}, {{1, 3, 4}, {}}));
@@ -88,7 +90,7 @@
   PersistentState first = entry(1, 0, 0, "");
   properties.begin(first);
   const PersistentState x = entry(1, 1, 1, "x");
-  properties.leaderSpoke(1, 1);
+  properties.leaderSpoke(1, 1, {0, 0});
   properties.recordChanged(first, x);
   properties.persisted(first, x);
   properties.persisted(entry(2, 0, 0, ""), entry(2, 1, 1, "x"));
@@ -98,8 +100,8 @@
     act(after);
     return after.violation() ? std::string(nameOf(after.violation()->property)) : "none";
   };
-  CHECK(brokenBy([](Properties& p) { p.leaderSpoke(1, 2); }) == "one-leader-per-term");
-  CHECK(brokenBy([](Properties& p) { p.leaderSpoke(2, 2); }) == "none");
+  CHECK(brokenBy([](Properties& p) { p.leaderSpoke(1, 2, {0, 0}); }) == "one-leader-per-term");
+  CHECK(brokenBy([](Properties& p) { p.leaderSpoke(2, 2, {0, 0}); }) == "none");
   CHECK(brokenBy([&](Properties& p) { p.recordChanged(first, entry(3, 1, 1, "y")); }) ==
         "one-content-per-entry");
   CHECK(brokenBy([](Properties& p) { p.committed(1, 1, {1, 1}); }) == "none");
@@ -115,6 +117,10 @@
           p.answered(2, 1, 5);
           p.confirmed(1, 5, 700, three, three);
         }) == "confirmation-is-fresh");
+  CHECK(brokenBy([](Properties& p) {
+          p.handedOver(1);
+          p.acted(1);
+        }) == "handed-over-is-over");
   CHECK(brokenBy([&](Properties& p) { p.handedOut(1, {0, 0}, {1, 1}); }) == "handed-out-is-current");
   CHECK(brokenBy([&](Properties& p) { p.committedIndex(x, 0, 1); }) == "committed-is-held");
 }
