Consensus: entries travel as patches and in pieces, one transfer at a time to a replica

Cause: each entry went whole in one message, and again every 600 ms to whoever hadn't acknowledged it. Over 2 Mbit/s a state of 8 MB was queued 200 times and never arrived; heartbeats and votes stood behind it for as long. A record of 8 MB written again and again filled the map of 32 MB at the seventh write; a configuration of 8 MB was more than a link lets wait.

Change: an entry still IS a whole state and is persisted as one. To who holds a known earlier one it goes as a patch (block based, copy and insert; XXH3 of the result is checked), up to 64 KiB in the entry's first message, else in pieces of 16 KiB, up to 512 KiB under way while acknowledgements come soon, 16 KiB where they don't; each is acknowledged with the offset held, and after a break only what isn't held is sent. What is being sent stays as it is; later entries follow as patches of it. Voters tell what they hold, so a new leader's first entry is a patch as well; a member that has not said is taken to hold the entry before. A patch that was answered and not taken twice is followed by the whole. A leader keeps what others hold, at most 32 MiB or one state. Map of LMDB 256 MB of address space, frame 16 MB, waiting bytes 20 MB.

Tried: pieces of 32 KiB and a longer queue (heartbeats up to 0.5 s); the whole state to members that had not said what they hold (60 KB for each change of leader).

Tests: on the newcomer over 2 Mbit/s, the costs at three sizes and the small change fail; 8 MB records on the map of 32 MB fail at the seventh. 'Restarted three times during 400 changes' holds there too.

--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -204,6 +204,12 @@
       case rpc::kTimeoutNow:
         receive<rpc::TimeoutNow>(arrived);
         break;
+      case rpc::kStatePiece:
+        receive<rpc::StatePiece>(arrived);
+        break;
+      case rpc::kStatePieceResponse:
+        receive<rpc::StatePieceResponse>(arrived);
+        break;
       case rpc::kJoin:
         joinRequested(arrived);
         break;
--- a/src/config_store/store.cpp
+++ b/src/config_store/store.cpp
@@ -13,7 +13,7 @@
 namespace burlwind::config_store {
 namespace {
 
-constexpr std::size_t kMapBytes = 32 * 1024 * 1024;
+constexpr std::size_t kMapBytes = 256 * 1024 * 1024;  // of address space; a file grows as it is used
 constexpr char kKey[] = "record";
 
 std::error_code systemError(int rc) { return {rc > 0 ? rc : EIO, std::generic_category()}; }
--- a/src/config_store/store.hpp
+++ b/src/config_store/store.hpp
@@ -5,7 +5,10 @@
 // and the other one, synced before, is not touched. What a cut can spoil is the environment under write,
 // whose generation was acknowledged to nobody; the one before it is whole. An environment that does not read
 // is emptied and begun anew by the next write to it. Costs: a write copies the record once, two syncs (some
-// 10 ms at 5 ms a sync). Memory: a map of `mapBytes`.
+// 10 ms at 5 ms a sync). Memory: the pages of a record that were touched; address space: a map of kMapBytes
+// each. LMDB wants consecutive pages for a record while the one before is still there, so that a file may
+// grow to several times the largest record: 256 MB hold records of 8 MB that change their size with each
+// write.
 #pragma once
 
 #include <cstdint>
--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -4,9 +4,14 @@
 #include <cassert>
 #include <utility>
 
+#include "consensus/state_patch.hpp"
+
 namespace burlwind::consensus {
 namespace {
 
+constexpr std::size_t kLeastPatched = 1024;  // bytes of a state
+constexpr unsigned kMostPatchFailures = 2;   // in a row, then whole states
+
 bool newer(std::uint64_t termA, std::uint64_t indexA, std::uint64_t termB, std::uint64_t indexB) {
   return std::pair(termA, indexA) > std::pair(termB, indexB);
 }
@@ -19,7 +24,7 @@
 
 // Once for all that an event changes before it tells of it.
 void persist(std::vector<Effect>& out) {
-  if (out.empty() || !std::holds_alternative<Persist>(out.back())) out.push_back(Persist{});
+  if (out.empty() || !std::holds_alternative<Persist>(out.back())) out.emplace_back(Persist{});
 }
 
 }  // namespace
@@ -120,7 +125,7 @@
   }
   leader_ = leader;
   rest(now);
-  if (led) out.push_back(Stepped{});
+  if (led) out.emplace_back(Stepped{});
 }
 
 std::vector<Effect> Core::tick(Time now) {
@@ -145,10 +150,10 @@
 void Core::stand(Time now, std::vector<Effect>& out) {
   role_ = Role::preCandidate;
   leader_ = 0;
-  votes_ = {record_.self};
+  votes_ = {{record_.self, lastEntry()}};
   rest(now);
   for (const Id id : everyone())
-    out.push_back(
+    out.emplace_back(
         Send{id, rpc::VoteRequest{record_.term + 1, record_.self, record_.lastTerm, record_.index, true}});
   countVotes(now, out);
 }
@@ -158,10 +163,10 @@
   ++record_.term;
   record_.votedFor = record_.self;
   persist(out);
-  votes_ = {record_.self};
+  votes_ = {{record_.self, lastEntry()}};
   rest(now);
   for (const Id id : everyone())
-    out.push_back(Send{
+    out.emplace_back(Send{
         id, rpc::VoteRequest{record_.term, record_.self, record_.lastTerm, record_.index, false, handover}});
   countVotes(now, out);
 }
@@ -181,14 +186,22 @@
   peers_.clear();
   applicants_.clear();
   sentAt_.clear();
+  for (const auto& [voter, held] : votes_) {
+    if (voter == record_.self) continue;
+    Peer& peer = peers_[voter];
+    peer.known = true;
+    peer.lastTerm = held.term, peer.index = held.index;
+  }
   begin(now, out);  // its state under its own term: what was there before is committed by this or not at all
 }
 
 void Core::begin(Time now, std::vector<Effect>& out) {
   inFlight_ = true;
+  entryBefore_ = lastEntry();
+  if (!history_.find(lastEntry())) rememberState(shareState());
   record_.lastTerm = record_.term;
   ++record_.index;
-  for (const Id id : everyone()) peers_[id].sentWhole = -1e9;
+  payloads_.clear();
   sendHeartbeats(now, out);  // before the own write: both disks work at the same time
   persist(out);
   advance(now, out);
@@ -202,15 +215,94 @@
 
 void Core::sendTo(Id to, Time now, std::vector<Effect>& out) {
   Peer& peer = peers_[to];
-  rpc::AppendRequest m{record_.term, record_.self, round_, record_.lastTerm, record_.index, committed_, false,
-                       {},           {},           {}};
-  const bool has = peer.lastTerm == record_.lastTerm && peer.index == record_.index;
-  if (!has && now - peer.sentWhole > 3 * timeouts_.heartbeat) {
-    m.whole = true;
-    m.members = record_.members, m.former = record_.former, m.state = record_.state;
-    peer.sentWhole = now;
+  rpc::AppendRequest m;
+  m.term = record_.term, m.from = record_.self, m.round = round_;
+  m.lastTerm = record_.lastTerm, m.index = record_.index, m.committed = committed_;
+  if (!holdsAll(peer) && !peer.transfer) beginTransfer(to, peer);
+  if (peer.transfer && peer.transfer->inOneMessage() && !peer.transfer->begun()) {
+    const Payload& payload = peer.transfer->payload();
+    m.whole = !payload.isPatch(), m.patch = payload.isPatch();
+    m.members = payload.members, m.former = payload.former, m.state = *payload.bytes;
+    m.baseTerm = payload.base.term, m.baseIndex = payload.base.index, m.hash = payload.hash;
+    peer.transfer->sentInOneMessage(round_);
+  }
+  out.emplace_back(Send{to, std::move(m)});
+  sendPieces(to, peer, now, out);
+}
+
+void Core::sendPieces(Id to, Peer& peer, Time now, std::vector<Effect>& out) {
+  if (!peer.transfer || peer.transfer->inOneMessage()) return;
+  const Payload& payload = peer.transfer->payload();
+  while (const auto piece = peer.transfer->next(round_, now)) {
+    rpc::StatePiece m;
+    m.term = record_.term, m.from = record_.self, m.round = round_;
+    m.lastTerm = payload.entry.term, m.index = payload.entry.index;
+    m.baseTerm = payload.base.term, m.baseIndex = payload.base.index;
+    m.members = payload.members, m.former = payload.former;
+    m.hash = payload.hash, m.size = payload.bytes->size(), m.offset = piece->offset;
+    m.data = payload.bytes->substr(piece->offset, piece->size);
+    out.emplace_back(Send{to, std::move(m)});
+  }
+}
+
+// What it holds has just become known: the rest follows at once, but after repeated failures with the next
+// heartbeat.
+void Core::sendMissing(Id to, Time now, std::vector<Effect>& out) {
+  const auto found = peers_.find(to);
+  if (role_ != Role::leader || found == peers_.end()) return;
+  Peer& peer = found->second;
+  if (peer.transfer) return sendPieces(to, peer, now, out);
+  if (holdsAll(peer) || peer.failures >= kMostPatchFailures) return;
+  beginRound(now);
+  sendTo(to, now, out);
+}
+
+void Core::beginTransfer(Id to, Peer& peer) {
+  // A member that has not said what it holds most likely holds the entry before; a newcomer most likely
+  // nothing.
+  EntryId held{peer.lastTerm, peer.index};
+  if (!peer.known && isMember(to)) held = entryBefore_;
+  auto payload = payloadFor(peer.failures < kMostPatchFailures ? held : EntryId{});
+  // A large one waits until it is known what the other one holds: one round trip.
+  if (!peer.known && payload->bytes->size() > kInlineBytes) return;
+  peer.transfer.emplace(std::move(payload));
+}
+
+std::shared_ptr<const std::string> Core::shareState() {
+  const auto whole = payloads_.find(EntryId{});
+  return whole != payloads_.end() ? whole->second->bytes : std::make_shared<const std::string>(record_.state);
+}
+
+// Before another entry takes its place.
+void Core::rememberState(std::shared_ptr<const std::string> state) {
+  if (record_.index == 0) return;
+  std::set<EntryId> wanted;
+  for (const auto& [id, peer] : peers_) {
+    wanted.insert({peer.lastTerm, peer.index});
+    if (peer.transfer) wanted.insert(peer.transfer->payload().entry);
   }
-  out.push_back(Send{to, std::move(m)});
+  history_.remember(lastEntry(), std::move(state), wanted);
+}
+
+// For who holds that one.
+std::shared_ptr<const Payload> Core::payloadFor(EntryId base) {
+  const auto known = history_.find(base);
+  if (!known || record_.state.size() < kLeastPatched) base = {};
+  if (const auto made = payloads_.find(base); made != payloads_.end()) return made->second;
+  auto payload = std::make_shared<Payload>();
+  payload->entry = lastEntry();
+  payload->members = record_.members, payload->former = record_.former;
+  payload->hash = hashOf(record_.state);
+  if (base != EntryId{}) {
+    std::string patch = makePatch(*known, record_.state);
+    if (patch.size() < record_.state.size()) {
+      payload->base = base;
+      payload->bytes = std::make_shared<const std::string>(std::move(patch));
+      return payloads_[base] = std::move(payload);
+    }
+  }
+  payload->bytes = shareState();
+  return payloads_[EntryId{}] = std::move(payload);
 }
 
 // Called where an acknowledgement or the own write may have completed a majority.
@@ -224,7 +316,7 @@
   if (record_.members.size() == 1 && record_.former.empty()) best = round_;
   if (best > confirmed_) {
     confirmed_ = best;
-    out.push_back(Confirmed{best});
+    out.emplace_back(Confirmed{best});
   }
   if (!inFlight_) return;
   const bool held = quorum([&](Id id) {
@@ -234,8 +326,8 @@
   if (!held) return;
   inFlight_ = false;
   committed_ = record_.index;
-  out.push_back(Committed{});
-  if (!std::exchange(led_, true)) out.push_back(Led{});
+  out.emplace_back(Committed{});
+  if (!std::exchange(led_, true)) out.emplace_back(Led{});
   if (!record_.former.empty()) {  // both majorities have the new members: the old ones are done with
     record_.former.clear();
     return begin(now, out);
@@ -329,7 +421,10 @@
   if (!known && applicants_.size() >= kMostApplicants) return out;
   applicants_[member.id] = member;
   peers_[member.id].asked = now;
-  if (!known) sendTo(member.id, now, out);
+  if (!known) {
+    beginRound(now);
+    sendTo(member.id, now, out);
+  }
   return out;
 }
 
@@ -347,7 +442,9 @@
   std::vector<Effect> out;
   stepDownIfStale(now, out);
   if (!mayPropose()) return out;
+  auto before = std::make_shared<const std::string>(std::move(record_.state));
   record_.state = std::move(state);
+  rememberState(std::move(before));
   begin(now, out);
   return out;
 }
@@ -369,7 +466,7 @@
   if (!to) return;
   const rpc::TimeoutNow message{record_.term, record_.self, record_.lastTerm, record_.index};
   follow(record_.term, 0, now, out);  // before anybody else may lead
-  out.push_back(Send{*to, message});
+  out.emplace_back(Send{*to, message});
 }
 
 // Of the members that hold everything and stay, the one that was heard last.
@@ -409,47 +506,133 @@
 void Core::on(const rpc::AppendRequest& m, Time now, std::vector<Effect>& out) {
   if (m.term < record_.term) {
     ++late_;
-    out.push_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, 0, 0, 0, incarnation_}});
+    out.emplace_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, 0, 0, 0, incarnation_}});
     return;
   }
   follow(m.term, m.from, now, out);
   heard_ = now;
   heardLeader_ = m.from;
-  if (m.whole && newer(m.lastTerm, m.index, record_.lastTerm, record_.index)) {
-    record_.lastTerm = m.lastTerm, record_.index = m.index;
-    record_.members = m.members, record_.former = m.former, record_.state = m.state;
-    persist(out);
+  if (m.whole || m.patch) {
+    Payload payload;
+    payload.entry = {m.lastTerm, m.index};
+    if (m.patch) payload.base = {m.baseTerm, m.baseIndex};
+    payload.hash = m.hash, payload.members = m.members, payload.former = m.former;
+    if (!m.patch || payload.isPatch()) take(payload, m.state, out);  // what it holds says the answer
   }
   // The leader's numbers are those of its entries: one of another term here has a number of its own.
   if (record_.lastTerm == m.lastTerm) committed_ = std::max(committed_, std::min(m.committed, record_.index));
-  out.push_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm,
-                                                 record_.index, incarnation_}});
+  out.emplace_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm,
+                                                    record_.index, incarnation_}});
+}
+
+// The entry with these bytes is held from now on, or one that is as new was before. False: they don't make
+// it.
+bool Core::take(const Payload& payload, const std::string& bytes, std::vector<Effect>& out) {
+  if (payload.entry <= lastEntry()) return true;
+  std::string state;
+  if (!payload.isPatch())
+    state = bytes;
+  else if (payload.base != lastEntry() || !applyPatch(record_.state, bytes, kMostStateBytes, state))
+    return false;
+  if (payload.hash != 0 && hashOf(state) != payload.hash) return false;
+  rememberState(std::make_shared<const std::string>(std::move(record_.state)));
+  record_.lastTerm = payload.entry.term, record_.index = payload.entry.index;
+  record_.members = payload.members, record_.former = payload.former, record_.state = std::move(state);
+  payloads_.clear();
+  persist(out);
+  return true;
 }
 
-void Core::on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out) {
-  if (m.term > record_.term) return follow(m.term, 0, now, out);
-  if (role_ != Role::leader || m.term < record_.term) {
+void Core::on(const rpc::StatePiece& m, Time now, std::vector<Effect>& out) {
+  if (m.term < record_.term) {
     ++late_;
+    out.emplace_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, 0, 0, 0, incarnation_}});
     return;
   }
-  const auto found = peers_.find(m.from);
-  if (found == peers_.end()) {
+  follow(m.term, m.from, now, out);
+  heard_ = now;
+  heardLeader_ = m.from;
+  Payload payload;
+  payload.entry = {m.lastTerm, m.index}, payload.base = {m.baseTerm, m.baseIndex};
+  payload.hash = m.hash, payload.members = m.members, payload.former = m.former;
+  const auto answer = [&](bool refused) {
+    out.emplace_back(Send{m.from, rpc::StatePieceResponse{record_.term, record_.self, m.round, m.lastTerm,
+                                                          m.index, refused ? 0 : incoming_.held(), refused}});
+  };
+  if (payload.entry > lastEntry()) {
+    if (m.size > kMostStateBytes || (payload.isPatch() && payload.base != lastEntry())) return answer(true);
+    if (!incoming_.isOf(m)) incoming_.begin(m);
+    incoming_.add(m);
+    if (!incoming_.whole()) return answer(false);
+    const bool taken = take(payload, incoming_.bytes(), out);
+    incoming_ = Incoming();
+    if (!taken) return answer(true);
+  }
+  out.emplace_back(Send{m.from, rpc::AppendResponse{record_.term, record_.self, m.round, record_.lastTerm,
+                                                    record_.index, incarnation_}});
+}
+
+// Who has answered a round of this leader; nobody where the answer is not for it.
+Core::Peer* Core::answering(std::uint64_t term, Id from, std::uint64_t round, Time now,
+                            std::vector<Effect>& out) {
+  if (term > record_.term) {
+    follow(term, 0, now, out);
+    return nullptr;
+  }
+  const auto found = peers_.find(from);
+  if (role_ != Role::leader || term < record_.term || found == peers_.end()) {
     ++late_;
-    return;
+    return nullptr;
   }
-  Peer& peer = found->second;
-  if (const auto sent = sentAt(m.round)) peer.heard = std::max(peer.heard, *sent);
-  if (m.round < peer.round) {
+  if (const auto sent = sentAt(round)) found->second.heard = std::max(found->second.heard, *sent);
+  return &found->second;
+}
+
+void Core::on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out) {
+  Peer* peer = answering(m.term, m.from, m.round, now, out);
+  if (!peer) return;
+  if (m.round < peer->round) {
     ++late_;
     return;
   }
-  peer.round = m.round;
-  peer.lastTerm = m.lastTerm, peer.index = m.index;
-  peer.incarnation = m.incarnation;
+  peer->round = m.round;
+  peer->known = true;
+  peer->lastTerm = m.lastTerm, peer->index = m.index;
+  peer->incarnation = m.incarnation;
+  settleTransfer(*peer, now);
   if (!hasAuthority(now)) return;
   advance(now, out);
   handOver(now, out);
   if (applicants_.contains(m.from)) changeMembers(now, out);
+  sendMissing(m.from, now, out);
+}
+
+// After an answer that tells what it holds.
+void Core::settleTransfer(Peer& peer, Time now) {
+  if (holdsAll(peer)) peer.failures = 0;
+  if (!peer.transfer) return;
+  if (EntryId{peer.lastTerm, peer.index} >= peer.transfer->payload().entry) {
+    peer.failures = 0;
+    peer.transfer.reset();
+  } else if (!peer.transfer->inOneMessage()) {
+    peer.transfer->answered(peer.round, now);
+  } else if (peer.round >= peer.transfer->round()) {
+    ++peer.failures;
+    peer.transfer.reset();
+  }
+}
+
+void Core::on(const rpc::StatePieceResponse& m, Time now, std::vector<Effect>& out) {
+  Peer* peer = answering(m.term, m.from, m.round, now, out);
+  if (!peer || !peer->transfer || peer->transfer->inOneMessage()) return;
+  if (peer->transfer->payload().entry != EntryId{m.lastTerm, m.index}) return;
+  if (m.refused) {
+    ++peer->failures;
+    peer->transfer.reset();
+  } else {
+    peer->transfer->held(static_cast<std::size_t>(m.held), now);
+  }
+  if (hasAuthority(now)) sendMissing(m.from, now, out);
 }
 
 void Core::on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out) {
@@ -463,8 +646,8 @@
     const bool sameLog = m.lastTerm == record_.lastTerm && m.index == record_.index;
     const bool yields = !(role_ == Role::preCandidate && sameLog && record_.self > m.from);
     const bool granted = m.term > record_.term && hasAll && !content && yields;
-    out.push_back(
-        Send{m.from, rpc::VoteResponse{granted ? m.term : record_.term, record_.self, true, granted}});
+    out.emplace_back(Send{m.from, rpc::VoteResponse{granted ? m.term : record_.term, record_.self, true,
+                                                    granted, record_.lastTerm, record_.index}});
     return;
   }
   if (m.term > record_.term && !content) follow(m.term, 0, now, out);
@@ -477,7 +660,8 @@
     persist(out);
     rest(now);
   }
-  out.push_back(Send{m.from, rpc::VoteResponse{record_.term, record_.self, false, granted}});
+  out.emplace_back(Send{m.from, rpc::VoteResponse{record_.term, record_.self, false, granted,
+                                                  record_.lastTerm, record_.index}});
 }
 
 void Core::on(const rpc::VoteResponse& m, Time now, std::vector<Effect>& out) {
@@ -488,7 +672,7 @@
     ++late_;
     return;
   }
-  votes_.insert(m.from);
+  votes_[m.from] = {m.lastTerm, m.index};
   countVotes(now, out);
 }
 
--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -53,7 +53,14 @@
 //  and a replica never stands in a term that its own record shows as used.
 //
 // Order of effects: `persist` is carried out before whatever follows it in the list.
-// Cost: a write of the whole state for each entry and each vote; memory: the state, twice.
+// How entries travel (state_transfer.hpp): each IS a whole state and is persisted as one; to a replica that
+// holds a known earlier one it goes as a patch, with the result's XXH3. Up to 64 KiB go in the first message
+// of the entry, so that it is committed in one round trip; more goes in pieces of 16 KiB, one transfer at a
+// time to each replica, taken up where it broke off while leader and replica go on. What changes meanwhile
+// follows as a patch of what has arrived. A new leader knows from their votes what the voters hold. Cost: a
+// write of the whole state for each entry and each vote. Memory: the state twice; on a leader also the states
+// that others hold or are being sent, at most 32 MiB or one state (beyond it: a new whole one), and the
+// payloads of the last entry; on a follower what has come of one.
 #pragma once
 
 #include <cstdint>
@@ -65,12 +72,12 @@
 #include <variant>
 #include <vector>
 
+#include "consensus/state_transfer.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::consensus {
 
 using rpc::Member;
-using Time = double;  // ms of the host's steady clock
 using Id = std::uint64_t;
 
 struct PersistentState {  // what outlives the process
@@ -95,7 +102,7 @@
 };
 
 using Message = std::variant<rpc::AppendRequest, rpc::AppendResponse, rpc::VoteRequest, rpc::VoteResponse,
-                             rpc::TimeoutNow>;
+                             rpc::TimeoutNow, rpc::StatePiece, rpc::StatePieceResponse>;
 struct Send {
   Id to = 0;
   Message message;
@@ -160,7 +167,9 @@
     std::uint64_t lastTerm = 0, index = 0;  // what it holds
     Time heard = -1e9;                      // when the newest round was sent that it has answered
     Time asked = -1e9;                      // to be a member
-    Time sentWhole = -1e9;
+    bool known = false;                     // what it holds is
+    std::optional<Outgoing> transfer;       // at most one at a time
+    unsigned failures = 0;  // transfers that it has answered and does not hold, since the last that it does
     std::uint64_t incarnation = 0;      // of the process that answered last
     std::optional<std::uint64_t> left;  // the incarnation that has said that it goes
     bool leaving() const { return left && *left == incarnation; }
@@ -187,6 +196,17 @@
   void countVotes(Time now, std::vector<Effect>& out);
   void lead(Time now, std::vector<Effect>& out);
   void begin(Time now, std::vector<Effect>& out);  // the entry that record_ now holds
+  EntryId lastEntry() const { return {record_.lastTerm, record_.index}; }
+  bool holdsAll(const Peer& peer) const { return EntryId{peer.lastTerm, peer.index} == lastEntry(); }
+  void rememberState(std::shared_ptr<const std::string> state);
+  std::shared_ptr<const std::string> shareState();
+  std::shared_ptr<const Payload> payloadFor(EntryId base);
+  void beginTransfer(Id to, Peer& peer);
+  void sendPieces(Id to, Peer& peer, Time now, std::vector<Effect>& out);
+  void sendMissing(Id to, Time now, std::vector<Effect>& out);
+  Peer* answering(std::uint64_t term, Id from, std::uint64_t round, Time now, std::vector<Effect>& out);
+  bool take(const Payload& payload, const std::string& bytes, std::vector<Effect>& out);
+  void settleTransfer(Peer& peer, Time now);
   void sendHeartbeats(Time now, std::vector<Effect>& out);
   void sendTo(Id to, Time now, std::vector<Effect>& out);
   void advance(Time now, std::vector<Effect>& out);
@@ -207,6 +227,8 @@
   void on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out);
   void on(const rpc::VoteResponse& m, Time now, std::vector<Effect>& out);
   void on(const rpc::TimeoutNow& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::StatePiece& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::StatePieceResponse& m, Time now, std::vector<Effect>& out);
 
   PersistentState record_;
   const Timeouts timeouts_;
@@ -222,10 +244,14 @@
   Time heard_ = -1e9, electAt_ = 0, heartbeatAt_ = 0, wonAt_ = 0;
   std::optional<Time> transferUntil_;  // while leadership is being handed over
   std::uint64_t committed_ = 0, round_ = 0, confirmed_ = 0, late_ = 0;
-  std::set<Id> votes_;
+  std::map<Id, EntryId> votes_;  // and what the voters hold
   std::map<Id, Peer> peers_;
-  std::map<Id, Member> applicants_;  // learners
-  std::deque<Time> sentAt_;          // the latest rounds' beginnings, the last one's last
+  std::map<Id, Member> applicants_;                             // learners
+  std::map<EntryId, std::shared_ptr<const Payload>> payloads_;  // of the last entry, by base
+  EntryId entryBefore_;                                         // before the last one
+  History history_;
+  Incoming incoming_;
+  std::deque<Time> sentAt_;  // the latest rounds' beginnings, the last one's last
 };
 
 }  // namespace burlwind::consensus
--- a/src/rpc/frame.hpp
+++ b/src/rpc/frame.hpp
@@ -10,7 +10,8 @@
 
 namespace burlwind::rpc {
 
-constexpr std::size_t kMostFrame = 8 * 1024 * 1024;
+// A configuration of 8 MB goes to its readers in one frame; stores send each other pieces (src/consensus).
+constexpr std::size_t kMostFrame = 16 * 1024 * 1024;
 
 template <class Message>
 std::string frame(const Message& message) {
--- a/src/rpc/link.hpp
+++ b/src/rpc/link.hpp
@@ -20,8 +20,10 @@
 using Tcp = asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr std::size_t kMostWaiting = 4 * 1024 * 1024;  // bytes
-constexpr int kUserTimeout = 1500;                     // ms
+// One frame of the largest, and what waits besides. A peer that takes nothing is let go sooner, by
+// kUserTimeout.
+constexpr std::size_t kMostWaiting = kMostFrame + 4 * 1024 * 1024;  // bytes
+constexpr int kUserTimeout = 1500;                                  // ms
 // A machine without power says nothing, and the opening packet is sent again only after a second: asked anew,
 // it answers as soon as it is up.
 constexpr int kDialWithin = 350;  // ms
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -34,7 +34,9 @@
   kHeartbeat,
   kLevels,
   kConfirmationRequest,
-  kTimeoutNow
+  kTimeoutNow,
+  kStatePiece,
+  kStatePieceResponse
 };
 
 // --- Who speaks ---
@@ -54,13 +56,36 @@
   bool operator==(const Member&) const = default;
   MSGPACK_DEFINE(id, ip)
 };
-struct AppendRequest {  // with `state` where `whole`; else a heartbeat
+// A heartbeat; where `whole`, with the entry's state, where `patch`, with what makes it of the base's state.
+struct AppendRequest {
   static constexpr Kind kKind = kAppendRequest;
   std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0, committed = 0;
   bool whole = false;
   std::vector<Member> members, former;
   std::string state;
-  MSGPACK_DEFINE(term, from, round, lastTerm, index, committed, whole, members, former, state)
+  bool patch = false;
+  std::uint64_t baseTerm = 0, baseIndex = 0;
+  std::uint64_t hash = 0;  // XXH3 of the state; 0: not told
+  MSGPACK_DEFINE(term, from, round, lastTerm, index, committed, whole, members, former, state, patch,
+                 baseTerm, baseIndex, hash)
+};
+// A part of an entry that is too large for one message: `data` at `offset` of `size` bytes, the state or,
+// where there is a base, a patch.
+struct StatePiece {
+  static constexpr Kind kKind = kStatePiece;
+  std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0, baseTerm = 0, baseIndex = 0;
+  std::vector<Member> members, former;
+  std::uint64_t hash = 0, size = 0, offset = 0;
+  std::string data;
+  MSGPACK_DEFINE(term, from, round, lastTerm, index, baseTerm, baseIndex, members, former, hash, size, offset,
+                 data)
+};
+struct StatePieceResponse {
+  static constexpr Kind kKind = kStatePieceResponse;
+  std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0;  // of the entry in transfer
+  std::uint64_t held = 0;                                                // bytes from the beginning
+  bool refused = false;  // it can't be made of what is held here
+  MSGPACK_DEFINE(term, from, round, lastTerm, index, held, refused)
 };
 struct AppendResponse {
   static constexpr Kind kKind = kAppendResponse;
@@ -79,7 +104,8 @@
   static constexpr Kind kKind = kVoteResponse;
   std::uint64_t term = 0, from = 0;
   bool preVote = false, granted = false;
-  MSGPACK_DEFINE(term, from, preVote, granted)
+  std::uint64_t lastTerm = 0, index = 0;  // what the voter holds
+  MSGPACK_DEFINE(term, from, preVote, granted, lastTerm, index)
 };
 struct TimeoutNow {  // the leader of `term` has stepped down: who gets this stands for election at once
   static constexpr Kind kKind = kTimeoutNow;
--- a/tests/system/consensus_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -1,6 +1,7 @@
 // The agreement of the stores: each loss that it promises to bear, drawn as a timeline, and random plays.
 #include <algorithm>
 
+#include "consensus/state_patch.hpp"
 #include "timeline.hpp"
 
 namespace burlwind::timeline {
@@ -483,6 +484,132 @@
   }
 }
 
+std::string text(std::size_t size, unsigned seed) {
+  std::mt19937 random(seed);
+  std::string out(size, ' ');
+  for (char& c : out) c = static_cast<char>('a' + random() % 26);
+  return out;
+}
+
+constexpr double kTwoMbits = 250, kHundredMbits = 12500;  // bytes a ms
+
+struct Arrival {
+  double seconds = 0;        // from the newcomer's start until it is a member
+  double overhead = 0;       // bytes to it, by those of the state
+  double longestWay = 0;     // ms that a heartbeat was under way to it
+  double longestChange = 0;  // ms until a change was acknowledged meanwhile
+};
+
+// A newcomer gets a state of that size over a slow link, while a change is made each second; its connections
+// are reset so many times.
+Arrival arrival(std::size_t size, double bytesPerMs, double loss, unsigned resets, unsigned seed) {
+  Stores s(3, seed);
+  s.load(text(size, seed));
+  s.play("0 start start start");
+  s.play("2000 put=a");
+  const unsigned leader = *s.leader(), one = (leader + 1) % 3;
+  s.act(one, "wipe");
+  s.limit(one, bytesPerMs, loss);
+  s.run(1000);
+  const auto bytesBefore = s.bytesTo(one);
+  s.longestWay(one);
+  const double begun = s.now();
+  s.act(one, "start");
+  Arrival out;
+  for (int i = 0; s.now() < begun + 100'000 && !s.core(one).member(); ++i) {
+    const double asked = s.now();
+    CHECK(s.put("b" + std::to_string(i)));
+    out.longestChange = std::max(out.longestChange, s.now() - asked);
+    while (s.now() < asked + 1000 && !s.core(one).member()) s.step();
+    if (i == 7 && resets > 0) s.reset(one);
+    if (i == 19 && resets > 1) s.reset(one);
+  }
+  CHECK(s.core(one).member());
+  out.seconds = (s.now() - begun) / 1000;
+  out.overhead = static_cast<double>(s.bytesTo(one) - bytesBefore) / static_cast<double>(size);
+  out.longestWay = s.longestWay(one);
+  CHECK(*s.leader() == leader);  // who leads has not changed
+  s.run(2000);
+  CHECK(s.core(one).record().index == s.core(leader).record().index);
+  CHECK(s.core(one).record().state == s.core(leader).record().state);
+  return out;
+}
+
+TEST_CASE("a state of 8 MB reaches a newcomer over 2 Mbit/s with loss and resets while changes go on") {
+  constexpr std::size_t kSize = 8'000'000;
+  const Arrival got = arrival(kSize, kTwoMbits, 0.001, 2, 5);
+  MESSAGE("8 MB over 2 Mbit/s, 0.1% loss, 2 resets: member after "
+          << got.seconds << " s, bytes " << got.overhead << " times the state's, heartbeats up to "
+          << got.longestWay << " ms, changes up to " << got.longestChange << " ms");
+  CHECK(got.seconds < 1.5 * kSize / kTwoMbits / 1000);
+  CHECK(got.overhead < 1.1);
+  CHECK(got.longestWay < consensus::Timeouts{}.electMost);
+  CHECK(got.longestChange < 300);
+}
+
+TEST_CASE("what a newcomer costs at 60 KB, 2 MB and 8 MB") {
+  for (const double rate : {kTwoMbits, kHundredMbits})
+    for (const std::size_t size : {60'000u, 2'000'000u, 8'000'000u}) {
+      const Arrival got = arrival(size, rate, 0, 0, 3);
+      MESSAGE(size << " bytes over " << rate * 8 / 1000 << " Mbit/s: member after " << got.seconds
+                   << " s, bytes " << got.overhead << " times the state's, heartbeats up to "
+                   << got.longestWay << " ms");
+      CHECK(got.overhead < 1.1);
+      CHECK(got.longestWay < 500);
+    }
+}
+
+TEST_CASE("a change in a large state is a small message, also the first one of a new leader") {
+  for (const std::size_t size : {60'000u, 2'000'000u, 8'000'000u}) {
+    Stores s(3, 8);
+    s.load(text(size, 8));
+    s.play("0 start start start");
+    s.play("2000 put=a");
+    const unsigned old = *s.leader();
+    for (unsigned i = 0; i < 3; ++i) s.limit(i, kTwoMbits, 0);
+    const auto bytes = [&] { return s.bytesTo(0) + s.bytesTo(1) + s.bytesTo(2); };
+    auto before = bytes();
+    const double asked = s.now();
+    CHECK(s.put("b"));
+    MESSAGE(size << " bytes: a change is acknowledged after " << s.now() - asked << " ms with "
+                 << bytes() - before << " bytes in all");
+    CHECK(bytes() - before < 3000);
+    CHECK(s.now() - asked < 150);
+    before = bytes();
+    s.end(old);
+    s.run(290);
+    REQUIRE(s.leader());
+    CHECK(*s.leader() != old);
+    CHECK(bytes() - before < 10'000);
+    CHECK(s.put("c"));
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+}
+
+TEST_CASE("restarted three times during 400 changes, a member catches up each time") {
+  for (const std::size_t size : {20u, 60'000u, 300'000u}) {
+    CAPTURE(size);
+    Stores s(3, 13);
+    s.load(text(size, 13));
+    for (unsigned i = 0; i < 3; ++i) s.limit(i, kHundredMbits, 0);  // in order, as pieces need
+    s.play("0 start start start");
+    s.play("2000 put=a");
+    const unsigned leader = *s.leader(), one = (leader + 1) % 3;
+    for (int i = 0; i < 400; ++i) {
+      CHECK(s.put("c" + std::to_string(i)));
+      if (i % 130 == 20) s.act(one, "kill");
+      if (i % 130 == 60) s.act(one, "start");
+      if (i % 130 == 100) {
+        s.run(300);
+        CHECK(s.core(one).record().index == s.core(*s.leader()).record().index);
+      }
+    }
+    s.run(500);
+    CHECK(s.core(one).record().state == s.core(leader).record().state);
+    CHECK(s.everythingAcknowledgedIsHeld());
+  }
+}
+
 // One replica alone, asked by hand.
 struct Alone {
   explicit Alone(PersistentState record)
@@ -561,6 +688,91 @@
   CHECK(follower.core.committed() == 6);  // what it holds, no more
 }
 
+TEST_CASE("a patch is taken only on its base and with its hash; else the whole state comes") {
+  PersistentState record = three(3);
+  record.term = record.lastTerm = 1, record.index = 4, record.state = text(5000, 1);
+  const std::string after = record.state + "more", patch = consensus::makePatch(record.state, after);
+  rpc::AppendRequest good{1, 1, 1, 1, 5, 4, false, record.members, {}, patch};
+  good.patch = true, good.baseTerm = 1, good.baseIndex = 4, good.hash = consensus::hashOf(after);
+  const auto takes = [&](const rpc::AppendRequest& message) {
+    Alone follower(record);
+    follower.core.receive(message, 1000);
+    CHECK((follower.core.record().index == 4 || follower.core.record().state == after));
+    return follower.core.record().index == 5;
+  };
+  CHECK(takes(good));
+  rpc::AppendRequest bad = good;
+  bad.baseIndex = 3;
+  CHECK_FALSE(takes(bad));
+  bad = good, bad.baseTerm = 2;
+  CHECK_FALSE(takes(bad));
+  bad = good, ++bad.hash;
+  CHECK_FALSE(takes(bad));
+  bad = good, bad.state.back() ^= 1;
+  CHECK_FALSE(takes(bad));
+  bad = good, bad.baseTerm = bad.baseIndex = 0;  // a patch of nothing is no state
+  CHECK_FALSE(takes(bad));
+  bad = good, bad.state = after, bad.whole = true, bad.patch = false;
+  CHECK(takes(bad));
+}
+
+TEST_CASE(
+    "pieces are put together in order, from the beginning where they are of another entry, and checked") {
+  PersistentState record = three(3);
+  record.term = 1;
+  const std::string state = text(50'000, 2);
+  const auto piece = [&](std::uint64_t index, std::size_t offset, std::size_t size) {
+    rpc::StatePiece m;
+    m.term = m.lastTerm = 1, m.from = 1, m.round = 1, m.index = index, m.members = record.members;
+    m.hash = consensus::hashOf(state), m.size = state.size(), m.offset = offset;
+    m.data = state.substr(offset, size);
+    return m;
+  };
+  Alone follower(record);
+  const auto held = [&](const rpc::StatePiece& m) -> std::uint64_t {
+    for (const auto& effect : follower.core.receive(m, 1000))
+      if (const auto* send = std::get_if<consensus::Send>(&effect)) {
+        if (const auto* say = std::get_if<rpc::StatePieceResponse>(&send->message))
+          return say->refused ? 1 : say->held;
+        if (const auto* say = std::get_if<rpc::AppendResponse>(&send->message)) return 1'000'000 + say->index;
+      }
+    return 0;
+  };
+  CHECK(held(piece(7, 0, 20'000)) == 20'000);
+  CHECK(held(piece(7, 0, 20'000)) == 20'000);     // once more
+  CHECK(held(piece(7, 30'000, 9000)) == 20'000);  // one is missing
+  CHECK(held(piece(8, 20'000, 9000)) == 0);       // of another entry
+  CHECK(held(piece(8, 0, 20'000)) == 20'000);
+  rpc::StatePiece spoilt = piece(8, 20'000, 30'000);
+  spoilt.data[5] ^= 1;
+  CHECK(held(spoilt) == 1);
+  CHECK(follower.core.record().index == 0);
+  CHECK(held(piece(8, 0, 20'000)) == 20'000);
+  CHECK(held(piece(8, 20'000, 30'000)) == 1'000'008);
+  CHECK(follower.core.record().state == state);
+  CHECK(held(piece(7, 0, 20'000)) == 1'000'008);  // an older entry: it holds a newer one
+  rpc::StatePiece huge = piece(9, 0, 100);
+  huge.size = consensus::kMostStateBytes + 1;
+  CHECK(held(huge) == 1);
+}
+
+TEST_CASE("states that others hold are kept up to a bound, the newest always") {
+  consensus::History history;
+  const auto state = [](std::size_t bytes) { return std::make_shared<const std::string>(bytes, 'x'); };
+  history.remember({1, 1}, state(100), {});
+  history.remember({1, 2}, state(100), {{1, 1}});
+  CHECK(history.find({1, 1}));
+  history.remember({1, 3}, state(100), {{1, 1}});
+  CHECK(history.find({1, 1}));
+  CHECK_FALSE(history.find({1, 2}));  // nobody holds it
+  history.remember({1, 4}, state(consensus::kMostHistoryBytes - 100), {{1, 1}, {1, 3}});
+  CHECK_FALSE(history.find({1, 1}));
+  CHECK(history.find({1, 3}));
+  history.remember({2, 5}, state(consensus::kMostHistoryBytes + 1), {{1, 3}, {1, 4}});
+  CHECK_FALSE(history.find({1, 4}));
+  CHECK(history.find({2, 5}));
+}
+
 TEST_CASE("a handed over election is for the one term after, and only then by who hears a leader") {
   PersistentState record = three(3);
   record.term = 4;
@@ -632,10 +844,11 @@
 // Kills, freezes, cuts both ways, slow disks and wipes, never more wiped at once than may be lost; each
 // failure says its seed.
 TEST_CASE("random plays: nothing acknowledged is lost, no two leaders of a term") {
-  for (unsigned seed = 1; seed <= 120; ++seed) {
+  for (unsigned seed = 1; seed <= 160; ++seed) {
     CAPTURE(seed);
     std::mt19937 random(seed);
     Stores s(3, seed);
+    if (seed > 120) s.load(text(seed % 2 ? 5000 : 150'000, seed));  // as patches and in pieces
     s.play("0 start start start");
     int wiped = -1;
     for (int turn = 0; turn < 40; ++turn) {
--- a/tests/system/store_test.cpp
+++ b/tests/system/store_test.cpp
@@ -97,6 +97,21 @@
   }
 }
 
+TEST_CASE("records of 8 MB that grow and shrink are written again and again") {
+  Folder folder;
+  Store store(folder.path / "d");
+  std::string found;
+  REQUIRE_FALSE(store.open(found));
+  for (std::size_t i = 0; i < 24; ++i) {
+    CAPTURE(i);
+    const std::size_t size = 8'000'000 + 350'000 * (i % 7) - 600'000 * (i % 3);
+    REQUIRE_FALSE(store.write(record(static_cast<char>('a' + i), size)));
+  }
+  Store again(folder.path / "d");
+  REQUIRE_FALSE(again.open(found));
+  CHECK(found == record('x', 8'000'000 + 350'000 * 2 - 600'000 * 2));
+}
+
 TEST_CASE("rubbish in place of a file is scrapped, the other one is read") {
   Folder folder;
   std::string found;
--- a/tests/system/timeline.hpp
+++ b/tests/system/timeline.hpp
@@ -16,6 +16,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <memory>
@@ -25,6 +26,7 @@
 #include <sstream>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "consensus/core.hpp"
@@ -138,6 +140,29 @@
     return std::any_of(members.begin(), members.end(),
                        [&](const rpc::Member& m) { return m.id == replicas_[i].disk.self; });
   }
+  // From now on what goes to and from replica i takes its turn on a link of so many bytes a ms, in order, as
+  // TCP does: each packet of 1500 bytes is lost with that chance, and then all waits 300 ms for it.
+  void limit(unsigned i, double bytesPerMs, double loss) {
+    for (unsigned j = 0; j < replicas_.size(); ++j)
+      if (j != i) wires_[{i, j}] = wires_[{j, i}] = {bytesPerMs, loss, now_, now_};
+  }
+  // Its connections are reset: what is under way is gone.
+  void reset(unsigned i) {
+    std::erase_if(letters_, [i](const Letter& letter) { return letter.from == i || letter.to == i; });
+    for (auto& [ends, wire] : wires_)
+      if (ends.first == i || ends.second == i) wire.freeAt = wire.lastAt = now_;
+  }
+  std::size_t bytesTo(unsigned i) { return bytesTo_[i]; }
+  // The longest that a message other than a piece was under way to replica i since the last call.
+  double longestWay(unsigned i) { return std::exchange(longestWay_[i], 0); }
+  // All begin with that state, agreed on in term 1.
+  void load(const std::string& state) {
+    for (Replica& r : replicas_) {
+      if (r.disk.members.empty()) continue;
+      r.disk.term = r.disk.lastTerm = r.disk.index = 1;
+      r.disk.state = state;
+    }
+  }
   std::size_t confirmations(unsigned i) { return confirmations_[i]; }
 
   // Proposes where somebody leads; true once it is committed. False: no clear answer.
@@ -280,6 +305,35 @@
                                           replicas_[i].core->incarnation()));
   }
 
+  static std::size_t sizeOf(const consensus::Message& message) {
+    constexpr std::size_t kHead = 150;
+    return kHead + std::visit(
+                       [](const auto& m) -> std::size_t {
+                         if constexpr (requires { m.state; })
+                           return m.state.size();
+                         else if constexpr (requires { m.data; })
+                           return m.data.size();
+                         else
+                           return 0;
+                       },
+                       message);
+  }
+  void post(Letter letter) {
+    const std::size_t size = sizeOf(letter.message);
+    const double from = letter.at;
+    bytesTo_[letter.to] += size;
+    letter.at += delay();
+    if (const auto found = wires_.find({letter.from, letter.to}); found != wires_.end()) {
+      Wire& wire = found->second;
+      wire.freeAt = std::max(from, wire.freeAt) + static_cast<double>(size) / wire.bytesPerMs;
+      letter.at = std::max(letter.at - from + wire.freeAt, wire.lastAt);
+      if (draw(this) > std::pow(1 - wire.loss, static_cast<double>(size) / 1500)) letter.at += 300;
+      wire.lastAt = letter.at;
+    }
+    if (size < 1000) longestWay_[letter.to] = std::max(longestWay_[letter.to], letter.at - from);
+    letters_.push_back(std::move(letter));
+  }
+
   void deliver(Letter& letter) {
     Replica& to = replicas_[letter.to];
     const Replica& from = replicas_[letter.from];
@@ -308,7 +362,7 @@
         for (unsigned j = 0; j < replicas_.size(); ++j)
           if (replicas_[j].disk.self == send->to ||
               (replicas_[j].core && replicas_[j].core->record().self == send->to))
-            letters_.push_back({at + delay(), i, j, send->to, send->message, r.incarnation, false, {}});
+            post({at, i, j, send->to, send->message, r.incarnation, false, {}});
       } else if (std::holds_alternative<consensus::Committed>(effect)) {
         acks_.insert(i);
         if (const auto order = orders_.find(i); order != orders_.end()) {
@@ -375,6 +429,12 @@
   std::set<std::string> commits_;
   std::set<unsigned> acks_;
   std::map<std::uint64_t, Id> leaders_;
+  struct Wire {
+    double bytesPerMs = 0, loss = 0, freeAt = 0, lastAt = 0;
+  };
+  std::map<std::pair<unsigned, unsigned>, Wire> wires_;  // from, to
+  std::map<unsigned, std::size_t> bytesTo_;
+  std::map<unsigned, double> longestWay_;
   std::map<unsigned, std::string> orders_;  // by replica, not answered yet
   std::vector<Read> reads_;
   std::map<std::tuple<unsigned, unsigned, std::uint64_t>, double> rounds_;  // their beginnings
