Control API: a call that waited through a stop is dropped before it is handled; connections on loopback in tests

Cause: whoever has stood still drops its callers' connections at the next tick, but the loop reads what lies in the sockets first: an order that was sent before the stop, and perhaps taken back elsewhere since, was handled all the same. A call with HEAD was answered with a body, whose bytes stood where the next answer is due.

Change: the server asks its owner between reading and handling (the registry looks whether it stood still), and drops the call where its connection was dropped. Reading, handling and writing are functions of their own. Tests play clients, operators and workers in the loop of what they test: answers in order on a kept connection; answers to callers that have gone, reset or were dropped; a body that is refused unread; 100-continue; leaving; connections used again, late answers.

--- a/src/control_api/server.cpp
+++ b/src/control_api/server.cpp
@@ -11,13 +11,17 @@
 #include <charconv>
 
 #include "http/http.hpp"
+#include "program/deadline.hpp"
 #include "program/listen.hpp"
 
 namespace burlwind::control_api {
 namespace {
 
-constexpr auto kIdle = std::chrono::seconds(10);
-constexpr std::uint64_t kMostCall = 16 * 1024 * 1024;
+constexpr double kIdleMs = 10000;
+constexpr std::uint64_t kMaxCall = 16 * 1024 * 1024;  // bytes of a body
+constexpr std::size_t kReadBytes = 8192;
+constexpr int kBacklog = 512;
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);  // after an error: no descriptors
 
 std::string decoded(std::string_view text) {
   std::string out;
@@ -70,39 +74,44 @@
 }
 
 struct Server::Connection {
-  Connection(Tcp::socket s, asio::io_context& io) : socket(std::move(s)), timer(io) {}
+  Connection(Tcp::socket s, asio::io_context& io) : socket(std::move(s)), deadline(io) {}
   Tcp::socket socket;
-  asio::steady_timer timer;
+  program::Deadline deadline;
+  beast::flat_buffer in;
   void close() {
     Error ignored;
     socket.close(ignored);
-    timer.cancel();
+    deadline.disarm();
   }
-  void within(std::chrono::steady_clock::duration span, const std::shared_ptr<Connection>& self) {
-    timer.expires_after(span);
-    timer.async_wait([self](const Error& error) {
-      if (!error) self->close();
+  static void closeWhenIdle(const std::shared_ptr<Connection>& connection) {
+    connection->deadline.arm(kIdleMs, [weak = std::weak_ptr<Connection>(connection)] {
+      if (const auto idle = weak.lock()) idle->close();
     });
   }
 };
 
-Server::Server(asio::io_context& io, Handler handler)
-    : io_(io), handler_(std::move(handler)), acceptor_(io) {}
+Server::Server(asio::io_context& io, Handler handler, BeforeCall beforeCall)
+    : io_(io), handler_(std::move(handler)), beforeCall_(std::move(beforeCall)), acceptor_(io) {}
 Server::~Server() = default;
 
 boost::system::error_code Server::listen(const std::string& ip, std::uint16_t port) {
-  const Error error = program::listenAt(acceptor_, ip, port, 512);
+  const Error error = program::listenAt(acceptor_, ip, port, kBacklog);
   if (!error) asio::co_spawn(io_, accept(), asio::detached);
   return error;
 }
 
+std::uint16_t Server::port() const {
+  Error ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
 void Server::close() {
   Error ignored;
   acceptor_.close(ignored);
 }
 
 void Server::dropAll() {
-  for (const auto& c : connections_) c->close();
+  for (const auto& connection : connections_) connection->close();
 }
 
 asio::awaitable<void> Server::accept() {
@@ -112,55 +121,70 @@
     Tcp::socket socket = co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, error));
     if (!acceptor_.is_open()) co_return;
     if (error) {
-      pause.expires_after(std::chrono::milliseconds(50));
+      pause.expires_after(kAcceptPause);
       co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
       continue;
     }
+    socket.set_option(Tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket), io_);
     connections_.insert(connection);
     asio::co_spawn(io_, serve(connection), asio::detached);
   }
 }
 
-asio::awaitable<void> Server::serve(std::shared_ptr<Connection> c) {
-  beast::flat_buffer in;
+asio::awaitable<void> Server::serve(std::shared_ptr<Connection> connection) {
+  for (bool goOn = true; goOn;) {
+    Call call;
+    const bool read = co_await readCall(connection, call);
+    if (read && beforeCall_) beforeCall_();
+    if (!read || !connection->socket.is_open()) break;
+    const Reply reply = co_await handler_(call);
+    if (!connection->socket.is_open()) break;
+    const bool written = co_await writeReply(connection, call, reply);
+    goOn = written && call.keepAlive;
+  }
+  connection->close();
+  connections_.erase(connection);
+}
+
+// One whole call; false: the connection is to end.
+asio::awaitable<bool> Server::readCall(std::shared_ptr<Connection> connection, Call& call) {
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(kMaxCall);
+  Connection::closeWhenIdle(connection);
+  auto& in = connection->in;
   Error error;
-  c->socket.set_option(Tcp::no_delay(true), error);
-  for (bool goOn = true; goOn && c->socket.is_open();) {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(kMostCall);
-    c->within(kIdle, c);
-    while (!parser.is_done()) {
-      if (in.size() && feed(parser, in, error)) break;
-      if (error) break;
-      const auto room = in.prepare(8192);
-      const std::size_t n =
-          co_await c->socket.async_read_some(room, asio::redirect_error(asio::use_awaitable, error));
-      if (error) break;
-      in.commit(n);
-    }
-    if (error || !c->socket.is_open()) break;
-    c->timer.cancel();
-    const auto& request = parser.get();
-    goOn = request.keep_alive();
-    Call call = callOf(view(request.method_string()), view(request.target()));
-    call.body = std::move(parser.get().body());
-    const Reply reply = co_await handler_(std::move(call));
-    if (!c->socket.is_open()) break;
-    http::response<http::empty_body> head{static_cast<http::status>(reply.status), 11};
-    if (!reply.body.empty()) head.set(http::field::content_type, "application/json");
-    head.keep_alive(goOn);
-    head.content_length(reply.body.size());
-    std::string out;
-    append(out, head);
-    out += reply.body;
-    c->within(kIdle, c);
-    co_await asio::async_write(c->socket, asio::buffer(out),
-                               asio::redirect_error(asio::use_awaitable, error));
+  while (!parser.is_done()) {
+    if (in.size() > 0 && feed(parser, in, error)) break;
     if (error) break;
+    const std::size_t read = co_await connection->socket.async_read_some(
+        in.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
+    if (error) break;
+    in.commit(read);
   }
-  c->close();
-  connections_.erase(c);
+  if (error || !connection->socket.is_open()) co_return false;
+  connection->deadline.disarm();
+  auto& request = parser.get();
+  call = callOf(view(request.method_string()), view(request.target()));
+  call.keepAlive = request.keep_alive();
+  call.body = std::move(request.body());
+  co_return true;
+}
+
+asio::awaitable<bool> Server::writeReply(std::shared_ptr<Connection> connection, const Call& call,
+                                         const Reply& reply) {
+  http::response<http::empty_body> head{static_cast<http::status>(reply.status), 11};
+  if (!reply.body.empty()) head.set(http::field::content_type, "application/json");
+  head.keep_alive(call.keepAlive);
+  head.content_length(reply.body.size());
+  std::string out;
+  append(out, head);
+  if (call.method != "HEAD") out += reply.body;
+  Connection::closeWhenIdle(connection);
+  Error error;
+  co_await asio::async_write(connection->socket, asio::buffer(out),
+                             asio::redirect_error(asio::use_awaitable, error));
+  co_return !error;
 }
 
 }  // namespace burlwind::control_api
--- a/src/control_api/server.hpp
+++ b/src/control_api/server.hpp
@@ -1,7 +1,12 @@
 // A small HTTP/1.1 server for the calls of clients' lookups, operators and the platform: one coroutine a
-// connection, one dispatch on method and path segments by its owner. Bodies are held whole, up to kMostBody;
-// a connection that is idle or slow for kIdle is closed. `dropAll` ends every connection without an answer:
-// who has stood still must not act on what was sent before it woke.
+// connection, one dispatch on method and path segments by its owner. Bodies are held whole, up to kMaxCall; a
+// connection that is idle or slow for kIdleMs is closed.
+//
+// Properties:
+//  - The calls of a connection are handled one after the other; an answer goes out before the next call is
+//    handled, on the connection that the call came on, or not at all.
+//  - After dropAll nothing is written on the connections that there were, and no call that was read from them
+//    but not handled yet is handled: who has stood still must not act on what was sent before it woke.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -25,6 +30,7 @@
   std::vector<std::string> segments;         // of the path, decoded
   std::map<std::string, std::string> query;  // decoded
   std::string body;
+  bool keepAlive = true;  // the caller may send another one on the connection
   bool is(std::string_view verb, std::initializer_list<std::string_view> path) const;
   std::string asked(const char* name) const;
 };
@@ -40,18 +46,25 @@
 class Server {
  public:
   using Handler = std::function<asio::awaitable<Reply>(Call)>;
-  Server(asio::io_context& io, Handler handler);
+  // Called between the reading of a call and its handling; it may call dropAll, and the call is then dropped.
+  using BeforeCall = std::function<void()>;
+  Server(asio::io_context& io, Handler handler, BeforeCall beforeCall = nullptr);
   ~Server();
   boost::system::error_code listen(const std::string& ip, std::uint16_t port);
-  void close();  // takes no more connections
-  void dropAll();
+  std::uint16_t port() const;  // that it listens at
+  void close();                // takes no more connections
+  void dropAll();              // ends every connection without an answer
 
  private:
   struct Connection;
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
+  static asio::awaitable<bool> readCall(std::shared_ptr<Connection> connection, Call& call);
+  static asio::awaitable<bool> writeReply(std::shared_ptr<Connection> connection, const Call& call,
+                                          const Reply& reply);
   asio::io_context& io_;
-  Handler handler_;
+  const Handler handler_;
+  const BeforeCall beforeCall_;
   Tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Connection>> connections_;
 };
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -87,6 +87,11 @@
   return error;
 }
 
+std::uint16_t ClientServer::port() const {
+  Error ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
 void ClientServer::stopAccepting() {
   Error ignored;
   acceptor_.close(ignored);
--- a/src/proxy/client_server.hpp
+++ b/src/proxy/client_server.hpp
@@ -33,6 +33,7 @@
   Error listen(const std::string& ip, std::uint16_t port);
   void closeBehindAnswers() { closeBehindAnswers_ = true; }  // each connection ends with its next answer
   void stopAccepting();
+  std::uint16_t port() const;  // that it listens at
   bool accepting() const { return acceptor_.is_open(); }
   void closeIdle();  // those on which no request has begun
   bool empty() const { return connections_.empty(); }
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -67,7 +67,8 @@
         settings_(std::move(settings)),
         registry_(settings_.ip, settings_.regionOf),
         acceptor_(io),
-        control_(io, [this](Call c) { return controlCall(std::move(c)); }),
+        control_(
+            io, [this](Call c) { return controlCall(std::move(c)); }, [this] { detectStall(); }),
         directory_(io, [this](Call c) { return directoryCall(std::move(c)); }),
         timer_(io),
         wake_(io),
