Config, program: one reader of times, compared bounds, one declaration a line

The settings' and the configuration's readers had the same function for times, with two wordings of its fault; it is one now, with the longer wording.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <set>
 
+#include "config/fields.hpp"
 #include "config/json.hpp"
 #include "config/settings.hpp"
 
@@ -25,14 +26,6 @@
   return out;
 }
 
-double time(const Reader& at, const char* name, double usual) {
-  if (!at.has(name)) return usual;
-  const Reader field = at.at(name);
-  const auto out = milliseconds(field.text());
-  if (!out) field.fail("is no time such as \"1500ms\"");
-  return out.value_or(usual);
-}
-
 std::vector<std::string> texts(const Reader& at, const char* name) {
   std::vector<std::string> out;
   if (!at.has(name)) return out;
@@ -63,17 +56,17 @@
   const std::string kind = at.at("kind").text();
   if (kind != "safe" && kind != "unsafe") at.at("kind").fail("is neither safe nor unsafe");
   out.safe = kind == "safe";
-  out.timeout = time(at, "timeout", 0);
-  out.target = time(at, "target", 0);
+  out.timeout = timeOf(at, "timeout", 0);
+  out.target = timeOf(at, "target", 0);
   if (at.has("priority")) out.priority = static_cast<int>(at.at("priority").number());
   if (at.has("tries")) out.tries = static_cast<unsigned>(std::clamp(at.at("tries").number(), 1.0, 100.0));
   if (at.has("public")) out.open = at.at("public").truth();
   out.homes = texts(at, "homeRegions");
   if (at.has("split")) {
     for (const Reader& part : at.at("split").items()) {
-      Part p{part.at("backend").text(), part.at("weight").number()};
-      if (p.weight < 0) part.at("weight").fail("is below 0");
-      out.parts.push_back(std::move(p));
+      const double weight = part.at("weight").number();
+      if (weight < 0) part.at("weight").fail("is below 0");
+      out.parts.push_back({part.at("backend").text(), weight});
     }
     if (out.parts.empty()) at.at("split").fail("names no service");
   } else {
@@ -87,7 +80,7 @@
   out.name = at.at("name").text();
   out.healthPath = at.has("healthPath") ? at.at("healthPath").text() : "/health";
   out.connections = static_cast<unsigned>(std::min(1e6, atLeastNothing(at, "maxConns")));
-  out.coldFor = time(at, "coldFor", 0);
+  out.coldFor = timeOf(at, "coldFor", 0);
   out.coldRate = atLeastNothing(at, "coldRateS");
   return out;
 }
@@ -103,12 +96,12 @@
   return out;
 }
 
-void checkTogether(const Configuration& c, const Reader& root) {
+void checkTogether(const Configuration& read, const Reader& root) {
   std::set<std::string> services;
-  for (const Service& s : c.services) services.insert(s.name);
+  for (const Service& service : read.services) services.insert(service.name);
   std::set<std::pair<std::string, std::string>> places;
-  for (std::size_t i = 0; i < c.routes.size(); ++i) {
-    const Route& route = c.routes[i];
+  for (std::size_t i = 0; i < read.routes.size(); ++i) {
+    const Route& route = read.routes[i];
     const std::string at = "[" + std::to_string(i) + "] ";
     for (const Part& part : route.parts)
       if (!services.contains(part.service))
@@ -169,8 +162,8 @@
       read->limits.header = static_cast<std::size_t>(atLeastNothing(limits, "maxHeaderBytes"));
     if (limits.has("maxBodyBytes"))
       read->limits.body = static_cast<std::uint64_t>(atLeastNothing(limits, "maxBodyBytes"));
-    read->limits.headerRead = time(limits, "headerRead", read->limits.headerRead);
-    read->limits.idle = time(limits, "idle", read->limits.idle);
+    read->limits.headerRead = timeOf(limits, "headerRead", read->limits.headerRead);
+    read->limits.idle = timeOf(limits, "idle", read->limits.idle);
   }
   if (out.fault.empty()) checkTogether(*read, root);
   if (!out.fault.empty()) return out;
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -73,6 +73,6 @@
   std::shared_ptr<const Configuration> configuration;  // nothing: `fault` says why
   std::string fault;
 };
-ConfigurationRead readConfiguration(std::string_view json);
+ConfigurationRead readConfiguration(std::string_view text);  // JSON
 
 }  // namespace burlwind::config
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -5,7 +5,7 @@
 #include <picojson.h>
 
 #include <cmath>
-#include <optional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -22,8 +22,7 @@
   }
   Reader at(const char* name) const {
     static const picojson::value nothing;
-    if (!has(name)) return Reader(nothing, pathOf(name), *fault_);
-    return Reader(value_->get(name), pathOf(name), *fault_);
+    return {has(name) ? value_->get(name) : nothing, pathOf(name), *fault_};
   }
   std::vector<Reader> items() const {
     std::vector<Reader> out;
@@ -63,15 +62,15 @@
   std::string* fault_;
 };
 
-// The whole text as one value; nothing else may follow it.
-inline std::optional<picojson::value> parseJson(std::string_view text, std::string& fault) {
-  picojson::value out;
+// The whole text as one value; nothing else may follow it. Null where it is none, `fault` then says why.
+inline std::unique_ptr<const picojson::value> parseJson(std::string_view text, std::string& fault) {
+  auto out = std::make_unique<picojson::value>();
   std::string error;
-  auto end = picojson::parse(out, text.begin(), text.end(), &error);
-  if (!error.empty()) return fault = "is no whole JSON: " + error, std::nullopt;
+  auto end = picojson::parse(*out, text.begin(), text.end(), &error);
+  if (!error.empty()) return fault = "is no whole JSON: " + error, nullptr;
   for (; end != text.end(); ++end)
     if (*end != ' ' && *end != '\n' && *end != '\r' && *end != '\t')
-      return fault = "goes on after its JSON has ended", std::nullopt;
+      return fault = "goes on after its JSON has ended", nullptr;
   return out;
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <iterator>
 
+#include "config/fields.hpp"
 #include "config/json.hpp"
 
 namespace burlwind::config {
@@ -30,14 +31,6 @@
 
 namespace {
 
-double time(const Reader& at, const char* name, double usual) {
-  if (!at.has(name)) return usual;
-  const Reader field = at.at(name);
-  const auto out = milliseconds(field.text());
-  if (!out) field.fail("is no time such as \"1500ms\" or \"2.5s\"");
-  return out.value_or(usual);
-}
-
 double figure(const Reader& at, const char* name, double usual) {
   return at.has(name) ? at.at(name).number() : usual;
 }
@@ -45,7 +38,7 @@
 std::optional<Endpoint> endpoint(const Reader& at, const char* name) {
   if (!at.has(name)) return std::nullopt;
   const Reader field = at.at(name);
-  const auto out = endpointOf(field.text());
+  std::optional<Endpoint> out = endpointOf(field.text());
   if (!out) field.fail("is no address such as 10.1.0.22:8389");
   return out;
 }
@@ -74,9 +67,11 @@
   const auto both = ports.items();
   if (both.size() != 2) ports.fail("is not the first and the last port");
   if (both.size() == 2) {
-    const double from = both[0].number(), until = both[1].number();
-    if (from < 1 || until > 65535 || until < from + 1) ports.fail("holds no two ports");
-    out.portFrom = static_cast<std::uint16_t>(from), out.portUntil = static_cast<std::uint16_t>(until);
+    const double first = both[0].number();
+    const double last = both[1].number();
+    if (first < 1 || last > 65535 || last < first + 1) ports.fail("holds no two ports");
+    out.portFrom = static_cast<std::uint16_t>(first);
+    out.portUntil = static_cast<std::uint16_t>(last);
   }
   for (const Reader& seed : network.at("seedNodes").items()) {
     const auto at = endpointOf(seed.text());
@@ -89,23 +84,23 @@
 }
 
 void readBounds(const Reader& at, Bounds& out) {
-  out.apply = time(at, "apply", out.apply);
-  out.drain = time(at, "drain", out.drain);
-  out.evacuate = time(at, "evacuate", out.evacuate);
-  out.ack = time(at, "ack", out.ack);
-  out.quiet = time(at, "quiet", out.quiet);
-  out.grace = time(at, "grace", out.grace);
-  out.lossSlack = time(at, "lossSlack", out.lossSlack);
+  out.apply = timeOf(at, "apply", out.apply);
+  out.drain = timeOf(at, "drain", out.drain);
+  out.evacuate = timeOf(at, "evacuate", out.evacuate);
+  out.ack = timeOf(at, "ack", out.ack);
+  out.quiet = timeOf(at, "quiet", out.quiet);
+  out.grace = timeOf(at, "grace", out.grace);
+  out.lossSlack = timeOf(at, "lossSlack", out.lossSlack);
   out.retryRatio = figure(at, "retryRatio", out.retryRatio);
-  out.retryWindow = time(at, "retryWindow", out.retryWindow);
+  out.retryWindow = timeOf(at, "retryWindow", out.retryWindow);
   out.retrySlack = figure(at, "retrySlack", out.retrySlack);
-  out.quotaWindow = time(at, "quotaWindow", out.quotaWindow);
+  out.quotaWindow = timeOf(at, "quotaWindow", out.quotaWindow);
   out.quotaExcess = figure(at, "quotaExcess", out.quotaExcess);
   out.quotaSlack = figure(at, "quotaSlack", out.quotaSlack);
   out.coldExcess = figure(at, "coldExcess", out.coldExcess);
   out.coldSlack = figure(at, "coldSlack", out.coldSlack);
-  out.reuseAfter = time(at, "reuseAfter", out.reuseAfter);
-  out.ttlMost = time(at, "ttl_max", out.ttlMost);
+  out.reuseAfter = timeOf(at, "reuseAfter", out.reuseAfter);
+  out.ttlMost = timeOf(at, "ttl_max", out.ttlMost);
 }
 
 }  // namespace
@@ -122,7 +117,7 @@
     const Reader cloud = root.at("provider").at("cloudApi");
     read.platform = endpoint(cloud, "address");
     read.platformRate = figure(cloud, "ratePerS", 0);
-    read.platformLag = time(cloud, "maxLag", 0);
+    read.platformLag = timeOf(cloud, "maxLag", 0);
   }
   const Reader settings = root.at("settings");
   if (settings.has("tolerance"))
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -28,6 +28,7 @@
   double quotaWindow = 5000, quotaExcess = 0.1, quotaSlack = 0;
   double coldExcess = 1.5, coldSlack = 0;
   double reuseAfter = 2000, ttlMost = 5000;
+  bool operator==(const Bounds&) const = default;
 };
 
 struct Settings {
--- a/src/program/log.hpp
+++ b/src/program/log.hpp
@@ -25,6 +25,7 @@
 void info(std::string_view what, Fields fields = {});
 void warn(std::string_view what, Fields fields = {});
 void error(std::string_view what, Fields fields = {});
-std::string line(std::string_view level, double seconds, std::string_view what, Fields fields);
+// One line without its end; `at`: seconds since the process began.
+std::string line(std::string_view level, double at, std::string_view what, Fields fields);
 
 }  // namespace burlwind::program
--- a/src/program/start.cpp
+++ b/src/program/start.cpp
@@ -38,7 +38,8 @@
 
 Started start(int argc, const char** argv, const char* program, const char* summary, Needs needs) {
   Started out;
-  int version = 0, check = 0;
+  int version = 0;
+  int check = 0;
   const char* path = nullptr;
   const poptOption options[] = {{"settings", 's', POPT_ARG_STRING, &path, 0,
                                  "settings file (JSON); else BURLWIND_NODE_FILE names it", "FILE"},
