--- a/src/load_balancing/core.cpp
+++ b/src/load_balancing/core.cpp
@@ -1,26 +1,32 @@
 #include "load_balancing/core.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace burlwind::load_balancing {
 namespace {
 
-constexpr double kFade = 200;                         // ms at least, memory of a told load
-constexpr double kLoadNews = 0.03;                    // weight of one in what is usual
-constexpr double kPaceKeep = 0.9;                     // of a worker's pace
-constexpr double kUsualKeep = 0.97;                   // of a service's
+constexpr double kLoadMemory = 200;                   // ms at least, in which a reported load fades
+constexpr double kUsualLoadWeight = 0.03;             // of a new report in a service's usual load
+constexpr double kResponseTimeKept = 0.9;             // of a worker's average with each answer
+constexpr double kUsualKept = 0.97;                   // of a service's
 constexpr double kUsualFirst = 150;                   // ms, until answers have come
-constexpr double kShunFirst = 600, kShunMost = 5000;  // ms, doubling
-constexpr double kFullFirst = 100, kFullMost = 800;   // ms, doubling
-constexpr double kZone = 0.30, kRegion = 0.45;        // of the aim: what a further zone or region costs
+constexpr double kEjectionFirst = 600;                // ms, doubling
+constexpr double kEjectionMost = 5000;                // ms
+constexpr double kOverloadFirst = 100;                // ms, doubling
+constexpr double kOverloadMost = 800;                 // ms
+constexpr std::array kDistanceCost{0.0, 0.30, 0.45};  // of the aim: same zone, same region, another region
 constexpr double kTie = 0.05;                         // of the cost, by chance
 constexpr double kColdPart = 0.85;                    // of the rule's bound
 constexpr double kColdMargin = 1.3;                   // of the told rate, with two more
+constexpr double kColdWindow = 1050;                  // ms, the rule's second with a margin
+constexpr unsigned kFailuresToEject = 2;              // in a row, of answers that are lost or spoilt
+constexpr unsigned kEjectionDoublings = 7;
 
 }  // namespace
 
-Core::State* Core::find(const std::string& id) {
+Core::WorkerState* Core::find(const std::string& id) {
   const auto found = workers_.find(id);
   return found == workers_.end() ? nullptr : &found->second;
 }
@@ -32,71 +38,82 @@
 
 void Core::setPlaces(std::map<std::string, std::string> regionOf) {
   regionOf_ = std::move(regionOf);
-  for (auto& [id, s] : workers_) s.region = regionOfZone(s.worker.zone);
+  for (auto& [id, state] : workers_) state.region = regionOfZone(state.worker.zone);
 }
 
-void Core::put(const rpc::Worker& w, double now) {
-  State& s = workers_[w.id];
-  if (s.worker.id.empty()) byService_[w.service].push_back(w.id);
-  s.worker = w;
-  s.region = regionOfZone(w.zone);
-  if (w.coldLeft > 0) s.coldUntil = std::max(s.coldUntil, now + w.coldLeft);
+void Core::put(const rpc::Worker& worker, double now) {
+  WorkerState& state = workers_[worker.id];
+  if (state.worker.id.empty()) byService_[worker.service].push_back(worker.id);
+  state.worker = worker;
+  state.region = regionOfZone(worker.zone);
+  if (worker.coldLeft > 0) state.coldUntil = std::max(state.coldUntil, now + worker.coldLeft);
+}
+
+void Core::remove(const std::string& id) {
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) return;
+  std::erase(byService_[found->second.worker.service], id);
+  workers_.erase(found);
+}
+
+void Core::removeAllBut(const std::vector<rpc::Worker>& kept) {
+  std::set<std::string> ids;
+  for (const auto& worker : kept) ids.insert(worker.id);
+  std::vector<std::string> gone;
+  for (const auto& [id, state] : workers_)
+    if (!ids.contains(id)) gone.push_back(id);
+  for (const auto& id : gone) remove(id);
 }
 
 void Core::take(const rpc::Workers& told, double now) {
-  const auto remove = [&](const std::string& id) {
-    const auto found = workers_.find(id);
-    if (found == workers_.end()) return;
-    std::erase(byService_[found->second.worker.service], id);
-    workers_.erase(found);
-  };
-  if (told.whole) {
-    std::set<std::string> kept;
-    for (const auto& w : told.put) kept.insert(w.id);
-    std::vector<std::string> gone;
-    for (const auto& [id, s] : workers_)
-      if (!kept.contains(id)) gone.push_back(id);
-    for (const auto& id : gone) remove(id);
-  }
-  for (const auto& w : told.put) put(w, now);
+  if (told.whole) removeAllBut(told.put);
+  for (const auto& worker : told.put) put(worker, now);
   for (const auto& id : told.gone) remove(id);
-  term_ = told.term, number_ = told.number;
+  term_ = told.term;
+  number_ = told.number;
 }
 
 void Core::setEvacuated(const std::set<std::string>& zones, double now) {
-  for (auto& [id, s] : workers_)
-    if (evacuated_.contains(s.worker.zone) && !zones.contains(s.worker.zone))
-      s.coldUntil = std::max(s.coldUntil, now + rules_[s.worker.service].coldFor);
+  for (auto& [id, state] : workers_)
+    if (evacuated_.contains(state.worker.zone) && !zones.contains(state.worker.zone))
+      state.coldUntil = std::max(state.coldUntil, now + rules_[state.worker.service].coldFor);
   evacuated_ = zones;
 }
 
-unsigned Core::away(const State& s) const {
-  return s.region != self_.region ? 2 : s.worker.zone != self_.zone ? 1 : 0;
+unsigned Core::away(const WorkerState& state) const {
+  if (state.region != self_.region) return 2;
+  return state.worker.zone != self_.zone ? 1 : 0;
 }
 
-bool Core::allowed(const State& s, const Ask& ask) const {
+bool Core::allowed(const WorkerState& state, const Ask& ask) const {
   const auto home = [&](const std::vector<std::string>* homes) {
-    return !homes || homes->empty() || std::find(homes->begin(), homes->end(), s.region) != homes->end();
+    return !homes || homes->empty() || std::find(homes->begin(), homes->end(), state.region) != homes->end();
   };
-  return !s.worker.draining && !evacuated_.contains(s.worker.zone) && home(ask.homes) && home(ask.otherHomes);
+  return !state.worker.draining && !evacuated_.contains(state.worker.zone) && home(ask.homes) &&
+         home(ask.otherHomes);
 }
 
-bool Core::mayWarm(State& s, double now) {
-  const auto rule = rules_.find(s.worker.service);
-  const double rate = rule == rules_.end() ? 0 : rule->second.coldRate;
+// How many proxies share the allowance of a cold worker; 0 where this one has no part in it.
+unsigned Core::warmingProxies(const WorkerState& state) const {
+  const auto here = proxies_.find(state.worker.zone);
+  if (here != proxies_.end() && here->second > 0) return state.worker.zone == self_.zone ? here->second : 0;
+  if (state.region != self_.region) return 0;
   unsigned sharers = 0;
-  if (const auto here = proxies_.find(s.worker.zone); here != proxies_.end()) sharers = here->second;
-  if (sharers > 0 && s.worker.zone != self_.zone) return false;
-  if (sharers == 0) {
-    if (s.region != self_.region) return false;
-    for (const auto& [zone, count] : proxies_)
-      if (regionOfZone(zone) == s.region) sharers += count;
-  }
+  for (const auto& [zone, count] : proxies_)
+    if (regionOfZone(zone) == state.region) sharers += count;
+  return std::max(1U, sharers);
+}
+
+bool Core::mayWarm(WorkerState& state, double now) {
+  const unsigned sharers = warmingProxies(state);
+  if (sharers == 0) return false;
+  const auto rule = rules_.find(state.worker.service);
+  const double rate = rule == rules_.end() ? 0 : rule->second.coldRate;
   const double bound = kColdPart * (rate * coldExcess_ + coldSlack_);
-  const double most = std::floor(std::min(bound, rate * kColdMargin + 2) / std::max(1u, sharers));
-  const double fair = bound / std::max(1u, sharers) >= 1 ? std::max(1.0, most) : 0;
-  while (!s.coldSent.empty() && now - s.coldSent.front() > 1050) s.coldSent.pop_front();
-  return static_cast<double>(s.coldSent.size()) < fair;
+  const double most = std::floor(std::min(bound, rate * kColdMargin + 2) / sharers);
+  const double fair = bound / sharers >= 1 ? std::max(1.0, most) : 0;
+  while (!state.coldSent.empty() && now - state.coldSent.front() > kColdWindow) state.coldSent.pop_front();
+  return static_cast<double>(state.coldSent.size()) < fair;
 }
 
 double Core::usual(const std::string& service) const {
@@ -104,118 +121,123 @@
   return found == usual_.end() ? kUsualFirst : found->second;
 }
 
-double Core::cost(const State& s, const Ask& ask, double now) const {
-  const double usualPace = usual(s.worker.service);
-  const double pace = s.pace > 0 ? 0.5 * s.pace + 0.5 * usualPace : usualPace;
-  const double slots = std::max(1u, s.worker.slots);
-  const auto others = usualLoad_.find(s.worker.service);
-  const double mean = others == usualLoad_.end() ? 0 : others->second;
-  const double load = s.out + mean + (s.told - mean) * std::exp(-(now - s.toldAt) / std::max(kFade, pace));
-  double out = pace * (1 + 0.3 * std::min(1.0, load / slots) + std::max(0.0, load + 1 - slots) / slots);
-  if (now < s.coldUntil) out += 2 * pace;
-  constexpr double kAway[] = {0, kZone, kRegion};
-  return out + kAway[away(s)] * ask.aim;
+double Core::cost(const WorkerState& state, const Ask& ask, double now) const {
+  const double usualTime = usual(state.worker.service);
+  const double time = state.responseTime > 0 ? 0.5 * state.responseTime + 0.5 * usualTime : usualTime;
+  const double slots = std::max(1U, state.worker.slots);
+  const auto usualLoad = usualLoad_.find(state.worker.service);
+  const double mean = usualLoad == usualLoad_.end() ? 0 : usualLoad->second;
+  const double fading = std::exp(-(now - state.reportedAt) / std::max(kLoadMemory, time));
+  const double load = state.outstanding + mean + (state.othersLoad - mean) * fading;
+  double out = time * (1 + 0.3 * std::min(1.0, load / slots) + std::max(0.0, load + 1 - slots) / slots);
+  if (now < state.coldUntil) out += 2 * time;
+  return out + kDistanceCost[away(state)] * ask.aim;
+}
+
+// Why it may not be sent to now; Why::found where it may.
+Why Core::unavailable(WorkerState& state, double now) {
+  if (now < state.overloadedUntil) return Why::overloaded;
+  if (now < state.coldUntil && !mayWarm(state, now)) return Why::cold;
+  return now < state.ejectedUntil ? Why::failing : Why::found;
+}
+
+void Core::consider(Search& search, WorkerState& state, double cost) {
+  if (search.best && cost > search.bestCost * (1 + kTie)) return;
+  if (!search.best || cost < search.bestCost * (1 - kTie)) {
+    search.best = &state;
+    search.bestCost = cost;
+    search.ties = 1;
+    return;
+  }
+  // As good as the best: each of them with the same chance.
+  ++search.ties;
+  search.draw *= search.ties;
+  const double whole = std::floor(search.draw);
+  search.draw -= whole;
+  if (whole == 0) search.best = &state;
+  search.bestCost = std::min(search.bestCost, cost);
 }
 
 Core::Choice Core::choose(const Ask& ask, double draw, double now) {
-  Choice out;
-  const auto all = byService_.find(ask.service);
-  if (all == byService_.end()) return out;
-  State* best = nullptr;
-  State* lastResort = nullptr;
-  double bestCost = 0, lastUntil = 0;
-  unsigned ties = 0;
-  for (const std::string& id : all->second) {
-    State& s = workers_[id];
-    if (!allowed(s, ask)) continue;
+  const auto candidates = byService_.find(ask.service);
+  if (candidates == byService_.end()) return {};
+  Choice none;
+  Search search;
+  search.draw = draw;
+  for (const std::string& id : candidates->second) {
+    WorkerState& state = workers_[id];
+    if (!allowed(state, ask)) continue;
     if (ask.tried && std::find(ask.tried->begin(), ask.tried->end(), id) != ask.tried->end()) continue;
-    if (now < s.fullUntil) {
-      if (out.why == Why::nobody) out.why = Why::full;
-      continue;
-    }
-    if (now < s.coldUntil && !mayWarm(s, now)) {
-      out.why = Why::cold;
-      continue;
-    }
-    if (now < s.shunnedUntil) {
-      if (!lastResort || s.shunnedUntil < lastUntil) lastResort = &s, lastUntil = s.shunnedUntil;
-      continue;
-    }
-    const double c = cost(s, ask, now);
-    if (best && c > bestCost * (1 + kTie)) continue;
-    if (!best || c < bestCost * (1 - kTie)) {
-      best = &s, bestCost = c, ties = 1;
-      continue;
-    }
-    // As good as the best: each of them with the same chance.
-    ++ties;
-    draw = draw * ties;
-    const double whole = std::floor(draw);
-    draw -= whole;
-    if (whole == 0) best = &s;
-    bestCost = std::min(bestCost, c);
-  }
-  if (!best && lastResort && ask.repeatable) best = lastResort;
-  if (!best) {
-    if (lastResort && out.why == Why::nobody) out.why = Why::failing;
-    return out;
+    const Why why = unavailable(state, now);
+    if (why == Why::found) consider(search, state, cost(state, ask, now));
+    if (why == Why::cold || (why == Why::overloaded && none.why == Why::nobody)) none.why = why;
+    if (why != Why::failing) continue;
+    if (!search.lastResort || state.ejectedUntil < search.lastResort->ejectedUntil)
+      search.lastResort = &state;
   }
-  return {best->worker.id, best->worker.address, Why::found, away(*best)};
+  WorkerState* chosen = search.best;
+  if (!chosen && ask.repeatable) chosen = search.lastResort;
+  if (chosen) return {chosen->worker.id, chosen->worker.address, Why::found, away(*chosen)};
+  if (search.lastResort && none.why == Why::nobody) none.why = Why::failing;
+  return none;
 }
 
 void Core::sent(const std::string& id, double now) {
-  State* s = find(id);
-  if (!s) return;
-  s->out += 1;
-  if (now < s->coldUntil) s->coldSent.push_back(now);
+  WorkerState* state = find(id);
+  if (!state) return;
+  state->outstanding += 1;
+  if (now < state->coldUntil) state->coldSent.push_back(now);
 }
 
 void Core::released(const std::string& id) {
-  if (State* s = find(id)) s->out = std::max(0.0, s->out - 1);
+  if (WorkerState* state = find(id)) state->outstanding = std::max(0.0, state->outstanding - 1);
 }
 
 void Core::answered(const std::string& id, double took, double now) {
   released(id);
-  State* s = find(id);
-  if (!s) return;
-  s->fails = 0;
-  s->shunnedUntil = -1e18;
-  s->fullPause = 0;
-  const bool cold = now < s->coldUntil;
-  if (!cold) s->pace = s->pace > 0 ? kPaceKeep * s->pace + (1 - kPaceKeep) * took : took;
-  const auto [usual, fresh] = usual_.try_emplace(s->worker.service, took);
-  if (!fresh && !cold) usual->second = kUsualKeep * usual->second + (1 - kUsualKeep) * took;
+  WorkerState* state = find(id);
+  if (!state) return;
+  state->failures = 0;
+  state->ejectedUntil = kNever;
+  state->overloadPause = 0;
+  const bool cold = now < state->coldUntil;
+  double& average = state->responseTime;
+  if (!cold) average = average > 0 ? kResponseTimeKept * average + (1 - kResponseTimeKept) * took : took;
+  const auto [usual, fresh] = usual_.try_emplace(state->worker.service, took);
+  if (!fresh && !cold) usual->second = kUsualKept * usual->second + (1 - kUsualKept) * took;
 }
 
 void Core::load(const std::string& id, double running, double waiting, double now) {
-  State* s = find(id);
-  if (!s) return;
-  s->told = std::max(0.0, running + waiting - s->out);
-  s->toldAt = now;
-  double& mean = usualLoad_.try_emplace(s->worker.service, s->told).first->second;
-  mean += kLoadNews * (s->told - mean);
+  WorkerState* state = find(id);
+  if (!state) return;
+  state->othersLoad = std::max(0.0, running + waiting - state->outstanding);
+  state->reportedAt = now;
+  double& mean = usualLoad_.try_emplace(state->worker.service, state->othersLoad).first->second;
+  mean += kUsualLoadWeight * (state->othersLoad - mean);
 }
 
 void Core::full(const std::string& id, double now) {
   released(id);
-  State* s = find(id);
-  if (!s) return;
-  s->fullPause = std::min(kFullMost, s->fullPause > 0 ? 2 * s->fullPause : kFullFirst);
-  s->fullUntil = now + s->fullPause;
+  WorkerState* state = find(id);
+  if (!state) return;
+  const double next = state->overloadPause > 0 ? 2 * state->overloadPause : kOverloadFirst;
+  state->overloadPause = std::min(kOverloadMost, next);
+  state->overloadedUntil = now + state->overloadPause;
 }
 
 void Core::failed(const std::string& id, bool unreachable, double now) {
   released(id);
-  State* s = find(id);
-  if (!s) return;
-  ++s->fails;
+  WorkerState* state = find(id);
+  if (!state) return;
+  ++state->failures;
   // One answer that is lost or spoilt says little; a worker that can't be reached says enough.
-  if (!unreachable && s->fails < 2) return;
-  s->shunnedUntil = now + std::min(kShunMost, kShunFirst * std::pow(2, std::min(s->fails, 8u) - 1));
+  if (!unreachable && state->failures < kFailuresToEject) return;
+  const unsigned doublings = std::min(state->failures - 1, kEjectionDoublings);
+  state->ejectedUntil = now + std::min(kEjectionMost, kEjectionFirst * std::pow(2, doublings));
 }
 
 void Core::cold(const std::string& id, double left, double now) {
-  if (State* s = find(id)) s->coldUntil = std::max(s->coldUntil, now + left);
+  if (WorkerState* state = find(id)) state->coldUntil = std::max(state->coldUntil, now + left);
 }
 
 }  // namespace burlwind::load_balancing
--- a/src/load_balancing/core.hpp
+++ b/src/load_balancing/core.hpp
@@ -1,10 +1,10 @@
 // Choice of worker: decisions only, no I/O, time and draws handed in.
 //
-// A worker's cost is what an answer from it would take: its own pace, the queue that is held to be there (own
-// requests out, and the load it told of late, fading to what is usual), and how far it is, in time and in
-// what bytes between zones cost. The cheapest is taken, ties by chance. Left out: draining ones, evacuated
-// zones, foreign regions where homes bind, those that failed of late (unless nothing else is left), those
-// that said they are full, and cold ones whose allowance for the second is used.
+// A worker's cost is the response time to expect of it: its own average, the queue that is held to be there
+// (own requests outstanding, and the load it reported of late, fading to what is usual), and how far it is,
+// in time and in what bytes between zones cost. The cheapest is taken, ties by chance. Left out: draining
+// ones, evacuated zones, foreign regions where homes bind, those ejected as failing (unless nothing else is
+// left), those that said they are overloaded, and cold ones whose allowance for the second is used.
 //
 // Cold workers: only proxies of a worker's own zone send to it while it is cold, each the rule's bound for a
 // second divided by the proxies known there, counted as sent. With no proxy known there, those of its
@@ -42,7 +42,7 @@
   std::string zone, region;
 };
 
-enum class Why { found, nobody, full, cold, failing };
+enum class Why { found, nobody, overloaded, cold, failing };
 
 class Core {
  public:
@@ -84,29 +84,47 @@
   double usual(const std::string& service) const;  // ms of an answer
 
  private:
-  struct State {
+  struct WorkerState {
     rpc::Worker worker;
     std::string region;
-    double out = 0;
-    double told = 0, toldAt = -1e18;  // load by others, when it was told
-    double pace = 0;                  // ms of an answer; 0: none yet
-    unsigned fails = 0;
-    double shunnedUntil = -1e18, fullUntil = -1e18, coldUntil = -1e18, fullPause = 0;
-    std::deque<double> coldSent;
+    double outstanding = 0;  // own requests
+    double othersLoad = 0;   // requests of other proxies, as it last reported
+    double reportedAt = kNever;
+    double responseTime = 0;  // ms, a moving average; 0: no answer yet
+    unsigned failures = 0;    // in a row
+    double ejectedUntil = kNever;
+    double overloadedUntil = kNever;
+    double overloadPause = 0;  // ms, the last one
+    double coldUntil = kNever;
+    std::deque<double> coldSent;  // times of what was sent to it while cold
   };
-  unsigned away(const State& s) const;
-  bool allowed(const State& s, const Ask& ask) const;
-  bool mayWarm(State& s, double now);
-  double cost(const State& s, const Ask& ask, double now) const;
-  void put(const rpc::Worker& w, double now);
+  static constexpr double kNever = -1e18;  // ms, before every time
+  // What a pass over the candidates has found so far.
+  struct Search {
+    WorkerState* best = nullptr;
+    double bestCost = 0;
+    unsigned ties = 0;
+    double draw = 0;                    // uniform in [0, 1)
+    WorkerState* lastResort = nullptr;  // of the ejected ones the first to come back
+  };
+  unsigned away(const WorkerState& state) const;
+  bool allowed(const WorkerState& state, const Ask& ask) const;
+  Why unavailable(WorkerState& state, double now);
+  static void consider(Search& search, WorkerState& state, double cost);
+  bool mayWarm(WorkerState& state, double now);
+  unsigned warmingProxies(const WorkerState& state) const;
+  double cost(const WorkerState& state, const Ask& ask, double now) const;
+  void put(const rpc::Worker& worker, double now);
+  void remove(const std::string& id);
+  void removeAllBut(const std::vector<rpc::Worker>& kept);
   std::string regionOfZone(const std::string& zone) const;
-  State* find(const std::string& id);
+  WorkerState* find(const std::string& id);
   const Place self_;
   std::map<std::string, std::string> regionOf_;
   double coldExcess_, coldSlack_;
-  std::unordered_map<std::string, State> workers_;
+  std::unordered_map<std::string, WorkerState> workers_;
   std::unordered_map<std::string, std::vector<std::string>> byService_;
-  std::unordered_map<std::string, double> usual_;
+  std::unordered_map<std::string, double> usual_;      // ms of an answer, by service
   std::unordered_map<std::string, double> usualLoad_;  // of others, by service
   std::unordered_map<std::string, ServiceRule> rules_;
   std::map<std::string, unsigned> proxies_;
