--- a/tests/system/config_test.cpp
+++ b/tests/system/config_test.cpp
@@ -22,16 +22,16 @@
 TEST_CASE("a good configuration is read whole") {
   const auto read = readConfiguration(kGood);
   REQUIRE(read.configuration);
-  const auto& c = *read.configuration;
-  CHECK(c.version == 7);
-  CHECK(c.parent == 5);
-  CHECK(c.routeOf("shop.example:80", "/a/x")->name == "one");
-  CHECK(c.routeOf("SHOP.example", "/a/b/x")->name == "two");
-  CHECK(c.routeOf("shop.example", "/a") == nullptr);
-  CHECK(c.routeOf("other.example", "/a/x") == nullptr);
-  CHECK(c.tenantOf("k2")->name == "t");
-  CHECK(c.tenantOf("k3") == nullptr);
-  CHECK(c.routes[0].target == 500);
+  const auto& configuration = *read.configuration;
+  CHECK(configuration.version == 7);
+  CHECK(configuration.parent == 5);
+  CHECK(configuration.routeOf("shop.example:80", "/a/x")->name == "one");
+  CHECK(configuration.routeOf("SHOP.example", "/a/b/x")->name == "two");
+  CHECK(configuration.routeOf("shop.example", "/a") == nullptr);
+  CHECK(configuration.routeOf("other.example", "/a/x") == nullptr);
+  CHECK(configuration.tenantOf("k2")->name == "t");
+  CHECK(configuration.tenantOf("k3") == nullptr);
+  CHECK(configuration.routes[0].target == 500);
 }
 
 TEST_CASE("each fault of a configuration is refused, with its place") {
--- a/tests/system/load_balancing_test.cpp
+++ b/tests/system/load_balancing_test.cpp
@@ -17,9 +17,9 @@
   std::mt19937 random{3};
   std::uint64_t number = 0;
   void list(std::vector<rpc::Worker> all, double now = 0) {
-    rpc::Workers w;
-    w.whole = true, w.term = 1, w.number = ++number, w.put = std::move(all);
-    core.take(w, now);
+    rpc::Workers told;
+    told.whole = true, told.term = 1, told.number = ++number, told.put = std::move(all);
+    core.take(told, now);
   }
   static rpc::Worker worker(const char* id, const char* zone, bool draining = false, double cold = 0) {
     return {id, "s", std::string("10.0.0.1:") + "80", zone, 3, draining, cold};
@@ -59,18 +59,18 @@
                          5.0);
     proxies.back().setProxies({{"a1", 3}, {"b1", 2}});
     proxies.back().setService("s", {kRate, 3000});
-    rpc::Workers w;
-    w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
-    proxies.back().take(w, 0);
+    rpc::Workers told;
+    told.whole = true, told.put = {worker("cold", "a1", false, 3000)};
+    proxies.back().take(told, 0);
   }
   std::deque<double> sent;
   std::size_t most = 0;
   for (double now = 0; now < 2900; now += 3)
-    for (Core& c : proxies) {
+    for (Core& proxy : proxies) {
       Ask ask;
       ask.service = "s";
-      if (c.choose(ask, 0.5, now).id.empty()) continue;
-      c.sent("cold", now);
+      if (proxy.choose(ask, 0.5, now).id.empty()) continue;
+      proxy.sent("cold", now);
       sent.push_back(now);
       while (now - sent.front() > 1000) sent.pop_front();
       most = std::max(most, sent.size());
@@ -81,9 +81,9 @@
   Core other{{"b1", "B"}, {{"a1", "A"}, {"b1", "B"}}, 1.5, 5};
   other.setProxies({{"a1", 3}, {"b1", 2}});
   other.setService("s", {kRate, 3000});
-  rpc::Workers w;
-  w.whole = true, w.put = {worker("cold", "a1", false, 3000)};
-  other.take(w, 0);
+  rpc::Workers told;
+  told.whole = true, told.put = {worker("cold", "a1", false, 3000)};
+  other.take(told, 0);
   Ask ask;
   ask.service = "s";
   CHECK(other.choose(ask, 0.5, 10).why == Why::cold);
@@ -111,7 +111,7 @@
   CHECK(choose(2000).id == "one");
 }
 
-TEST_CASE_FIXTURE(Fixture, "one that says it is full gets nothing for a moment") {
+TEST_CASE_FIXTURE(Fixture, "one that says it is overloaded gets nothing for a moment") {
   list({worker("one", "a1"), worker("two", "a2")});
   core.sent("one", 0);
   core.full("one", 0);
@@ -181,10 +181,10 @@
 
 TEST_CASE_FIXTURE(Fixture, "a difference that is taken on top leaves the rest as it was") {
   list({worker("one", "a1"), worker("two", "a2")});
-  rpc::Workers w;
-  w.before = number, w.number = ++number, w.term = 1;
-  w.gone = {"one"}, w.put = {worker("three", "a1")};
-  core.take(w, 0);
+  rpc::Workers told;
+  told.before = number, told.number = ++number, told.term = 1;
+  told.gone = {"one"}, told.put = {worker("three", "a1")};
+  core.take(told, 0);
   CHECK(core.size() == 2);
   CHECK(choose().id == "three");
 }
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -49,17 +49,7 @@
     ::close(out_);
   }
   // Reads until this is said, past what was waited for before; false where the process ends first.
-  bool says(const std::string& what) {
-    char piece[512];
-    std::size_t at = 0;
-    while ((at = said_.find(what)) == std::string::npos) {
-      const auto n = ::read(out_, piece, sizeof piece);
-      if (n <= 0) return false;
-      said_.append(piece, static_cast<std::size_t>(n));
-    }
-    said_.erase(0, at + what.size());
-    return true;
-  }
+  bool says(const std::string& what) { return saysAll({what}); }
   // The same for several, in whatever order they are said.
   bool saysAll(const std::vector<std::string>& all) {
     char piece[512];
@@ -72,9 +62,9 @@
         if (every) past = std::max(past, at + what.size());
       }
       if (every) return said_.erase(0, past), true;
-      const auto n = ::read(out_, piece, sizeof piece);
-      if (n <= 0) return false;
-      said_.append(piece, static_cast<std::size_t>(n));
+      const auto count = ::read(out_, piece, sizeof piece);
+      if (count <= 0) return false;
+      said_.append(piece, static_cast<std::size_t>(count));
     }
   }
   int ends() {
