--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -60,7 +60,9 @@
               [this](const rpc::Workers& change, bool byHolder) { listChanged(change, byHolder); }),
         calls_(settings_, registry_, orders_, incarnation_),
         acceptor_(io),
-        control_(io, [this](control_api::Call call) { return calls_.control(std::move(call)); }),
+        control_(
+            io, [this](control_api::Call call) { return calls_.control(std::move(call)); },
+            [this] { detectStall(); }),
         directory_(io, [this](control_api::Call call) { return calls_.directory(std::move(call)); }),
         timer_(io),
         endTimer_(io),
