Config store: confirmations asked for, refusals without an entry, a chain of versions

Now a reader's ConfirmationRequest is answered after a heartbeat round that began after it, with the state before it where the reader hasn't that one. A batch of orders that changes nothing is answered after such a round, and no entry is made. What is told without being asked stays until the registries ask.

--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -7,6 +7,14 @@
 
 namespace burlwind::config_store {
 
+namespace {
+
+// A state without the field `forgotten` was written when fewer were kept: there may have been others before.
+constexpr std::size_t kRememberedBefore = 128;
+constexpr std::uint32_t kFieldsWithForgotten = 6;
+
+}  // namespace
+
 std::string pack(const State& state) {
   msgpack::sbuffer out;
   msgpack::pack(out, state);
@@ -17,7 +25,10 @@
   out = State{};
   if (bytes.empty()) return true;
   try {
-    msgpack::unpack(bytes.data(), bytes.size()).get().convert(out);
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    handle.get().convert(out);
+    const bool tellsForgotten = handle.get().via.array.size >= kFieldsWithForgotten;
+    if (!tellsForgotten && out.taken.size() >= kRememberedBefore) out.forgotten = out.taken.front().first;
     return true;
   } catch (const std::exception&) {
     return false;
@@ -26,21 +37,34 @@
 
 namespace {
 
+using Taken = std::pair<std::uint64_t, std::uint64_t>;
+
+bool wasTaken(const State& state, const Taken& asked) {
+  return std::binary_search(state.taken.begin(), state.taken.end(), asked);
+}
+
+void remember(State& state, const Taken& taken) {
+  state.taken.push_back(taken);
+  if (state.taken.size() <= kRemembered) return;
+  state.forgotten = state.taken.front().first;
+  state.taken.erase(state.taken.begin());
+}
+
 Judged takeConfiguration(State& state, const std::string& body) {
   const auto read = config::readConfiguration(body);
   if (!read.configuration) return {400, read.fault, false};
-  const std::uint64_t version = read.configuration->version;
-  const std::pair mine(version, XXH3_64bits(body.data(), body.size()));
-  if (std::find(state.taken.begin(), state.taken.end(), mine) != state.taken.end())
-    return {200, "taken before", false};
-  if (read.configuration->parent != state.version)
+  const std::uint64_t version = read.configuration->version, parent = read.configuration->parent;
+  const Taken asked(version, XXH3_64bits(body.data(), body.size()));
+  if (wasTaken(state, asked)) return {200, "taken before", false};
+  if (parent < state.forgotten)
+    return {503, "parent r" + std::to_string(parent) + " is too old to tell", false};
+  if (parent != state.version)
     return {412, "version r" + std::to_string(state.version) + " is in place", false};
   if (version <= state.version)
     return {400, "generation does not exceed r" + std::to_string(state.version), false};
   state.configuration = body;
   state.version = version;
-  state.taken.push_back(mine);
-  if (state.taken.size() > kRemembered) state.taken.erase(state.taken.begin());
+  remember(state, asked);
   return {200, "taken", true};
 }
 
--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -54,8 +54,8 @@
 Effects Service::readerGreeted(ReaderId reader, Time now) {
   Effects out;
   detectStall(now, out);
-  readers_[reader] = {};
-  if (core_.leads()) send(reader, configUpdate(), out);
+  Reader& known = readers_[reader] = {};
+  if (core_.leads()) sendConfigUpdate(reader, known, out);
   confirmationAt_ = 0;
   return out;
 }
@@ -86,7 +86,7 @@
 
 void Service::translate(const std::vector<consensus::Effect>& effects, Time now, Effects& out) {
   for (const auto& effect : effects) translateOne(effect, now, out);
-  proposeNext(now, out);
+  judgeWaiting(now, out);
 }
 
 void Service::translateOne(const consensus::Effect& effect, Time now, Effects& out) {
@@ -108,10 +108,9 @@
 void Service::committed(Time now, Effects& out) {
   unpack(core_.record().state, state_);
   ownerAgreed(now, out);
-  for (const JudgedOrder& order : std::exchange(underWay_, {}))
-    send(order.reader, rpc::CommandResponse{order.number, order.judged.status, order.judged.text}, out);
+  for (const JudgedOrder& order : std::exchange(underWay_, {})) send(order.reader, order.response, out);
   for (const auto& member : core_.record().members) out.emplace_back(DialStore{member.ip});
-  if (core_.leads()) sendToAll(configUpdate(), out);
+  if (core_.leads()) pushConfigUpdate(out);
 }
 
 void Service::leadershipGained(Time now, Effects& out) {
@@ -120,12 +119,14 @@
   nextOwner_.reset();
   lately_ = {};
   confirmationAt_ = 0;
+  sendToAll(leaderConfirmation(now, 0), out);
 }
 
 // Whether what was under way lasts is not known here: the links' ends say so, as no clear answer.
 void Service::leadershipLost(Effects& out) {
   out.emplace_back(LeadershipLost{core_.record().term});
   underWay_.clear();
+  unchanging_.clear();
   orders_.clear();
   reads_.clear();
   leases_.clear();
@@ -146,24 +147,41 @@
     answerLease(asked, now, out);
     return true;
   });
+  std::erase_if(unchanging_, [&](const UnchangingOrder& waiting) {
+    if (waiting.round > round) return false;
+    send(waiting.order.reader, waiting.order.response, out);
+    return true;
+  });
+  for (auto& [id, reader] : readers_) answerQuestions(id, reader, round, now, out);
   if (now < confirmationAt_) return;
   confirmationAt_ = now + kConfirmationPause;
-  sendToAll(leaderConfirmation(now), out);
+  sendToAll(leaderConfirmation(now, 0), out);
 }
 
-// All that waits becomes one entry, each order judged on top of those before it.
-void Service::proposeNext(Time now, Effects& out) {
+// All that waits becomes one entry, each order judged on top of those before it. What changes nothing costs
+// no entry: where none of the batch does, it is answered once a round that begins now is confirmed, so that
+// the state it was judged by was the newest one.
+void Service::judgeWaiting(Time now, Effects& out) {
   if ((orders_.empty() && !nextOwner_) || !core_.mayPropose()) return;
   State next = state_;
+  bool changes = nextOwner_.has_value();
   if (nextOwner_)
     next.owner = {nextOwner_->request.ip, nextOwner_->request.incarnation, state_.owner.epoch + 1};
+  std::vector<JudgedOrder> judgedOrders;
   for (const WaitingOrder& order : std::exchange(orders_, {})) {
     const Judged judged = apply(next, lately_, order.request, now);
     out.emplace_back(OrderJudged{order.request.what, judged.status, judged.text});
-    underWay_.push_back({order.reader, order.request.number, judged});
+    judgedOrders.push_back({order.reader, {order.request.number, judged.status, judged.text}});
+    changes = changes || judged.changes;
+  }
+  if (changes) {
+    underWay_ = std::move(judgedOrders);
+    return translate(core_.propose(pack(next), now), now, out);
   }
-  // What changes nothing is answered only once this replica is known to lead still.
-  translate(core_.propose(pack(next), now), now, out);
+  std::vector<consensus::Effect> effects;
+  const std::uint64_t round = core_.confirm(now, effects);
+  for (JudgedOrder& order : judgedOrders) unchanging_.push_back({round, std::move(order)});
+  translate(effects, now, out);
 }
 
 // --- What readers ask ---
@@ -171,7 +189,7 @@
 void Service::on(ReaderId reader, const rpc::CommandRequest& request, Time now, Effects& out) {
   if (!core_.leads()) return send(reader, rpc::CommandResponse{request.number, 503, "does not lead"}, out);
   orders_.push_back({reader, request});
-  proposeNext(now, out);
+  judgeWaiting(now, out);
 }
 
 void Service::on(ReaderId reader, const rpc::ReadRequest& request, Time now, Effects& out) {
@@ -188,10 +206,25 @@
   // What the owner asks waits for the next heartbeat; a change of it is confirmed by its being agreed on.
   if (request.incarnation == state_.owner.incarnation) return leases_.push_back(asked);
   answerLease(asked, now, out);
-  proposeNext(now, out);
+  judgeWaiting(now, out);
 }
 
-void Service::on(ReaderId, const rpc::ConfirmationRequest&, Time, Effects&) {}  // not answered yet
+// The first question of a reader begins a round at once, later ones wait for the next heartbeat.
+void Service::on(ReaderId id, const rpc::ConfirmationRequest& request, Time now, Effects& out) {
+  if (!core_.leads()) return;
+  Reader& reader = readers_.at(id);
+  if (std::exchange(reader.hasAsked, true)) {
+    const std::uint64_t round = core_.nextRound();
+    if (!reader.questions.empty() && reader.questions.back().round == round)
+      reader.questions.back().number = request.number;
+    else
+      reader.questions.push_back({round, request.number});
+    return;
+  }
+  std::vector<consensus::Effect> effects;
+  reader.questions.push_back({core_.confirm(now, effects), request.number});
+  translate(effects, now, out);
+}
 
 // --- The lease of the registries' duties ---
 
@@ -234,6 +267,39 @@
   out.emplace_back(SendToReaders{std::move(all), std::move(message)});
 }
 
+// Data, no confirmation.
+void Service::pushConfigUpdate(Effects& out) {
+  std::vector<ReaderId> told;
+  for (auto& [id, reader] : readers_) {
+    reader.updateTerm = core_.record().term;
+    reader.updateIndex = core_.committed();
+    told.push_back(id);
+  }
+  if (!told.empty()) out.emplace_back(SendToReaders{std::move(told), configUpdate()});
+}
+
+// `round` is confirmed: the newest question that it covers is answered, after the state where it is another
+// one than the reader has been sent.
+void Service::answerQuestions(ReaderId id, Reader& reader, std::uint64_t round, Time now, Effects& out) {
+  std::uint64_t newest = 0;
+  std::erase_if(reader.questions, [&](const Question& question) {
+    if (question.round > round) return false;
+    newest = question.number;
+    return true;
+  });
+  if (newest == 0) return;
+  sendConfigUpdate(id, reader, out);
+  send(id, leaderConfirmation(now, newest), out);
+}
+
+void Service::sendConfigUpdate(ReaderId id, Reader& reader, Effects& out) {
+  const std::uint64_t term = core_.record().term, index = core_.committed();
+  if (reader.updateTerm == term && reader.updateIndex == index) return;
+  reader.updateTerm = term;
+  reader.updateIndex = index;
+  send(id, configUpdate(), out);
+}
+
 std::vector<std::string> Service::storeIps() const {
   std::vector<std::string> out;
   for (const auto& member : core_.record().members) out.push_back(member.ip);
@@ -246,9 +312,9 @@
   return {core_.record().term, core_.committed(), state_.configuration, std::move(zones), storeIps()};
 }
 
-rpc::LeaderConfirmation Service::leaderConfirmation(Time now) const {
+rpc::LeaderConfirmation Service::leaderConfirmation(Time now, std::uint64_t number) const {
   const std::string holder = lease_.busy(now) ? state_.owner.ip : std::string();
-  return {core_.record().term, core_.committed(), holder, state_.owner.epoch, storeIps(), 0};
+  return {core_.record().term, core_.committed(), holder, state_.owner.epoch, storeIps(), number};
 }
 
 }  // namespace burlwind::config_store
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -91,10 +91,13 @@
     ReaderId reader;
     rpc::CommandRequest request;
   };
-  struct JudgedOrder {  // answered once the entry under way is committed
+  struct JudgedOrder {
     ReaderId reader;
-    std::uint64_t number;
-    Judged judged;
+    rpc::CommandResponse response;
+  };
+  struct UnchangingOrder {  // answered once `round` is confirmed
+    std::uint64_t round;
+    JudgedOrder order;
   };
   struct PendingRead {
     std::uint64_t round;
@@ -106,7 +109,14 @@
     ReaderId reader;
     rpc::LeaseRequest request;
   };
-  struct Reader {};
+  struct Question {  // a ConfirmationRequest
+    std::uint64_t round, number;
+  };
+  struct Reader {
+    std::vector<Question> questions;                // not covered yet, oldest first
+    bool hasAsked = false;                          // of this leader
+    std::uint64_t updateTerm = 0, updateIndex = 0;  // of the last ConfigUpdate on this link; 0: none
+  };
 
   void detectStall(Time now, Effects& out);
   void translate(const std::vector<consensus::Effect>& effects, Time now, Effects& out);
@@ -115,7 +125,7 @@
   void leadershipGained(Time now, Effects& out);
   void leadershipLost(Effects& out);
   void roundConfirmed(std::uint64_t round, Time now, Effects& out);
-  void proposeNext(Time now, Effects& out);
+  void judgeWaiting(Time now, Effects& out);
 
   void on(ReaderId reader, const rpc::CommandRequest& request, Time now, Effects& out);
   void on(ReaderId reader, const rpc::ReadRequest& request, Time now, Effects& out);
@@ -127,9 +137,12 @@
   void ownerAgreed(Time now, Effects& out);
   void send(ReaderId reader, ReaderMessage message, Effects& out);
   void sendToAll(ReaderMessage message, Effects& out);
+  void pushConfigUpdate(Effects& out);
+  void answerQuestions(ReaderId id, Reader& reader, std::uint64_t round, Time now, Effects& out);
+  void sendConfigUpdate(ReaderId id, Reader& reader, Effects& out);
   std::vector<std::string> storeIps() const;
   rpc::ConfigUpdate configUpdate() const;
-  rpc::LeaderConfirmation leaderConfirmation(Time now) const;
+  rpc::LeaderConfirmation leaderConfirmation(Time now, std::uint64_t number) const;
 
   consensus::Core core_;
   State state_;  // committed
@@ -137,11 +150,13 @@
   lease::LeaseGrantor lease_;
   std::map<ReaderId, Reader> readers_;
   std::deque<WaitingOrder> orders_;
-  std::vector<JudgedOrder> underWay_;
+  std::vector<JudgedOrder> underWay_;  // answered once the entry under way is committed
+  std::vector<UnchangingOrder> unchanging_;
   std::vector<PendingRead> reads_;
   std::vector<PendingLease> leases_;
   std::optional<PendingLease> nextOwner_;  // waits to be agreed on
-  Time lastInput_ = 0, confirmationAt_ = 0;
+  Time lastInput_ = 0;
+  Time confirmationAt_ = 0;
   bool leaseWasBusy_ = false;
 };
 
