Config store: a zone is evacuated or it is not

Cause: what is a repeat was decided by the leader's memory and clock. Now begin and finish are idempotent, and nothing of time is looked at. A call that was accepted by its registry before the zone's last change is told by the index it bears, and has no clear answer: a begin that comes again after its finish evacuates nothing, a late finish ends no later evacuation.

--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -72,37 +72,37 @@
 
 namespace {
 
-// Whether an order of this kind for the zone came so lately that this is the same one.
-bool repeats(std::map<std::string, double>& times, const std::string& zone, double now) {
-  const auto [found, fresh] = times.try_emplace(zone, now);
-  const bool out = !fresh && now - found->second < kRepeat;
-  found->second = now;
-  return out;
+// The call was accepted by a registry that did not know of this change yet.
+bool precedes(const rpc::CommandRequest& order, std::uint64_t change) {
+  return order.tellsIndex && order.knownIndex < change;
 }
 
-Judged evacuate(State& state, Lately& lately, const std::string& zone, double now) {
-  const bool known = lately.begun.contains(zone);
-  const bool again = repeats(lately.begun, zone, now);
-  unsigned& count = state.evacuated[zone];
-  if (count > 0 && (again || !known)) return {200, "evacuated before", false};
-  ++count;
+Judged beginEvacuation(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
+  const std::string& zone = order.body;
+  if (state.evacuated.contains(zone)) return {200, "evacuated before", false};
+  ZoneChange& change = state.changes[zone];
+  if (precedes(order, change.finished)) return {503, "taken back since this call came", false};
+  state.evacuated[zone] = 1;
+  change.begun = entry;
   return {200, "evacuated", true};
 }
 
-Judged takeBack(State& state, Lately& lately, const std::string& zone, double now) {
-  const bool again = repeats(lately.ended, zone, now);
-  const auto found = state.evacuated.find(zone);
-  if (found == state.evacuated.end() || again) return {200, "taken back before", false};
-  if (--found->second == 0) state.evacuated.erase(found);
+Judged finishEvacuation(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
+  const std::string& zone = order.body;
+  if (!state.evacuated.contains(zone)) return {200, "taken back before", false};
+  ZoneChange& change = state.changes[zone];
+  if (precedes(order, change.begun)) return {503, "evacuated since this call came", false};
+  state.evacuated.erase(zone);
+  change.finished = entry;
   return {200, "taken back", true};
 }
 
 }  // namespace
 
-Judged apply(State& state, Lately& lately, const rpc::CommandRequest& order, double now) {
+Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
   if (order.what == "config") return takeConfiguration(state, order.body);
-  if (order.what == "evacuate") return evacuate(state, lately, order.body, now);
-  if (order.what == "return") return takeBack(state, lately, order.body, now);
+  if (order.what == "evacuate") return beginEvacuation(state, order, entry);
+  if (order.what == "return") return finishEvacuation(state, order, entry);
   return {400, "no such order", false};
 }
 
--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -6,6 +6,12 @@
 // child of the one before; so one that names a parent within the chain and is not that parent's child was
 // never taken, and is refused. Whether one that names an older parent was taken can't be told: 503, no clear
 // answer.
+//
+// A zone is evacuated or it is not: beginning and finishing are idempotent, so a repeat changes nothing,
+// whoever leads. A repeat that comes after the opposite order has been taken would change it; it is known by
+// the index that its registry knew when it accepted the call: the zone has changed since, so it has no clear
+// answer (503). What is left: a call that reaches a registry only after that registry has heard of the
+// opposite order can't be told from a new one.
 #pragma once
 
 #include <cstdint>
@@ -24,14 +30,20 @@
 // At 620 changes a day the changes of 6.6 days; some 15 bytes each, 61 KB in all.
 constexpr std::size_t kRemembered = 4096;
 
+struct ZoneChange {  // of a zone's evacuation; indices of entries, 0: never
+  std::uint64_t begun = 0, finished = 0;
+  MSGPACK_DEFINE(begun, finished)
+};
+
 struct State {
   std::string configuration;  // as sent
   std::uint64_t version = 0;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> taken;  // version, digest; oldest first
-  std::map<std::string, unsigned> evacuated;                   // zones, by how many evacuations
+  std::map<std::string, unsigned> evacuated;                   // zones; the numbers mean nothing
   lease::LeaseOwner owner;                                     // of the registries' duties
-  std::uint64_t forgotten = 0;  // the newest version that is no longer in `taken`; 0: all are
-  MSGPACK_DEFINE(configuration, version, taken, evacuated, owner, forgotten)
+  std::uint64_t forgotten = 0;                // the newest version that is no longer in `taken`; 0: all are
+  std::map<std::string, ZoneChange> changes;  // by zone; as many as were ever evacuated
+  MSGPACK_DEFINE(configuration, version, taken, evacuated, owner, forgotten, changes)
 };
 std::string pack(const State& state);
 bool unpack(const std::string& bytes, State& out);  // an empty text is the empty state
@@ -41,13 +53,8 @@
   std::string text;      // why not
   bool changes = false;  // the state is another one now
 };
-// Evacuations of one zone may overlap, and their orders bear no number: one that comes within kRepeat of the
-// last of its kind is that one sent again, a later one is another. The times are the leader's own; a new
-// leader knows none, and takes a second beginning for a repeat, a second end for another one.
-constexpr double kRepeat = 2500;  // ms
-struct Lately {
-  std::map<std::string, double> begun, ended;  // by zone
-};
-Judged apply(State& state, Lately& lately, const rpc::CommandRequest& order, double now);
+// Judges `order` on top of `state` and, where it is taken, changes `state`. `entry` is the index of the
+// agreement's entry that would hold the change.
+Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry);
 
 }  // namespace burlwind::config_store
--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -117,7 +117,6 @@
   out.emplace_back(LeadershipGained{core_.record().term, core_.record().index});
   lease_.lead(state_.owner, now);
   nextOwner_.reset();
-  lately_ = {};
   confirmationAt_ = 0;
   sendToAll(leaderConfirmation(now, 0), out);
 }
@@ -164,12 +163,13 @@
 void Service::judgeWaiting(Time now, Effects& out) {
   if ((orders_.empty() && !nextOwner_) || !core_.mayPropose()) return;
   State next = state_;
+  const std::uint64_t entry = core_.record().index + 1;
   bool changes = nextOwner_.has_value();
   if (nextOwner_)
     next.owner = {nextOwner_->request.ip, nextOwner_->request.incarnation, state_.owner.epoch + 1};
   std::vector<JudgedOrder> judgedOrders;
   for (const WaitingOrder& order : std::exchange(orders_, {})) {
-    const Judged judged = apply(next, lately_, order.request, now);
+    const Judged judged = apply(next, order.request, entry);
     out.emplace_back(OrderJudged{order.request.what, judged.status, judged.text});
     judgedOrders.push_back({order.reader, {order.request.number, judged.status, judged.text}});
     changes = changes || judged.changes;
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -146,7 +146,6 @@
 
   consensus::Core core_;
   State state_;  // committed
-  Lately lately_;
   lease::LeaseGrantor lease_;
   std::map<ReaderId, Reader> readers_;
   std::deque<WaitingOrder> orders_;
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -122,16 +122,16 @@
   std::uint64_t number = 0;  // the newest question that is covered; 0: none, only a hint whom to ask
   MSGPACK_DEFINE(term, index, holder, epoch, stores, number)
 };
-// An order of an operator. `caller` and `sequence` name the call that the registry accepted, so that its own
-// repeats of it are one order, whoever leads.
+// An order of an operator. `knownIndex` is the index that the registry knew when it accepted the call, the
+// same in each repeat of its own: a call that was accepted before the zone last changed is no order of now.
 struct CommandRequest {
   static constexpr Kind kKind = kCommandRequest;
   std::uint64_t number = 0;  // of this question on its link
   std::string what;          // "config", "evacuate", "return"
   std::string body;          // the configuration, or the zone
-  std::uint64_t caller = 0;  // incarnation of the registry; 0: not told
-  std::uint64_t sequence = 0;
-  MSGPACK_DEFINE(number, what, body, caller, sequence)
+  bool tellsIndex = false;   // else `knownIndex` is not told, and nothing is held against it
+  std::uint64_t knownIndex = 0;
+  MSGPACK_DEFINE(number, what, body, tellsIndex, knownIndex)
 };
 struct ReadRequest {
   static constexpr Kind kKind = kReadRequest;
