Registries and proxies: nothing is served that the leader has not confirmed

Cause: a registry took a store's state at greeting for the leader's word, counted from its arrival, for a second, though the store may have been cut off or just woken; it told that state to each proxy that came, confirmed or not, and a proxy put it in force from a trial session before that was good. Heartbeats said "confirmed" without an age: one that waited in a buffer made the registry's word fresh again.

Change: leader_tracker asks numbered questions (ConfirmationRequest, at link-up and each 300 ms; all stores while nothing is confirmed) and counts an answer from when its question was sent. What is behind in term or index is dropped and counted; an answer on a later link proves nothing. Proxies are told a configuration only while it is confirmed (proxy_feed), else as soon as it is. A heartbeat answers a proxy's Status by its number and tells the confirmation's age: the proxy counts it from when it sent that Status, less the age. Its decisions stand in session_core now: a trial's words come into force once the session is good, a configuration never goes back by term and index, a list of workers by epoch and number.

--- a/src/proxy/session.hpp
+++ b/src/proxy/session.hpp
@@ -1,18 +1,15 @@
-// A proxy's sessions with the registries. One counts at a time, the near ones first; while the one that
-// counts is silent, or its registry has no word of the store's leader, others are tried beside it. News comes
-// numbered; what is older than what is in force is dropped.
+// A proxy's sessions with the registries: links and messages. What they mean, and which of them comes into
+// force, is decided in session_core.hpp.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
-#include <vector>
 
 #include "config/settings.hpp"
+#include "proxy/session_core.hpp"
 #include "rpc/link.hpp"
 #include "rpc/messages.hpp"
 
@@ -34,34 +31,32 @@
   void start();
   void meetSeeds();       // those that the settings name now
   void tick(double now);  // each 100 ms
-  bool inTouch(double now) const;
+  bool inTouch(double now) const { return core_.inTouch(now); }
   void tell(const std::string& frame);  // on the session that counts
   void tellStatus();
 
  private:
-  struct Session {
-    std::string ip;
-    std::shared_ptr<rpc::Dialer> dialer;
-    double heard = -1e18, confirmed = -1e18, since = 0;
-    bool news = false, workers = false;
-    std::uint64_t workersTerm = 0, workersNumber = 0;
-    std::vector<rpc::Workers> early;  // what a trial was told of workers: in force once it counts
-  };
-  using SessionPtr = std::shared_ptr<Session>;
-  void open(const std::string& ip, double now);
-  void arrived(const SessionPtr& session, const rpc::Arrived& arrived);
-  bool good(const Session& session, double now) const;
-  unsigned distance(const std::string& ip) const;
-  std::string next();
+  void open(SessionId id, const std::string& ip);
+  void greet(SessionId id, const std::shared_ptr<rpc::Link>& link);
+  void arrived(SessionId id, const rpc::Arrived& arrived);
+  void carryOut(const SessionEffects& effects);
+  void carryOut(const OpenSession& effect) { open(effect.id, effect.ip); }
+  void carryOut(const CloseSession& effect);
+  void carryOut(const RestartLink& effect);
+  void carryOut(const SendStatus& effect);
+  void carryOut(const rpc::ConfigUpdate& update) { hooks_.news(update); }
+  void carryOut(const rpc::Workers& workers) { hooks_.workers(workers); }
+  void carryOut(const rpc::Cores& cores) { hooks_.cores(cores); }
+  void carryOut(const rpc::TokenResponse& tokens) { hooks_.tokens(tokens); }
+  std::shared_ptr<rpc::Link> link(SessionId id) const;  // empty while there is none
+
   asio::io_context& io_;
   const config::Settings& settings_;
-  Hooks hooks_;
-  std::map<std::string, rpc::Core> cores_;  // by ip; zone empty where not told yet
-  SessionPtr current_, trial_;
-  double trialAt_ = 0, statusAt_ = 0, nearerAt_ = 0;
-  std::uint64_t incarnation_ = 0;
-  std::mt19937_64 random_;
-  std::map<std::string, double> failedAt_;
+  const Hooks hooks_;
+  const std::uint64_t incarnation_;
+  SessionCore core_;
+  std::map<SessionId, std::shared_ptr<rpc::Dialer>> dialers_;
+  std::string currentIp_;  // as logged
 };
 
 }  // namespace burlwind::proxy
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -31,7 +31,7 @@
 
 constexpr auto kTick = std::chrono::milliseconds(100);
 constexpr auto kEndPause = std::chrono::milliseconds(400);  // SIGTERM: for what is under way
-constexpr double kHeartbeat = 400;                          // ms, to proxies and other registries
+constexpr double kHeartbeat = 400;                          // ms, to other registries
 constexpr double kProcessStallThreshold = 1000;             // ms between two ticks: this process stood still
 constexpr double kReport = 10000;                           // ms between two lines of figures
 
@@ -53,7 +53,7 @@
         peerLinks_(io, registryPort(), peerHooks()),
         orders_(io, stores_, tracker_),
         quotas_(settings_.ip, incarnation_, registry_, lease_, quotaHooks()),
-        sessions_(registry_, sessionHooks()),
+        sessions_(registry_, tracker_, sessionHooks()),
         peers_({settings_.ip, settings_.zone, settings_.region}, registry_, quotas_, lease_,
                [this](const rpc::Workers& workers) { sessions_.broadcast(rpc::frame(workers)); }),
         list_(io, settings_, registry_, lease_,
@@ -107,7 +107,11 @@
 
   // --- The config stores ---
   DialerSet::Hooks storeHooks() {
-    return {[this](const std::string&, const LinkPtr& link) { link->tell(handshake()); },
+    return {[this](const std::string& ip, const LinkPtr& link) {
+              link->tell(handshake());
+              tracker_.linked(ip);
+              askLeader();
+            },
             [this](const std::string& ip, const Arrived& arrived) { onStore(ip, arrived); },
             [this](const std::string& ip) {
               tracker_.lost(ip);
@@ -129,11 +133,19 @@
     } else if (rpc::LeaseResponse lease; arrived.kind == rpc::kLeaseResponse && arrived.read(lease)) {
       leaseAnswered(lease);
     }
-    if (!confirmedBefore && tracker_.confirmed(now())) sessions_.broadcast(heartbeat());
+    askLeader();
+    sessions_.publish(now());
+    if (!confirmedBefore && tracker_.confirmed(now())) sessions_.sendHeartbeats(now());
+  }
+
+  // Whether what is held here is still the newest.
+  void askLeader() {
+    for (const auto& [store, request] : tracker_.questions(now()))
+      if (const LinkPtr link = stores_.link(store)) link->tell(request);
   }
 
   void takeUpdate(const std::string& store, rpc::ConfigUpdate update) {
-    const auto taken = tracker_.take(store, std::move(update), now());
+    const auto taken = tracker_.take(store, std::move(update));
     if (taken == LeaderTracker::Taken::dropped) return;
     for (const std::string& ip : tracker_.update().stores) meet(ip);
     if (taken == LeaderTracker::Taken::unchanged) return;
@@ -141,7 +153,6 @@
     quotas_.setConfiguration(configuration);
     program::info("news", {{"index", tracker_.update().index},
                            {"version", configuration ? configuration->version : 0}});
-    sessions_.broadcast(rpc::frame(tracker_.update()));
   }
 
   void takeConfirmation(const std::string& store, const rpc::LeaderConfirmation& confirmation) {
@@ -209,13 +220,9 @@
 
   void welcome(const LinkPtr& link) {
     link->tell(peers_.cores(now()));
-    if (tracker_.update().index > 0) link->tell(tracker_.update());
     if (registry_.number() > 0) link->tell(registry_.whole(now()));
-    link->send(heartbeat());
   }
 
-  std::string heartbeat() const { return rpc::frame(rpc::Heartbeat{tracker_.confirmed(now())}); }
-
   void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
     detectStall();
     if (!link->open()) return;
@@ -246,7 +253,6 @@
     lastTick_ = at;
     if (!stopped) return;
     program::warn("stood still", {});
-    tracker_.forgetConfirmation();
     control_.dropAll();
     orders_.dropAll("stood still");
   }
@@ -264,21 +270,21 @@
     const double at = now();
     lookAtSettings(false);
     report(at);
+    askLeader();
     askLease();
     quotas_.askHolder(at);
     if (const auto levels = quotas_.changedLevels(at)) peerLinks_.broadcast(rpc::frame(*levels));
     registry_.sweep(at);
     sessions_.closeSilent(at);
-    if (at >= heartbeatAt_) sendHeartbeats(at);
+    if (at >= heartbeatAt_) tellOthers(at);
     timer_.expires_after(kTick);
     timer_.async_wait([this](const Error& error) {
       if (!error) tick();
     });
   }
 
-  void sendHeartbeats(double at) {
+  void tellOthers(double at) {
     heartbeatAt_ = at + kHeartbeat;
-    sessions_.broadcast(heartbeat());
     tellSessions(false);
     const rpc::Cores cores = peers_.cores(at);
     if (cores.proxies == toldCounts_) return;
--- a/src/registry/proxy_sessions.cpp
+++ b/src/registry/proxy_sessions.cpp
@@ -17,6 +17,7 @@
   session.heard = now;
   program::info("session", {{"proxy", handshake.name}});
   hooks_.welcome(link);
+  publish(now);
 }
 
 bool ProxySessions::arrived(const LinkPtr& link, const rpc::Arrived& arrived, double now) {
@@ -25,7 +26,7 @@
   Session& session = found->second;
   session.heard = now;
   if (rpc::Status status; arrived.kind == rpc::kStatus && arrived.read(status)) {
-    onStatus(session, status, now);
+    onStatus(link, session, status, now);
   } else if (rpc::TokenRequest request; arrived.kind == rpc::kTokenRequest && arrived.read(request)) {
     request.proxy = session.seat.name, request.incarnation = session.seat.incarnation;
     hooks_.demand(request);
@@ -33,15 +34,31 @@
   return true;
 }
 
-void ProxySessions::onStatus(Session& session, const rpc::Status& status, double now) {
+void ProxySessions::onStatus(const LinkPtr& link, Session& session, const rpc::Status& status, double now) {
   const bool changed = session.seat.ready != status.ready;
   session.index = status.index, session.workers = status.workers;
   session.seat.ready = status.ready, session.seat.age = status.age, session.seat.quiet = status.quiet;
   session.seat.place(now);
   registry_.seat(session.seat, now);
+  session.feed.heard(status);
+  link->tell(session.feed.heartbeat(tracker_, now));
   if (changed) hooks_.changed();
 }
 
+void ProxySessions::publish(double now) {
+  std::string frame;
+  for (auto& [link, session] : sessions_) {
+    const rpc::ConfigUpdate* const update = session.feed.due(tracker_, now);
+    if (!update) continue;
+    if (frame.empty()) frame = rpc::frame(*update);
+    link->send(frame);
+  }
+}
+
+void ProxySessions::sendHeartbeats(double now) {
+  for (auto& [link, session] : sessions_) link->tell(session.feed.heartbeat(tracker_, now));
+}
+
 void ProxySessions::ended(const LinkPtr& link, double now) {
   const auto found = sessions_.find(link);
   if (found == sessions_.end()) return;
--- a/src/registry/proxy_sessions.hpp
+++ b/src/registry/proxy_sessions.hpp
@@ -1,5 +1,5 @@
-// Sessions of the proxies with this registry: who is linked, what each has told of itself. The newest session
-// of a proxy is the one that counts.
+// Sessions of the proxies with this registry: who is linked, what each has told of itself, and what it is
+// told of the configuration. The newest session of a proxy is the one that counts.
 #pragma once
 
 #include <cstdint>
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "registry/dialer_set.hpp"
+#include "registry/leader_tracker.hpp"
+#include "registry/proxy_feed.hpp"
 #include "registry/registry.hpp"
 #include "rpc/link.hpp"
 #include "rpc/messages.hpp"
@@ -17,11 +19,12 @@
 class ProxySessions {
  public:
   struct Hooks {
-    std::function<void(const LinkPtr&)> welcome;  // a new session: tell it what is known
+    std::function<void(const LinkPtr&)> welcome;  // a new session: tell it of workers and registries
     std::function<void()> changed;                // other registries must be told
     std::function<void(const rpc::TokenRequest&)> demand;
   };
-  ProxySessions(Registry& registry, Hooks hooks) : registry_(registry), hooks_(std::move(hooks)) {}
+  ProxySessions(Registry& registry, const LeaderTracker& tracker, Hooks hooks)
+      : registry_(registry), tracker_(tracker), hooks_(std::move(hooks)) {}
 
   void greet(const LinkPtr& link, const rpc::Handshake& handshake, double now);
   // False where the link is no session.
@@ -29,6 +32,8 @@
   void ended(const LinkPtr& link, double now);
   void closeSilent(double now);
   void broadcast(const std::string& frame);
+  void publish(double now);         // the configuration, to those that lack it, where it may be told
+  void sendHeartbeats(double now);  // to all, unasked
   void tell(const rpc::TokenResponse& response);  // to the proxy that it names, where it is here
 
  private:
@@ -36,10 +41,12 @@
     rpc::ProxySession seat;
     double heard = 0;
     std::uint64_t index = 0, workers = 0;  // in force there
+    ProxyFeed feed;
   };
-  void onStatus(Session& session, const rpc::Status& status, double now);
+  void onStatus(const LinkPtr& link, Session& session, const rpc::Status& status, double now);
 
   Registry& registry_;
+  const LeaderTracker& tracker_;
   const Hooks hooks_;
   std::map<LinkPtr, Session> sessions_;
 };
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -208,12 +208,15 @@
   bool ready = false;
   std::uint64_t index = 0, workers = 0;  // what is in force there
   double age = 0, quiet = 0;             // as in ProxySession
-  MSGPACK_DEFINE(ready, index, workers, age, quiet)
+  std::uint64_t number = 0;              // grows with each of this proxy; from 1
+  MSGPACK_DEFINE(ready, index, workers, age, quiet, number)
 };
-struct Heartbeat {
+struct Heartbeat {  // the answer to a Status, and told where `confirmed` begins
   static constexpr Kind kKind = kHeartbeat;
-  bool confirmed = false;  // the registry has heard the store's leader of late
-  MSGPACK_DEFINE(confirmed)
+  bool confirmed = false;    // the leader has confirmed what this registry holds
+  std::uint64_t age = 0;     // ms since the registry sent the question that the leader confirmed
+  std::uint64_t number = 0;  // of the newest Status that came before this was sent; 0: none
+  MSGPACK_DEFINE(confirmed, age, number)
 };
 
 // --- Quotas ---
--- /dev/null
+++ b/tests/system/serving_test.cpp
@@ -0,0 +1,178 @@
+// Who may serve what: the decisions of registries and proxies, message by message.
+#include <doctest/doctest.h>
+
+#include "proxy/session_core.hpp"
+#include "registry/leader_tracker.hpp"
+#include "registry/proxy_feed.hpp"
+
+namespace burlwind {
+namespace {
+
+using registry::LeaderTracker;
+using registry::ProxyFeed;
+using Taken = LeaderTracker::Taken;
+
+rpc::ConfigUpdate update(std::uint64_t term, std::uint64_t index, std::string text = "c") {
+  return {term, index, std::move(text), {}, {}};
+}
+rpc::LeaderConfirmation confirmation(std::uint64_t term, std::uint64_t index, std::uint64_t number) {
+  return {term, index, {}, 0, {}, number};
+}
+
+// A registry linked to three stores, with the numbers of its first questions.
+struct Asked {
+  Asked() {
+    for (const char* store : {"a", "b", "c"}) tracker.linked(store);
+    for (const auto& question : tracker.questions(0)) numbers[question.store] = question.request.number;
+  }
+  LeaderTracker tracker;
+  std::map<std::string, std::uint64_t> numbers;
+};
+
+TEST_CASE("The leader's answer counts from when the question was sent") {
+  Asked asked;
+  REQUIRE(asked.numbers.size() == 3);
+  CHECK(asked.tracker.take("a", update(1, 1)) == Taken::changed);
+  CHECK(asked.tracker.take("a", confirmation(1, 1, asked.numbers["a"]), 900));
+  CHECK(asked.tracker.confirmed(999));
+  CHECK_FALSE(asked.tracker.confirmed(1000));  // 100 ms after it came
+}
+
+TEST_CASE("Neither an update nor a hint nor another's number confirms anything") {
+  Asked asked;
+  asked.tracker.take("b", confirmation(1, 0, asked.numbers["b"]), 10);  // such stores answer questions
+  asked.tracker.take("a", update(2, 5));
+  asked.tracker.take("a", confirmation(2, 5, 0), 1500);
+  CHECK(asked.tracker.leader() == "a");
+  CHECK_FALSE(asked.tracker.confirmed(1500));
+  CHECK(asked.tracker.publishable(1500) == nullptr);
+  CHECK_FALSE(asked.tracker.take("a", confirmation(2, 5, asked.numbers["b"]), 1500));
+  CHECK_FALSE(asked.tracker.take("a", confirmation(2, 5, 77), 1500));
+  CHECK_FALSE(asked.tracker.confirmed(1500));
+  CHECK(asked.tracker.dropped() == 2);
+}
+
+TEST_CASE("An answer to a question of an earlier link proves nothing on the next one") {
+  Asked asked;
+  asked.tracker.take("a", update(1, 1));
+  asked.tracker.lost("a");
+  asked.tracker.linked("a");
+  CHECK_FALSE(asked.tracker.take("a", confirmation(1, 1, asked.numbers["a"]), 20));
+  CHECK_FALSE(asked.tracker.confirmed(20));
+  const auto again = asked.tracker.questions(20);  // the others were asked 20 ms ago
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].store == "a");
+}
+
+TEST_CASE("What is behind in term or index is dropped and counted") {
+  Asked asked;
+  asked.tracker.take("a", update(3, 7, "new"));
+  CHECK(asked.tracker.take("b", update(2, 6, "old")) == Taken::dropped);
+  CHECK(asked.tracker.take("b", update(2, 9, "fork")) == Taken::dropped);
+  CHECK(asked.tracker.take("a", update(3, 6, "old")) == Taken::dropped);
+  CHECK_FALSE(asked.tracker.take("b", confirmation(2, 6, asked.numbers["b"]), 10));
+  CHECK(asked.tracker.leader() == "a");
+  CHECK(asked.tracker.update().configuration == "new");
+  CHECK(asked.tracker.dropped() == 4);
+}
+
+TEST_CASE("A registry that lacks what was confirmed is not confirmed, and tells proxies nothing") {
+  Asked asked;
+  ProxyFeed feed;
+  asked.tracker.take("a", update(1, 4));
+  asked.tracker.take("a", confirmation(1, 5, asked.numbers["a"]), 10);
+  CHECK_FALSE(asked.tracker.confirmed(10));
+  CHECK(feed.due(asked.tracker, 10) == nullptr);
+  CHECK_FALSE(feed.heartbeat(asked.tracker, 10).confirmed);
+  asked.tracker.take("a", update(1, 5, "d"));
+  const auto questions = asked.tracker.questions(310);
+  REQUIRE(questions.size() == 3);  // not confirmed: all are asked
+  asked.tracker.take("a", confirmation(1, 5, questions[0].request.number), 350);
+  REQUIRE(feed.due(asked.tracker, 350));
+  CHECK(feed.due(asked.tracker, 350) == nullptr);  // once
+  CHECK(feed.heartbeat(asked.tracker, 350).age >= 40);
+  CHECK(asked.tracker.questions(650).size() == 1);  // confirmed: the leader alone
+}
+
+TEST_CASE("A new leader's hint has it asked at once") {
+  Asked asked;
+  asked.tracker.take("b", confirmation(1, 0, asked.numbers["b"]), 10);
+  asked.tracker.take("c", confirmation(2, 0, 0), 20);
+  const auto questions = asked.tracker.questions(20);
+  REQUIRE(questions.size() == 1);
+  CHECK(questions[0].store == "c");
+}
+
+// --- The proxy's end ---
+using proxy::SessionCore;
+
+template <class Effect>
+std::vector<Effect> only(const proxy::SessionEffects& effects) {
+  std::vector<Effect> out;
+  for (const auto& effect : effects)
+    if (const auto* one = std::get_if<Effect>(&effect)) out.push_back(*one);
+  return out;
+}
+rpc::Workers list(std::uint64_t epoch, std::uint64_t number, std::uint64_t before = 0) {
+  rpc::Workers out;
+  out.term = epoch, out.number = number, out.before = before, out.whole = before == 0;
+  return out;
+}
+
+// A proxy that has opened one session and sent its first Status on it, number 1.
+struct Linked {
+  Linked() {
+    core.meet("10.0.0.1");
+    id = only<proxy::OpenSession>(core.tick(0)).at(0).id;
+    core.linked(id, 0);
+  }
+  SessionCore core{{"z", "r"}, 7};
+  proxy::SessionId id = 0;
+};
+
+TEST_CASE("A configuration comes into force only from a session whose registry is confirmed") {
+  Linked p;
+  CHECK(p.core.arrived(p.id, update(1, 1), 10).empty());
+  CHECK(p.core.arrived(p.id, list(1, 1), 10).empty());
+  CHECK(p.core.arrived(p.id, rpc::Heartbeat{false, 0, 1}, 10).empty());
+  CHECK(p.core.arrived(p.id, rpc::Heartbeat{true, 5, 0}, 10).empty());  // answers no Status
+  const auto effects = p.core.arrived(p.id, rpc::Heartbeat{true, 5, 1}, 20);
+  CHECK(only<rpc::ConfigUpdate>(effects).size() == 1);
+  CHECK(only<rpc::Workers>(effects).size() == 1);
+  CHECK(p.core.inTouch(20));
+}
+
+TEST_CASE("Heartbeats that waited in a buffer make nothing fresher") {
+  Linked p;
+  p.core.arrived(p.id, update(1, 1), 10);
+  p.core.arrived(p.id, list(1, 1), 10);
+  p.core.arrived(p.id, rpc::Heartbeat{true, 100, 1}, 20);
+  const auto status = only<proxy::SendStatus>(p.core.statusNow(400)).at(0);
+  p.core.arrived(p.id, rpc::Heartbeat{true, 300, status.number}, 6000);  // this process stood still
+  CHECK_FALSE(p.core.inTouch(6000));
+}
+
+TEST_CASE("Nothing in force goes back when another registry takes over") {
+  Linked p;
+  p.core.meet("10.0.0.2");
+  p.core.arrived(p.id, update(2, 9), 10);
+  p.core.arrived(p.id, list(5, 100), 10);
+  p.core.arrived(p.id, rpc::Heartbeat{true, 0, 1}, 10);
+  p.core.unlinked(p.id);
+  const auto opened = only<proxy::OpenSession>(p.core.tick(100)).at(0);
+  const auto status = only<proxy::SendStatus>(p.core.linked(opened.id, 110)).at(0);
+  p.core.arrived(opened.id, update(2, 8), 120);
+  p.core.arrived(opened.id, list(5, 98), 120);
+  p.core.arrived(opened.id, list(5, 99, 98), 120);
+  const auto effects = p.core.arrived(opened.id, rpc::Heartbeat{true, 0, status.number}, 120);
+  REQUIRE(p.core.current() == opened.id);
+  CHECK(only<rpc::ConfigUpdate>(effects).empty());
+  CHECK(only<rpc::Workers>(effects).empty());
+  CHECK(p.core.arrived(opened.id, list(5, 100, 99), 130).empty());
+  CHECK(only<rpc::Workers>(p.core.arrived(opened.id, list(5, 101, 100), 130)).size() == 1);
+  CHECK(only<proxy::RestartLink>(p.core.arrived(opened.id, list(5, 103, 102), 130)).size() == 1);
+  CHECK(p.core.dropped() == 3);
+}
+
+}  // namespace
+}  // namespace burlwind
