Config store: nothing of the state leaves a leader unconfirmed

Now a reader's first state is the answer to its ConfirmationRequest; updates at a commit go only to readers that have had it, and what is told unasked (number 0) is a hint whom to ask: when a store begins to lead, and when the duties are free or have an owner.

Registry: a call bears the index known when it came, the same in each repeat of its own; an answer tells whether the leader has judged it, and only what it has not goes on to another leader.

--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr Time kProcessStallThreshold = 1000;  // ms between two inputs: this process stood still
-constexpr Time kConfirmationPause = 300;       // ms
 
 }  // namespace
 
@@ -18,9 +17,8 @@
 Effects Service::tick(Time now) {
   Effects out;
   detectStall(now, out);
-  // Who waits for the duties hears at the next heartbeat that they are free.
   const bool busy = lease_.busy(now);
-  if (std::exchange(leaseWasBusy_, busy) && !busy) confirmationAt_ = 0;
+  if (std::exchange(leaseWasBusy_, busy) && !busy) hintIsDue_ = true;  // who waits for the duties asks now
   translate(core_.tick(now), now, out);
   return out;
 }
@@ -54,9 +52,7 @@
 Effects Service::readerGreeted(ReaderId reader, Time now) {
   Effects out;
   detectStall(now, out);
-  Reader& known = readers_[reader] = {};
-  if (core_.leads()) sendConfigUpdate(reader, known, out);
-  confirmationAt_ = 0;
+  readers_[reader] = {};
   return out;
 }
 
@@ -117,7 +113,6 @@
   out.emplace_back(LeadershipGained{core_.record().term, core_.record().index});
   lease_.lead(state_.owner, now);
   nextOwner_.reset();
-  confirmationAt_ = 0;
   sendToAll(leaderConfirmation(now, 0), out);
 }
 
@@ -138,7 +133,7 @@
   if (!core_.leads()) return;
   std::erase_if(reads_, [&](const PendingRead& read) {
     if (read.round > round) return false;
-    send(read.reader, rpc::CommandResponse{read.number, 200, state_.configuration}, out);
+    send(read.reader, rpc::CommandResponse{read.number, 200, state_.configuration, true}, out);
     return true;
   });
   std::erase_if(leases_, [&](const PendingLease& asked) {
@@ -152,9 +147,7 @@
     return true;
   });
   for (auto& [id, reader] : readers_) answerQuestions(id, reader, round, now, out);
-  if (now < confirmationAt_) return;
-  confirmationAt_ = now + kConfirmationPause;
-  sendToAll(leaderConfirmation(now, 0), out);
+  if (std::exchange(hintIsDue_, false)) sendToAll(leaderConfirmation(now, 0), out);
 }
 
 // All that waits becomes one entry, each order judged on top of those before it. What changes nothing costs
@@ -171,7 +164,7 @@
   for (const WaitingOrder& order : std::exchange(orders_, {})) {
     const Judged judged = apply(next, order.request, entry);
     out.emplace_back(OrderJudged{order.request.what, judged.status, judged.text});
-    judgedOrders.push_back({order.reader, {order.request.number, judged.status, judged.text}});
+    judgedOrders.push_back({order.reader, {order.request.number, judged.status, judged.text, true}});
     changes = changes || judged.changes;
   }
   if (changes) {
@@ -251,7 +244,7 @@
   lease_.granted(now);
   sendLease(*nextOwner_, lease::kLeaseSpan, out);
   nextOwner_.reset();
-  confirmationAt_ = 0;
+  hintIsDue_ = true;
 }
 
 // --- What readers are told ---
@@ -267,10 +260,11 @@
   out.emplace_back(SendToReaders{std::move(all), std::move(message)});
 }
 
-// Data, no confirmation.
+// Data, no confirmation: to those only that have been told a confirmed state on this link.
 void Service::pushConfigUpdate(Effects& out) {
   std::vector<ReaderId> told;
   for (auto& [id, reader] : readers_) {
+    if (reader.updateIndex == 0) continue;
     reader.updateTerm = core_.record().term;
     reader.updateIndex = core_.committed();
     told.push_back(id);
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -155,8 +155,8 @@
   std::vector<PendingLease> leases_;
   std::optional<PendingLease> nextOwner_;  // waits to be agreed on
   Time lastInput_ = 0;
-  Time confirmationAt_ = 0;
   bool leaseWasBusy_ = false;
+  bool hintIsDue_ = false;  // with the next confirmed round all readers are told who holds the duties
 };
 
 }  // namespace burlwind::config_store
--- a/src/registry/order_forwarder.cpp
+++ b/src/registry/order_forwarder.cpp
@@ -19,7 +19,11 @@
 }  // namespace
 
 asio::awaitable<LeaderAnswer> OrderForwarder::order(std::string what, std::string body) {
-  MakeFrame make = [&](std::uint64_t number) { return rpc::frame(rpc::CommandRequest{number, what, body}); };
+  // The same in each repeat: what the store may hold against it is what was not known when the call came.
+  const std::uint64_t known = tracker_.update().index;
+  MakeFrame make = [&](std::uint64_t number) {
+    return rpc::frame(rpc::CommandRequest{number, what, body, true, known});
+  };
   LeaderAnswer answer = co_await ask(std::move(make));
   co_return answer;
 }
@@ -45,7 +49,7 @@
       waiting->timer.expires_after(kOrderWithin);
       co_await waiting->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
       waiting_.erase(number);
-      if (waiting->answer.status && waiting->answer.status != 503) co_return waiting->answer;
+      if (waiting->judged) co_return waiting->answer;
     }
     if (now() >= until) break;
     pause.expires_after(kRetryPause);
@@ -62,7 +66,9 @@
 
 void OrderForwarder::answered(const rpc::CommandResponse& response) {
   const auto found = waiting_.find(response.number);
-  if (found != waiting_.end()) finish(*found->second, response.status, response.text);
+  if (found == waiting_.end()) return;
+  found->second->judged = response.judged;
+  finish(*found->second, response.status, response.text);
 }
 
 void OrderForwarder::lost(const std::string& store) {
--- a/src/registry/order_forwarder.hpp
+++ b/src/registry/order_forwarder.hpp
@@ -1,4 +1,10 @@
 // Passes orders and reads on to the config store that leads, and waits for its answer.
+//
+// A call that was not judged (the link has ended, the store leads no more) goes to the next leader for a
+// short while. That is safe: a configuration is known again by number and digest, an evacuation is
+// idempotent, and each repeat bears the index that was known when the call came, so that it can't undo what
+// was ordered since. Each question has a number of its own, never used again by this process: an answer that
+// comes late, for a question that is given up, finds nobody.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -42,6 +48,7 @@
     asio::steady_timer timer;
     std::string store;
     LeaderAnswer answer;
+    bool judged = false;  // by the leader; else the call may go on to another store
   };
   using MakeFrame = std::function<std::string(std::uint64_t number)>;
   asio::awaitable<LeaderAnswer> ask(MakeFrame make);
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -141,9 +141,10 @@
 struct CommandResponse {
   static constexpr Kind kKind = kCommandResponse;
   std::uint64_t number = 0;
-  int status = 0;  // as HTTP has it
+  int status = 0;  // as HTTP has it; 503: no clear answer
   std::string text;
-  MSGPACK_DEFINE(number, status, text)
+  bool judged = false;  // by the leader: asked again it would say the same
+  MSGPACK_DEFINE(number, status, text, judged)
 };
 struct LeaseRequest {
   static constexpr Kind kKind = kLeaseRequest;
