Registry: what belongs to an earlier session, holder or moment is dropped

Found by review, each with a test: - An order that waited for a leader, or was read just after a stop of a second and more, was passed on after the waking, though it may have been sent again elsewhere and taken back: dropAll ended only orders that were sent already, and what the control server read before the next tick saw no stop. stall_detector: calls read within 150 ms of a waking get no clear answer (503); dropAll ends those that wait too. - A proxy that dialled the same registry again lost its seat for up to half a second when its earlier link ended, since both bear one incarnation: sessions are numbered. - Of two incarnations of a proxy the view kept the one that came first: the later born counts. - A grant of tokens bore no epoch and was taken whatever question it answered: grant_fence. Workers and levels bore theirs already. - A list read across a loss and a regain of the lease was told as the newest: it must be read under one lease. - Two links from one machine's registry (a restart) were both believed: the newest counts.

--- a/src/registry/duty_lease.hpp
+++ b/src/registry/duty_lease.hpp
@@ -26,6 +26,7 @@
 
   bool holds(double now) const { return holder_.holds(now); }
   std::uint64_t epoch() const { return epoch_; }             // of this registry's last lease
+  std::uint64_t ownerEpoch() const { return ownerEpoch_; }   // of the newest owner that is known
   const std::string& holderIp() const { return holderIp_; }  // as the leader told last; empty: nobody
 
  private:
--- a/src/registry/list_reader.cpp
+++ b/src/registry/list_reader.cpp
@@ -67,14 +67,17 @@
 }
 
 asio::awaitable<void> ListReader::readOnce() {
+  const bool heldBefore = lease_.holds(now());
+  const std::uint64_t epochBefore = lease_.epoch();
   std::string why;
   const auto all = co_await list_.read(*settings_.platform, kReadWithin, why);
   if (!all && why != told_) program::warn("the platform's list", {{"why", why}});
   told_ = why;
   if (!all) co_return;
   platformMs_ = list_.connectMs();
-  if (!due()) co_return;
-  const bool holds = lease_.holds(now());
+  // Read under one lease: else another one may have held the duties meanwhile, and told of a newer list.
+  const bool holds = heldBefore && lease_.holds(now()) && lease_.epoch() == epochBefore;
+  if (!holds && registry_.number() > 0) co_return;
   const auto change = registry_.listed(holds ? lease_.epoch() : 0, *all, now());
   if (!change) co_return;
   program::info("workers", {{"number", change->number},
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -20,6 +20,7 @@
 #include "registry/quota_service.hpp"
 #include "registry/registry.hpp"
 #include "registry/registry_peers.hpp"
+#include "registry/stall_detector.hpp"
 #include "rpc/link.hpp"
 
 namespace burlwind::registry {
@@ -60,7 +61,7 @@
               [this](const rpc::Workers& change, bool byHolder) { listChanged(change, byHolder); }),
         calls_(settings_, registry_, orders_, incarnation_),
         acceptor_(io),
-        control_(io, [this](control_api::Call call) { return calls_.control(std::move(call)); }),
+        control_(io, [this](control_api::Call call) { return controlCall(std::move(call)); }),
         directory_(io, [this](control_api::Call call) { return calls_.directory(std::move(call)); }),
         timer_(io),
         endTimer_(io),
@@ -75,7 +76,6 @@
     for (const auto& seed : settings_.seeds) meet(seed.ip);
     meet(settings_.ip);
     list_.start();
-    lastTick_ = now();
     tick();
     wait();
     io_.run();
@@ -245,18 +245,21 @@
   }
 
   // --- Time ---
-  // What was sent before this process woke from a stop may have been sent again elsewhere, and taken back:
-  // nothing of it is acted on.
+  // Calls that came before this process woke from a stop are dropped, also those under way.
   void detectStall() {
-    const double at = now();
-    const bool stopped = at - lastTick_ > kProcessStallThreshold;
-    lastTick_ = at;
-    if (!stopped) return;
+    if (!stall_.observe(now())) return;
     program::warn("stood still", {});
     control_.dropAll();
     orders_.dropAll("stood still");
   }
 
+  asio::awaitable<control_api::Reply> controlCall(control_api::Call call) {
+    detectStall();
+    if (stall_.waking(now())) co_return control_api::Reply(503, control_api::message("stood still"));
+    control_api::Reply reply = co_await calls_.control(std::move(call));
+    co_return reply;
+  }
+
   void lookAtSettings(bool asked) {
     const auto fresh = file_.look(now(), asked);
     if (!fresh) return;
@@ -333,7 +336,8 @@
   asio::steady_timer timer_, endTimer_;
   asio::signal_set signals_;
   std::map<std::string, unsigned> toldCounts_;  // proxies by zone
-  double lastTick_ = 0, heartbeatAt_ = 0, reportAt_ = 0;
+  StallDetector stall_{now()};
+  double heartbeatAt_ = 0, reportAt_ = 0;
 };
 
 }  // namespace
--- a/src/registry/order_forwarder.cpp
+++ b/src/registry/order_forwarder.cpp
@@ -32,6 +32,7 @@
 
 asio::awaitable<LeaderAnswer> OrderForwarder::ask(MakeFrame make) {
   const double until = now() + kLeaderWithin;
+  const std::uint64_t drops = drops_;
   asio::steady_timer pause(io_);
   while (true) {
     rpc::Error ignored;
@@ -47,9 +48,12 @@
       waiting_.erase(number);
       if (waiting->answer.status && waiting->answer.status != 503) co_return waiting->answer;
     }
-    if (now() >= until) break;
+    if (now() >= until || drops != drops_) break;
     pause.expires_after(kRetryPause);
+    pauses_.insert(&pause);
     co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    pauses_.erase(&pause);
+    if (drops != drops_) break;
   }
   co_return LeaderAnswer{503, "no majority of the stores answers"};
 }
@@ -71,6 +75,8 @@
 }
 
 void OrderForwarder::dropAll(const char* why) {
+  ++drops_;
+  for (asio::steady_timer* pause : pauses_) pause->cancel();
   for (auto& [number, waiting] : waiting_) finish(*waiting, 503, why);
 }
 
--- a/src/registry/order_forwarder.hpp
+++ b/src/registry/order_forwarder.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "registry/dialer_set.hpp"
@@ -34,7 +35,8 @@
 
   void answered(const rpc::CommandResponse& response);
   void lost(const std::string& store);  // its link has ended: what waits for it has no clear answer
-  void dropAll(const char* why);        // the same, for all that wait
+  // The same for all that are under way, also those that were not sent yet: they never will be.
+  void dropAll(const char* why);
 
  private:
   struct Waiting {
@@ -51,7 +53,8 @@
   const DialerSet& stores_;
   const LeaderTracker& tracker_;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;  // by number
-  std::uint64_t number_ = 0;
+  std::set<asio::steady_timer*> pauses_;                       // of calls that wait for a leader
+  std::uint64_t number_ = 0, drops_ = 0;
 };
 
 }  // namespace burlwind::registry
--- a/src/registry/proxy_sessions.cpp
+++ b/src/registry/proxy_sessions.cpp
@@ -15,6 +15,7 @@
   session.seat.zone = handshake.zone, session.seat.region = handshake.region;
   session.seat.incarnation = handshake.incarnation, session.seat.linkMbps = handshake.linkMbps;
   session.heard = now;
+  session.number = ++numbers_;
   program::info("session", {{"proxy", handshake.name}});
   hooks_.welcome(link);
   publish(now);
@@ -39,7 +40,7 @@
   session.index = status.index, session.workers = status.workers;
   session.seat.ready = status.ready, session.seat.age = status.age, session.seat.quiet = status.quiet;
   session.seat.place(now);
-  registry_.seat(session.seat, now);
+  registry_.seat(session.seat, now, session.number);
   session.feed.heard(status);
   link->tell(session.feed.heartbeat(tracker_, now));
   if (changed) hooks_.changed();
@@ -63,7 +64,7 @@
   const auto found = sessions_.find(link);
   if (found == sessions_.end()) return;
   program::info("session ends", {{"proxy", found->second.seat.name}});
-  registry_.unseat(found->second.seat.name, found->second.seat.incarnation, now);
+  registry_.unseat(found->second.seat.name, found->second.number, now);
   sessions_.erase(found);
   hooks_.changed();
 }
--- a/src/registry/proxy_sessions.hpp
+++ b/src/registry/proxy_sessions.hpp
@@ -39,6 +39,7 @@
  private:
   struct Session {
     rpc::ProxySession seat;
+    std::uint64_t number = 0;  // grows with each
     double heard = 0;
     std::uint64_t index = 0, workers = 0;  // in force there
     ProxyFeed feed;
@@ -49,6 +50,7 @@
   const LeaderTracker& tracker_;
   const Hooks hooks_;
   std::map<LinkPtr, Session> sessions_;
+  std::uint64_t numbers_ = 0;
 };
 
 }  // namespace burlwind::registry
--- a/src/registry/quota_service.cpp
+++ b/src/registry/quota_service.cpp
@@ -21,7 +21,8 @@
       incarnation_(incarnation),
       registry_(registry),
       lease_(lease),
-      hooks_(std::move(hooks)) {}
+      hooks_(std::move(hooks)),
+      fence_(incarnation) {}
 
 // What came in while nobody can have let anything in, and what the holder before told of its stores.
 void QuotaService::takeDuty(double now) {
@@ -35,7 +36,7 @@
 }
 
 rpc::TokenResponse QuotaService::grant(const rpc::TokenRequest& request, double now) {
-  rpc::TokenResponse out{request.number, request.proxy, request.incarnation, {}};
+  rpc::TokenResponse out{request.number, request.proxy, request.incarnation, {}, lease_.epoch()};
   if (!configuration_) return out;
   const auto counts = registry_.counts(now);
   allocator_.setReach(counts.known ? static_cast<double>(counts.live) / counts.known : 1);
@@ -75,7 +76,7 @@
 }
 
 void QuotaService::granted(const rpc::TokenResponse& response, double now) {
-  if (response.incarnation == incarnation_) takeGrants(response.grants, now);
+  if (fence_.accepts(response, lease_.ownerEpoch(), now)) takeGrants(response.grants, now);
 }
 
 void QuotaService::askHolder(double now) {
@@ -89,7 +90,7 @@
   if (mine)
     takeGrants(grant(request, now).grants, now);
   else
-    hooks_.tellHolder(request);
+    fence_.asked(request.number, now), hooks_.tellHolder(request);
 }
 
 void QuotaService::takeGrants(const std::vector<rpc::TokenGrant>& grants, double now) {
--- a/src/registry/quota_service.hpp
+++ b/src/registry/quota_service.hpp
@@ -14,6 +14,7 @@
 #include "distributed_quota/aggregator.hpp"
 #include "distributed_quota/allocator.hpp"
 #include "registry/duty_lease.hpp"
+#include "registry/grant_fence.hpp"
 #include "registry/registry.hpp"
 #include "rpc/messages.hpp"
 
@@ -59,6 +60,7 @@
   Configuration configuration_;
   distributed_quota::QuotaAllocator allocator_;
   distributed_quota::QuotaAggregator aggregator_;
+  GrantFence fence_;
   struct {
     std::uint64_t epoch = 0;
     std::map<std::string, double> levels;  // by tenant
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -18,32 +18,33 @@
   seats_.clear();
   const auto put = [&](const rpc::ProxySession& seat) {
     const auto [found, fresh] = seats_.try_emplace(seat.name, seat);
-    // Two registries may hold sessions of one proxy while it moves: ready at one is ready.
-    if (!fresh && (seat.incarnation != found->second.incarnation ? false : seat.ready)) found->second = seat;
+    // Two registries may hold sessions of one proxy while it moves: ready at one is ready. One that has
+    // restarted may still have an earlier incarnation's session elsewhere.
+    const bool same = seat.incarnation == found->second.incarnation;
+    if (!fresh && (same ? seat.ready : seat.bornAt > found->second.bornAt)) found->second = seat;
     known_[seat.name] = {seat.zone, now};
   };
-  for (const auto& [name, seat] : own_) put(seat);
+  for (const auto& [name, own] : own_) put(own.seat);
   for (const auto& [registry, others] : others_)
     for (const rpc::ProxySession& seat : others.seats) put(seat);
 }
 
-void Registry::seat(const rpc::ProxySession& seat, double now) {
-  const auto found = own_.find(seat.name);
-  if (found != own_.end() && found->second.sameAs(seat)) {
-    found->second = seat;
-    if (const auto view = seats_.find(seat.name); view != seats_.end() && view->second.sameAs(seat))
-      view->second = seat;
-    return;
-  }
-  if (found == own_.end() || found->second.ready != seat.ready)
+void Registry::seat(const rpc::ProxySession& seat, double now, std::uint64_t session) {
+  const auto [found, fresh] = own_.try_emplace(seat.name);
+  Own& own = found->second;
+  if (session < own.session) return;
+  const bool same = !fresh && own.seat.sameAs(seat);
+  if (fresh || own.seat.ready != seat.ready)
     note(now, seat.ready ? "proxy ready" : "proxy seated", seat.name);
-  own_[seat.name] = seat;
-  refold(now);
+  own = {seat, session};
+  if (!same) return refold(now);
+  const auto view = seats_.find(seat.name);
+  if (view != seats_.end() && view->second.sameAs(seat)) view->second = seat;
 }
 
-void Registry::unseat(const std::string& name, std::uint64_t incarnation, double now) {
+void Registry::unseat(const std::string& name, std::uint64_t session, double now) {
   const auto found = own_.find(name);
-  if (found == own_.end() || found->second.incarnation != incarnation) return;
+  if (found == own_.end() || found->second.session != session) return;
   note(now, "proxy gone", name);
   own_.erase(found);
   refold(now);
@@ -51,9 +52,9 @@
 
 std::vector<rpc::ProxySession> Registry::own(double now) const {
   std::vector<rpc::ProxySession> out;
-  for (const auto& [name, seat] : own_) {
-    out.push_back(seat);
-    out.back().age = now - seat.bornAt;
+  for (const auto& [name, own] : own_) {
+    out.push_back(own.seat);
+    out.back().age = now - own.seat.bornAt;
   }
   return out;
 }
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -3,7 +3,7 @@
 //
 // A cell for each zone keeps the proxies that are seated there, by their own registry's sessions or by what
 // another registry has told of its own. A seat stands while its session does; what another registry told
-// stands while that one is heard. The newest incarnation of a name counts.
+// stands while that one is heard. Of two incarnations of a name the one that began later counts.
 #pragma once
 
 #include <cstdint>
@@ -36,8 +36,11 @@
   void setPlaces(std::map<std::string, std::string> regionOf) { regionOf_ = std::move(regionOf); }
 
   // --- Seats ---
-  void seat(const rpc::ProxySession& seat, double now);  // opened, or changed
-  void unseat(const std::string& name, std::uint64_t incarnation, double now);
+  // Opened, or changed. `session`: a number of this registry's own; the newest of a proxy is the one that
+  // counts.
+  void seat(const rpc::ProxySession& seat, double now, std::uint64_t session = 0);
+  // That session has ended; nothing where another one of the proxy counts.
+  void unseat(const std::string& name, std::uint64_t session, double now);
   std::vector<rpc::ProxySession> own(double now) const;
   void heard(const std::string& registry, const rpc::Sessions& told, double now);
   // True where views may have changed.
@@ -85,9 +88,13 @@
   void refold(double now);
   const std::string self_;
   std::map<std::string, std::string> regionOf_;
-  std::map<std::string, rpc::ProxySession> own_;                 // by name
+  struct Own {
+    rpc::ProxySession seat;
+    std::uint64_t session = 0;
+  };
+  std::map<std::string, Own> own_;                               // by name
   std::map<std::string, Others> others_;                         // by registry
-  std::map<std::string, rpc::ProxySession> seats_;               // the view: newest incarnation of each name
+  std::map<std::string, rpc::ProxySession> seats_;               // the view: one of each name
   std::map<std::string, std::pair<std::string, double>> known_;  // name -> zone, last seen
   std::map<std::string, Known> workers_;
   std::uint64_t epoch_ = 0, number_ = 0;
--- a/src/registry/registry_peers.cpp
+++ b/src/registry/registry_peers.cpp
@@ -11,6 +11,9 @@
 }
 
 void RegistryPeers::greet(const LinkPtr& link, const rpc::Handshake& handshake) {
+  // The newest link from a machine counts: what lies in an earlier one may be an earlier incarnation's.
+  for (const auto& [other, ip] : links_)
+    if (ip == handshake.ip && other != link) other->close();
   links_[link] = handshake.ip;
   cores_[handshake.ip] = {handshake.ip, handshake.zone, handshake.region};
 }
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -247,7 +247,8 @@
   std::string proxy;
   std::uint64_t incarnation = 0;
   std::vector<TokenGrant> grants;
-  MSGPACK_DEFINE(number, proxy, incarnation, grants)
+  std::uint64_t epoch = 0;  // of the owner of the duties that grants; 0 to a proxy
+  MSGPACK_DEFINE(number, proxy, incarnation, grants, epoch)
 };
 
 struct Level {  // what a tenant's store holds
--- a/tests/system/serving_test.cpp
+++ b/tests/system/serving_test.cpp
@@ -1,9 +1,18 @@
 // Who may serve what: the decisions of registries and proxies, message by message.
 #include <doctest/doctest.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+#include <utility>
+
 #include "proxy/session_core.hpp"
+#include "registry/grant_fence.hpp"
 #include "registry/leader_tracker.hpp"
+#include "registry/order_forwarder.hpp"
 #include "registry/proxy_feed.hpp"
+#include "registry/registry.hpp"
+#include "registry/stall_detector.hpp"
 
 namespace burlwind {
 namespace {
@@ -103,6 +112,78 @@
   CHECK(questions[0].store == "c");
 }
 
+// --- What belongs to an earlier session, incarnation, holder or moment ---
+rpc::ProxySession seatOf(std::uint64_t incarnation, double bornAt, bool ready) {
+  rpc::ProxySession out;
+  out.name = "p", out.front = "10.0.0.9:80", out.incarnation = incarnation;
+  out.bornAt = bornAt, out.ready = ready;
+  return out;
+}
+
+TEST_CASE("A proxy that has dialled again keeps its seat when its earlier link ends") {
+  registry::Registry registry("10.0.0.1", {});
+  registry.seat(seatOf(7, 0, true), 100, 1);
+  registry.seat(seatOf(7, 0, true), 200, 2);
+  registry.unseat("p", 1, 210);
+  CHECK(registry.own(210).size() == 1);
+  registry.seat(seatOf(7, 0, false), 220, 1);  // late, on the earlier link
+  CHECK(registry.own(220)[0].ready);
+  registry.unseat("p", 2, 230);
+  CHECK(registry.own(230).empty());
+}
+
+TEST_CASE("Of two incarnations of a proxy the later one counts, wherever it has its session") {
+  registry::Registry registry("10.0.0.1", {});
+  registry.seat(seatOf(7, 0, true), 1000, 1);  // its process has ended, which isn't known here yet
+  rpc::Sessions told{true, {seatOf(8, 0, false)}};
+  told.seats[0].age = 50;
+  registry.heard("10.0.0.2", told, 1000);
+  std::mt19937_64 random(1);
+  CHECK(registry.addresses("", "", 1, 9, random).empty());  // the later one is not ready
+  CHECK(registry.counts(1000).live == 1);
+}
+
+TEST_CASE("A grant counts once, for this process's own question, from the newest holder known") {
+  registry::GrantFence fence(5);
+  const auto grant = [](std::uint64_t number, std::uint64_t incarnation, std::uint64_t epoch) {
+    return rpc::TokenResponse{number, "10.0.0.1", incarnation, {}, epoch};
+  };
+  for (const std::uint64_t number : {1, 2, 3, 4}) fence.asked(number, 0);
+  CHECK(fence.accepts(grant(1, 5, 8), 8, 100));
+  CHECK_FALSE(fence.accepts(grant(1, 5, 8), 8, 100));  // a second time
+  CHECK_FALSE(fence.accepts(grant(2, 4, 8), 8, 100));  // another incarnation's
+  CHECK_FALSE(fence.accepts(grant(3, 5, 7), 8, 100));  // the holder has lost the lease since
+  CHECK_FALSE(fence.accepts(grant(4, 5, 8), 8, 2500));
+  CHECK_FALSE(fence.accepts(grant(9, 5, 8), 8, 100));
+}
+
+TEST_CASE("Calls that are read just after a stop are told apart from those that come later") {
+  registry::StallDetector stall(0);
+  CHECK_FALSE(stall.observe(900));
+  CHECK(stall.observe(2000));
+  CHECK_FALSE(stall.observe(2010));
+  CHECK(stall.waking(2010));  // the second one out of the buffers
+  CHECK_FALSE(stall.waking(2200));
+}
+
+// On a loop that is polled by hand: no link, no time passes.
+TEST_CASE("An order that waits for a leader is not sent any more after a stop") {
+  boost::asio::io_context io;
+  LeaderTracker tracker;
+  registry::DialerSet stores(io, 1, {});
+  registry::OrderForwarder orders(io, stores, tracker);
+  registry::LeaderAnswer answer;
+  const auto call = [&]() -> boost::asio::awaitable<void> {
+    answer = co_await orders.order("evacuate", "z");
+  };
+  boost::asio::co_spawn(io, call(), boost::asio::detached);
+  io.poll();
+  REQUIRE(answer.status == 0);
+  orders.dropAll("stood still");
+  io.poll();
+  CHECK(answer.status == 503);
+}
+
 // --- The proxy's end ---
 using proxy::SessionCore;
 
