--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -7,6 +7,14 @@
 
 namespace burlwind::config_store {
 
+namespace {
+
+// A state without the field `forgotten` was written when fewer were kept: there may have been others before.
+constexpr std::size_t kRememberedBefore = 128;
+constexpr std::uint32_t kFieldsWithForgotten = 6;
+
+}  // namespace
+
 std::string pack(const State& state) {
   msgpack::sbuffer out;
   msgpack::pack(out, state);
@@ -17,7 +25,10 @@
   out = State{};
   if (bytes.empty()) return true;
   try {
-    msgpack::unpack(bytes.data(), bytes.size()).get().convert(out);
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    handle.get().convert(out);
+    const bool tellsForgotten = handle.get().via.array.size >= kFieldsWithForgotten;
+    if (!tellsForgotten && out.taken.size() >= kRememberedBefore) out.forgotten = out.taken.front().first;
     return true;
   } catch (const std::exception&) {
     return false;
@@ -26,21 +37,34 @@
 
 namespace {
 
+using Taken = std::pair<std::uint64_t, std::uint64_t>;
+
+bool wasTaken(const State& state, const Taken& asked) {
+  return std::binary_search(state.taken.begin(), state.taken.end(), asked);
+}
+
+void remember(State& state, const Taken& taken) {
+  state.taken.push_back(taken);
+  if (state.taken.size() <= kRemembered) return;
+  state.forgotten = state.taken.front().first;
+  state.taken.erase(state.taken.begin());
+}
+
 Judged takeConfiguration(State& state, const std::string& body) {
   const auto read = config::readConfiguration(body);
   if (!read.configuration) return {400, read.fault, false};
-  const std::uint64_t version = read.configuration->version;
-  const std::pair mine(version, XXH3_64bits(body.data(), body.size()));
-  if (std::find(state.taken.begin(), state.taken.end(), mine) != state.taken.end())
-    return {200, "taken before", false};
-  if (read.configuration->parent != state.version)
+  const std::uint64_t version = read.configuration->version, parent = read.configuration->parent;
+  const Taken asked(version, XXH3_64bits(body.data(), body.size()));
+  if (wasTaken(state, asked)) return {200, "taken before", false};
+  if (parent < state.forgotten)
+    return {503, "parent r" + std::to_string(parent) + " is too old to tell", false};
+  if (parent != state.version)
     return {412, "version r" + std::to_string(state.version) + " is in place", false};
   if (version <= state.version)
     return {400, "generation does not exceed r" + std::to_string(state.version), false};
   state.configuration = body;
   state.version = version;
-  state.taken.push_back(mine);
-  if (state.taken.size() > kRemembered) state.taken.erase(state.taken.begin());
+  remember(state, asked);
   return {200, "taken", true};
 }
 
@@ -48,37 +72,37 @@
 
 namespace {
 
-// Whether an order of this kind for the zone came so lately that this is the same one.
-bool repeats(std::map<std::string, double>& times, const std::string& zone, double now) {
-  const auto [found, fresh] = times.try_emplace(zone, now);
-  const bool out = !fresh && now - found->second < kRepeat;
-  found->second = now;
-  return out;
+// The call was accepted by a registry that did not know of this change yet.
+bool precedes(const rpc::CommandRequest& order, std::uint64_t change) {
+  return order.tellsIndex && order.knownIndex < change;
 }
 
-Judged evacuate(State& state, Lately& lately, const std::string& zone, double now) {
-  const bool known = lately.begun.contains(zone);
-  const bool again = repeats(lately.begun, zone, now);
-  unsigned& count = state.evacuated[zone];
-  if (count > 0 && (again || !known)) return {200, "evacuated before", false};
-  ++count;
+Judged beginEvacuation(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
+  const std::string& zone = order.body;
+  if (state.evacuated.contains(zone)) return {200, "evacuated before", false};
+  ZoneChange& change = state.changes[zone];
+  if (precedes(order, change.finished)) return {503, "taken back since this call came", false};
+  state.evacuated[zone] = 1;
+  change.begun = entry;
   return {200, "evacuated", true};
 }
 
-Judged takeBack(State& state, Lately& lately, const std::string& zone, double now) {
-  const bool again = repeats(lately.ended, zone, now);
-  const auto found = state.evacuated.find(zone);
-  if (found == state.evacuated.end() || again) return {200, "taken back before", false};
-  if (--found->second == 0) state.evacuated.erase(found);
+Judged finishEvacuation(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
+  const std::string& zone = order.body;
+  if (!state.evacuated.contains(zone)) return {200, "taken back before", false};
+  ZoneChange& change = state.changes[zone];
+  if (precedes(order, change.begun)) return {503, "evacuated since this call came", false};
+  state.evacuated.erase(zone);
+  change.finished = entry;
   return {200, "taken back", true};
 }
 
 }  // namespace
 
-Judged apply(State& state, Lately& lately, const rpc::CommandRequest& order, double now) {
+Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
   if (order.what == "config") return takeConfiguration(state, order.body);
-  if (order.what == "evacuate") return evacuate(state, lately, order.body, now);
-  if (order.what == "return") return takeBack(state, lately, order.body, now);
+  if (order.what == "evacuate") return beginEvacuation(state, order, entry);
+  if (order.what == "return") return finishEvacuation(state, order, entry);
   return {400, "no such order", false};
 }
 
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -33,7 +33,8 @@
   kTokenResponse,
   kHeartbeat,
   kLevels,
-  kConfirmationRequest
+  kConfirmationRequest,
+  kTimeoutNow
 };
 
 // --- Who speaks ---
@@ -64,13 +65,15 @@
 struct AppendResponse {
   static constexpr Kind kKind = kAppendResponse;
   std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0;
-  MSGPACK_DEFINE(term, from, round, lastTerm, index)
+  std::uint64_t incarnation = 0;  // of the process that answers
+  MSGPACK_DEFINE(term, from, round, lastTerm, index, incarnation)
 };
 struct VoteRequest {
   static constexpr Kind kKind = kVoteRequest;
   std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
-  bool preVote = false;  // asks whether it would be granted; binds nobody
-  MSGPACK_DEFINE(term, from, lastTerm, index, preVote)
+  bool preVote = false;   // asks whether it would be granted; binds nobody
+  bool handover = false;  // the leader of the term before has stepped down and asked for this election
+  MSGPACK_DEFINE(term, from, lastTerm, index, preVote, handover)
 };
 struct VoteResponse {
   static constexpr Kind kKind = kVoteResponse;
@@ -78,6 +81,11 @@
   bool preVote = false, granted = false;
   MSGPACK_DEFINE(term, from, preVote, granted)
 };
+struct TimeoutNow {  // the leader of `term` has stepped down: who gets this stands for election at once
+  static constexpr Kind kKind = kTimeoutNow;
+  std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
+  MSGPACK_DEFINE(term, from, lastTerm, index)
+};
 struct Join {
   static constexpr Kind kKind = kJoin;
   Member member;
@@ -86,7 +94,8 @@
 struct Leave {
   static constexpr Kind kKind = kLeave;
   std::uint64_t from = 0;
-  MSGPACK_DEFINE(from)
+  std::uint64_t incarnation = 0;  // of the process that ends
+  MSGPACK_DEFINE(from, incarnation)
 };
 
 // --- A store and its readers ---
@@ -113,16 +122,16 @@
   std::uint64_t number = 0;  // the newest question that is covered; 0: none, only a hint whom to ask
   MSGPACK_DEFINE(term, index, holder, epoch, stores, number)
 };
-// An order of an operator. `caller` and `sequence` name the call that the registry accepted, so that its own
-// repeats of it are one order, whoever leads.
+// An order of an operator. `knownIndex` is the index that the registry knew when it accepted the call, the
+// same in each repeat of its own: a call that was accepted before the zone last changed is no order of now.
 struct CommandRequest {
   static constexpr Kind kKind = kCommandRequest;
   std::uint64_t number = 0;  // of this question on its link
   std::string what;          // "config", "evacuate", "return"
   std::string body;          // the configuration, or the zone
-  std::uint64_t caller = 0;  // incarnation of the registry; 0: not told
-  std::uint64_t sequence = 0;
-  MSGPACK_DEFINE(number, what, body, caller, sequence)
+  bool tellsIndex = false;   // else `knownIndex` is not told, and nothing is held against it
+  std::uint64_t knownIndex = 0;
+  MSGPACK_DEFINE(number, what, body, tellsIndex, knownIndex)
 };
 struct ReadRequest {
   static constexpr Kind kKind = kReadRequest;
