--- a/src/registry/leader_tracker.cpp
+++ b/src/registry/leader_tracker.cpp
@@ -48,8 +48,6 @@
     // A hint whom to ask, at once where it is another one than before.
     if (leader_ != store || term_ != confirmation.term)
       if (const auto found = askAt_.find(store); found != askAt_.end()) found->second = now;
-    // Stores that answer no questions: what they say unasked counts from its arrival.
-    if (!numbered_ && confirmation.index == update_.index) confirmedFrom_ = now;
   } else if (!confirm(store, confirmation)) {
     return ++dropped_, false;
   }
@@ -61,7 +59,6 @@
 bool LeaderTracker::confirm(const std::string& store, const rpc::LeaderConfirmation& confirmation) {
   const auto found = questions_.find(confirmation.number);
   if (found == questions_.end() || found->second.store != store) return false;
-  numbered_ = true;
   // What is newer than what is held was sent before this on the same link, else it proves nothing.
   if (confirmation.index == update_.index) confirmedFrom_ = std::max(confirmedFrom_, found->second.sentAt);
   std::erase_if(questions_, [&](const auto& entry) {
--- a/src/registry/leader_tracker.hpp
+++ b/src/registry/leader_tracker.hpp
@@ -69,7 +69,6 @@
   std::map<std::uint64_t, Question> questions_;  // under way, by number
   std::uint64_t number_ = 0, dropped_ = 0;
   double confirmedFrom_ = -1e18;
-  bool numbered_ = false;  // a store has answered a question by its number
 };
 
 }  // namespace burlwind::registry
--- a/tests/system/serving_test.cpp
+++ b/tests/system/serving_test.cpp
@@ -49,7 +49,6 @@
 
 TEST_CASE("Neither an update nor a hint nor another's number confirms anything") {
   Asked asked;
-  asked.tracker.take("b", confirmation(1, 0, asked.numbers["b"]), 10);  // such stores answer questions
   asked.tracker.take("a", update(2, 5));
   asked.tracker.take("a", confirmation(2, 5, 0), 1500);
   CHECK(asked.tracker.leader() == "a");
@@ -105,7 +104,7 @@
 
 TEST_CASE("A new leader's hint has it asked at once") {
   Asked asked;
-  asked.tracker.take("b", confirmation(1, 0, asked.numbers["b"]), 10);
+  asked.tracker.take("b", confirmation(1, 0, asked.numbers["b"]), 10);  // and is confirmed: asked alone
   asked.tracker.take("c", confirmation(2, 0, 0), 20);
   const auto questions = asked.tracker.questions(20);
   REQUIRE(questions.size() == 1);
