Quotas: a grant counts once, for the request that is under way, and under the newest owner's epoch alone

One that came after its request counted as lost stood beside the one asked for in its place, one of a link that was lost or of an owner replaced since was taken, and the stock of a process that had stood still for 20 s let requests in at once, after others had had its share.

Change: requests have numbers (outstanding_requests.hpp); a grant is taken for a request under way, within its time, and for no more than it asked for; else it is dropped and counted. A registry answers each request of a proxy under its own number, and drops what was granted under an earlier epoch than it has heard of (TokenResponse bears it, at the end). A stock that nobody touched for three seconds lets nothing in. What is dropped was taken off the store: it lets nobody in.

A case that took a grant nobody had asked for now asks first and checks the same.

--- a/src/distributed_quota/aggregator.cpp
+++ b/src/distributed_quota/aggregator.cpp
@@ -12,6 +12,7 @@
 void QuotaAggregator::demand(const Asker& asker, const rpc::TokenDemand& demand, double now,
                              std::vector<Answer>& out) {
   Account& a = accounts_[demand.tenant];
+  if (now - a.wishedAt > kCellStill) a.stock = 0;
   if (demand.want < 0) {  // given back
     a.stock -= demand.want;
     return;
@@ -31,50 +32,61 @@
   }
 }
 
-std::vector<rpc::TokenDemand> QuotaAggregator::demands(double now) {
-  std::vector<rpc::TokenDemand> out;
+rpc::TokenRequest QuotaAggregator::request(double now) {
+  rpc::TokenRequest out;
+  out.number = number_ + 1;
   for (auto it = accounts_.begin(); it != accounts_.end();) {
     Account& a = it->second;
-    std::erase_if(a.waiting, [&](const Waiting& w) { return now - w.at > kCellWithin; });
     if (now - a.wishedAt > kCellStill) {
-      if (a.stock >= 1) out.push_back({it->first, -std::floor(a.stock), 0});
+      if (a.stock >= 1) out.demands.push_back({it->first, -std::floor(a.stock), 0});
       it = accounts_.erase(it);
       continue;
     }
-    double waits = 0;
-    for (const Waiting& w : a.waiting) waits += w.want;
-    const double wished = a.wished * std::exp(-(now - a.wishedAt) / kTau);
-    const double ahead = wished * kCellAhead < 0.5 ? 0 : wished * kCellAhead;
-    // Several questions may be under way: a demand that comes behind one doesn't wait for its answer to be
-    // asked.
-    if (!a.asked.empty() && now - a.asked.front().first > kCellWithin) a.asked.clear();
-    double coming = 0;
-    for (const auto& [at, much] : a.asked) coming += much;
-    const bool due = waits > 0 || a.stock + coming < ahead / 2;
-    const double want = std::ceil(waits + ahead - a.stock - coming);
-    if (due && want >= 1 && now - a.emptyAt > kCellEmptyFor) {
-      a.asked.emplace_back(now, want);
-      double come = 0;
-      for (auto c = a.come.begin(); c != a.come.end();) {
-        const bool old = now - c->second.second > kComeFor;
-        come += old ? 0 : c->second.first;
-        c = old ? a.come.erase(c) : std::next(c);
-      }
-      out.push_back({it->first, want, come});
-    }
+    ask(it->first, a, out.number, now, out.demands);
     ++it;
   }
+  if (!out.demands.empty()) ++number_;
   return out;
 }
 
-void QuotaAggregator::granted(const rpc::TokenGrant& grant, double now, std::vector<Answer>& out) {
+void QuotaAggregator::ask(const std::string& tenant, Account& a, std::uint64_t number, double now,
+                          std::vector<rpc::TokenDemand>& out) {
+  std::erase_if(a.waiting, [&](const Waiting& w) { return now - w.at > kCellWithin; });
+  double waits = 0;
+  for (const Waiting& w : a.waiting) waits += w.want;
+  const double wished = a.wished * std::exp(-(now - a.wishedAt) / kTau);
+  const double ahead = wished * kCellAhead < 0.5 ? 0 : wished * kCellAhead;
+  // Several requests may be under way: a demand that comes behind one doesn't wait for its answer to be
+  // asked.
+  const double coming = a.requests.coming(now);
+  const bool due = waits > 0 || a.stock + coming < ahead / 2;
+  const double want = std::ceil(waits + ahead - a.stock - coming);
+  if (!due || want < 1 || now - a.emptyAt <= kCellEmptyFor) return;
+  a.requests.add(number, want, now);
+  out.push_back({tenant, want, comingToProxies(a, now)});
+}
+
+// Requests a second that come to the proxies that told of it lately.
+double QuotaAggregator::comingToProxies(Account& a, double now) {
+  std::erase_if(a.come, [&](const auto& told) { return now - told.second.second > kComeFor; });
+  double sum = 0;
+  for (const auto& [proxy, told] : a.come) sum += told.first;
+  return sum;
+}
+
+void QuotaAggregator::granted(std::uint64_t number, const rpc::TokenGrant& grant, double now,
+                              std::vector<Answer>& out) {
   const auto found = accounts_.find(grant.tenant);
-  if (found == accounts_.end()) return;
+  const auto wanted = found == accounts_.end() ? std::nullopt : found->second.requests.answered(number, now);
+  if (!wanted) {
+    ++dropped_;
+    return;
+  }
   Account& a = found->second;
-  if (!a.asked.empty()) a.asked.pop_front();
-  a.stock += grant.granted;
+  a.stock += std::clamp(grant.granted, 0.0, *wanted);
   a.use = grant.use;
   if (grant.empty) a.emptyAt = now;
+  std::erase_if(a.waiting, [&](const Waiting& w) { return now - w.at > kCellWithin; });
   while (!a.waiting.empty() && (grant.empty || a.stock >= a.waiting.front().want)) {
     const Waiting w = a.waiting.front();
     a.waiting.pop_front();
--- a/src/distributed_quota/aggregator.hpp
+++ b/src/distributed_quota/aggregator.hpp
@@ -4,6 +4,10 @@
 // A token that it holds was taken off the store before; one that it loses lets nothing in. It holds
 // kCellAhead of what its proxies demand for, and gives back what has been still for kCellStill. Cost: one map
 // entry a tenant, one queue entry a demand under way.
+//
+// Properties, as the proxies' own (token_cache.hpp): a grant counts once, for a request under way, and for no
+// more than that one asked for. A demand that has waited for kCellWithin is answered no more: its proxy has
+// asked again. A stock that nobody touched for kCellStill is lent to nobody.
 #pragma once
 
 #include <cstdint>
@@ -13,6 +17,7 @@
 #include <utility>
 #include <vector>
 
+#include "distributed_quota/outstanding_requests.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::distributed_quota {
@@ -34,8 +39,11 @@
   };
   // A proxy's demand: met at once, or once the holder has answered, or not (the proxy has a time-out).
   void demand(const Asker& asker, const rpc::TokenDemand& demand, double now, std::vector<Answer>& out);
-  std::vector<rpc::TokenDemand> demands(double now);  // for the holder; empty: nothing
-  void granted(const rpc::TokenGrant& grant, double now, std::vector<Answer>& out);
+  // What to ask the holder for, now, under a number of its own. Without demands: nothing.
+  rpc::TokenRequest request(double now);
+  // One tenant's part of the answer to the request of that number.
+  void granted(std::uint64_t number, const rpc::TokenGrant& grant, double now, std::vector<Answer>& out);
+  std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
   double stock(const std::string& tenant) const;
 
  private:
@@ -45,14 +53,19 @@
   };
   struct Account {
     double stock = 0;
-    double wished = 0, wishedAt = 0;              // tokens a second, of late
-    std::deque<std::pair<double, double>> asked;  // questions under way: when, how much
+    double wished = 0, wishedAt = 0;  // tokens a second, of late
+    OutstandingRequests requests{kCellWithin};
     double emptyAt = -1e18;
     int use = 0;
     std::unordered_map<std::string, std::pair<double, double>> come;  // by proxy: requests a second, when
     std::deque<Waiting> waiting;
   };
+  void ask(const std::string& tenant, Account& a, std::uint64_t number, double now,
+           std::vector<rpc::TokenDemand>& out);
+  static double comingToProxies(Account& a, double now);
   std::unordered_map<std::string, Account> accounts_;
+  std::uint64_t number_ = 0;  // of the latest request
+  std::uint64_t dropped_ = 0;
 };
 
 }  // namespace burlwind::distributed_quota
--- a/src/distributed_quota/token_cache.cpp
+++ b/src/distributed_quota/token_cache.cpp
@@ -29,7 +29,7 @@
 void TokenCache::setTouch(bool inTouch, double now) {
   if (inTouch == inTouch_) return;
   inTouch_ = inTouch;
-  for (Account& a : table_) a.own.level = 0, a.ownAt = now, a.asked.clear();
+  for (Account& a : table_) a.own.level = 0, a.ownAt = now, a.requests.clear();
 }
 
 // Out of touch the stock goes first: it was taken off the store already.
@@ -45,6 +45,7 @@
 
 Admit TokenCache::admit(const std::string& tenant, double rate, double burst, double chance, double now) {
   Account& a = account(tenant, rate, burst, now);
+  if (now - a.cameAt > kStill) a.stock = 0, a.fresh = true;
   a.came = a.came * std::exp(-(now - a.cameAt) / kTau) + 1000 / kTau;
   a.cameAt = now;
   const bool empty = now - a.emptyAt < kEmptyFor;
@@ -77,39 +78,44 @@
   return most < 1 ? 0 : most;
 }
 
-std::vector<rpc::TokenDemand> TokenCache::demands(double now) {
-  std::vector<rpc::TokenDemand> out;
-  for (Account& a : table_) {
-    if (now - a.cameAt > kStill) {
-      // What isn't needed goes back: others may need it.
-      if (a.stock >= 1 && inTouch_) out.push_back({a.tenant, -std::floor(a.stock), 0});
-      a.stock = 0, a.fresh = true;
-      continue;
-    }
-    if (!a.asked.empty() && now - a.asked.front().first > kAnswerWithin) a.asked.clear();
-    double coming = 0;
-    for (const auto& [at, much] : a.asked) coming += much;
-    const double most = target(a);
-    if (!a.waits && a.stock + coming >= most / 2) continue;
-    const double want = std::ceil(most - a.stock - coming + a.waits);
-    if (want < 1) continue;
-    a.asked.emplace_back(now, want);
-    if (asked_ <= told_) asked_ = now;
-    out.push_back({a.tenant, want, a.came * std::exp(-(now - a.cameAt) / kTau)});
-  }
+rpc::TokenRequest TokenCache::request(double now) {
+  rpc::TokenRequest out;
+  out.number = number_ + 1;
+  for (Account& a : table_) ask(a, out.number, now, out.demands);
+  if (!out.demands.empty()) ++number_;
   return out;
 }
 
+void TokenCache::ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out) {
+  if (now - a.cameAt > kStill) {
+    // What isn't needed goes back: others may need it.
+    if (a.stock >= 1 && inTouch_) out.push_back({a.tenant, -std::floor(a.stock), 0});
+    a.stock = 0, a.fresh = true;
+    return;
+  }
+  const double coming = a.requests.coming(now);
+  const double most = target(a);
+  if (!a.waits && a.stock + coming >= most / 2) return;
+  const double want = std::ceil(most - a.stock - coming + a.waits);
+  if (want < 1) return;
+  a.requests.add(number, want, now);
+  if (asked_ <= told_) asked_ = now;
+  out.push_back({a.tenant, want, a.came * std::exp(-(now - a.cameAt) / kTau)});
+}
+
 bool TokenCache::unanswered(double now) const { return asked_ > told_ && now - asked_ > kAnswerWithin; }
 
-void TokenCache::granted(const rpc::TokenGrant& grant, double now) {
-  told_ = now;
+void TokenCache::granted(std::uint64_t number, const rpc::TokenGrant& grant, double now) {
   Account* const known = table_.peek(grant.tenant);
-  if (!known) return;
+  const auto wanted = known ? known->requests.answered(number, now) : std::nullopt;
+  if (!wanted) {
+    ++dropped_;
+    return;
+  }
+  told_ = now;
   Account& a = *known;
-  if (!a.asked.empty()) a.asked.pop_front();
   a.fresh = false;
-  a.stock += grant.granted;
+  a.stock += std::clamp(grant.granted, 0.0, *wanted);
   if (!grant.empty) return;
   a.emptyAt = now;
   climb(a, now);
--- a/src/distributed_quota/token_cache.hpp
+++ b/src/distributed_quota/token_cache.hpp
@@ -7,14 +7,18 @@
 // climbs back within kClimb without readings. Out of touch: a part of its own, rate / n, which nobody else is
 // given (see allocator.hpp). It holds no more than half a second of it. The table is an LRU of kTable
 // tenants; an evicted one comes back with nothing and asks.
+//
+// Properties: a grant adds to the stock once, only for a request that is under way, and no more than that one
+// asked for; so the stock and what may come never exceed the target and those who wait. A stock that nobody
+// touched for kStill lets nothing in: the process may have stood still, and others have had its share.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
-#include <deque>
 #include <string>
 #include <vector>
 
+#include "distributed_quota/outstanding_requests.hpp"
 #include "quota/bucket.hpp"
 #include "quota/lru_table.hpp"
 #include "rpc/messages.hpp"
@@ -48,9 +52,11 @@
   // One that waited: no second count of its coming.
   // `last`: it will not wait any longer.
   Admit again(const std::string& tenant, double rate, bool last, double now);
-  // What to ask for, now; `urgent`: also where the stock would do for a while. Empty: nothing.
-  std::vector<rpc::TokenDemand> demands(double now);
-  void granted(const rpc::TokenGrant& grant, double now);
+  // What to ask for, now, under a number of its own. Without demands: nothing.
+  rpc::TokenRequest request(double now);
+  // One tenant's part of the answer to the request of that number.
+  void granted(std::uint64_t number, const rpc::TokenGrant& grant, double now);
+  std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
   double fraction(const std::string& tenant) const;
   double stock(const std::string& tenant) const;
 
@@ -62,14 +68,15 @@
     double came = 0, cameAt = 0;  // requests a second, of late
     quota::Bucket own;            // the part out of touch
     double ownAt = 0;
-    std::deque<std::pair<double, double>> asked;  // asks under way: when, how much
-    double emptyAt = -1e18;                       // the store was told empty
+    OutstandingRequests requests{kAnswerWithin};
+    double emptyAt = -1e18;  // the store was told empty
     quota::AdmitFraction fraction;
     double fractionAt = 0;  // climbed until then
     bool fresh = true;
     unsigned short waits = 0;  // requests that wait for an answer
   };
   Account& account(const std::string& tenant, double rate, double burst, double now);
+  void ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out);
   static void climb(Account& a, double now);
   bool spend(Account& a, double chance, double now);
   double target(const Account& a) const;
@@ -78,6 +85,8 @@
   double least_ = 0.5;     // that a part out of touch begins with
   unsigned proxies_ = 32;  // until told: more than there may be, so that parts are too small at worst
   double asked_ = -1e18, told_ = -1e18;
+  std::uint64_t number_ = 0;  // of the latest request
+  std::uint64_t dropped_ = 0;
 };
 
 }  // namespace burlwind::distributed_quota
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -39,13 +39,13 @@
 }
 
 void TokenGate::request() {
-  auto demands = cache_.demands(now());
-  if (!demands.empty()) send_(rpc::TokenRequest{++requests_, {}, 0, std::move(demands)});
+  const rpc::TokenRequest due = cache_.request(now());
+  if (!due.demands.empty()) send_(due);
 }
 
 void TokenGate::take(const rpc::TokenResponse& response) {
   for (const rpc::TokenGrant& grant : response.grants) {
-    cache_.granted(grant, now());
+    cache_.granted(response.number, grant, now());
     for (const Waiting& waiting : waiting_)
       if (waiting.tenant == grant.tenant) waiting.timer->cancel();
   }
--- a/src/proxy/token_gate.hpp
+++ b/src/proxy/token_gate.hpp
@@ -39,7 +39,6 @@
   const Send send_;
   distributed_quota::TokenCache cache_;
   std::list<Waiting> waiting_;
-  std::uint64_t requests_ = 0;
   double firstAdmittedAt_ = 0;
 };
 
--- a/src/registry/quota_service.cpp
+++ b/src/registry/quota_service.cpp
@@ -1,6 +1,7 @@
 #include "registry/quota_service.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "program/log.hpp"
@@ -35,7 +36,7 @@
 }
 
 rpc::TokenResponse QuotaService::grant(const rpc::TokenRequest& request, double now) {
-  rpc::TokenResponse out{request.number, request.proxy, request.incarnation, {}};
+  rpc::TokenResponse out{request.number, request.proxy, request.incarnation, {}, lease_.epoch()};
   if (!configuration_) return out;
   const auto counts = registry_.counts(now);
   allocator_.setReach(counts.known ? static_cast<double>(counts.live) / counts.known : 1);
@@ -60,6 +61,7 @@
 }
 
 void QuotaService::heard(const rpc::Levels& levels) {
+  newestEpoch_ = std::max(newestEpoch_, levels.epoch);
   if (levels.epoch < standby_.epoch) return;
   if (levels.epoch > standby_.epoch) standby_.levels.clear();
   standby_.epoch = levels.epoch;
@@ -75,38 +77,41 @@
 }
 
 void QuotaService::granted(const rpc::TokenResponse& response, double now) {
-  if (response.incarnation == incarnation_) takeGrants(response.grants, now);
+  if (response.incarnation != incarnation_ || response.epoch < newestEpoch_) return;
+  newestEpoch_ = response.epoch;
+  takeGrants(response, now);
 }
 
 void QuotaService::askHolder(double now) {
   const bool mine = lease_.holds(now);
   if (!mine && !hooks_.holderIsLinked()) return;
-  auto demands = aggregator_.demands(now);
-  if (demands.empty()) return;
-  const rpc::TokenRequest request{++number_, ip_, incarnation_, std::move(demands)};
+  rpc::TokenRequest request = aggregator_.request(now);
+  if (request.demands.empty()) return;
+  request.proxy = ip_, request.incarnation = incarnation_;
   // The holder's own cell asks as any other: its proxies, one by one, would each have a share too small
   // for a whole request.
   if (mine)
-    takeGrants(grant(request, now).grants, now);
+    granted(grant(request, now), now);
   else
     hooks_.tellHolder(request);
 }
 
-void QuotaService::takeGrants(const std::vector<rpc::TokenGrant>& grants, double now) {
+void QuotaService::takeGrants(const rpc::TokenResponse& response, double now) {
   Answers answers;
-  for (const rpc::TokenGrant& grant : grants) aggregator_.granted(grant, now, answers);
+  for (const rpc::TokenGrant& grant : response.grants)
+    aggregator_.granted(response.number, grant, now, answers);
   tellGrants(answers);
 }
 
-// One message for each proxy that is answered.
+// One message for each request of a proxy that is answered.
 void QuotaService::tellGrants(const Answers& answers) {
-  std::map<std::pair<std::string, std::uint64_t>, rpc::TokenResponse> byProxy;
+  std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, rpc::TokenResponse> byRequest;
   for (const auto& [to, grant] : answers) {
-    auto& response = byProxy[{to.proxy, to.incarnation}];
+    auto& response = byRequest[{to.proxy, to.incarnation, to.number}];
     response.number = to.number, response.proxy = to.proxy, response.incarnation = to.incarnation;
     response.grants.push_back(grant);
   }
-  for (const auto& [proxy, response] : byProxy) hooks_.tellProxy(response);
+  for (const auto& [request, response] : byRequest) hooks_.tellProxy(response);
 }
 
 }  // namespace burlwind::registry
--- a/src/registry/quota_service.hpp
+++ b/src/registry/quota_service.hpp
@@ -42,13 +42,14 @@
 
   // As one of the others.
   void heard(const rpc::Levels& levels);
-  void demand(const rpc::TokenRequest& request, double now);     // of one of its own proxies
-  void granted(const rpc::TokenResponse& response, double now);  // by the holder
+  void demand(const rpc::TokenRequest& request, double now);  // of one of its own proxies
+  // By the holder. What answers another process, or was granted under an earlier epoch, is dropped.
+  void granted(const rpc::TokenResponse& response, double now);
   void askHolder(double now);
 
  private:
   using Answers = std::vector<distributed_quota::QuotaAggregator::Answer>;
-  void takeGrants(const std::vector<rpc::TokenGrant>& grants, double now);
+  void takeGrants(const rpc::TokenResponse& response, double now);
   void tellGrants(const Answers& answers);
 
   const std::string ip_;
@@ -63,7 +64,7 @@
     std::uint64_t epoch = 0;
     std::map<std::string, double> levels;  // by tenant
   } standby_;                              // what the holder tells of its allocator
-  std::uint64_t number_ = 0;
+  std::uint64_t newestEpoch_ = 0;  // that anything was heard of: what an earlier owner granted is dropped
   double levelsAt_ = 0;
 };
 
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -244,7 +244,8 @@
   std::string proxy;
   std::uint64_t incarnation = 0;
   std::vector<TokenGrant> grants;
-  MSGPACK_DEFINE(number, proxy, incarnation, grants)
+  std::uint64_t epoch = 0;  // of the duties under which a registry granted it to another; 0: to a proxy
+  MSGPACK_DEFINE(number, proxy, incarnation, grants, epoch)
 };
 
 struct Level {  // what a tenant's store holds
--- a/tests/system/distributed_quota_test.cpp
+++ b/tests/system/distributed_quota_test.cpp
@@ -47,7 +47,7 @@
       while (!answers.empty() && answers.front().at <= now) {
         auto a = answers.front();
         answers.pop_front();
-        purses[a.to].granted(a.grant, now);
+        purses[a.to].granted(a.number, a.grant, now);
       }
       std::erase_if(waiting, [&](const Wait& w) { return goesOn(w, now); });
       count(now);
@@ -92,11 +92,13 @@
     allocator.begin("t", 0.5 * told, now);
   }
   void ask(std::size_t c, double now) {
-    for (const auto& demand : purses[c].demands(now)) {
+    const rpc::TokenRequest request = purses[c].request(now);
+    for (const auto& demand : request.demands) {
       if (lost) continue;
       const auto given =
           allocator.take(std::to_string(c), demand.tenant, limit, demand.want, demand.asked, now);
-      answers.push_back({now + 30, c, {demand.tenant, given.granted, given.use, given.empty}});
+      answers.push_back(
+          {now + 30, c, request.number, {demand.tenant, given.granted, given.use, given.empty}});
     }
   }
   void count(double now) {
@@ -106,6 +108,7 @@
   struct Said {
     double at;
     std::size_t to;
+    std::uint64_t number;
     rpc::TokenGrant grant;
   };
   const Limit limit;
@@ -190,18 +193,18 @@
   TokenCache tokenCache;
   tokenCache.setTouch(true, 0);
   CHECK(tokenCache.admit("t", 10, 10, 0, 0) == Admit::wait);
-  const auto first = tokenCache.demands(0);
-  REQUIRE(first.size() == 1);
+  const auto first = tokenCache.request(0);
+  REQUIRE(first.demands.size() == 1);
   CHECK(tokenCache.admit("t", 10, 10, 0, 10) == Admit::wait);
   CHECK(tokenCache.admit("t", 10, 10, 0, 11) == Admit::wait);
-  tokenCache.granted({"t", 1, 10, false}, 20);
+  tokenCache.granted(first.number, {"t", 1, 10, false}, 20);
   CHECK(tokenCache.again("t", 10, false, 20) == Admit::yes);
   CHECK(tokenCache.again("t", 10, false, 20) == Admit::wait);
   CHECK(tokenCache.again("t", 10, false, 20) == Admit::wait);
-  const auto more = tokenCache.demands(21);
-  REQUIRE(more.size() == 1);
-  CHECK(more[0].want >= 2);
-  tokenCache.granted({"t", more[0].want, 10, false}, 50);
+  const auto more = tokenCache.request(21);
+  REQUIRE(more.demands.size() == 1);
+  CHECK(more.demands[0].want >= 2);
+  tokenCache.granted(more.number, {"t", more.demands[0].want, 10, false}, 50);
   CHECK(tokenCache.again("t", 10, false, 50) == Admit::yes);
   CHECK(tokenCache.again("t", 10, true, 50) == Admit::yes);
 }
@@ -257,24 +260,24 @@
   demand("a", 2, 0);
   demand("b", 3, 1);
   CHECK(out.empty());
-  const auto asked = cell.demands(2);
-  REQUIRE(asked.size() == 1);
-  CHECK(asked[0].want >= 5);
-  CHECK(cell.demands(3).empty());  // one question at a time
-  cell.granted({"t", asked[0].want, 50, false}, 30, out);
+  const auto asked = cell.request(2);
+  REQUIRE(asked.demands.size() == 1);
+  CHECK(asked.demands[0].want >= 5);
+  CHECK(cell.request(3).demands.empty());  // one question at a time
+  cell.granted(asked.number, {"t", asked.demands[0].want, 50, false}, 30, out);
   REQUIRE(out.size() == 2);
   CHECK(out[0].to.proxy == "a");
   CHECK(out[1].grant.granted == 3);
   demand("a", 1, 40);  // from what it holds ahead
   CHECK(out.size() == 1);
   const double left = cell.stock("t");
-  const auto back = cell.demands(3100);
+  const auto back = cell.request(3100).demands;
   REQUIRE((left < 1 || back.size() == 1));
   if (left >= 1) CHECK(back[0].want == -std::floor(left));
   demand("a", 4, 4000);
-  cell.demands(4000);
+  const auto more = cell.request(4000);
   out.clear();
-  cell.granted({"t", 1, 300, true}, 4030, out);
+  cell.granted(more.number, {"t", 1, 300, true}, 4030, out);
   REQUIRE(out.size() == 1);
   CHECK(out[0].grant.granted == 1);
   CHECK(out[0].grant.empty);
@@ -284,21 +287,79 @@
   TokenCache tokenCache;
   tokenCache.setTouch(true, 0);
   tokenCache.admit("t", 10, 10, 0, 0);
-  tokenCache.granted({"t", 0, 400, true}, 10);
+  const auto reads = [&](int use, double now) {
+    const auto request = tokenCache.request(now);
+    REQUIRE(request.demands.size() == 1);
+    tokenCache.granted(request.number, {"t", 0, use, true}, now);
+  };
+  reads(400, 10);
   CHECK(tokenCache.fraction("t") == doctest::Approx(0.25));
-  for (int i = 0; i < 10; ++i) tokenCache.granted({"t", 0, 1000, true}, 20 + i);
+  for (int i = 0; i < 10; ++i) reads(1000, 20 + i);
   CHECK(tokenCache.fraction("t") >= 0.05);
   CHECK(tokenCache.fraction("t") < 0.06);
-  tokenCache.granted({"t", 0, 100, true}, 5000);
+  tokenCache.admit("t", 10, 10, 0, 5000);
+  reads(100, 5000);
   CHECK(tokenCache.fraction("t") == doctest::Approx(1));
 }
 
+TEST_CASE("a grant counts once, for its own request, within its time, and for no more than was asked") {
+  TokenCache tokenCache;
+  tokenCache.setTouch(true, 0);
+  CHECK(tokenCache.admit("t", 10, 10, 0, 0) == Admit::wait);
+  const auto first = tokenCache.request(0);
+  REQUIRE(first.demands.size() == 1);
+  const double want = first.demands[0].want;
+  SUBCASE("twice") {
+    tokenCache.granted(first.number, {"t", want, 10, false}, 10);
+    tokenCache.granted(first.number, {"t", want, 10, false}, 20);
+    CHECK(tokenCache.stock("t") == want);
+    CHECK(tokenCache.dropped() == 1);
+  }
+  SUBCASE("of another number") {
+    tokenCache.granted(first.number + 1, {"t", want, 10, false}, 10);
+    CHECK(tokenCache.stock("t") == 0);
+  }
+  SUBCASE("after it counted as lost, beside the one that was asked for in its place") {
+    const auto second = tokenCache.request(kAnswerWithin + 1);
+    REQUIRE(second.demands.size() == 1);
+    tokenCache.granted(first.number, {"t", want, 10, false}, kAnswerWithin + 2);
+    CHECK(tokenCache.stock("t") == 0);
+    tokenCache.granted(second.number, {"t", want, 10, false}, kAnswerWithin + 3);
+    CHECK(tokenCache.stock("t") == want);
+  }
+  SUBCASE("of a link that was lost meanwhile") {
+    tokenCache.setTouch(false, 5);
+    tokenCache.setTouch(true, 6);
+    tokenCache.granted(first.number, {"t", want, 10, false}, 10);
+    CHECK(tokenCache.stock("t") == 0);
+  }
+  SUBCASE("more than was asked") {
+    tokenCache.granted(first.number, {"t", want + 100, 10, false}, 10);
+    CHECK(tokenCache.stock("t") == want);
+  }
+}
+
+TEST_CASE("the stock of one that stood still lets nothing in when it wakes") {
+  TokenCache tokenCache;
+  tokenCache.setTouch(true, 0);
+  tokenCache.admit("t", 100, 100, 0, 0);
+  const auto asked = tokenCache.request(0);
+  tokenCache.granted(asked.number, {"t", asked.demands.at(0).want, 10, false}, 10);
+  REQUIRE(tokenCache.stock("t") >= 1);
+  CHECK(tokenCache.admit("t", 100, 100, 0, 20000) == Admit::wait);
+  CHECK(tokenCache.stock("t") == 0);
+}
+
 TEST_CASE("an evicted tenant comes back with nothing and asks") {
   TokenCache tokenCache;
   tokenCache.setTouch(true, 0);
   tokenCache.admit("first", 10, 10, 0, 0);
-  tokenCache.granted({"first", 5, 10, false}, 1);
-  CHECK(tokenCache.stock("first") == 5);
+  const auto asked = tokenCache.request(1);
+  REQUIRE(asked.demands.size() == 1);
+  const double want = asked.demands[0].want;
+  REQUIRE(want >= 1);
+  tokenCache.granted(asked.number, {"first", want, 10, false}, 1);
+  CHECK(tokenCache.stock("first") == want);
   for (std::size_t i = 0; i < kTable; ++i) tokenCache.admit("t" + std::to_string(i), 10, 10, 0, 2);
   CHECK(tokenCache.stock("first") == 0);
   CHECK(tokenCache.admit("first", 10, 10, 0, 3) == Admit::wait);
