--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -54,6 +54,7 @@
     noteWorker(choice.id, result);
     Sent& sent = sent_[choice.away];
     ++sent.count, sent.bytes += bytes + result.response.body().size();
+    skippedAnswers_ += result.skippedAnswers;
     attempts.tried.push_back(choice.id);
     const bool goOn = afterAttempt(request, attempts, std::move(result));
     if (!goOn) co_return;
@@ -173,6 +174,8 @@
 }
 
 void Forwarder::report() {
+  if (const auto count = std::exchange(skippedAnswers_, 0))
+    program::info("surplus answers", {{"count", count}});
   for (std::size_t away = 0; away < std::size(sent_); ++away)
     if (const Sent sent = std::exchange(sent_[away], {}); sent.count)
       program::info("sent", {{"away", away}, {"count", sent.count}, {"bytes", sent.bytes}});
--- a/src/proxy/forwarder.hpp
+++ b/src/proxy/forwarder.hpp
@@ -49,6 +49,7 @@
   struct Sent {
     std::uint64_t count = 0, bytes = 0;
   } sent_[3];  // to workers of this zone, this region, others
+  std::uint64_t skippedAnswers_ = 0;
 };
 
 }  // namespace burlwind::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -160,6 +160,7 @@
   if (at < reportAt_) return;
   reportAt_ = at + kReportMs;
   forwarder_.report();
+  tokens_.report();
   clients_.report();
 }
 
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
+#include "program/log.hpp"
 #include "program/start.hpp"
 
 namespace burlwind::proxy {
@@ -52,6 +53,12 @@
   request();
 }
 
+void TokenGate::report() {
+  const std::uint64_t dropped = cache_.dropped();
+  if (dropped > droppedTold_) program::info("grants dropped", {{"count", dropped - droppedTold_}});
+  droppedTold_ = dropped;
+}
+
 // Where nobody answers for the quotas, each proxy has its own part alone.
 void TokenGate::tick(bool inTouch, double now) {
   cache_.setTouch(inTouch && !cache_.unanswered(now), now);
--- a/src/proxy/token_gate.hpp
+++ b/src/proxy/token_gate.hpp
@@ -28,6 +28,7 @@
   void setProxies(unsigned known, double slack) { cache_.setProxies(known, slack); }
   // inTouch: with a registry that hears the store's leader.
   void tick(bool inTouch, double now);
+  void report();  // logs the grants that were dropped since the last report
   double firstAdmittedAt() const { return firstAdmittedAt_; }  // ms; 0: nobody yet
 
  private:
@@ -40,6 +41,7 @@
   distributed_quota::TokenCache cache_;
   std::list<Waiting> waiting_;
   double firstAdmittedAt_ = 0;
+  std::uint64_t droppedTold_ = 0;
 };
 
 }  // namespace burlwind::proxy
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -139,6 +139,7 @@
     result.outcome = exchange.outcome();
     result.response = exchange.takeResponse();
     result.elapsedMs = now() - sentAt;
+    result.skippedAnswers = exchange.skippedAnswers();
     co_return result;
   }
 }
--- a/src/proxy/worker_side.hpp
+++ b/src/proxy/worker_side.hpp
@@ -20,6 +20,7 @@
   ExchangeOutcome outcome = ExchangeOutcome::notSent;
   WorkerExchange::Response response;  // of answered, notRun and wrongServer
   double elapsedMs = 0;               // from sending
+  unsigned skippedAnswers = 0;        // that nobody had asked for on its connection
 };
 
 struct WorkerCall {
--- a/tests/system/proxy_connections_test.cpp
+++ b/tests/system/proxy_connections_test.cpp
@@ -10,7 +10,9 @@
 #include <memory>
 
 #include "loop_peer.hpp"
+#include "program/start.hpp"
 #include "proxy/client_server.hpp"
+#include "proxy/forwarder.hpp"
 #include "proxy/worker_side.hpp"
 
 namespace burlwind::proxy {
@@ -223,5 +225,111 @@
   CHECK(workers.awaitResult().outcome == ExchangeOutcome::answered);
 }
 
+// --- One request over several workers ---
+struct Forwarding {
+  explicit Forwarding(bool safe, double timeLeftMs = 60000) {
+    rpc::Workers told;
+    told.whole = true;
+    for (unsigned i = 0; i < 3; ++i) {
+      acceptors.emplace_back(io, Tcp::endpoint{asio::ip::make_address("127.0.0.1"), 0});
+      const std::string address = "127.0.0.1:" + std::to_string(acceptors[i].local_endpoint().port());
+      told.put.push_back({"w" + std::to_string(i), "s", address, "z", 4, false, 0});
+      listen(i);
+    }
+    balancer.take(told, 0);
+    forwarder.setBudget(1, 1000, 1);
+    route.safe = safe, route.tries = 2;
+    request.message.method(http::verb::get);
+    request.message.target("/");
+    request.message.set("Try-Id", "a");
+    request.bytes = &bytes;
+    request.route = &route;
+    request.service = "s";
+    request.arrivedAt = program::now();
+    request.until = request.arrivedAt + timeLeftMs;
+    asio::co_spawn(
+        io,
+        [this]() -> asio::awaitable<void> {
+          co_await forwarder.forward(request);
+          done = true;
+        },
+        asio::detached);
+  }
+  void listen(unsigned i) {
+    taken.push_back(std::make_unique<Peer>(io));
+    acceptors[i].async_accept(taken.back()->socket, [this, i](const Error& error) {
+      if (!error) reached.push_back(i);
+    });
+  }
+  // The worker that the request reaches next, with the request read.
+  Peer& takes() {
+    const std::size_t before = heard;
+    runUntil(io, [&] { return reached.size() > before; });
+    Peer& peer = *taken[reached[heard++]];
+    peer.hearsHead();
+    return peer;
+  }
+  void awaitEnd() {
+    runUntil(io, [&] { return done; });
+  }
+  asio::io_context io{1};
+  std::vector<Tcp::acceptor> acceptors;
+  std::vector<std::unique_ptr<Peer>> taken;
+  std::vector<unsigned> reached;
+  std::size_t heard = 0;
+  Budget all{1000000};
+  Budget::Share bytes{all};
+  load_balancing::Core balancer{{"z", "r"}, {{"z", "r"}}, 1, 1};
+  Forwarder forwarder{io, balancer, [] { return 0.0; }};
+  config::Route route;
+  ClientRequest request;
+  bool done = false;
+};
+
+const std::string kTurnedAway = "HTTP/1.1 503 x\r\nTry-Id: a\r\nNot-Run: full\r\nContent-Length: 0\r\n\r\n";
+
+TEST_CASE("a request that may run once goes on where it was turned away, and never after a silence") {
+  Forwarding one(false);
+  one.takes().say(kTurnedAway);
+  one.takes().say(Workers::success("a"));
+  one.awaitEnd();
+  CHECK(one.request.answer.statusCode() == 200);
+  CHECK(one.reached.size() == 2);
+
+  Forwarding silent(false, 60);
+  silent.takes();
+  silent.awaitEnd();
+  CHECK(silent.request.answer.statusCode() == 504);
+  CHECK(silent.reached.size() == 1);
+
+  Forwarding ended(false);
+  ended.takes().socket.close();
+  ended.awaitEnd();
+  CHECK(ended.request.answer.statusCode() == 502);
+  CHECK(ended.reached.size() == 1);
+}
+
+TEST_CASE("tries are counted over workers that were reached; a promise stands only where none has run it") {
+  Forwarding full(true);
+  full.takes().say(kTurnedAway);
+  full.takes().say(kTurnedAway);
+  full.awaitEnd();
+  CHECK(full.request.answer.statusCode() == 503);
+  CHECK(full.reached.size() == 2);
+
+  Forwarding ran(true);
+  ran.takes().socket.close();
+  ran.takes().say(kTurnedAway);
+  ran.awaitEnd();
+  CHECK(ran.request.answer.statusCode() == 502);
+
+  Forwarding failed(true);
+  failed.takes().say("HTTP/1.1 500 x\r\nTry-Id: a\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n");
+  failed.takes().say(kTurnedAway);
+  failed.awaitEnd();
+  CHECK(failed.request.answer.statusCode() == 500);  // the worker's own, with its own seal
+  CHECK(failed.request.answer.fromWorker->at("Server-Seal") == "s");
+}
+
 }  // namespace
 }  // namespace burlwind::proxy
