--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -33,7 +33,8 @@
   kTokenResponse,
   kHeartbeat,
   kLevels,
-  kConfirmationRequest
+  kConfirmationRequest,
+  kTimeoutNow
 };
 
 // --- Who speaks ---
@@ -64,13 +65,15 @@
 struct AppendResponse {
   static constexpr Kind kKind = kAppendResponse;
   std::uint64_t term = 0, from = 0, round = 0, lastTerm = 0, index = 0;
-  MSGPACK_DEFINE(term, from, round, lastTerm, index)
+  std::uint64_t incarnation = 0;  // of the process that answers
+  MSGPACK_DEFINE(term, from, round, lastTerm, index, incarnation)
 };
 struct VoteRequest {
   static constexpr Kind kKind = kVoteRequest;
   std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
-  bool preVote = false;  // asks whether it would be granted; binds nobody
-  MSGPACK_DEFINE(term, from, lastTerm, index, preVote)
+  bool preVote = false;   // asks whether it would be granted; binds nobody
+  bool handover = false;  // the leader of the term before has stepped down and asked for this election
+  MSGPACK_DEFINE(term, from, lastTerm, index, preVote, handover)
 };
 struct VoteResponse {
   static constexpr Kind kKind = kVoteResponse;
@@ -78,6 +81,11 @@
   bool preVote = false, granted = false;
   MSGPACK_DEFINE(term, from, preVote, granted)
 };
+struct TimeoutNow {  // the leader of `term` has stepped down: who gets this stands for election at once
+  static constexpr Kind kKind = kTimeoutNow;
+  std::uint64_t term = 0, from = 0, lastTerm = 0, index = 0;
+  MSGPACK_DEFINE(term, from, lastTerm, index)
+};
 struct Join {
   static constexpr Kind kKind = kJoin;
   Member member;
@@ -86,7 +94,8 @@
 struct Leave {
   static constexpr Kind kKind = kLeave;
   std::uint64_t from = 0;
-  MSGPACK_DEFINE(from)
+  std::uint64_t incarnation = 0;  // of the process that ends
+  MSGPACK_DEFINE(from, incarnation)
 };
 
 // --- A store and its readers ---
--- a/tests/system/timeline.hpp
+++ b/tests/system/timeline.hpp
@@ -8,7 +8,8 @@
 // nobody), mute (is heard by nobody), cut (both), heal, slow=N (each write takes N ms), renew (kill; an empty
 // replica at another address takes its column), leave. Checks: leads, follows, has=x (its record holds x),
 // member, stranger. In the last column, `lead` stands for the replica that leads, wherever it is: put=x
-// proposes there and waits up to 3 s until it is committed; read gives what the history must hold.
+// proposes there and waits up to 3 s until it is committed; read asks the one that leads by its own word, and
+// when its round is confirmed, its state must hold what was acknowledged before the read.
 // Nothing sleeps: a step is 10 ms of virtual time, a message takes 5 to 25.
 #pragma once
 
@@ -23,6 +24,7 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "consensus/core.hpp"
@@ -35,8 +37,9 @@
 
 class Stores {
  public:
-  explicit Stores(unsigned count, unsigned seed = 1, unsigned seats = 0)
-      : random_(seed), seats_(seats ? seats : count), replicas_(count) {
+  // `spares` columns follow the members': empty disks.
+  explicit Stores(unsigned count, unsigned seed = 1, unsigned seats = 0, unsigned spares = 0)
+      : random_(seed), seats_(seats ? seats : count), replicas_(count + spares) {
     std::vector<rpc::Member> first;
     for (unsigned i = 0; i < count; ++i) first.push_back({100 + i, address(i, 0)});
     for (unsigned i = 0; i < count; ++i) {
@@ -45,6 +48,7 @@
       replicas_[i].disk.members = first;
       replicas_[i].ip = address(i, 0);
     }
+    for (unsigned i = count; i < count + spares; ++i) empty(i, address(i, 0));
   }
 
   void play(const std::string& text) {
@@ -74,6 +78,7 @@
     for (auto& letter : due) deliver(letter);
     for (unsigned i = 0; i < replicas_.size(); ++i) {
       Replica& r = replicas_[i];
+      if (r.core && now_ >= r.endAt) r.core.reset();
       if (!awake(r)) continue;
       if (now_ >= r.tickAt) {
         r.tickAt = now_ + 50;
@@ -94,6 +99,47 @@
     return std::nullopt;
   }
 
+  // As a caller that has a link to this one: what it would be told at once, by its own word.
+  bool says(unsigned i) const { return awake(replicas_[i]) && replicas_[i].core->leads(now_); }
+  // Asks replica i to read: true where it took the question.
+  bool read(unsigned i) {
+    Replica& r = replicas_[i];
+    if (!awake(r) || !r.core->leads()) return false;
+    std::vector<consensus::Effect> out;
+    const std::uint64_t round = r.core->confirm(now_, out);
+    const bool taken = round != consensus::kNeverConfirmed;
+    if (taken) reads_.push_back({i, r.incarnation, round, acknowledged_});
+    carry(i, out);
+    return taken;
+  }
+  // Asks it for a change, without waiting: false where it does not take it. Acknowledged once it is
+  // committed.
+  bool order(unsigned i, const std::string& value) {
+    Replica& r = replicas_[i];
+    if (!awake(r) || !r.core->mayPropose()) return false;
+    const auto& before = r.core->record().state;
+    orders_[i] = value;
+    carry(i, r.core->propose(before.empty() ? value : before + "," + value, now_));
+    return r.core->leads();
+  }
+  // SIGTERM: it says that it goes, hands leadership over if it has it, and ends 300 ms later.
+  void end(unsigned i, bool handsOver = true) {
+    leave(i);
+    if (handsOver) carry(i, replicas_[i].core->transferLeadership(now_));
+    replicas_[i].endAt = now_ + 300;
+  }
+  // An empty replica at the address of another one.
+  void takeAddress(unsigned i, unsigned of) {
+    replicas_[i].core.reset();
+    empty(i, replicas_[of].ip);
+  }
+  bool hasMember(unsigned leader, unsigned i) const {
+    const auto& members = replicas_[leader].core->record().members;
+    return std::any_of(members.begin(), members.end(),
+                       [&](const rpc::Member& m) { return m.id == replicas_[i].disk.self; });
+  }
+  std::size_t confirmations(unsigned i) { return confirmations_[i]; }
+
   // Proposes where somebody leads; true once it is committed. False: no clear answer.
   bool put(const std::string& value, double within = 3000) {
     const double until = now_ + within;
@@ -103,7 +149,7 @@
         const auto& before = replicas_[*i].core->record().state;
         acks_.clear();
         carry(*i, replicas_[*i].core->propose(before.empty() ? value : before + "," + value, now_));
-        while (now_ < until && awake(replicas_[*i]) && replicas_[*i].incarnation == incarnation &&
+        while (now_ < until && !stopped(replicas_[*i]) && replicas_[*i].incarnation == incarnation &&
                replicas_[*i].core->leads()) {
           if (acks_.contains(*i)) return acknowledged_.push_back(value), true;
           step();
@@ -149,6 +195,8 @@
       r.write = std::stod(value);
     else if (verb == "leave")
       leave(i);
+    else if (verb == "read")
+      CHECK(read(*leader()));
     else if (verb == "leads")
       CHECK_MESSAGE((r.core && r.core->leads()), "leads");
     else if (verb == "follows")
@@ -182,6 +230,7 @@
     std::string ip;
     bool frozen = false, deaf = false, mute = false;
     double tickAt = 0, write = 0, busyUntil = 0;
+    double endAt = 1e18;
     unsigned incarnation = 0, moves = 0;
   };
   struct Letter {
@@ -194,6 +243,12 @@
     std::string ip;
   };
 
+  struct Read {
+    unsigned from, incarnation;
+    std::uint64_t round;
+    std::vector<std::string> before;  // acknowledged when it was asked
+  };
+
   static std::string address(unsigned i, unsigned moves) {
     return "10.0." + std::to_string(moves) + "." + std::to_string(i);
   }
@@ -201,6 +256,7 @@
     return std::uniform_real_distribution<double>(0, 1)(static_cast<Stores*>(self)->random_);
   }
   double delay() { return 5 + 20 * draw(this); }
+  bool stopped(const Replica& r) const { return !r.core || r.frozen; }
   bool awake(const Replica& r) const { return r.core && !r.frozen && now_ >= r.busyUntil; }
 
   void start(unsigned i) {
@@ -208,6 +264,8 @@
     ++r.incarnation;
     r.frozen = false;
     r.busyUntil = 0;
+    r.endAt = 1e18;
+    orders_.erase(i);
     r.core = std::make_unique<Core>(r.disk, consensus::Timeouts{}, seats_, &Stores::draw, this, now_);
   }
   void empty(unsigned i, const std::string& ip) {
@@ -218,7 +276,8 @@
   void leave(unsigned i) {
     for (unsigned j = 0; j < replicas_.size(); ++j)
       if (j != i && replicas_[j].core)
-        carry(j, replicas_[j].core->leave(replicas_[i].core->record().self, now_));
+        carry(j, replicas_[j].core->leave(replicas_[i].core->record().self, now_,
+                                          replicas_[i].core->incarnation()));
   }
 
   void deliver(Letter& letter) {
@@ -244,15 +303,25 @@
         at += r.write;
         r.busyUntil = std::max(r.busyUntil, at);
       } else if (const auto* send = std::get_if<consensus::Send>(&effect)) {
+        if (const auto* append = std::get_if<rpc::AppendRequest>(&send->message))
+          rounds_.emplace(std::tuple(i, r.incarnation, append->round), now_);
         for (unsigned j = 0; j < replicas_.size(); ++j)
           if (replicas_[j].disk.self == send->to ||
               (replicas_[j].core && replicas_[j].core->record().self == send->to))
             letters_.push_back({at + delay(), i, j, send->to, send->message, r.incarnation, false, {}});
       } else if (std::holds_alternative<consensus::Committed>(effect)) {
         acks_.insert(i);
+        if (const auto order = orders_.find(i); order != orders_.end()) {
+          acknowledged_.push_back(order->second);
+          orders_.erase(order);
+        }
         CHECK_MESSAGE(holds(r.core->record().state, acknowledged_),
                       "what was acknowledged is not in what is committed");
         commits_.insert(r.core->record().state);
+      } else if (std::holds_alternative<consensus::Stepped>(effect)) {
+        orders_.erase(i);
+      } else if (const auto* confirmed = std::get_if<consensus::Confirmed>(&effect)) {
+        confirm(i, confirmed->round);
       } else if (std::holds_alternative<consensus::Led>(effect)) {
         CHECK_MESSAGE(leaders_.emplace(r.core->record().term, r.core->record().self).second,
                       "two leaders of a term");
@@ -261,6 +330,19 @@
     }
   }
 
+  // What a leader says after a confirmed round must be young, and hold what was acknowledged before a read.
+  void confirm(unsigned i, std::uint64_t round) {
+    const Replica& r = replicas_[i];
+    ++confirmations_[i];
+    if (const auto begun = rounds_.find({i, r.incarnation, round}); begun != rounds_.end())
+      CHECK_MESSAGE(now_ - begun->second < consensus::Timeouts{}.electLeast, "an old round is confirmed");
+    std::erase_if(reads_, [&](const Read& read) {
+      if (read.from != i || read.incarnation != r.incarnation || read.round > round) return false;
+      if (r.core->leads()) CHECK_MESSAGE(holds(r.core->record().state, read.before), "an old state is read");
+      return true;
+    });
+  }
+
   static bool holds(const std::string& state, const std::vector<std::string>& values) {
     std::istringstream parts(state);
     std::vector<std::string> all;
@@ -293,6 +375,10 @@
   std::set<std::string> commits_;
   std::set<unsigned> acks_;
   std::map<std::uint64_t, Id> leaders_;
+  std::map<unsigned, std::string> orders_;  // by replica, not answered yet
+  std::vector<Read> reads_;
+  std::map<std::tuple<unsigned, unsigned, std::uint64_t>, double> rounds_;  // their beginnings
+  std::map<unsigned, std::size_t> confirmations_;
   double now_ = 0;
   Id ids_ = 1000;
 };
