Count messages and bytes by kind on the links between own processes

Cause: the report line told only the bytes sent to each machine of the core, so it could not be said which messages they are. Change: src/rpc/traffic counts frames by kind in a fixed array, where they are queued and where they are cut; proxy, registry and config_store log both directions each ten seconds and at SIGTERM ("traffic"). The fields of "sent" stay as they were.

--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -18,6 +18,7 @@
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "rpc/link.hpp"
+#include "rpc/traffic.hpp"
 
 namespace burlwind::config_store {
 namespace {
@@ -32,6 +33,7 @@
 constexpr double kProcessStallThreshold = 1000;  // ms between two ticks: this process stood still
 constexpr double kJoinPause = 300;               // ms
 constexpr double kConfirmationPause = 300;       // ms
+constexpr double kReportPause = 10000;           // ms between two lines of what was sent and received
 constexpr double kWriteWithin = 10000;           // ms, until a process whose disk refuses all ends
 
 std::uint64_t drawId() {
@@ -426,10 +428,21 @@
     for (auto& [link, reader] : readers_) link->close();
   }
 
+  // What this process has sent and received since its start, by kind of message.
+  static void reportTraffic() {
+    using Direction = rpc::Traffic::Direction;
+    program::info("traffic",
+                  {{"in", rpc::traffic().text(Direction::in)}, {"out", rpc::traffic().text(Direction::out)}});
+  }
+
   void tick() {
     detectStall();
     const double at = now();
     look(false);
+    if (at >= reportAt_) {
+      reportAt_ = at + kReportPause;
+      reportTraffic();
+    }
     // Who waits for the duties hears at the next beat that they are free.
     if (const bool busy = lease_.busy(at); std::exchange(busy_, busy) && !busy) confirmationAt_ = 0;
     carryOut(core_->tick(at));
@@ -450,6 +463,7 @@
       if (error) return;
       if (number == SIGHUP) return look(true), wait();
       program::info("ends", {{"signal", number}});
+      reportTraffic();
       const rpc::Leave leave{core_->record().self};
       for (auto& [ip, dialer] : dialers_)
         if (dialer->link()) dialer->link()->tell(leave);
@@ -496,7 +510,7 @@
   std::vector<Asked> reads_;
   std::vector<LeaseAsked> leases_;
   std::optional<LeaseAsked> nextOwner_;  // waits to be agreed on
-  double lastTick_ = 0, joinAt_ = 0, confirmationAt_ = 0;
+  double lastTick_ = 0, joinAt_ = 0, confirmationAt_ = 0, reportAt_ = 0;
   int status_ = 0;
   bool busy_ = false;  // somebody may hold the duties
 };
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -11,6 +11,7 @@
 #include "program/listen.hpp"
 #include "program/log.hpp"
 #include "program/start.hpp"
+#include "rpc/traffic.hpp"
 
 namespace burlwind::proxy {
 namespace {
@@ -570,12 +571,20 @@
       program::info("sent", {{"away", away}, {"count", sent.count}, {"bytes", sent.bytes}});
   for (const auto& [what, count] : std::exchange(counts_, {}))
     program::info("answers", {{"status", what.first}, {"why", what.second}, {"count", count}});
+  reportTraffic();
+}
+
+void Proxy::reportTraffic() {
+  using Direction = rpc::Traffic::Direction;
+  program::info("traffic",
+                {{"in", rpc::traffic().text(Direction::in)}, {"out", rpc::traffic().text(Direction::out)}});
 }
 
 void Proxy::leave() {
   if (leaving_) return;
   leaving_ = true;
   leaveAt_ = now();
+  reportTraffic();
   sessions_.tellStatus();
 }
 
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -56,6 +56,7 @@
   void takeTokens(const rpc::TokenResponse& say);
   void tick();
   void report(double now);
+  static void reportTraffic();  // of its sessions, by kind of message
 
   asio::io_context& io_;
   config::Settings settings_;
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -20,6 +20,7 @@
 #include "registry/platform_list.hpp"
 #include "registry/registry.hpp"
 #include "rpc/link.hpp"
+#include "rpc/traffic.hpp"
 
 namespace burlwind::registry {
 namespace {
@@ -518,6 +519,13 @@
       program::info("sent", {{"store", ip}, {"bytes", dialer->bytesOut()}});
     for (const auto& [ip, dialer] : others_)
       program::info("sent", {{"registry", ip}, {"bytes", dialer->bytesOut()}});
+    reportTraffic();
+  }
+
+  static void reportTraffic() {
+    using Direction = rpc::Traffic::Direction;
+    program::info("traffic",
+                  {{"in", rpc::traffic().text(Direction::in)}, {"out", rpc::traffic().text(Direction::out)}});
   }
 
   // --- Time ---
@@ -576,6 +584,7 @@
       if (error) return;
       if (number == SIGHUP) return look(true), wait();
       program::info("ends", {{"signal", number}});
+      reportTraffic();
       control_.close(), directory_.close();
       endTimer_.expires_after(std::chrono::milliseconds(400));
       endTimer_.async_wait([this](const Error&) {
--- a/src/rpc/frame.hpp
+++ b/src/rpc/frame.hpp
@@ -25,6 +25,15 @@
   return out;
 }
 
+// The kind of a whole frame that frame() made; 0 where it is none.
+inline int kindOf(std::string_view whole) {
+  constexpr std::size_t kLength = 4;
+  constexpr unsigned char kLargestFixedInteger = 0x7f;  // msgpack writes a kind up to here as one byte
+  if (whole.size() <= kLength) return 0;
+  const auto kind = static_cast<unsigned char>(whole[kLength]);
+  return kind <= kLargestFixedInteger ? kind : 0;
+}
+
 // What came in a frame: its kind, and the rest until it is read as the message of that kind.
 struct Arrived {
   int kind = 0;
--- a/src/rpc/link.cpp
+++ b/src/rpc/link.cpp
@@ -11,6 +11,7 @@
 #include <chrono>
 
 #include "program/listen.hpp"
+#include "rpc/traffic.hpp"
 
 namespace burlwind::rpc {
 
@@ -35,10 +36,12 @@
                           [this, self = shared_from_this(), held](const Error& error, std::size_t n) {
                             in_.resize(held + n);
                             if (error || !open_) return end();
-                            std::size_t from = 0;
+                            std::size_t from = 0, before = 0;
                             Arrived one;
                             for (Cut cut; open_ && (cut = cutFrame(in_, from, one)) != Cut::more;) {
                               if (cut == Cut::broken) return end();
+                              traffic().count(Traffic::Direction::in, one.kind, from - before);
+                              before = from;
                               if (arrived_) arrived_(one);
                             }
                             in_.erase(0, from);
@@ -51,6 +54,7 @@
   if (!open_) return;
   waitingBytes_ += frame.size();
   out_ += frame.size();
+  traffic().count(Traffic::Direction::out, kindOf(frame), frame.size());
   waiting_.push_back(std::move(frame));
   if (waitingBytes_ > kMostWaiting) return close();
   if (!writing_) write();
