--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -71,6 +71,13 @@
   el::Loggers::reconfigureAllLoggers(conf);
 }
 
+void stopLog() {
+  el::Configurations conf;
+  conf.setToDefault();
+  conf.setGlobally(el::ConfigurationType::Enabled, "false");
+  el::Loggers::reconfigureAllLoggers(conf);
+}
+
 void info(std::string_view what, Fields fields) { LOG(INFO) << line("info", seconds(), what, fields); }
 void warn(std::string_view what, Fields fields) { LOG(WARNING) << line("warn", seconds(), what, fields); }
 void error(std::string_view what, Fields fields) { LOG(ERROR) << line("error", seconds(), what, fields); }
--- a/src/program/log.hpp
+++ b/src/program/log.hpp
@@ -22,6 +22,7 @@
 using Fields = std::initializer_list<Field>;
 
 void startLog(const std::string& program, const std::string& node);  // once, before the first line
+void stopLog();  // no line is written from here on: of a program that uses parts of others
 void info(std::string_view what, Fields fields = {});
 void warn(std::string_view what, Fields fields = {});
 void error(std::string_view what, Fields fields = {});
