--- a/src/scale_run/control_process.cpp
+++ b/src/scale_run/control_process.cpp
@@ -102,6 +102,7 @@
 ControlProcess::ControlProcess(std::string role, fs::path program, const fs::path& folder,
                                const std::string& name, const std::string& settings)
     : role_(std::move(role)),
+      name_(name),
       program_(std::move(program)),
       settingsPath_(folder / (name + ".json")),
       logPath_(folder / (name + "-" + role_ + ".log")) {
@@ -120,7 +121,11 @@
   std::string program = program_.string(), option = "--settings", path = settingsPath_.string();
   char* const words[] = {program.data(), option.data(), path.data(), nullptr};
   startedAt_ = program::now();
-  if (::posix_spawn(&id_, program.c_str(), &actions, nullptr, words, environ) != 0) id_ = 0;
+  ending_ = role_ + " " + name_ + ": could not be started";
+  if (::posix_spawn(&id_, program.c_str(), &actions, nullptr, words, environ) != 0)
+    id_ = 0;
+  else
+    ending_.clear();
   ::posix_spawn_file_actions_destroy(&actions);
 }
 
@@ -137,8 +142,12 @@
 
 bool ControlProcess::runs() {
   if (id_ <= 0) return false;
-  if (::waitpid(id_, nullptr, WNOHANG) == 0) return true;
+  int status = 0;
+  if (::waitpid(id_, &status, WNOHANG) == 0) return true;
   id_ = 0;
+  ending_ = role_ + " " + name_ +
+            (WIFEXITED(status) ? ": exit " + std::to_string(WEXITSTATUS(status))
+                               : ": signal " + std::to_string(WTERMSIG(status)));
   return false;
 }
 
--- a/src/scale_run/control_process.hpp
+++ b/src/scale_run/control_process.hpp
@@ -48,15 +48,18 @@
   void terminate() const;  // SIGTERM
   void kill();             // SIGKILL, and waits for its end
   bool runs();
+  // "registry core1: exit 1" or "signal 11", of one that has ended; empty while it runs.
+  std::string ending() const { return ending_; }
   const std::string& role() const { return role_; }
   Usage usage() const { return usageOf(id_); }
   double startedAt() const { return startedAt_; }  // ms, steady
   std::string log() const;
 
  private:
-  const std::string role_;
+  const std::string role_, name_;
   const std::filesystem::path program_, settingsPath_, logPath_;
   pid_t id_ = 0;
+  std::string ending_;
   double startedAt_ = 0;
 };
 
--- a/src/scale_run/hollow_proxy.cpp
+++ b/src/scale_run/hollow_proxy.cpp
@@ -47,10 +47,7 @@
 void HollowProxy::start() {
   sessions_.start();
   // Processes tick at moments of their own: so do these.
-  timer_.expires_after(span(std::uniform_real_distribution<double>(0, kTick)(random_)));
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) tick();
-  });
+  tickIn(std::uniform_real_distribution<double>(0, kTick)(random_));
 }
 
 bool HollowProxy::inTouch() const { return configIndex_ > 0 && listNumber_ > 0 && sessions_.inTouch(now()); }
@@ -118,9 +115,13 @@
   }
   tickAt_ = at;
   askTokens();
-  timer_.expires_after(span(kTick));
-  timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) tick();
+  tickIn(kTick);
+}
+
+void HollowProxy::tickIn(double ms) {
+  timer_.expires_after(span(ms));
+  timer_.async_wait([this, alive = std::weak_ptr(alive_)](const boost::system::error_code& error) {
+    if (!error && !alive.expired()) tick();
   });
 }
 
--- a/src/scale_run/hollow_proxy.hpp
+++ b/src/scale_run/hollow_proxy.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
+#include <memory>
 #include <random>
 
 #include "distributed_quota/token_cache.hpp"
@@ -43,6 +44,7 @@
   void takeTokens(const rpc::TokenResponse& response);
   void askTokens();
   void tick();
+  void tickIn(double ms);
   void request(double now);
   void resumeWaiting(double now);
 
@@ -52,6 +54,8 @@
   proxy::Sessions sessions_;
   distributed_quota::TokenCache tokens_;
   boost::asio::steady_timer timer_;
+  // A timer that has run out calls its handler also after it is gone: the handler looks here first.
+  const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   std::deque<Waiting> waiting_;
   Requests requests_;
   std::uint64_t configIndex_ = 0, listNumber_ = 0, listChange_ = 0, asks_ = 0;
--- a/src/scale_run/play.cpp
+++ b/src/scale_run/play.cpp
@@ -23,13 +23,14 @@
 using program::now;
 using Direction = rpc::Traffic::Direction;
 
-constexpr double kPoll = 10;            // ms
-constexpr double kStartWithin = 60000;  // ms, for each step of a play
-constexpr double kOrderWithin = 20000;  // ms, of an operator's order with its repeats
-constexpr double kSettle = 2000;        // ms before figures are taken
-constexpr double kEndWithin = 3000;     // ms from SIGTERM to SIGKILL
-constexpr double kMemoryPause = 1000;   // ms between two looks at memory
-constexpr double kMemoryPart = 0.5;     // of the machine's
+constexpr double kPoll = 10;             // ms
+constexpr double kStartWithin = 60000;   // ms, for each step of a play
+constexpr double kChangeWithin = 20000;  // ms, of a change to the last proxy
+constexpr double kOrderWithin = 20000;   // ms, of an operator's order with its repeats
+constexpr double kSettle = 2000;         // ms before figures are taken
+constexpr double kEndWithin = 3000;      // ms from SIGTERM to SIGKILL
+constexpr double kMemoryPause = 1000;    // ms between two looks at memory
+constexpr double kMemoryPart = 0.5;      // of the machine's
 constexpr double kMinute = 60000, kMegabyte = 1024 * 1024;
 constexpr double kTickSlack = 0.2;  // s that a log's clock may differ from this one's
 
@@ -113,6 +114,13 @@
   return std::all_of(all.begin(), all.end(), [](ControlProcess* one) { return one->runs(); });
 }
 
+std::string Play::endings() const {
+  std::string out;
+  for (const ControlProcess* one : processes())
+    if (!one->ending().empty()) out += (out.empty() ? "" : ", ") + one->ending();
+  return out;
+}
+
 asio::awaitable<Play::Outcome> Play::until(Condition condition, double within) {
   const double deadline = now() + within;
   while (true) {
@@ -135,8 +143,9 @@
   if (outcome == Outcome::met) co_return true;
   const char* why = outcome == Outcome::late       ? "not in time"
                     : outcome == Outcome::noMemory ? "half of the machine's memory is in use"
-                                                   : "a process has ended by itself";
+                                                   : "a process has ended by itself: ";
   figures_.fault = std::string(what) + ": " + why;
+  if (outcome == Outcome::ended) figures_.fault += endings();
   co_return false;
 }
 
@@ -208,7 +217,7 @@
     if (status == 200) break;
     if (status >= 400 && status < 500) figures_.fault = "an order was refused: " + std::to_string(status);
     if (now() > deadline) figures_.fault = "an order was not acknowledged in time";
-    if (!allRun()) figures_.fault = "an order: a process has ended by itself";
+    if (!allRun()) figures_.fault = "an order: a process has ended by itself: " + endings();
     if (!figures_.fault.empty()) co_return;
     co_await pause(50);
   }
@@ -288,9 +297,10 @@
     return !figures_.fault.empty() || (at >= until && !order_.underWay && listChange_ == 0);
   };
   const bool whole =
-      co_await waitFor("the changes' way to all proxies", step, 1000 * options.seconds + kStartWithin);
+      co_await waitFor("the changes' way to all proxies", step, 1000 * options.seconds + kChangeWithin);
+  // What a change that is late has cost is told all the same.
   if (!whole) figures_.fault += missing();
-  if (!whole || !figures_.fault.empty()) co_return;
+  if (!allRun()) co_return;
 
   const double seconds = (now() - from) / 1000;
   figures_.ownProcessor = (ownProcessorSeconds() - ownFrom) / seconds;
--- a/src/scale_run/play.hpp
+++ b/src/scale_run/play.hpp
@@ -54,6 +54,7 @@
 
   bool allInTouch() const;
   bool allRun() const;
+  std::string endings() const;
   std::string missing() const;
   std::uint64_t newestIndex() const;
   std::vector<ControlProcess*> processes() const;
