--- a/tests/model_checking/explorer_test.cpp
+++ b/tests/model_checking/explorer_test.cpp
@@ -9,7 +9,6 @@
 #include "model_checking/report.hpp"
 #include "model_checking/search.hpp"
 
-
 namespace burlwind::model_checking {
 namespace {
 
