--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -3,22 +3,61 @@
 // is never needed. Terms, votes and the election restriction are Raft's; so are joint majorities while the
 // members change.
 //
-// What it promises, as properties of histories:
-//  - One leader a term. Of two entries committed, one was made from the other.
-//  - What was told committed is in every later leader's state, as long as of each set of members a majority
-//    keeps its disk. Safety never gives way; without a majority nothing goes on, for as long as that lasts.
-//  - A replica is known by an id that is drawn when its disk is empty, and members are ids. One that comes
-//  back
-//    with an empty disk is another replica: its old votes can't be cast again, its acknowledgements count for
-//    nothing until the leader has made it a member, by joint majorities of the old and the new members. The
-//    lost id never speaks again, so the old majority in that change is one of replicas that have forgotten
-//    nothing.
+// Properties, of every history, whatever is lost, late, repeated or stopped. f: what may be lost of 2f + 1.
+//
+//  One leader a term. A voter persists its vote before it tells it, and a candidate needs majorities of its
+//  members (and of the outgoing ones while they change).
+//
+//  Leadership that is handed over is never held twice: the leader steps down before it tells its successor,
+//  and that one needs majorities' votes for the next term like any other. Its request is granted also by who
+//  hears a leader, but only for the term right after the one that was given up: no other leader can be
+//  disturbed.
+//
+//  What was acknowledged is in each later leader's state. An entry is committed once majorities have it
+//  synced; a candidate needs votes of majorities, and nobody votes for one that holds less; so one of those
+//  that hold the entry has voted. Of two committed entries, one was made from the other.
+//
+//  A leader without a majority neither confirms, refuses nor hands out. It has authority while majorities
+//  have answered rounds that it SENT less than `electLeast` ago. Answers that waited in a socket while it
+//  stood still are as old as the round they answer. The check precedes everything that is processed; who
+//  fails it steps down first. Since who answered a round hears that leader, and votes for nobody for
+//  `electLeast` from then, no other leader begins meanwhile, but for voters that restart: they have forgotten
+//  whom they heard. So authority alone answers no read: a read waits for a round that is begun after it
+//  (`confirm`), and a change for its commit.
+//
+//  No replica votes or counts that doesn't hold what every majority could have committed. A replica is known
+//  by an id that is drawn when its disk is empty, and members are ids. One that comes back with an empty disk
+//  is another replica: its old votes can't be cast again, and what it says counts for nothing until it is a
+//  member. Its vote counts only for who holds the entry with the new members, thus all before it. The lost
+//  id never speaks again.
+//
+//  Who applies is a learner first: it gets the state, and is in no majority. Once it holds all but the entry
+//  under way it takes a seat, one at a time, by joint majorities: the seat of a member that has lost its disk
+//  at the same address, then that of one that is gone, then an empty one. A member that is heard loses its
+//  seat to nobody, also where its address is claimed or it has said that it goes: gone is who was silent for
+//  `gone`, `goneAfterLeave` where it left and no later incarnation has answered. A seat is taken while
+//  majorities without the silent member are heard (of three: all others), an empty one while all are. So a
+//  change never lowers the number of further losses that are borne: one who is heard and holds the state
+//  stands where nobody was. Of five, it must not wait for a second silent one: that may never be back.
+//  Weighed: a seat before the state is there (a loss meanwhile leaves a majority that holds nothing).
+//
+//  A member that returns with an older disk. Assumed: what is synced outlives process and power, or the disk
+//  is lost as a whole and comes back empty; at most f are lost so, also while all others are without power.
+//  A write that was cut short is no older disk: `persist` precedes whatever counts on it, so the generation
+//  that didn't last was told to nobody (a leader sends its entry before its own write, but counts itself only
+//  after it), and neither its vote nor its entry counts anywhere. A disk that
+//  forgets what it had synced and keeps its id breaks the assumption: an entry at two of three, one of which
+//  forgets it and the other is away, is lost, and a vote may be cast twice. No protocol of 2f + 1 mends that:
+//  the one that forgot and the one that never had it see what they would see if the third were lost for good,
+//  and then they have to go on. What is closed: while a leader is there, it gives who forgot the state anew;
+//  and a replica never stands in a term that its own record shows as used.
 //
 // Order of effects: `persist` is carried out before whatever follows it in the list.
 // Cost: a write of the whole state for each entry and each vote; memory: the state, twice.
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -50,10 +89,13 @@
   Time electLeast = 700, electMost = 1300;  // silence until an election
   Time firstLeast = 80, firstMost = 360;    // the same, after a start
   Time reachedMost = 40;                    // at most, once another one is reached after a start
-  Time gone = 1500;                         // silence until a member may be replaced
+  Time gone = 2000;                         // silence until a member may be replaced
+  Time goneAfterLeave = 1200;               // the same, where it has said that it goes
+  Time roundKept = 3000;                    // how long the beginning of a round is known
 };
 
-using Message = std::variant<rpc::AppendRequest, rpc::AppendResponse, rpc::VoteRequest, rpc::VoteResponse>;
+using Message = std::variant<rpc::AppendRequest, rpc::AppendResponse, rpc::VoteRequest, rpc::VoteResponse,
+                             rpc::TimeoutNow>;
 struct Send {
   Id to = 0;
   Message message;
@@ -62,9 +104,11 @@
 struct Committed {};  // record().state, by this leader
 struct Led {};        // leads, and what it leads with is committed
 struct Stepped {};    // no longer leads; what was proposed and not committed may or may not last
-struct Confirmed {    // a majority has answered this round: it still leads
+struct Confirmed {    // majorities have answered this round within `electLeast` of its beginning
   std::uint64_t round = 0;
 };
+constexpr std::size_t kMostApplicants = 8;
+constexpr std::uint64_t kNeverConfirmed = ~std::uint64_t{0};
 using Effect = std::variant<Persist, Send, Committed, Led, Stepped, Confirmed>;
 
 class Core {
@@ -78,18 +122,31 @@
   // A link to another replica has come up. After a start this one need not wait longer to ask for votes.
   void reached(Time now);
   void setSeats(unsigned seats) { seats_ = seats; }  // how many members a leader brings together
-  // A replica that wants to be a member, or be told so again.
+  // A replica that wants to be a member, or be told so again: it is a learner, and a member once it has
+  // caught up and there is a seat. At most kMostApplicants at a time.
   std::vector<Effect> join(const Member& member, Time now);
-  std::vector<Effect> leave(Id member, Time now);  // it has said that it goes
-  // Leader, leading, nothing under way: begins an entry.
-  bool mayPropose() const { return led_ && !inFlight_; }
+  // It has said that it goes; `incarnation` of its process, 0: the one that answered last. It stays a member
+  // and is sooner held to be gone, unless another incarnation of it answers.
+  std::vector<Effect> leave(Id member, Time now, std::uint64_t incarnation = 0);
+  // A leader that is about to end: takes no more proposals, and once what is under way is committed and a
+  // member that is heard holds it, it steps down and tells that member to stand at once. Where none does
+  // within `electLeast`, it leads on.
+  std::vector<Effect> transferLeadership(Time now);
+  // Leader, leading, nothing under way: begins an entry. Begins none and steps down where it turns out that
+  // no majority has been heard.
+  bool mayPropose() const { return led_ && !inFlight_ && !transferUntil_; }
   std::vector<Effect> propose(std::string state, Time now);
-  // The round whose confirmation proves leadership from now on; it is begun at once.
+  // The round whose confirmation proves leadership from now on; it is begun at once. kNeverConfirmed where
+  // this one leads no more.
   std::uint64_t confirm(Time now, std::vector<Effect>& out);
   std::uint64_t nextRound() const { return round_ + 1; }  // the same, at the next beat
 
+  std::uint64_t incarnation() const { return incarnation_; }  // of this process, drawn at its start
   const PersistentState& record() const { return record_; }
   bool leads() const { return led_; }
+  // The same, and majorities have answered rounds that are young enough: what is asked of a leader between
+  // two events goes by this.
+  bool leads(Time now) const { return led_ && hasAuthority(now); }
   bool leaderIsKnown(Time now) const { return role_ == Role::leader || now - heard_ < timeouts_.electLeast; }
   Id leader() const { return leader_; }
   std::uint64_t committed() const { return committed_; }
@@ -101,10 +158,22 @@
   struct Peer {
     std::uint64_t round = 0;                // latest answered
     std::uint64_t lastTerm = 0, index = 0;  // what it holds
-    Time heard = 0, sentWhole = -1e9;
-    bool leaving = false;
+    Time heard = -1e9;                      // when the newest round was sent that it has answered
+    Time asked = -1e9;                      // to be a member
+    Time sentWhole = -1e9;
+    std::uint64_t incarnation = 0;      // of the process that answered last
+    std::optional<std::uint64_t> left;  // the incarnation that has said that it goes
+    bool leaving() const { return left && *left == incarnation; }
   };
   bool isMember(Id id) const;
+  bool hasAuthority(Time now) const;
+  void stepDownIfStale(Time now, std::vector<Effect>& out);
+  Time heardFrom(Id id) const;  // a member; the won election counts as a word of all
+  // The same, but for the leader before: its silence is the reason for the election, and counts from its
+  // start.
+  Time lastWordOf(Id id) const;
+  void beginRound(Time now);
+  std::optional<Time> sentAt(std::uint64_t round) const;
   template <class Holds>
   bool majority(const std::vector<Member>& of, Holds holds) const;
   template <class Holds>
@@ -112,7 +181,9 @@
   std::set<Id> everyone() const;
   void follow(std::uint64_t term, Id leader, Time now, std::vector<Effect>& out);
   void stand(Time now, std::vector<Effect>& out);
-  void elect(Time now, std::vector<Effect>& out);
+  void elect(Time now, bool handover, std::vector<Effect>& out);
+  void handOver(Time now, std::vector<Effect>& out);
+  std::optional<Id> successor(Time now) const;
   void countVotes(Time now, std::vector<Effect>& out);
   void lead(Time now, std::vector<Effect>& out);
   void begin(Time now, std::vector<Effect>& out);  // the entry that record_ now holds
@@ -120,25 +191,41 @@
   void sendTo(Id to, Time now, std::vector<Effect>& out);
   void advance(Time now, std::vector<Effect>& out);
   void changeMembers(Time now, std::vector<Effect>& out);
+  void forgetApplicants(Time now);
+  bool isHeard(Id member, Time now) const;
+  bool isGone(const Member& member, Time now) const;
+  bool isReady(Id applicant, Time now) const;
+  bool addressIsInUse(const std::string& ip, Time now) const;
+  bool mayReplace(const Member& member, Time now) const;
+  using Seat = std::vector<Member>::iterator;
+  Seat seatOfAddress(const Member& applicant, Time now);
+  Seat seatOfGone(Time now);
+  void seat(Seat seat, const Member& applicant, Time now, std::vector<Effect>& out);
   void rest(Time now);
   void on(const rpc::AppendRequest& m, Time now, std::vector<Effect>& out);
   void on(const rpc::AppendResponse& m, Time now, std::vector<Effect>& out);
   void on(const rpc::VoteRequest& m, Time now, std::vector<Effect>& out);
   void on(const rpc::VoteResponse& m, Time now, std::vector<Effect>& out);
+  void on(const rpc::TimeoutNow& m, Time now, std::vector<Effect>& out);
 
   PersistentState record_;
   const Timeouts timeouts_;
   unsigned seats_;
   double (*draw_)(void*);
   void* drawer_;
+  std::uint64_t incarnation_;
   Role role_ = Role::follower;
   bool led_ = false, inFlight_ = false;
-  Id leader_ = 0;
+  Id leader_ = 0, heardLeader_ = 0;  // who leads now; who was heard last
+  Id formerLeader_ = 0;              // before this one led
+  Time formerLeaderHeard_ = -1e9;
   Time heard_ = -1e9, electAt_ = 0, heartbeatAt_ = 0, wonAt_ = 0;
+  std::optional<Time> transferUntil_;  // while leadership is being handed over
   std::uint64_t committed_ = 0, round_ = 0, confirmed_ = 0, late_ = 0;
   std::set<Id> votes_;
   std::map<Id, Peer> peers_;
-  std::map<Id, Member> applicants_;
+  std::map<Id, Member> applicants_;  // learners
+  std::deque<Time> sentAt_;          // the latest rounds' beginnings, the last one's last
 };
 
 }  // namespace burlwind::consensus
