--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -16,6 +16,7 @@
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "rpc/link.hpp"
+#include "rpc/traffic_log.hpp"
 
 namespace burlwind::config_store {
 namespace {
@@ -28,6 +29,7 @@
 
 constexpr auto kTick = std::chrono::milliseconds(50);
 constexpr double kJoinPause = 300;       // ms
+constexpr double kReportPause = 10000;   // ms between two lines of what was sent and received
 constexpr double kWriteTimeout = 10000;  // ms, until a process whose disk refuses all ends
 constexpr auto kWritePause = std::chrono::milliseconds(100);  // between tries
 constexpr double kSlowWrite = 200;                            // ms, from which on it is logged
@@ -292,12 +294,19 @@
     if (Request m; arrived.read(m)) carryOut(service_->fromReader(id, m, now()));
   }
 
+  void report(double at) {
+    if (at < reportAt_) return;
+    reportAt_ = at + kReportPause;
+    rpc::logTraffic();
+  }
+
   // --- Time and signals ---
   void tick() {
     reloadSettings(false);
     const double at = now();
     carryOut(service_->tick(at));
     askToJoin(at);
+    report(at);
     timer_.expires_after(kTick);
     timer_.async_wait([this](const rpc::Error& error) {
       if (!error) tick();
@@ -309,6 +318,7 @@
       if (error) return;
       if (number == SIGHUP) return reloadSettings(true), waitForSignal();
       program::info("ends", {{"signal", number}});
+      rpc::logTraffic();
       leave();
     });
   }
@@ -336,7 +346,7 @@
   std::map<ReaderId, LinkPtr> links_;
   std::map<LinkPtr, ReaderId> ids_;
   ReaderId lastReader_ = 0;
-  double joinAt_ = 0;
+  double joinAt_ = 0, reportAt_ = 0;
   int status_ = 0;
 };
 
--- a/src/consensus/state_transfer.hpp
+++ b/src/consensus/state_transfer.hpp
@@ -18,6 +18,10 @@
 
 #include "rpc/messages.hpp"
 
+namespace burlwind::model_checking {
+struct CoreInspector;
+}
+
 namespace burlwind::consensus {
 
 using Time = double;  // ms of the host's steady clock
@@ -58,6 +62,7 @@
   std::shared_ptr<const std::string> find(EntryId entry) const;  // empty: not there
 
  private:
+  friend struct model_checking::CoreInspector;
   std::map<EntryId, std::shared_ptr<const std::string>> states_;
 };
 
@@ -82,6 +87,7 @@
   void answered(std::uint64_t round, Time now);
 
  private:
+  friend struct model_checking::CoreInspector;
   struct InFlight {
     std::size_t end = 0;
     Time sentAt = 0;
@@ -107,6 +113,7 @@
   const std::string& bytes() const { return bytes_; }
 
  private:
+  friend struct model_checking::CoreInspector;
   EntryId entry_, base_;
   std::uint64_t size_ = 0, hash_ = 0;
   std::string bytes_;
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -20,7 +20,9 @@
 #include "registry/quota_service.hpp"
 #include "registry/registry.hpp"
 #include "registry/registry_peers.hpp"
+#include "registry/stall_detector.hpp"
 #include "rpc/link.hpp"
+#include "rpc/traffic_log.hpp"
 
 namespace burlwind::registry {
 namespace {
@@ -31,7 +33,7 @@
 
 constexpr auto kTick = std::chrono::milliseconds(100);
 constexpr auto kEndPause = std::chrono::milliseconds(400);  // SIGTERM: for what is under way
-constexpr double kHeartbeat = 400;                          // ms, to proxies and other registries
+constexpr double kHeartbeat = 400;                          // ms, to other registries
 constexpr double kProcessStallThreshold = 1000;             // ms between two ticks: this process stood still
 constexpr double kReport = 10000;                           // ms between two lines of figures
 
@@ -53,7 +55,7 @@
         peerLinks_(io, registryPort(), peerHooks()),
         orders_(io, stores_, tracker_),
         quotas_(settings_.ip, incarnation_, registry_, lease_, quotaHooks()),
-        sessions_(registry_, sessionHooks()),
+        sessions_(registry_, tracker_, sessionHooks()),
         peers_({settings_.ip, settings_.zone, settings_.region}, registry_, quotas_, lease_,
                [this](const rpc::Workers& workers) { sessions_.broadcast(rpc::frame(workers)); }),
         list_(io, settings_, registry_, lease_,
@@ -61,7 +63,7 @@
         calls_(settings_, registry_, orders_, incarnation_),
         acceptor_(io),
         control_(
-            io, [this](control_api::Call call) { return calls_.control(std::move(call)); },
+            io, [this](control_api::Call call) { return controlCall(std::move(call)); },
             [this] { detectStall(); }),
         directory_(io, [this](control_api::Call call) { return calls_.directory(std::move(call)); }),
         timer_(io),
@@ -77,7 +79,6 @@
     for (const auto& seed : settings_.seeds) meet(seed.ip);
     meet(settings_.ip);
     list_.start();
-    lastTick_ = now();
     tick();
     wait();
     io_.run();
@@ -109,7 +110,11 @@
 
   // --- The config stores ---
   DialerSet::Hooks storeHooks() {
-    return {[this](const std::string&, const LinkPtr& link) { link->tell(handshake()); },
+    return {[this](const std::string& ip, const LinkPtr& link) {
+              link->tell(handshake());
+              tracker_.linked(ip);
+              askLeader();
+            },
             [this](const std::string& ip, const Arrived& arrived) { onStore(ip, arrived); },
             [this](const std::string& ip) {
               tracker_.lost(ip);
@@ -131,11 +136,19 @@
     } else if (rpc::LeaseResponse lease; arrived.kind == rpc::kLeaseResponse && arrived.read(lease)) {
       leaseAnswered(lease);
     }
-    if (!confirmedBefore && tracker_.confirmed(now())) sessions_.broadcast(heartbeat());
+    askLeader();
+    sessions_.publish(now());
+    if (!confirmedBefore && tracker_.confirmed(now())) sessions_.sendHeartbeats(now());
+  }
+
+  // Whether what is held here is still the newest.
+  void askLeader() {
+    for (const auto& [store, request] : tracker_.questions(now()))
+      if (const LinkPtr link = stores_.link(store)) link->tell(request);
   }
 
   void takeUpdate(const std::string& store, rpc::ConfigUpdate update) {
-    const auto taken = tracker_.take(store, std::move(update), now());
+    const auto taken = tracker_.take(store, std::move(update));
     if (taken == LeaderTracker::Taken::dropped) return;
     for (const std::string& ip : tracker_.update().stores) meet(ip);
     if (taken == LeaderTracker::Taken::unchanged) return;
@@ -143,7 +156,6 @@
     quotas_.setConfiguration(configuration);
     program::info("news", {{"index", tracker_.update().index},
                            {"version", configuration ? configuration->version : 0}});
-    sessions_.broadcast(rpc::frame(tracker_.update()));
   }
 
   void takeConfirmation(const std::string& store, const rpc::LeaderConfirmation& confirmation) {
@@ -211,13 +223,9 @@
 
   void welcome(const LinkPtr& link) {
     link->tell(peers_.cores(now()));
-    if (tracker_.update().index > 0) link->tell(tracker_.update());
     if (registry_.number() > 0) link->tell(registry_.whole(now()));
-    link->send(heartbeat());
   }
 
-  std::string heartbeat() const { return rpc::frame(rpc::Heartbeat{tracker_.confirmed(now())}); }
-
   void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
     detectStall();
     if (!link->open()) return;
@@ -240,19 +248,20 @@
   }
 
   // --- Time ---
-  // What was sent before this process woke from a stop may have been sent again elsewhere, and taken back:
-  // nothing of it is acted on.
+  // Calls that came before this process woke from a stop are dropped, also those under way.
   void detectStall() {
-    const double at = now();
-    const bool stopped = at - lastTick_ > kProcessStallThreshold;
-    lastTick_ = at;
-    if (!stopped) return;
+    if (!stall_.observe(now())) return;
     program::warn("stood still", {});
-    tracker_.forgetConfirmation();
     control_.dropAll();
     orders_.dropAll("stood still");
   }
 
+  asio::awaitable<control_api::Reply> controlCall(control_api::Call call) {
+    if (stall_.waking(now())) co_return control_api::Reply(503, control_api::message("stood still"));
+    control_api::Reply reply = co_await calls_.control(std::move(call));
+    co_return reply;
+  }
+
   void lookAtSettings(bool asked) {
     const auto fresh = file_.look(now(), asked);
     if (!fresh) return;
@@ -266,21 +275,21 @@
     const double at = now();
     lookAtSettings(false);
     report(at);
+    askLeader();
     askLease();
     quotas_.askHolder(at);
     if (const auto levels = quotas_.changedLevels(at)) peerLinks_.broadcast(rpc::frame(*levels));
     registry_.sweep(at);
     sessions_.closeSilent(at);
-    if (at >= heartbeatAt_) sendHeartbeats(at);
+    if (at >= heartbeatAt_) tellOthers(at);
     timer_.expires_after(kTick);
     timer_.async_wait([this](const Error& error) {
       if (!error) tick();
     });
   }
 
-  void sendHeartbeats(double at) {
+  void tellOthers(double at) {
     heartbeatAt_ = at + kHeartbeat;
-    sessions_.broadcast(heartbeat());
     tellSessions(false);
     const rpc::Cores cores = peers_.cores(at);
     if (cores.proxies == toldCounts_) return;
@@ -294,6 +303,7 @@
     reportAt_ = at + kReport;
     stores_.report("store");
     peerLinks_.report("registry");
+    rpc::logTraffic();
   }
 
   void wait() {
@@ -301,6 +311,7 @@
       if (error) return;
       if (number == SIGHUP) return lookAtSettings(true), wait();
       program::info("ends", {{"signal", number}});
+      rpc::logTraffic();
       control_.close(), directory_.close();
       endTimer_.expires_after(kEndPause);
       endTimer_.async_wait([this](const Error&) {
@@ -329,7 +340,8 @@
   asio::steady_timer timer_, endTimer_;
   asio::signal_set signals_;
   std::map<std::string, unsigned> toldCounts_;  // proxies by zone
-  double lastTick_ = 0, heartbeatAt_ = 0, reportAt_ = 0;
+  StallDetector stall_{now()};
+  double heartbeatAt_ = 0, reportAt_ = 0;
 };
 
 }  // namespace
--- a/src/registry/order_forwarder.cpp
+++ b/src/registry/order_forwarder.cpp
@@ -19,7 +19,11 @@
 }  // namespace
 
 asio::awaitable<LeaderAnswer> OrderForwarder::order(std::string what, std::string body) {
-  MakeFrame make = [&](std::uint64_t number) { return rpc::frame(rpc::CommandRequest{number, what, body}); };
+  // The same in each repeat: what the store may hold against it is what was not known when the call came.
+  const std::uint64_t known = tracker_.update().index;
+  MakeFrame make = [&](std::uint64_t number) {
+    return rpc::frame(rpc::CommandRequest{number, what, body, true, known});
+  };
   LeaderAnswer answer = co_await ask(std::move(make));
   co_return answer;
 }
@@ -32,6 +36,7 @@
 
 asio::awaitable<LeaderAnswer> OrderForwarder::ask(MakeFrame make) {
   const double until = now() + kLeaderWithin;
+  const std::uint64_t drops = drops_;
   asio::steady_timer pause(io_);
   while (true) {
     rpc::Error ignored;
@@ -45,11 +50,14 @@
       waiting->timer.expires_after(kOrderWithin);
       co_await waiting->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
       waiting_.erase(number);
-      if (waiting->answer.status && waiting->answer.status != 503) co_return waiting->answer;
+      if (waiting->judged) co_return waiting->answer;
     }
-    if (now() >= until) break;
+    if (now() >= until || drops != drops_) break;
     pause.expires_after(kRetryPause);
+    pauses_.insert(&pause);
     co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    pauses_.erase(&pause);
+    if (drops != drops_) break;
   }
   co_return LeaderAnswer{503, "no majority of the stores answers"};
 }
@@ -62,7 +70,9 @@
 
 void OrderForwarder::answered(const rpc::CommandResponse& response) {
   const auto found = waiting_.find(response.number);
-  if (found != waiting_.end()) finish(*found->second, response.status, response.text);
+  if (found == waiting_.end()) return;
+  found->second->judged = response.judged;
+  finish(*found->second, response.status, response.text);
 }
 
 void OrderForwarder::lost(const std::string& store) {
@@ -71,6 +81,8 @@
 }
 
 void OrderForwarder::dropAll(const char* why) {
+  ++drops_;
+  for (asio::steady_timer* pause : pauses_) pause->cancel();
   for (auto& [number, waiting] : waiting_) finish(*waiting, 503, why);
 }
 
--- a/src/registry/order_forwarder.hpp
+++ b/src/registry/order_forwarder.hpp
@@ -1,4 +1,10 @@
 // Passes orders and reads on to the config store that leads, and waits for its answer.
+//
+// A call that was not judged (the link has ended, the store leads no more) goes to the next leader for a
+// short while. That is safe: a configuration is known again by number and digest, an evacuation is
+// idempotent, and each repeat bears the index that was known when the call came, so that it can't undo what
+// was ordered since. Each question has a number of its own, never used again by this process: an answer that
+// comes late, for a question that is given up, finds nobody.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -8,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "registry/dialer_set.hpp"
@@ -34,7 +41,8 @@
 
   void answered(const rpc::CommandResponse& response);
   void lost(const std::string& store);  // its link has ended: what waits for it has no clear answer
-  void dropAll(const char* why);        // the same, for all that wait
+  // The same for all that are under way, also those that were not sent yet: they never will be.
+  void dropAll(const char* why);
 
  private:
   struct Waiting {
@@ -42,6 +50,7 @@
     asio::steady_timer timer;
     std::string store;
     LeaderAnswer answer;
+    bool judged = false;  // by the leader; else the call may go on to another store
   };
   using MakeFrame = std::function<std::string(std::uint64_t number)>;
   asio::awaitable<LeaderAnswer> ask(MakeFrame make);
@@ -51,7 +60,8 @@
   const DialerSet& stores_;
   const LeaderTracker& tracker_;
   std::map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;  // by number
-  std::uint64_t number_ = 0;
+  std::set<asio::steady_timer*> pauses_;                       // of calls that wait for a leader
+  std::uint64_t number_ = 0, drops_ = 0;
 };
 
 }  // namespace burlwind::registry
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -148,16 +148,16 @@
   std::uint64_t number = 0;  // the newest question that is covered; 0: none, only a hint whom to ask
   MSGPACK_DEFINE(term, index, holder, epoch, stores, number)
 };
-// An order of an operator. `caller` and `sequence` name the call that the registry accepted, so that its own
-// repeats of it are one order, whoever leads.
+// An order of an operator. `knownIndex` is the index that the registry knew when it accepted the call, the
+// same in each repeat of its own: a call that was accepted before the zone last changed is no order of now.
 struct CommandRequest {
   static constexpr Kind kKind = kCommandRequest;
   std::uint64_t number = 0;  // of this question on its link
   std::string what;          // "config", "evacuate", "return"
   std::string body;          // the configuration, or the zone
-  std::uint64_t caller = 0;  // incarnation of the registry; 0: not told
-  std::uint64_t sequence = 0;
-  MSGPACK_DEFINE(number, what, body, caller, sequence)
+  bool tellsIndex = false;   // else `knownIndex` is not told, and nothing is held against it
+  std::uint64_t knownIndex = 0;
+  MSGPACK_DEFINE(number, what, body, tellsIndex, knownIndex)
 };
 struct ReadRequest {
   static constexpr Kind kKind = kReadRequest;
@@ -167,9 +167,10 @@
 struct CommandResponse {
   static constexpr Kind kKind = kCommandResponse;
   std::uint64_t number = 0;
-  int status = 0;  // as HTTP has it
+  int status = 0;  // as HTTP has it; 503: no clear answer
   std::string text;
-  MSGPACK_DEFINE(number, status, text)
+  bool judged = false;  // by the leader: asked again it would say the same
+  MSGPACK_DEFINE(number, status, text, judged)
 };
 struct LeaseRequest {
   static constexpr Kind kKind = kLeaseRequest;
@@ -243,12 +244,15 @@
   bool ready = false;
   std::uint64_t index = 0, workers = 0;  // what is in force there
   double age = 0, quiet = 0;             // as in ProxySession
-  MSGPACK_DEFINE(ready, index, workers, age, quiet)
+  std::uint64_t number = 0;              // grows with each of this proxy; from 1
+  MSGPACK_DEFINE(ready, index, workers, age, quiet, number)
 };
-struct Heartbeat {
+struct Heartbeat {  // the answer to a Status, and told where `confirmed` begins
   static constexpr Kind kKind = kHeartbeat;
-  bool confirmed = false;  // the registry has heard the store's leader of late
-  MSGPACK_DEFINE(confirmed)
+  bool confirmed = false;    // the leader has confirmed what this registry holds
+  std::uint64_t age = 0;     // ms since the registry sent the question that the leader confirmed
+  std::uint64_t number = 0;  // of the newest Status that came before this was sent; 0: none
+  MSGPACK_DEFINE(confirmed, age, number)
 };
 
 // --- Quotas ---
@@ -279,7 +283,8 @@
   std::string proxy;
   std::uint64_t incarnation = 0;
   std::vector<TokenGrant> grants;
-  MSGPACK_DEFINE(number, proxy, incarnation, grants)
+  std::uint64_t epoch = 0;  // of the owner of the duties that grants; 0 to a proxy
+  MSGPACK_DEFINE(number, proxy, incarnation, grants, epoch)
 };
 
 struct Level {  // what a tenant's store holds
