--- a/src/scale_run/hollow_proxy.cpp
+++ b/src/scale_run/hollow_proxy.cpp
@@ -66,15 +66,14 @@
 }
 
 void HollowProxy::takeTokens(const rpc::TokenResponse& response) {
-  for (const rpc::TokenGrant& grant : response.grants) tokens_.granted(grant, now());
+  for (const rpc::TokenGrant& grant : response.grants) tokens_.granted(response.number, grant, now());
   resumeWaiting(now());
   askTokens();
 }
 
 void HollowProxy::askTokens() {
-  auto demands = tokens_.demands(now());
-  if (demands.empty()) return;
-  sessions_.tell(rpc::frame(rpc::TokenRequest{++asks_, {}, 0, std::move(demands)}));
+  const rpc::TokenRequest request = tokens_.request(now());
+  if (!request.demands.empty()) sessions_.tell(rpc::frame(request));
 }
 
 void HollowProxy::request(double at) {
--- a/src/scale_run/hollow_proxy.hpp
+++ b/src/scale_run/hollow_proxy.hpp
@@ -58,7 +58,7 @@
   const std::shared_ptr<const bool> alive_ = std::make_shared<const bool>(true);
   std::deque<Waiting> waiting_;
   Requests requests_;
-  std::uint64_t configIndex_ = 0, listNumber_ = 0, listChange_ = 0, asks_ = 0;
+  std::uint64_t configIndex_ = 0, listNumber_ = 0, listChange_ = 0;
   double configAt_ = 0, listChangeAt_ = 0, bornAt_ = 0, tickAt_ = 0, due_ = 0;
 };
 
