--- a/src/consensus/state_transfer.hpp
+++ b/src/consensus/state_transfer.hpp
@@ -18,15 +18,19 @@
 
 #include "rpc/messages.hpp"
 
+namespace burlwind::model_checking {
+struct CoreInspector;
+}
+
 namespace burlwind::consensus {
 
 using Time = double;  // ms of the host's steady clock
 
-constexpr std::size_t kMostStateBytes = 64 * 1024 * 1024;
-constexpr std::size_t kMostHistoryBytes = 32 * 1024 * 1024;
+constexpr std::size_t kMostStateBytes = std::size_t{64} << 20;
+constexpr std::size_t kMostHistoryBytes = std::size_t{32} << 20;
 // A payload up to this goes in the message of its entry: over 2 Mbit/s it holds up a heartbeat by 0.26 s.
-constexpr std::size_t kInlineBytes = 64 * 1024;
-constexpr std::size_t kPieceBytes = 16 * 1024;
+constexpr std::size_t kInlineBytes = std::size_t{64} << 10;
+constexpr std::size_t kPieceBytes = std::size_t{16} << 10;
 constexpr std::size_t kLeastWindow = kPieceBytes, kFirstWindow = 4 * kPieceBytes,
                       kMostWindow = 32 * kPieceBytes;
 // An acknowledgement this much later than the soonest one: the link's queue is short; it is long.
@@ -36,6 +40,7 @@
 
 struct EntryId {
   std::uint64_t term = 0, index = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the comparison that is generated for a null pointer
   auto operator<=>(const EntryId&) const = default;
 };
 
@@ -57,6 +62,7 @@
   std::shared_ptr<const std::string> find(EntryId entry) const;  // empty: not there
 
  private:
+  friend struct model_checking::CoreInspector;
   std::map<EntryId, std::shared_ptr<const std::string>> states_;
 };
 
@@ -81,6 +87,7 @@
   void answered(std::uint64_t round, Time now);
 
  private:
+  friend struct model_checking::CoreInspector;
   struct InFlight {
     std::size_t end = 0;
     Time sentAt = 0;
@@ -106,6 +113,7 @@
   const std::string& bytes() const { return bytes_; }
 
  private:
+  friend struct model_checking::CoreInspector;
   EntryId entry_, base_;
   std::uint64_t size_ = 0, hash_ = 0;
   std::string bytes_;
