--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -35,6 +35,10 @@
   }
 }
 
+std::uint64_t digestOf(const std::string& configuration) {
+  return XXH3_64bits(configuration.data(), configuration.size());
+}
+
 namespace {
 
 using Taken = std::pair<std::uint64_t, std::uint64_t>;
@@ -54,7 +58,7 @@
   const auto read = config::readConfiguration(body);
   if (!read.configuration) return {400, read.fault, false};
   const std::uint64_t version = read.configuration->version, parent = read.configuration->parent;
-  const Taken asked(version, XXH3_64bits(body.data(), body.size()));
+  const Taken asked(version, digestOf(body));
   if (wasTaken(state, asked)) return {200, "taken before", false};
   if (parent < state.forgotten)
     return {503, "parent r" + std::to_string(parent) + " is too old to tell", false};
--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -48,6 +48,8 @@
 std::string pack(const State& state);
 bool unpack(const std::string& bytes, State& out);  // an empty text is the empty state
 
+std::uint64_t digestOf(const std::string& configuration);  // as kept in State::taken
+
 struct Judged {
   int status = 0;        // 200, 400, 412; 503: it can't be told
   std::string text;      // why not
