--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -61,7 +61,9 @@
               [this](const rpc::Workers& change, bool byHolder) { listChanged(change, byHolder); }),
         calls_(settings_, registry_, orders_, incarnation_),
         acceptor_(io),
-        control_(io, [this](control_api::Call call) { return controlCall(std::move(call)); }),
+        control_(
+            io, [this](control_api::Call call) { return controlCall(std::move(call)); },
+            [this] { detectStall(); }),
         directory_(io, [this](control_api::Call call) { return calls_.directory(std::move(call)); }),
         timer_(io),
         endTimer_(io),
@@ -253,8 +255,8 @@
     orders_.dropAll("stood still");
   }
 
+  // What waited to be accepted over the stop comes on connections that dropAll doesn't know.
   asio::awaitable<control_api::Reply> controlCall(control_api::Call call) {
-    detectStall();
     if (stall_.waking(now())) co_return control_api::Reply(503, control_api::message("stood still"));
     control_api::Reply reply = co_await calls_.control(std::move(call));
     co_return reply;
