--- a/tests/system/serving_world.hpp
+++ b/tests/system/serving_world.hpp
@@ -11,7 +11,8 @@
 //  - a registry that is confirmed holds all that was acknowledged kConfirmationTimeout ago;
 //  - a proxy in touch, or with its first configuration, has in force all that was acknowledged kProxyBound
 //  ago;
-//  - an order is acknowledged or has no clear answer; none is refused.
+//  - an order is acknowledged or has no clear answer; none is refused;
+//  - one index has one content, whichever store tells it.
 #pragma once
 
 #include <algorithm>
@@ -288,6 +289,9 @@
   void tellReader(unsigned i, ReaderId reader, const config_store::ReaderMessage& message) {
     const auto found = stores_[i].readers.find(reader);
     if (found == stores_[i].readers.end()) return;
+    if (const auto* update = std::get_if<rpc::ConfigUpdate>(&message))
+      if (contents_.try_emplace(update->index, update->evacuated).first->second != update->evacuated)
+        fault("one index has two contents");
     const unsigned machine = stores_[i].machines.at(reader);
     send(found->second, registryOf(machine), [this, machine, i, reader, message] {
       const auto link = registries_[machine].stores.find(i);
@@ -513,6 +517,7 @@
   std::deque<Order> orders_;
   std::vector<std::pair<double, std::string>> acknowledged_;  // when, zone
   std::size_t noClearAnswer_ = 0;
+  std::map<std::uint64_t, std::vector<std::string>> contents_;  // evacuated zones, by index
 };
 
 }  // namespace burlwind::serving
