--- a/src/control_api/server.cpp
+++ b/src/control_api/server.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 constexpr double kIdleMs = 10000;
-constexpr std::uint64_t kMaxCall = 16 * 1024 * 1024;  // bytes of a body
+constexpr std::uint64_t kMaxCall = std::uint64_t{16} * 1024 * 1024;  // bytes of a body
 constexpr std::size_t kReadBytes = 8192;
 constexpr int kBacklog = 512;
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);  // after an error: no descriptors
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -149,16 +149,16 @@
   });
 }
 
-void Proxy::finishLeaving(double at) {
-  if (at - leaveAt_ > kAcceptsMs) clients_.stopAccepting();
+void Proxy::finishLeaving(double now) {
+  if (now - leaveAt_ > kAcceptsMs) clients_.stopAccepting();
   if (clients_.accepting()) return;
   clients_.closeIdle();
-  if (clients_.empty() || at - leaveAt_ > settings_.bounds.grace - kEndBeforeGraceMs) io_.stop();
+  if (clients_.empty() || now - leaveAt_ > settings_.bounds.grace - kEndBeforeGraceMs) io_.stop();
 }
 
-void Proxy::report(double at) {
-  if (at < reportAt_) return;
-  reportAt_ = at + kReportMs;
+void Proxy::report(double now) {
+  if (now < reportAt_) return;
+  reportAt_ = now + kReportMs;
   forwarder_.report();
   tokens_.report();
   clients_.report();
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -36,7 +36,10 @@
 void detectSilentLoss(Tcp::socket& socket) {
   Error ignored;
   socket.set_option(Tcp::no_delay(true), ignored);
-  const int unacknowledgedMs = 700, on = 1, seconds = 1, probes = 2;
+  const int unacknowledgedMs = 700;
+  const int on = 1;
+  const int seconds = 1;
+  const int probes = 2;
   const int fd = socket.native_handle();
   ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMs, sizeof unacknowledgedMs);
   ::setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
