--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -16,6 +16,7 @@
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
 #include "rpc/link.hpp"
+#include "rpc/traffic_log.hpp"
 
 namespace burlwind::config_store {
 namespace {
@@ -28,10 +29,11 @@
 
 constexpr auto kTick = std::chrono::milliseconds(50);
 constexpr double kJoinPause = 300;       // ms
+constexpr double kReportPause = 10000;   // ms between two lines of what was sent and received
 constexpr double kWriteTimeout = 10000;  // ms, until a process whose disk refuses all ends
 constexpr auto kWritePause = std::chrono::milliseconds(100);  // between tries
 constexpr double kSlowWrite = 200;                            // ms, from which on it is logged
-constexpr auto kLeavePause = std::chrono::milliseconds(300);  // for the others to hear of the leave
+constexpr auto kLeavePause = std::chrono::milliseconds(300);  // for the others to hear of it, and to lead
 
 std::uint64_t drawId() {
   std::random_device device;
@@ -201,11 +203,20 @@
       case rpc::kVoteResponse:
         receive<rpc::VoteResponse>(arrived);
         break;
+      case rpc::kTimeoutNow:
+        receive<rpc::TimeoutNow>(arrived);
+        break;
+      case rpc::kStatePiece:
+        receive<rpc::StatePiece>(arrived);
+        break;
+      case rpc::kStatePieceResponse:
+        receive<rpc::StatePieceResponse>(arrived);
+        break;
       case rpc::kJoin:
         joinRequested(arrived);
         break;
       case rpc::kLeave:
-        if (rpc::Leave m; arrived.read(m)) carryOut(service_->leaveAnnounced(m.from, now()));
+        if (rpc::Leave m; arrived.read(m)) carryOut(service_->leaveAnnounced(m.from, now(), m.incarnation));
         break;
       default:
         return false;
@@ -283,12 +294,19 @@
     if (Request m; arrived.read(m)) carryOut(service_->fromReader(id, m, now()));
   }
 
+  void report(double at) {
+    if (at < reportAt_) return;
+    reportAt_ = at + kReportPause;
+    rpc::logTraffic();
+  }
+
   // --- Time and signals ---
   void tick() {
     reloadSettings(false);
     const double at = now();
     carryOut(service_->tick(at));
     askToJoin(at);
+    report(at);
     timer_.expires_after(kTick);
     timer_.async_wait([this](const rpc::Error& error) {
       if (!error) tick();
@@ -300,12 +318,14 @@
       if (error) return;
       if (number == SIGHUP) return reloadSettings(true), waitForSignal();
       program::info("ends", {{"signal", number}});
+      rpc::logTraffic();
       leave();
     });
   }
 
   void leave() {
-    peers_.sendToAll(rpc::Leave{service_->record().self});
+    peers_.sendToAll(rpc::Leave{service_->record().self, service_->incarnation()});
+    carryOut(service_->transferLeadership(now()));
     endTimer_.expires_after(kLeavePause);
     endTimer_.async_wait([this](const rpc::Error&) {
       peers_.close();
@@ -326,7 +346,7 @@
   std::map<ReaderId, LinkPtr> links_;
   std::map<LinkPtr, ReaderId> ids_;
   ReaderId lastReader_ = 0;
-  double joinAt_ = 0;
+  double joinAt_ = 0, reportAt_ = 0;
   int status_ = 0;
 };
 
