--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -5,6 +5,7 @@
 #include "program/log.hpp"
 #include "program/start.hpp"
 #include "proxy/routing.hpp"
+#include "rpc/traffic_log.hpp"
 
 namespace burlwind::proxy {
 namespace {
@@ -160,13 +161,16 @@
   if (at < reportAt_) return;
   reportAt_ = at + kReportMs;
   forwarder_.report();
+  tokens_.report();
   clients_.report();
+  rpc::logTraffic();
 }
 
 void Proxy::leave() {
   if (leaving_) return;
   leaving_ = true;
   leaveAt_ = now();
+  rpc::logTraffic();
   clients_.closeBehindAnswers();
   sessions_.tellStatus();
 }
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -22,6 +22,7 @@
 #include "registry/registry_peers.hpp"
 #include "registry/stall_detector.hpp"
 #include "rpc/link.hpp"
+#include "rpc/traffic_log.hpp"
 
 namespace burlwind::registry {
 namespace {
@@ -302,6 +303,7 @@
     reportAt_ = at + kReport;
     stores_.report("store");
     peerLinks_.report("registry");
+    rpc::logTraffic();
   }
 
   void wait() {
@@ -309,6 +311,7 @@
       if (error) return;
       if (number == SIGHUP) return lookAtSettings(true), wait();
       program::info("ends", {{"signal", number}});
+      rpc::logTraffic();
       control_.close(), directory_.close();
       endTimer_.expires_after(kEndPause);
       endTimer_.async_wait([this](const Error&) {
