--- a/src/rpc/traffic.cpp
+++ b/src/rpc/traffic.cpp
@@ -48,6 +48,10 @@
       return "Heartbeat";
     case kLevels:
       return "Levels";
+    case kConfirmationRequest:
+      return "ConfirmationRequest";
+    case kTimeoutNow:
+      return "TimeoutNow";
     default:
       return "unknown";
   }
