Consensus: after a short pause a leader judges by the answers that wait

Cause: since authority counts from when rounds were sent, a leader whose disk stood for 0.45 s over links of 0.15 s stepped down at its first tick, before it had read the answer that lay in its socket and was young enough.

Change: at the first tick after a pause of 0.2 to 0.7 s it does not step down, and says and changes nothing without authority; the next tick judges. After 0.7 s every waiting answer is too old, and it steps down at once.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -36,7 +36,8 @@
       seats_(seats),
       draw_(draw),
       drawer_(drawer),
-      incarnation_(drawIncarnation(draw, drawer)) {
+      incarnation_(drawIncarnation(draw, drawer)),
+      tickedAt_(now) {
   rest(now);
 }
 
@@ -130,12 +131,16 @@
 
 std::vector<Effect> Core::tick(Time now) {
   std::vector<Effect> out;
-  stepDownIfStale(now, out);
+  // After a short pause (a disk's, a processor's) answers may wait that show authority still: the next tick
+  // judges by them. After a longer one all of them are too old.
+  const Time pause = now - std::exchange(tickedAt_, now);
+  const bool answersMayWait = pause > timeouts_.heartbeat && pause < timeouts_.electLeast;
+  if (!answersMayWait) stepDownIfStale(now, out);
   if (role_ == Role::leader) {
-    handOver(now, out);
+    if (hasAuthority(now)) handOver(now, out);
     if (role_ == Role::leader && now >= heartbeatAt_) {
       sendHeartbeats(now, out);
-      changeMembers(now, out);
+      if (hasAuthority(now)) changeMembers(now, out);
     }
   } else if (now >= electAt_) {
     if (member() && !record_.members.empty())
--- a/src/consensus/core.hpp
+++ b/src/consensus/core.hpp
@@ -53,14 +53,16 @@
 //  and a replica never stands in a term that its own record shows as used.
 //
 // Order of effects: `persist` is carried out before whatever follows it in the list.
+//
 // How entries travel (state_transfer.hpp): each IS a whole state and is persisted as one; to a replica that
 // holds a known earlier one it goes as a patch, with the result's XXH3. Up to 64 KiB go in the first message
 // of the entry, so that it is committed in one round trip; more goes in pieces of 16 KiB, one transfer at a
 // time to each replica, taken up where it broke off while leader and replica go on. What changes meanwhile
-// follows as a patch of what has arrived. A new leader knows from their votes what the voters hold. Cost: a
-// write of the whole state for each entry and each vote. Memory: the state twice; on a leader also the states
-// that others hold or are being sent, at most 32 MiB or one state (beyond it: a new whole one), and the
-// payloads of the last entry; on a follower what has come of one.
+// follows as a patch of what has arrived. A new leader knows from their votes what the voters hold.
+//
+// Cost: a write of the whole state for each entry and each vote. Memory: the state and the one before it; on
+// a leader also the states that others hold or are being sent, at most 32 MiB or one state (beyond it: a new
+// whole one), and the payloads of the last entry; on a follower what has come of one.
 #pragma once
 
 #include <cstdint>
@@ -236,6 +238,7 @@
   double (*draw_)(void*);
   void* drawer_;
   std::uint64_t incarnation_;
+  Time tickedAt_;
   Role role_ = Role::follower;
   bool led_ = false, inFlight_ = false;
   Id leader_ = 0, heardLeader_ = 0;  // who leads now; who was heard last
--- a/tests/system/consensus_test.cpp
+++ b/tests/system/consensus_test.cpp
@@ -909,6 +909,36 @@
   return now;
 }
 
+TEST_CASE("a leader whose disk stood for less than an election's time judges by the answers that wait") {
+  const auto answer = [](Core& core, std::uint64_t round, double now) {
+    core.receive(
+        rpc::AppendResponse{core.record().term, 2, round, core.record().lastTerm, core.record().index}, now);
+  };
+  for (const double pause : {450.0, 650.0, 800.0}) {
+    CAPTURE(pause);
+    Alone leader(three(1));
+    Core& core = leader.core;
+    double now = lead(core);
+    const auto untilARound = [&] {
+      for (const auto next = core.nextRound(); core.nextRound() == next;) core.tick(now += 50);
+    };
+    for (int i = 0; i < 5; ++i) {
+      untilARound();
+      answer(core, core.nextRound() - 1, now);
+    }
+    untilARound();  // 200 ms after the one before; not answered yet
+    for (int i = 0; i < 3; ++i) core.tick(now += 50);
+    const std::uint64_t waiting = core.nextRound() - 1;
+    now += pause;
+    core.tick(now);
+    CHECK_FALSE(core.leads(now));  // it says nothing meanwhile
+    answer(core, waiting, now + 1);
+    core.tick(now + 50);
+    CHECK(core.leads(now + 50) == (pause < 600));
+    CHECK(core.leads() == (pause < 600));
+  }
+}
+
 TEST_CASE(
     "while members change, what the new ones hold without a majority of the old ones is not committed") {
   Alone leader(three(1));
