--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -5,6 +5,7 @@
 #include "program/log.hpp"
 #include "program/start.hpp"
 #include "proxy/routing.hpp"
+#include "rpc/traffic_log.hpp"
 
 namespace burlwind::proxy {
 namespace {
@@ -149,24 +150,27 @@
   });
 }
 
-void Proxy::finishLeaving(double at) {
-  if (at - leaveAt_ > kAcceptsMs) clients_.stopAccepting();
+void Proxy::finishLeaving(double now) {
+  if (now - leaveAt_ > kAcceptsMs) clients_.stopAccepting();
   if (clients_.accepting()) return;
   clients_.closeIdle();
-  if (clients_.empty() || at - leaveAt_ > settings_.bounds.grace - kEndBeforeGraceMs) io_.stop();
+  if (clients_.empty() || now - leaveAt_ > settings_.bounds.grace - kEndBeforeGraceMs) io_.stop();
 }
 
-void Proxy::report(double at) {
-  if (at < reportAt_) return;
-  reportAt_ = at + kReportMs;
+void Proxy::report(double now) {
+  if (now < reportAt_) return;
+  reportAt_ = now + kReportMs;
   forwarder_.report();
+  tokens_.report();
   clients_.report();
+  rpc::logTraffic();
 }
 
 void Proxy::leave() {
   if (leaving_) return;
   leaving_ = true;
   leaveAt_ = now();
+  rpc::logTraffic();
   clients_.closeBehindAnswers();
   sessions_.tellStatus();
 }
