--- a/src/model_checking/core_inspector.cpp
+++ b/src/model_checking/core_inspector.cpp
@@ -44,7 +44,7 @@
 
 void CoreInspector::add(FingerprintBuilder& out, const Core& core, Time now) {
   // A member of the core that is not added below would make different states look equal.
-  static_assert(sizeof(Core) == 760, "the core has changed: bring this fingerprint up to date");
+  static_assert(sizeof(Core) == 768, "the core has changed: bring this fingerprint up to date");
   const consensus::Timeouts& timeouts = core.timeouts_;
   const Time longest = std::max({timeouts.electLeast, timeouts.gone, timeouts.goneAfterLeave,
                                  timeouts.roundKept, 3 * timeouts.heartbeat}) +
@@ -63,6 +63,7 @@
   out.add(core.committed_);
   out.add(core.round_);
   out.add(core.confirmed_);
+  addAge(core.tickedAt_);
   addStates(out, core);
   if (core.role_ == Core::Role::leader)
     addLeader(out, core, now, longest);
