--- a/src/model_checking/properties.cpp
+++ b/src/model_checking/properties.cpp
@@ -12,6 +12,7 @@
 
 std::vector<Id> ids(const std::vector<rpc::Member>& members) {
   std::vector<Id> out;
+  out.reserve(members.size());
   for (const auto& member : members) out.push_back(member.id);
   std::sort(out.begin(), out.end());
   return out;
@@ -136,7 +137,8 @@
 }
 
 void Properties::recordChanged(const PersistentState& before, const PersistentState& after) {
-  const EntryNumber old = lastEntry(before), now = lastEntry(after);
+  const EntryNumber old = lastEntry(before);
+  const EntryNumber now = lastEntry(after);
   if (now == old) return;
   if (now < old)
     violate(Property::nothingGoesBack, "the state of entry " + text(old) + " was replaced by " + text(now));
@@ -280,7 +282,8 @@
 }
 
 void Properties::handedOut(Id leader, EntryNumber served, EntryNumber committedBefore) {
-  const auto given = find(served), due = find(committedBefore);
+  const auto given = find(served);
+  const auto due = find(committedBefore);
   if (!given || !due || !descends(*given, *due))
     violate(Property::handedOutIsCurrent, std::to_string(leader) + " hands out " + text(served) + ", but " +
                                               text(committedBefore) + " was committed before");
--- a/src/model_checking/properties.hpp
+++ b/src/model_checking/properties.hpp
@@ -38,6 +38,7 @@
 
 struct EntryNumber {
   std::uint64_t term = 0, index = 0;
+  // NOLINTNEXTLINE(modernize-use-nullptr): it takes the comparison that is generated for a null pointer
   auto operator<=>(const EntryNumber&) const = default;
 };
 EntryNumber lastEntry(const PersistentState& record);
@@ -92,7 +93,7 @@
   // A replica has processed a leader's round in that leader's term.
   void answered(Id replica, std::uint64_t term, std::uint64_t round);
   // The leader of `term` tells its host that this entry is committed.
-  void committed(Id leader, std::uint64_t term, EntryNumber entry);
+  void committed(Id leader, std::uint64_t term, EntryNumber number);
   // `before`, `after`: the members by the leader's record on both sides of the step that confirms.
   void confirmed(std::uint64_t term, std::uint64_t round, Time age, const Membership& before,
                  const Membership& after);
