--- a/src/program/log.hpp
+++ b/src/program/log.hpp
@@ -22,9 +22,11 @@
 using Fields = std::initializer_list<Field>;
 
 void startLog(const std::string& program, const std::string& node);  // once, before the first line
+void stopLog();  // no line is written from here on: of a program that uses parts of others
 void info(std::string_view what, Fields fields = {});
 void warn(std::string_view what, Fields fields = {});
 void error(std::string_view what, Fields fields = {});
-std::string line(std::string_view level, double seconds, std::string_view what, Fields fields);
+// One line without its end; `at`: seconds since the process began.
+std::string line(std::string_view level, double at, std::string_view what, Fields fields);
 
 }  // namespace burlwind::program
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
+#include "program/log.hpp"
 #include "program/start.hpp"
 
 namespace burlwind::proxy {
@@ -39,19 +40,25 @@
 }
 
 void TokenGate::request() {
-  auto demands = cache_.demands(now());
-  if (!demands.empty()) send_(rpc::TokenRequest{++requests_, {}, 0, std::move(demands)});
+  const rpc::TokenRequest due = cache_.request(now());
+  if (!due.demands.empty()) send_(due);
 }
 
 void TokenGate::take(const rpc::TokenResponse& response) {
   for (const rpc::TokenGrant& grant : response.grants) {
-    cache_.granted(grant, now());
+    cache_.granted(response.number, grant, now());
     for (const Waiting& waiting : waiting_)
       if (waiting.tenant == grant.tenant) waiting.timer->cancel();
   }
   request();
 }
 
+void TokenGate::report() {
+  const std::uint64_t dropped = cache_.dropped();
+  if (dropped > droppedTold_) program::info("grants dropped", {{"count", dropped - droppedTold_}});
+  droppedTold_ = dropped;
+}
+
 // Where nobody answers for the quotas, each proxy has its own part alone.
 void TokenGate::tick(bool inTouch, double now) {
   cache_.setTouch(inTouch && !cache_.unanswered(now), now);
--- a/src/proxy/token_gate.hpp
+++ b/src/proxy/token_gate.hpp
@@ -28,6 +28,7 @@
   void setProxies(unsigned known, double slack) { cache_.setProxies(known, slack); }
   // inTouch: with a registry that hears the store's leader.
   void tick(bool inTouch, double now);
+  void report();  // logs the grants that were dropped since the last report
   double firstAdmittedAt() const { return firstAdmittedAt_; }  // ms; 0: nobody yet
 
  private:
@@ -39,8 +40,8 @@
   const Send send_;
   distributed_quota::TokenCache cache_;
   std::list<Waiting> waiting_;
-  std::uint64_t requests_ = 0;
   double firstAdmittedAt_ = 0;
+  std::uint64_t droppedTold_ = 0;
 };
 
 }  // namespace burlwind::proxy
