--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -146,6 +146,8 @@
 
   consensus::Core core_;
   State state_;  // committed
+  // Its index. The core's may be ahead: a round may be confirmed by the message that commits the next entry.
+  std::uint64_t stateIndex_ = 0;
   lease::LeaseGrantor lease_;
   std::map<ReaderId, Reader> readers_;
   std::deque<WaitingOrder> orders_;
@@ -155,8 +157,8 @@
   std::vector<PendingLease> leases_;
   std::optional<PendingLease> nextOwner_;  // waits to be agreed on
   Time lastInput_ = 0;
-  Time confirmationAt_ = 0;
   bool leaseWasBusy_ = false;
+  bool hintIsDue_ = false;  // with the next confirmed round all readers are told who holds the duties
 };
 
 }  // namespace burlwind::config_store
