--- a/tests/system/serving_simulation_test.cpp
+++ b/tests/system/serving_simulation_test.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr double kCutFrom = 6000, kHealAt = 26000, kApply = 2500, kEnd = 32000;
-constexpr unsigned kSeeds = 12;
+constexpr unsigned kSeeds = 24;
 
 enum class Fault { leader, machine, registryFromStore, oneWayOut, oneWayIn, minorityRestarted, seedsGone };
 
