--- a/src/rpc/frame.hpp
+++ b/src/rpc/frame.hpp
@@ -10,7 +10,8 @@
 
 namespace burlwind::rpc {
 
-constexpr std::size_t kMostFrame = 8 * 1024 * 1024;
+// A configuration of 8 MB goes to its readers in one frame; stores send each other pieces (src/consensus).
+constexpr std::size_t kMostFrame = 16 * 1024 * 1024;
 
 template <class Message>
 std::string frame(const Message& message) {
@@ -25,6 +26,15 @@
   return out;
 }
 
+// The kind of a whole frame that frame() made; 0 where it is none.
+inline int kindOf(std::string_view whole) {
+  constexpr std::size_t kLength = 4;
+  constexpr unsigned char kLargestFixedInteger = 0x7f;  // msgpack writes a kind up to here as one byte
+  if (whole.size() <= kLength) return 0;
+  const auto kind = static_cast<unsigned char>(whole[kLength]);
+  return kind <= kLargestFixedInteger ? kind : 0;
+}
+
 // What came in a frame: its kind, and the rest until it is read as the message of that kind.
 struct Arrived {
   int kind = 0;
