--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -110,6 +110,7 @@
 
 void Service::committed(Time now, Effects& out) {
   unpack(core_.record().state, state_);
+  stateIndex_ = core_.committed();
   ownerAgreed(now, out);
   for (const JudgedOrder& order : std::exchange(underWay_, {})) send(order.reader, order.response, out);
   for (const auto& member : core_.record().members) out.emplace_back(DialStore{member.ip});
@@ -273,7 +274,7 @@
   for (auto& [id, reader] : readers_) {
     if (reader.updateIndex == 0) continue;
     reader.updateTerm = core_.record().term;
-    reader.updateIndex = core_.committed();
+    reader.updateIndex = stateIndex_;
     told.push_back(id);
   }
   if (!told.empty()) out.emplace_back(SendToReaders{std::move(told), configUpdate()});
@@ -294,7 +295,7 @@
 }
 
 void Service::sendConfigUpdate(ReaderId id, Reader& reader, Effects& out) {
-  const std::uint64_t term = core_.record().term, index = core_.committed();
+  const std::uint64_t term = core_.record().term, index = stateIndex_;
   if (reader.updateTerm == term && reader.updateIndex == index) return;
   reader.updateTerm = term;
   reader.updateIndex = index;
@@ -310,12 +311,12 @@
 rpc::ConfigUpdate Service::configUpdate() const {
   std::vector<std::string> zones;
   for (const auto& [zone, count] : state_.evacuated) zones.push_back(zone);
-  return {core_.record().term, core_.committed(), state_.configuration, std::move(zones), storeIps()};
+  return {core_.record().term, stateIndex_, state_.configuration, std::move(zones), storeIps()};
 }
 
 rpc::LeaderConfirmation Service::leaderConfirmation(Time now, std::uint64_t number) const {
   const std::string holder = lease_.busy(now) ? state_.owner.ip : std::string();
-  return {core_.record().term, core_.committed(), holder, state_.owner.epoch, storeIps(), number};
+  return {core_.record().term, stateIndex_, holder, state_.owner.epoch, storeIps(), number};
 }
 
 }  // namespace burlwind::config_store
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -150,6 +150,8 @@
 
   consensus::Core core_;
   State state_;  // committed
+  // Its index. The core's may be ahead: a round may be confirmed by the message that commits the next entry.
+  std::uint64_t stateIndex_ = 0;
   lease::LeaseGrantor lease_;
   std::map<ReaderId, Reader> readers_;
   std::deque<WaitingOrder> orders_;
