--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -256,6 +256,7 @@
     orders_.dropAll("stood still");
   }
 
+  // What waited to be accepted over the stop comes on connections that dropAll doesn't know.
   asio::awaitable<control_api::Reply> controlCall(control_api::Call call) {
     if (stall_.waking(now())) co_return control_api::Reply(503, control_api::message("stood still"));
     control_api::Reply reply = co_await calls_.control(std::move(call));
