--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -57,7 +57,8 @@
 Judged takeConfiguration(State& state, const std::string& body) {
   const auto read = config::readConfiguration(body);
   if (!read.configuration) return {400, read.fault, false};
-  const std::uint64_t version = read.configuration->version, parent = read.configuration->parent;
+  const std::uint64_t version = read.configuration->version;
+  const std::uint64_t parent = read.configuration->parent;
   const Taken asked(version, digestOf(body));
   if (wasTaken(state, asked)) return {200, "taken before", false};
   if (parent < state.forgotten)
--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -353,6 +353,7 @@
 }  // namespace
 }  // namespace burlwind::config_store
 
+// NOLINTNEXTLINE(bugprone-exception-escape): what nobody can handle ends the process with its message
 int main(int argc, const char** argv) {
   using namespace burlwind;
   constexpr program::Needs needs{.disk = true};
--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -294,7 +294,8 @@
 }
 
 void Service::sendConfigUpdate(ReaderId id, Reader& reader, Effects& out) {
-  const std::uint64_t term = core_.record().term, index = core_.committed();
+  const std::uint64_t term = core_.record().term;
+  const std::uint64_t index = core_.committed();
   if (reader.updateTerm == term && reader.updateIndex == index) return;
   reader.updateTerm = term;
   reader.updateIndex = index;
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -134,7 +134,7 @@
   void on(ReaderId reader, const rpc::CommandRequest& request, Time now, Effects& out);
   void on(ReaderId reader, const rpc::ReadRequest& request, Time now, Effects& out);
   void on(ReaderId reader, const rpc::LeaseRequest& request, Time now, Effects& out);
-  void on(ReaderId reader, const rpc::ConfirmationRequest& request, Time now, Effects& out);
+  void on(ReaderId id, const rpc::ConfirmationRequest& request, Time now, Effects& out);
 
   void answerLease(const PendingLease& asked, Time now, Effects& out);
   void sendLease(const PendingLease& asked, double span, Effects& out);
--- a/src/config_store/store.cpp
+++ b/src/config_store/store.cpp
@@ -13,7 +13,8 @@
 namespace burlwind::config_store {
 namespace {
 
-constexpr std::size_t kMapBytes = 256 * 1024 * 1024;  // of address space; a file grows as it is used
+constexpr std::size_t kMapBytes =
+    std::size_t{256} * 1024 * 1024;  // of address space; a file grows as it is used
 constexpr char kKey[] = "record";
 
 std::error_code systemError(int rc) { return {rc > 0 ? rc : EIO, std::generic_category()}; }
@@ -104,7 +105,8 @@
   if (!environments_[which]) return false;
   MDB_txn* txn = nullptr;
   if (::mdb_txn_begin(environments_[which]->env, nullptr, MDB_RDONLY, &txn)) return false;
-  MDB_val key{sizeof kKey, const_cast<char*>(kKey)}, value{};
+  MDB_val key{sizeof kKey, const_cast<char*>(kKey)};
+  MDB_val value{};
   const bool good = !::mdb_get(txn, environments_[which]->dbi, &key, &value) &&
                     unseal(static_cast<const char*>(value.mv_data), value.mv_size, generation, record);
   ::mdb_txn_abort(txn);
@@ -144,7 +146,8 @@
   int rc = ::mdb_txn_begin(environments_[which]->env, nullptr, 0, &txn);
   if (rc) return scrap(which), systemError(rc);
   const std::string value = sealed(generation, record);
-  MDB_val key{sizeof kKey, const_cast<char*>(kKey)}, data{value.size(), const_cast<char*>(value.data())};
+  MDB_val key{sizeof kKey, const_cast<char*>(kKey)};
+  MDB_val data{value.size(), const_cast<char*>(value.data())};
   rc = ::mdb_put(txn, environments_[which]->dbi, &key, &data, 0);
   if (rc) {
     ::mdb_txn_abort(txn);
--- a/src/proxy/session.hpp
+++ b/src/proxy/session.hpp
@@ -29,8 +29,8 @@
   Sessions(asio::io_context& io, const config::Settings& settings, Hooks hooks);
   ~Sessions();
   void start();
-  void meetSeeds();       // those that the settings name now
-  void tick(double now);  // each 100 ms
+  void meetSeeds();      // those that the settings name now
+  void tick(double at);  // each 100 ms
   bool inTouch(double now) const { return core_.inTouch(now); }
   void tell(const std::string& frame);  // on the session that counts
   void tellStatus();
@@ -38,7 +38,7 @@
  private:
   void open(SessionId id, const std::string& ip);
   void greet(SessionId id, const std::shared_ptr<rpc::Link>& link);
-  void arrived(SessionId id, const rpc::Arrived& arrived);
+  void arrived(SessionId id, const rpc::Arrived& frame);
   void carryOut(const SessionEffects& effects);
   void carryOut(const OpenSession& effect) { open(effect.id, effect.ip); }
   void carryOut(const CloseSession& effect);
--- a/src/proxy/session_core.cpp
+++ b/src/proxy/session_core.cpp
@@ -58,7 +58,7 @@
 }
 
 void SessionCore::open(const std::string& ip, double now, SessionEffects& out) {
-  trial_.emplace();
+  trial_ = Session{};
   trial_->id = ++ids_;
   trial_->ip = ip;
   trial_->openedAt = now;
@@ -137,8 +137,6 @@
           on(*session, m);
         else if constexpr (std::is_same_v<Message, rpc::Cores>)
           on(std::move(m), out);
-        else if constexpr (std::is_same_v<Message, rpc::TokenResponse>)
-          on(*session, std::move(m), out);
         else
           on(*session, std::move(m), out);
       },
@@ -190,7 +188,8 @@
 }
 
 void SessionCore::putInForce(Session& session, rpc::Workers workers, SessionEffects& out) {
-  const std::pair told(workers.term, workers.number), held(workersEpoch_, workersNumber_);
+  const std::pair told(workers.term, workers.number);
+  const std::pair held(workersEpoch_, workersNumber_);
   const bool readAtStart = workers.term == 0 && workersEpoch_ == 0;
   if (told <= held && !(workers.whole && readAtStart)) {
     dropped_ += told != held;
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -66,7 +66,8 @@
 
 double Registry::allQuiet() const {
   if (seats_.empty()) return 0;
-  double lastBorn = -1e18, firstBegan = 1e18;
+  double lastBorn = -1e18;
+  double firstBegan = 1e18;
   for (const auto& [name, seat] : seats_) {
     lastBorn = std::max(lastBorn, seat.bornAt);
     firstBegan = std::min(firstBegan, seat.beganAt);
@@ -108,7 +109,9 @@
 std::vector<std::string> Registry::addresses(const std::string& region, const std::string& zone,
                                              std::size_t least, std::size_t most,
                                              std::mt19937_64& random) const {
-  std::vector<std::string> out, near, far;
+  std::vector<std::string> out;
+  std::vector<std::string> near;
+  std::vector<std::string> far;
   bool narrow = false;
   for (const auto& [name, seat] : seats_) {
     if (!seat.ready) continue;
--- a/src/rpc/frame.hpp
+++ b/src/rpc/frame.hpp
@@ -11,7 +11,7 @@
 namespace burlwind::rpc {
 
 // A configuration of 8 MB goes to its readers in one frame; stores send each other pieces (src/consensus).
-constexpr std::size_t kMostFrame = 16 * 1024 * 1024;
+constexpr std::size_t kMostFrame = std::size_t{16} * 1024 * 1024;
 
 template <class Message>
 std::string frame(const Message& message) {
--- a/src/rpc/link.cpp
+++ b/src/rpc/link.cpp
@@ -14,6 +14,11 @@
 #include "rpc/traffic.hpp"
 
 namespace burlwind::rpc {
+namespace {
+
+constexpr std::size_t kReadAhead = 16384;  // bytes
+
+}  // namespace
 
 void harden(Tcp::socket& socket) {
   Error ignored;
@@ -31,7 +36,7 @@
 
 void Link::read() {
   const std::size_t held = in_.size();
-  in_.resize(held + 16 * 1024);
+  in_.resize(held + kReadAhead);
   socket_.async_read_some(asio::buffer(in_.data() + held, in_.size() - held),
                           [this, self = shared_from_this(), held](const Error& error, std::size_t n) {
                             in_.resize(held + n);
--- a/src/rpc/link.hpp
+++ b/src/rpc/link.hpp
@@ -22,8 +22,8 @@
 
 // One frame of the largest, and what waits besides. A peer that takes nothing is let go sooner, by
 // kUserTimeout.
-constexpr std::size_t kMostWaiting = kMostFrame + 4 * 1024 * 1024;  // bytes
-constexpr int kUserTimeout = 1500;                                  // ms
+constexpr std::size_t kMostWaiting = kMostFrame + std::size_t{4} * 1024 * 1024;  // bytes
+constexpr int kUserTimeout = 1500;                                               // ms
 // A machine without power says nothing, and the opening packet is sent again only after a second: asked anew,
 // it answers as soon as it is up.
 constexpr int kDialWithin = 350;  // ms
