--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -295,7 +295,8 @@
 }
 
 void Service::sendConfigUpdate(ReaderId id, Reader& reader, Effects& out) {
-  const std::uint64_t term = core_.record().term, index = stateIndex_;
+  const std::uint64_t term = core_.record().term;
+  const std::uint64_t index = stateIndex_;
   if (reader.updateTerm == term && reader.updateIndex == index) return;
   reader.updateTerm = term;
   reader.updateIndex = index;
