--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -134,7 +134,7 @@
   void on(ReaderId reader, const rpc::CommandRequest& request, Time now, Effects& out);
   void on(ReaderId reader, const rpc::ReadRequest& request, Time now, Effects& out);
   void on(ReaderId reader, const rpc::LeaseRequest& request, Time now, Effects& out);
-  void on(ReaderId reader, const rpc::ConfirmationRequest& request, Time now, Effects& out);
+  void on(ReaderId id, const rpc::ConfirmationRequest& request, Time now, Effects& out);
 
   void answerLease(const PendingLease& asked, Time now, Effects& out);
   void sendLease(const PendingLease& asked, double span, Effects& out);
@@ -150,6 +150,8 @@
 
   consensus::Core core_;
   State state_;  // committed
+  // Its index. The core's may be ahead: a round may be confirmed by the message that commits the next entry.
+  std::uint64_t stateIndex_ = 0;
   lease::LeaseGrantor lease_;
   std::map<ReaderId, Reader> readers_;
   std::deque<WaitingOrder> orders_;
