Linter over proxy, RPC, control API, config store, quota

Behaviour is unchanged. Left out: consensus, model_checking, scale_run (they have findings), registry (its last file's run did not end), and order_simulation (not looked at).

--- a/src/rpc/link.cpp
+++ b/src/rpc/link.cpp
@@ -41,7 +41,8 @@
                           [this, self = shared_from_this(), held](const Error& error, std::size_t n) {
                             in_.resize(held + n);
                             if (error || !open_) return end();
-                            std::size_t from = 0, before = 0;
+                            std::size_t from = 0;
+                            std::size_t before = 0;
                             Arrived one;
                             for (Cut cut; open_ && (cut = cutFrame(in_, from, one)) != Cut::more;) {
                               if (cut == Cut::broken) return end();
