--- a/src/model_checking/cluster.cpp
+++ b/src/model_checking/cluster.cpp
@@ -150,7 +150,8 @@
   const Replica& replica = *replicas_[receiver];
   Core trial = replica.core;
   if (!trial.receive(letter.message, replica.now).empty()) return false;
-  FingerprintBuilder before, after;
+  FingerprintBuilder before;
+  FingerprintBuilder after;
   CoreInspector::add(before, replica.core, replica.now);
   CoreInspector::add(after, trial, replica.now);
   return before.result() == after.result();
--- a/src/model_checking/cluster.hpp
+++ b/src/model_checking/cluster.hpp
@@ -106,7 +106,7 @@
 
   Replica begin(PersistentState disk, std::string ip, Time now, unsigned life) const;
   void put(unsigned replica, Replica&& changed);
-  Fingerprint fingerprintOf(const Replica& replica) const;
+  Fingerprint fingerprintOf(const Replica& changed) const;
   void noteRound(Replica& leader, std::uint64_t term, std::uint64_t round);
   template <class Call>
   StepResult step(unsigned replica, PowerLoss loss, Notes* notes, Call call);
--- a/src/model_checking/main.cpp
+++ b/src/model_checking/main.cpp
@@ -121,8 +121,11 @@
 
 int runCommand(int argc, const char** argv) {
   Options options;
-  char *mode = nullptr, *scenario = nullptr, *ignored = nullptr;
-  int json = 0, listed = 0;
+  char* mode = nullptr;
+  char* scenario = nullptr;
+  char* ignored = nullptr;
+  int json = 0;
+  int listed = 0;
   const poptOption table[] = {
       {"mode", 0, POPT_ARG_STRING, &mode, 0, "exhaustive (the default) or random", "MODE"},
       {"scenario", 0, POPT_ARG_STRING, &scenario, 0, "exhaustive: one of --list, or all", "NAME"},
--- a/src/model_checking/scenario.cpp
+++ b/src/model_checking/scenario.cpp
@@ -5,7 +5,8 @@
 namespace burlwind::model_checking {
 namespace {
 
-std::vector<Scenario> make() {
+// With the members there are from the start.
+std::vector<Scenario> scenariosOfOneSet() {
   return {
       {.name = "orders",
        .summary = "two orders and a read while messages repeat, a replica stands still and a process ends",
@@ -51,6 +52,12 @@
        .summary = "a leader is about to end with an order under way, and the next one goes on",
        .budget = {.orders = 2, .elections = 1, .heartbeats = 1, .repeats = 1, .transfers = 1},
        .depth = 9},
+  };
+}
+
+// In which members are lost, replaced or added.
+std::vector<Scenario> scenariosOfChange() {
+  return {
       {.name = "lost-disk",
        .summary = "an order, a disk that is lost, its empty successor, and another leader",
        .budget = {.orders = 1, .elections = 1, .pauses = 1, .disksLost = 1, .joins = 1},
@@ -91,6 +98,13 @@
   };
 }
 
+std::vector<Scenario> make() {
+  std::vector<Scenario> all = scenariosOfOneSet();
+  const std::vector<Scenario> change = scenariosOfChange();
+  all.insert(all.end(), change.begin(), change.end());
+  return all;
+}
+
 }  // namespace
 
 const std::vector<Scenario>& scenarios() {
--- a/src/model_checking/world.cpp
+++ b/src/model_checking/world.cpp
@@ -203,67 +203,83 @@
   return true;
 }
 
+unsigned* World::budgetOf(EventKind kind) {
+  switch (kind) {
+    case EventKind::deliver:
+      return nullptr;
+    case EventKind::repeat:
+      return &budget_.repeats;
+    case EventKind::election:
+      return &budget_.elections;
+    case EventKind::heartbeat:
+      return &budget_.heartbeats;
+    case EventKind::propose:
+      return &budget_.orders;
+    case EventKind::read:
+      return &budget_.reads;
+    case EventKind::join:
+      return &budget_.joins;
+    case EventKind::leave:
+      return &budget_.leaves;
+    case EventKind::transfer:
+      return &budget_.transfers;
+    case EventKind::pause:
+      return &budget_.pauses;
+    case EventKind::restart:
+      return &budget_.restarts;
+    case EventKind::wipe:
+    case EventKind::replace:
+      return &budget_.disksLost;
+  }
+  return nullptr;
+}
+
 std::optional<StepResult> World::step(const Event& event, Notes* notes) {
-  const unsigned replica = event.replica;
-  const auto spend = [](unsigned& left) {
-    if (left > 0) --left;
+  const auto spend = [](unsigned* left) {
+    if (left && *left > 0) --*left;
   };
-  StepResult result;
+  spend(budgetOf(event.kind));
+  const bool ofLetter = event.kind == EventKind::deliver || event.kind == EventKind::repeat;
+  if (ofLetter && !find(event.letter)) return std::nullopt;
+  StepResult result = perform(event, notes);
+  if (event.loss == PowerLoss::none) return result;
+  if (!result.lostPower) return std::nullopt;
+  spend(&budget_.powerLosses);
+  return result;
+}
+
+StepResult World::perform(const Event& event, Notes* notes) {
+  const unsigned replica = event.replica;
   switch (event.kind) {
-    case EventKind::repeat:
-      spend(budget_.repeats);
-      [[fallthrough]];
     case EventKind::deliver:
-      if (!find(event.letter)) return std::nullopt;
-      result = deliver(event, notes);
-      break;
+    case EventKind::repeat:
+      return deliver(event, notes);
     case EventKind::election:
-      spend(budget_.elections);
-      result = tickAtDeadline(event, notes);
-      break;
     case EventKind::heartbeat:
-      spend(budget_.heartbeats);
-      result = tickAtDeadline(event, notes);
-      break;
+      return tickAtDeadline(event, notes);
     case EventKind::propose:
-      spend(budget_.orders);
-      result = propose(event, notes);
-      break;
+      return propose(event, notes);
     case EventKind::read:
-      spend(budget_.reads);
-      result = cluster_.read(replica, notes);
-      break;
+      return cluster_.read(replica, notes);
     case EventKind::join:
-      spend(budget_.joins);
-      result = cluster_.join(replica, event.other, event.loss, notes);
-      break;
+      return cluster_.join(replica, event.other, event.loss, notes);
     case EventKind::leave:
-      spend(budget_.leaves);
-      result = cluster_.leave(replica, event.other, event.loss, notes);
-      break;
+      return cluster_.leave(replica, event.other, event.loss, notes);
     case EventKind::transfer:
-      spend(budget_.transfers);
-      result = cluster_.transferLeadership(replica, event.loss, notes);
-      break;
+      return cluster_.transferLeadership(replica, event.loss, notes);
     case EventKind::pause:
-      spend(budget_.pauses);
       pause(replica, notes);
       break;
     case EventKind::restart:
-      spend(budget_.restarts);
       cluster_.restart(replica);
       break;
     case EventKind::wipe:
     case EventKind::replace:
-      spend(budget_.disksLost);
       cluster_.wipe(replica, event.kind == EventKind::replace);
       if (notes) notes->push_back("starts empty, as " + nameOf(cluster_.id(replica)));
       break;
   }
-  if (event.loss == PowerLoss::none) return result;
-  if (!result.lostPower) return std::nullopt;
-  spend(budget_.powerLosses);
-  return result;
+  return {};
 }
 
 StepResult World::deliver(const Event& event, Notes* notes) {
@@ -304,7 +320,6 @@
 }
 
 std::string World::describe(const Event& event) const {
-  const std::string who = nameOf(cluster_.id(event.replica));
   const std::string loss = event.loss == PowerLoss::none ? "" : " (loses power)";
   switch (event.kind) {
     case EventKind::deliver:
@@ -337,7 +352,7 @@
     case EventKind::transfer:
       return "is about to end" + loss;
   }
-  return who;
+  return nameOf(cluster_.id(event.replica));
 }
 
 }  // namespace burlwind::model_checking
--- a/src/model_checking/world.hpp
+++ b/src/model_checking/world.hpp
@@ -67,7 +67,10 @@
   void addLeaderEvents(std::vector<Event>& out, unsigned replica) const;
   void addFaults(std::vector<Event>& out, unsigned replica) const;
   LetterPtr find(Fingerprint letter) const;
+  // The part of the budget that such an event takes from; nothing where it is free.
+  unsigned* budgetOf(EventKind kind);
   std::optional<StepResult> step(const Event& event, Notes* notes);
+  StepResult perform(const Event& event, Notes* notes);
   StepResult deliver(const Event& event, Notes* notes);
   StepResult tickAtDeadline(const Event& event, Notes* notes);
   StepResult propose(const Event& event, Notes* notes);
--- a/src/scale_run/control_process.cpp
+++ b/src/scale_run/control_process.cpp
@@ -2,12 +2,12 @@
 
 #include <fcntl.h>
 #include <picojson.h>
-#include <signal.h>
 #include <spawn.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <csignal>
 #include <fstream>
 #include <iterator>
 #include <sstream>
@@ -118,7 +118,9 @@
   ::posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
   ::posix_spawn_file_actions_addopen(&actions, 1, logPath_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  std::string program = program_.string(), option = "--settings", path = settingsPath_.string();
+  std::string program = program_.string();
+  std::string option = "--settings";
+  std::string path = settingsPath_.string();
   char* const words[] = {program.data(), option.data(), path.data(), nullptr};
   startedAt_ = program::now();
   ending_ = role_ + " " + name_ + ": could not be started";
--- a/src/scale_run/figures.cpp
+++ b/src/scale_run/figures.cpp
@@ -71,7 +71,9 @@
 }
 
 picojson::value playJson(const PlayFigures& play) {
-  picojson::object out, roles, figures;
+  picojson::object out;
+  picojson::object roles;
+  picojson::object figures;
   for (const auto& [name, value] : figuresByName(play)) figures[name] = number(value);
   for (const auto& [name, role] : play.roles) {
     picojson::object one;
--- a/src/scale_run/fleet_plan.cpp
+++ b/src/scale_run/fleet_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 namespace burlwind::scale_run {
 namespace {
@@ -30,7 +31,7 @@
 
 }  // namespace
 
-FleetPlan::FleetPlan(const Options& options) : options_(options) {
+FleetPlan::FleetPlan(Options options) : options_(std::move(options)) {
   for (unsigned zone = 0; zone < options_.zones; ++zone) {
     zones_.push_back(named("zone-", zone));
     regionOf_[zones_.back()] = named("region-", zone % options_.regions);
@@ -61,7 +62,8 @@
 std::string FleetPlan::zoneOf(unsigned number) const { return zones_[number % zones_.size()]; }
 
 std::string FleetPlan::network(const std::string& bind) const {
-  std::string seeds, zones;
+  std::string seeds;
+  std::string zones;
   for (unsigned i = 0; i < std::min(options_.registries, 3u); ++i)
     seeds += (i ? "," : "") + endpoint(coreIp(i), kControlPort);
   for (const auto& [zone, region] : regionOf_)
@@ -75,7 +77,8 @@
 }
 
 std::string FleetPlan::coreSettings(unsigned core, const std::string& dataFolder, bool firstBoot) const {
-  const std::string ip = coreIp(core), zone = zoneOf(core);
+  const std::string ip = coreIp(core);
+  const std::string zone = zoneOf(core);
   return R"({"self":{"nodeName":")" + named("core-", core) + R"(","ipAddress":")" + ip + R"(","zone":")" +
          zone + R"(","region":")" + regionOf(zone) + R"(","firstBoot":)" + (firstBoot ? "true" : "false") +
          R"(,"dataFolder":")" + dataFolder + R"(","limits":{}},)" +
@@ -85,7 +88,8 @@
 }
 
 std::string FleetPlan::realProxySettings(unsigned proxy) const {
-  const std::string ip = realProxyIp(proxy), zone = zoneOf(proxy);
+  const std::string ip = realProxyIp(proxy);
+  const std::string zone = zoneOf(proxy);
   return R"({"self":{"nodeName":")" + named("edge-", proxy) + R"(","ipAddress":")" + ip + R"(","zone":")" +
          zone + R"(","region":")" + regionOf(zone) + R"(","dataFolder":null,"limits":{"memoryMb":260}},)" +
          network(R"("front":)" + endpoint(ip, kFrontPort) + R"(,"readiness":)" +
--- a/src/scale_run/fleet_plan.hpp
+++ b/src/scale_run/fleet_plan.hpp
@@ -16,7 +16,7 @@
 
 class FleetPlan {
  public:
-  explicit FleetPlan(const Options& options);
+  explicit FleetPlan(Options options);
 
   const Options& options() const { return options_; }
   std::string coreIp(unsigned core) const;        // 127.79.1.x
--- a/src/scale_run/hollow_proxy.hpp
+++ b/src/scale_run/hollow_proxy.hpp
@@ -45,8 +45,8 @@
   void askTokens();
   void tick();
   void tickIn(double ms);
-  void request(double now);
-  void resumeWaiting(double now);
+  void request(double at);
+  void resumeWaiting(double at);
 
   const FleetPlan& plan_;
   const config::Settings settings_;
--- a/src/scale_run/options.cpp
+++ b/src/scale_run/options.cpp
@@ -64,11 +64,26 @@
   return {};
 }
 
+// Says what is wrong, or the version where that was asked for; else the run may start.
+void conclude(const std::string& fault, bool versionAsked, OptionsRead& out) {
+  if (!fault.empty()) {
+    std::fprintf(stderr, "burlwind-scale: %s\n", fault.c_str());
+    out.status = 2;
+  } else if (versionAsked) {
+    std::printf("burlwind-scale %s\n", BURLWIND_VERSION);
+  } else {
+    out.start = true;
+  }
+}
+
 OptionsRead readOptions(int argc, const char** argv) {
   OptionsRead out;
   Options& o = out.options;
-  int version = 0, json = 0;
-  const char *sizes = nullptr, *programs = nullptr, *keep = nullptr;
+  int version = 0;
+  int json = 0;
+  const char* sizes = nullptr;
+  const char* programs = nullptr;
+  const char* keep = nullptr;
   const auto whole = [](unsigned& value) { return reinterpret_cast<int*>(&value); };
   const poptOption options[] = {
       {"proxies", 0, POPT_ARG_STRING, &sizes, 0, "hollow proxies of each play (60,150,300,540,1000)", "LIST"},
@@ -113,14 +128,7 @@
   std::free(const_cast<char*>(keep));
   o.json = json != 0;
   if (fault.empty()) fault = brokenBound(o);
-  if (!fault.empty()) {
-    std::fprintf(stderr, "burlwind-scale: %s\n", fault.c_str());
-    out.status = 2;
-  } else if (version) {
-    std::printf("burlwind-scale %s\n", BURLWIND_VERSION);
-  } else {
-    out.start = true;
-  }
+  conclude(fault, version != 0, out);
   return out;
 }
 
--- a/src/scale_run/play.cpp
+++ b/src/scale_run/play.cpp
@@ -71,7 +71,8 @@
 }
 
 void noteBusiest(RoleFigures& role, const KindCounts& in, const KindCounts& out) {
-  const KindCount allIn = sum(in), allOut = sum(out);
+  const KindCount allIn = sum(in);
+  const KindCount allOut = sum(out);
   role.busiestIn = std::max(role.busiestIn, allIn.bytes);
   role.busiestOut = std::max(role.busiestOut, allOut.bytes);
   role.busiestMessages = std::max(role.busiestMessages, allIn.messages + allOut.messages);
@@ -268,20 +269,19 @@
 
 asio::awaitable<void> Play::takeFigures() {
   const Options& options = plan_.options();
-  const double from = now(), until = from + 1000 * options.seconds;
+  const double from = now();
+  const double until = from + 1000 * options.seconds;
   const double orderPause = options.changesPerMinute > 0 ? kMinute / options.changesPerMinute : 1e18;
   const double listPause = options.listChangesPerMinute > 0 ? kMinute / options.listChangesPerMinute : 1e18;
   const double ownFrom = ownProcessorSeconds();
-  const KindCounts inFrom = kindCounts(Direction::in), outFrom = kindCounts(Direction::out);
+  const KindCounts inFrom = kindCounts(Direction::in);
+  const KindCounts outFrom = kindCounts(Direction::out);
   const auto callsFrom = platform_.calls().answered;
-  HollowProxy::Requests requestsFrom;
-  for (const auto& proxy : proxies_) {
-    requestsFrom.letIn += proxy->requests().letIn;
-    requestsFrom.refused += proxy->requests().refused;
-  }
+  const HollowProxy::Requests requestsFrom = allRequests();
   usageBefore_.clear();
   for (ControlProcess* one : processes()) usageBefore_.push_back(one->usage());
-  double orderAt = from, listAt = from + listPause / 2;
+  double orderAt = from;
+  double listAt = from + listPause / 2;
   const auto step = [&] {
     const double at = now();
     watchOrder(at), watchList(at);
@@ -313,15 +313,25 @@
   hollow.busiestOut = sum(hollow.out).bytes / proxyCount_;
   hollow.busiestMessages = (sum(hollow.in).messages + sum(hollow.out).messages) / proxyCount_;
   hollow.sockets = 1;
-  double letIn = 0, refused = 0;
+  noteRefused(requestsFrom);
+  noteUsage(from);
+  noteTraffic(from);
+}
+
+HollowProxy::Requests Play::allRequests() const {
+  HollowProxy::Requests sum;
   for (const auto& proxy : proxies_) {
-    letIn += static_cast<double>(proxy->requests().letIn);
-    refused += static_cast<double>(proxy->requests().refused);
+    sum.letIn += proxy->requests().letIn;
+    sum.refused += proxy->requests().refused;
   }
-  letIn -= static_cast<double>(requestsFrom.letIn), refused -= static_cast<double>(requestsFrom.refused);
+  return sum;
+}
+
+void Play::noteRefused(const HollowProxy::Requests& before) {
+  const HollowProxy::Requests all = allRequests();
+  const auto letIn = static_cast<double>(all.letIn - before.letIn);
+  const auto refused = static_cast<double>(all.refused - before.refused);
   figures_.refused = letIn + refused > 0 ? refused / (letIn + refused) : 0;
-  noteUsage(from);
-  noteTraffic(from);
 }
 
 void Play::noteUsage(double from) {
@@ -353,7 +363,8 @@
     const TrafficLine& last = lines.back();
     const double seconds = last.seconds - first->seconds;
     if (seconds <= 0) continue;
-    const KindCounts in = rates(first->in, last.in, seconds), out = rates(first->out, last.out, seconds);
+    const KindCounts in = rates(first->in, last.in, seconds);
+    const KindCounts out = rates(first->out, last.out, seconds);
     RoleFigures& role = figures_.roles[one->role()];
     add(role.in, in), add(role.out, out);
     noteBusiest(role, in, out);
--- a/src/scale_run/play.hpp
+++ b/src/scale_run/play.hpp
@@ -44,6 +44,8 @@
   boost::asio::awaitable<void> order();  // a new version; its outcome in order_
   void measureState();
   boost::asio::awaitable<void> takeFigures();
+  HollowProxy::Requests allRequests() const;  // of all hollow proxies since their start
+  void noteRefused(const HollowProxy::Requests& before);
   void noteUsage(double from);
   void noteTraffic(double from);
   void watchOrder(double now);
--- a/src/scale_run/slopes.hpp
+++ b/src/scale_run/slopes.hpp
@@ -15,9 +15,11 @@
 inline Line fitLine(const std::vector<std::pair<double, double>>& points) {
   if (points.empty()) return {};
   const auto n = static_cast<double>(points.size());
-  double meanX = 0, meanY = 0;
+  double meanX = 0;
+  double meanY = 0;
   for (const auto& [x, y] : points) meanX += x / n, meanY += y / n;
-  double spread = 0, together = 0;
+  double spread = 0;
+  double together = 0;
   for (const auto& [x, y] : points) {
     spread += (x - meanX) * (x - meanX);
     together += (x - meanX) * (y - meanY);
