--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -104,10 +104,57 @@
 
 }  // namespace
 
+namespace {
+
+template <class Message>
+bool read(const std::string& packed, Message& out) {
+  try {
+    msgpack::unpack(packed.data(), packed.size()).get().convert(out);
+    return true;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
+Judged raiseCeiling(State& state, const std::string& body) {
+  rpc::RaiseCeiling order;
+  if (!read(body, order)) return {400, "does not read", false};
+  bool changes = false;
+  for (const auto& [zone, count] : order.proxies) {
+    if (count == 0) continue;
+    unsigned& ceiling = state.proxies[zone];
+    if (ceiling >= count) continue;
+    ceiling = count;
+    changes = true;
+  }
+  return {200, "proxy ceiling", changes};
+}
+
+// Another registry may have raised it since: then it stays.
+Judged lowerCeiling(State& state, const std::string& body) {
+  rpc::LowerCeiling order;
+  if (!read(body, order)) return {400, "does not read", false};
+  if (order.expected != state.proxies) return {412, "the proxy ceiling is another one", false};
+  bool changes = false;
+  for (auto& [zone, count] : state.proxies) {
+    const auto wanted = order.wanted.find(zone);
+    const unsigned lower = wanted == order.wanted.end() ? 0 : wanted->second;
+    if (lower >= count) continue;
+    count = lower;
+    changes = true;
+  }
+  std::erase_if(state.proxies, [](const auto& zone) { return zone.second == 0; });
+  return {200, "proxy ceiling", changes};
+}
+
+}  // namespace
+
 Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
   if (order.what == "config") return takeConfiguration(state, order.body);
   if (order.what == "evacuate") return beginEvacuation(state, order, entry);
   if (order.what == "return") return finishEvacuation(state, order, entry);
+  if (order.what == rpc::kRaiseCeiling) return raiseCeiling(state, order.body);
+  if (order.what == rpc::kLowerCeiling) return lowerCeiling(state, order.body);
   return {400, "no such order", false};
 }
 
--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -43,7 +43,10 @@
   lease::LeaseOwner owner;                                     // of the registries' duties
   std::uint64_t forgotten = 0;                // the newest version that is no longer in `taken`; 0: all are
   std::map<std::string, ZoneChange> changes;  // by zone; as many as were ever evacuated
-  MSGPACK_DEFINE(configuration, version, taken, evacuated, owner, forgotten, changes)
+  // By zone, the ceiling of how many proxies there may be: quotas and budgets are divided by it. It rises
+  // before a proxy more has a part, and falls only after the last part under the old one has run out.
+  std::map<std::string, unsigned> proxies;
+  MSGPACK_DEFINE(configuration, version, taken, evacuated, owner, forgotten, changes, proxies)
 };
 std::string pack(const State& state);
 bool unpack(const std::string& bytes, State& out);  // an empty text is the empty state
--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <random>
+#include <set>
 #include <thread>
 
 #include "config_store/bootstrap.hpp"
@@ -28,6 +29,7 @@
 using LinkPtr = std::shared_ptr<Link>;
 
 constexpr auto kTick = std::chrono::milliseconds(50);
+constexpr double kSettled = 5000;        // ms as a member that hears a leader, until other links are closed
 constexpr double kJoinPause = 300;       // ms
 constexpr double kReportPause = 10000;   // ms between two lines of what was sent and received
 constexpr double kWriteTimeout = 10000;  // ms, until a process whose disk refuses all ends
@@ -232,7 +234,7 @@
   void joinRequested(const Arrived& arrived) {
     rpc::Join m;
     if (!arrived.read(m)) return;
-    peers_.learn(m.member.id, m.member.ip);
+    peers_.learn(m.member.id, m.member.ip, now());
     carryOut(service_->joinRequested(m.member, now()));
   }
 
@@ -256,7 +258,7 @@
 
   void greeted(const LinkPtr& link, const rpc::Handshake& m) {
     if (m.role == "config_store") {
-      peers_.learn(m.incarnation, m.ip);
+      peers_.learn(m.incarnation, m.ip, now());
       peers_.dialledBy(m.incarnation, link);
       return;
     }
@@ -294,6 +296,20 @@
     if (Request m; arrived.read(m)) carryOut(service_->fromReader(id, m, now()));
   }
 
+  // While it is a member and hears a leader, it needs no link but to the members and to those that apply.
+  void keepPeers(double at) {
+    if (service_->wantsToJoin(at)) {
+      for (const auto& seed : settings_.seeds) peers_.dial(seed.ip);
+      unsettledAt_ = at;
+    }
+    if (at - unsettledAt_ < kSettled) return;
+    unsettledAt_ = at;  // and looks again after as long
+    std::set<std::string> ips;
+    for (const auto* members : {&service_->record().members, &service_->record().former})
+      for (const auto& member : *members) ips.insert(member.ip);
+    peers_.keepOnly(ips, at);
+  }
+
   void report(double at) {
     if (at < reportAt_) return;
     reportAt_ = at + kReportPause;
@@ -305,6 +321,7 @@
     reloadSettings(false);
     const double at = now();
     carryOut(service_->tick(at));
+    keepPeers(at);
     askToJoin(at);
     report(at);
     timer_.expires_after(kTick);
@@ -346,7 +363,7 @@
   std::map<ReaderId, LinkPtr> links_;
   std::map<LinkPtr, ReaderId> ids_;
   ReaderId lastReader_ = 0;
-  double joinAt_ = 0, reportAt_ = 0;
+  double joinAt_ = 0, reportAt_ = 0, unsettledAt_ = now();
   int status_ = 0;
 };
 
--- a/src/config_store/peers.cpp
+++ b/src/config_store/peers.cpp
@@ -15,11 +15,26 @@
   dialer->start(up_, arrived_, nullptr);
 }
 
-void Peers::learn(consensus::Id id, const std::string& ip) {
-  ips_[id] = ip;
+void Peers::learn(consensus::Id id, const std::string& ip, double now) {
+  learnt_[id] = {ip, now};
   dial(ip);
 }
 
+void Peers::keepOnly(const std::set<std::string>& ips, double now) {
+  std::set<std::string> kept = ips;
+  std::erase_if(learnt_, [&](const auto& learnt) {
+    if (now - learnt.second.at > kLearntFor && !ips.contains(learnt.second.ip)) return true;
+    kept.insert(learnt.second.ip);
+    return false;
+  });
+  std::erase_if(dialers_, [&](const auto& dialer) {
+    if (kept.contains(dialer.first)) return false;
+    dialer.second->close();
+    return true;
+  });
+  std::erase_if(dialledBy_, [](const auto& link) { return link.second.expired(); });
+}
+
 void Peers::dialledBy(consensus::Id id, const LinkPtr& link) { dialledBy_[id] = link; }
 
 void Peers::send(consensus::Id to, const consensus::Message& message,
@@ -38,8 +53,8 @@
   for (const auto* all : {&members.members, &members.former})
     for (const auto& member : *all)
       if (member.id == id) return member.ip;
-  const auto found = ips_.find(id);
-  return found == ips_.end() ? std::string() : found->second;
+  const auto found = learnt_.find(id);
+  return found == learnt_.end() ? std::string() : found->second.ip;
 }
 
 void Peers::close() {
--- a/src/config_store/peers.hpp
+++ b/src/config_store/peers.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "consensus/core.hpp"
@@ -12,6 +13,8 @@
 
 namespace burlwind::config_store {
 
+constexpr double kLearntFor = 10000;  // ms
+
 class Peers {
  public:
   using LinkPtr = std::shared_ptr<rpc::Link>;
@@ -20,8 +23,11 @@
   // Both callbacks come from the loop of `io`, for links that this store has dialled.
   Peers(rpc::asio::io_context& io, std::string ownIp, std::uint16_t port, OnUp up, OnFrame arrived);
 
-  void dial(const std::string& ip);                     // once for each address; none for the own one
-  void learn(consensus::Id id, const std::string& ip);  // where that store is reached
+  void dial(const std::string& ip);  // once for each address; none for the own one
+  void learn(consensus::Id id, const std::string& ip, double now);  // where that store is reached
+  // Closes what is dialled beside `ips` and stores that were learnt of within kLearntFor ms before `now`, and
+  // forgets where others are reached.
+  void keepOnly(const std::set<std::string>& ips, double now);
   void dialledBy(consensus::Id id, const LinkPtr& link);
 
   // Dropped where the store can't be reached now. `members` tell addresses that learn() was not told.
@@ -41,7 +47,11 @@
   const OnUp up_;
   const OnFrame arrived_;
   std::map<std::string, std::shared_ptr<rpc::Dialer>> dialers_;  // by ip
-  std::map<consensus::Id, std::string> ips_;
+  struct Learnt {
+    std::string ip;
+    double at = 0;
+  };
+  std::map<consensus::Id, Learnt> learnt_;
   std::map<consensus::Id, std::weak_ptr<rpc::Link>> dialledBy_;
 };
 
--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -312,7 +312,8 @@
 rpc::ConfigUpdate Service::configUpdate() const {
   std::vector<std::string> zones;
   for (const auto& [zone, count] : state_.evacuated) zones.push_back(zone);
-  return {core_.record().term, stateIndex_, state_.configuration, std::move(zones), storeIps()};
+  return {core_.record().term, stateIndex_, state_.configuration,
+          std::move(zones),    storeIps(),  state_.proxies};
 }
 
 rpc::LeaderConfirmation Service::leaderConfirmation(Time now, std::uint64_t number) const {
--- a/src/distributed_quota/aggregator.hpp
+++ b/src/distributed_quota/aggregator.hpp
@@ -18,11 +18,11 @@
 #include <vector>
 
 #include "distributed_quota/outstanding_requests.hpp"
+#include "distributed_quota/quota_bound.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::distributed_quota {
 
-constexpr double kCellAhead = 0.3;     // seconds of demands
 constexpr double kCellStill = 3000;    // ms
 constexpr double kCellWithin = 500;    // ms until a question to the holder counts as lost
 constexpr double kCellEmptyFor = 150;  // ms that "the store is empty" is believed
@@ -43,6 +43,10 @@
   rpc::TokenRequest request(double now);
   // One tenant's part of the answer to the request of that number.
   void granted(std::uint64_t number, const rpc::TokenGrant& grant, double now, std::vector<Answer>& out);
+  // Tokens of a holder that is none any more: a new one reckons with what proxies have.
+  void dropStocks() {
+    for (auto& [tenant, account] : accounts_) account.stock = 0, account.requests.clear();
+  }
   std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
   double stock(const std::string& tenant) const;
 
--- a/src/distributed_quota/allocator.cpp
+++ b/src/distributed_quota/allocator.cpp
@@ -5,14 +5,15 @@
 
 namespace burlwind::distributed_quota {
 namespace {
-constexpr double kNewsPart = 0.15;  // of a level, by which it must move to be told
-constexpr double kShareLeast = 2;   // requests that a share may hold at least
-constexpr double kShareHeld = 1;    // seconds of its part that it may hold
-constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
+constexpr double kFloorRise = 1.3;    // times the floor promised, from which on a higher one is worth telling
+constexpr double kStocksKept = 6500;  // ms: unused stocks of proxies and cells are back after that
+constexpr double kShareLeast = 2;     // requests that a share may hold at least
+constexpr double kShareHeld = 1;      // seconds of its part that it may hold
+constexpr double kAskedFor = 2000;    // ms that what one told of its demand counts
 }  // namespace
 
 // What is asked for by all, a second; who was not heard for a while counts no more.
-double QuotaAllocator::hear(Store& store, const std::string& who, double asked, double now) {
+double QuotaAllocator::sumDemand(Store& store, const std::string& who, double asked, double now) {
   Asker& mine = store.askers.try_emplace(who, Asker{asked, now, 0}).first->second;
   mine.asked = asked;
   double demand = 0;
@@ -24,22 +25,47 @@
   return demand;
 }
 
-std::vector<rpc::Level> QuotaAllocator::all() const {
+void QuotaAllocator::atLeast(const std::string& tenant, double level, double now) {
+  const auto [found, fresh] = stores_.try_emplace(tenant);
+  Store& store = found->second;
+  if (fresh) store.at = now;
+  store.level = std::max(store.level, level - store.granted);
+  store.credited = kNoCredit;
+}
+
+std::vector<rpc::Level> QuotaAllocator::floors() const {
   std::vector<rpc::Level> out;
-  for (const auto& [tenant, store] : stores_) out.push_back({tenant, store.level});
+  for (const auto& [tenant, store] : stores_) out.push_back({tenant, store.floor.value_or(0)});
   return out;
 }
 
-std::vector<rpc::Level> QuotaAllocator::changed() {
+std::vector<rpc::Level> QuotaAllocator::promises(bool all) {
   std::vector<rpc::Level> out;
   for (auto& [tenant, store] : stores_) {
-    if (std::abs(store.level - store.told) < std::max(1.0, kNewsPart * store.told)) continue;
-    store.told = store.level;
-    out.push_back({tenant, store.level});
+    const double floor = std::floor(kBelieved * std::min(store.level, store.rate));
+    const bool broken = store.floor && store.level < *store.floor;
+    const bool worthTelling = !store.floor || floor >= *store.floor * kFloorRise + 1;
+    if (!broken && !(all && worthTelling)) continue;
+    store.floor = floor;
+    out.push_back({tenant, floor});
   }
   return out;
 }
 
+double QuotaAllocator::level(const std::string& tenant) const {
+  const auto found = stores_.find(tenant);
+  return found == stores_.end() ? 0 : found->second.level;
+}
+
+void QuotaAllocator::refill(Store& store, const Limit& limit, double now) const {
+  // Where more is asked for than comes in nothing is left to lie in stock.
+  const bool stocked = now - store.demandAt < kStocksKept && store.demand < limit.rate;
+  const double inStock = stocked ? kStockSpan * store.demand : 0;
+  const double most = std::max(1.0, limit.burst - inStock);
+  store.level = std::min(most, store.level + limit.rate * reach_ * std::max(0.0, now - store.at) / 1000);
+  store.at = std::max(store.at, now);
+}
+
 QuotaAllocator::Given QuotaAllocator::take(const std::string& who, const std::string& tenant,
                                            const Limit& limit, double want, double asked, double now) {
   Given out;
@@ -47,14 +73,16 @@
   const auto [found, fresh] = stores_.try_emplace(tenant);
   Store& store = found->second;
   if (fresh) store.at = from_;
-  const double most = std::max(1.0, limit.burst);
-  store.level = std::min(most, store.level + limit.rate * reach_ * std::max(0.0, now - store.at) / 1000);
-  store.at = std::max(store.at, now);
+  store.level += limit.rate * std::max(0.0, idle_ - store.credited) / 1000;
+  store.credited = std::max(store.credited, idle_);
+  store.rate = limit.rate;
+  refill(store, limit, now);
   if (want < 0) {  // given back
-    store.level = std::min(most, store.level - want);
+    store.level = std::min(std::max(1.0, limit.burst), store.level - want);
     return out;
   }
-  const double demand = hear(store, who, asked, now);
+  const double demand = sumDemand(store, who, asked, now);
+  store.demand = demand, store.demandAt = now;
   Asker& asker = store.askers[who];
   const double room = std::max(kShareLeast, limit.rate * kShareHeld * asker.asked / std::max(demand, 1e-9));
   const double since = std::max(0.0, now - asker.at) / 1000;
@@ -65,6 +93,7 @@
   out.granted =
       std::max(0.0, std::min(want, std::floor(contended ? std::min(store.level, asker.share) : store.level)));
   store.level -= out.granted;
+  store.granted += out.granted;
   asker.share -= out.granted;
   // Where less is asked for than comes in, what is missing is there in a moment: that is worth a wait.
   out.empty = out.granted < want && contended;
--- a/src/distributed_quota/allocator.hpp
+++ b/src/distributed_quota/allocator.hpp
@@ -1,50 +1,57 @@
-// The quota of all gatekeepers together, as the holder of the quota duty keeps it: decisions only.
+// The quota of all proxies together, as the holder of the quota duty keeps it: decisions only.
 //
-// A tenant's bucket refills at its rate and holds its burst; proxies take tokens out of it ahead of need,
-// and one token lets one request in, once. What proxies hold in stock is bounded by them (TokenCache), so in
-// any window w no more than rate x w + burst + stock is let in, however requests spread over proxies; a proxy
-// that dies loses its stock, which lets nothing in.
+// A tenant's bucket refills at its rate and holds its burst, less what may be in stock at proxies and cells;
+// they take tokens out of it ahead of need, and one token lets one request in, once. A proxy that dies loses
+// its stock, which lets nothing in. quota_bound.hpp adds up what may be let in.
 //
 // While more is asked for than the rate, what comes in is shared by what each is asked for: else those who
 // stand near the holder would have it all.
 //
-// Proxies out of reach of the registries have parts of their own: rate / n each, n proxies known. They may
-// spend it from the moment they lose touch; the allocator takes it off the refill from the moment it knows,
-// one silence later, which is what the rule's slack bears. A new holder starts with empty buckets: the one
-// before may have given out the burst just now. Cost: one map entry a tenant; a constant for each demand.
+// Proxies that don't draw on the holder spend parts of their own: the refill is the others' alone (setReach).
+//
+// Succession: for each store the holder promises a floor, and grants nothing below it before it has told a
+// lower one (told by `promises`). A new holder begins with the floors that it was told, and with nothing, but
+// for a measured span without any admission, where it was told none. A floor of 0 is told like any other.
+// Cost: one map entry a tenant; a constant for each demand.
 #pragma once
 
+#include <algorithm>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "distributed_quota/quota_bound.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::distributed_quota {
 
-struct Limit {
-  double rate = 0, burst = 0;  // requests a second, requests
-};
-
 class QuotaAllocator {
  public:
-  // Takes the duty. `quiet`: ms in which nobody can have let anything in, so that what came in is there.
-  void clear(double now, double quiet = 0) {
+  // Takes the duty. `idle`: ms in which nobody can have let anything in, so that what came in is there.
+  void clear(double now, double idle = 0) {
     stores_.clear();
-    from_ = now - quiet;
+    from_ = now, idle_ = idle;
   }
-  // What a store surely holds, by what the holder before told of it.
+  // The same, where it turns out only later; each store has it once.
+  void credit(double idle) { idle_ = std::max(idle_, idle); }
+  // What a store surely holds, by what the holder before promised.
   void begin(const std::string& tenant, double level, double now) {
     Store& store = stores_[tenant];
-    store.level = level, store.at = now;
+    store.level = level, store.at = now, store.credited = kNoCredit;
   }
-  std::vector<rpc::Level> all() const;  // what each store holds
-  std::vector<rpc::Level> changed();    // and of those whose level moved since it was told here last
+  // That store holds at least `level`, less what was granted of it since the duties were taken.
+  void atLeast(const std::string& tenant, double level, double now);
+  std::vector<rpc::Level> floors() const;  // as promised last
+  // New floors: of stores that went below theirs, and where `all` also those that have risen since, or have
+  // none.
+  std::vector<rpc::Level> promises(bool all);
+  double level(const std::string& tenant) const;
   // The duty had lapsed until now, and nobody else had it: proxies had their own parts meanwhile.
   void skip(double now) {
     for (auto& [tenant, store] : stores_) store.at = now;
   }
-  // Of the known proxies, those in touch: the refill is theirs alone.
+  // The part of the proxies that draw on the holder: the refill is theirs alone.
   void setReach(double part) { reach_ = part; }
 
   struct Given {
@@ -63,12 +70,18 @@
   };
   struct Store {
     double level = 0, at = 0;
-    double told = 0;  // of the level
+    double rate = 0;                      // as it was limited last
+    std::optional<double> floor;          // as promised
+    double credited = 0;                  // ms of idle_ that are in the level
+    double granted = 0;                   // since the duties were taken
+    double demand = 0, demandAt = -1e18;  // requests a second, as summed last, when
     std::unordered_map<std::string, Asker> askers;
   };
-  static double hear(Store& store, const std::string& who, double asked, double now);
+  static double sumDemand(Store& store, const std::string& who, double asked, double now);
+  void refill(Store& store, const Limit& limit, double now) const;
   std::unordered_map<std::string, Store> stores_;
-  double from_ = 0, reach_ = 1;
+  static constexpr double kNoCredit = 1e18;  // of a store that began with a level
+  double from_ = 0, idle_ = 0, reach_ = 1;
 };
 
 }  // namespace burlwind::distributed_quota
--- a/src/distributed_quota/budget.hpp
+++ b/src/distributed_quota/budget.hpp
@@ -1,6 +1,7 @@
 // The budget of further tries, which binds over all proxies, without a word between them: decisions only.
 // Each proxy holds a bucket a service: a first request earns kEarned of the ratio, a further one takes one;
-// the bucket holds kHeld of the slack, divided by the proxies known. In any window the sum over proxies is
+// the bucket holds kHeld of the slack, divided by the agreed ceiling of proxies; who was told none has no
+// budget. In any window the sum over proxies is
 // at most kEarned x ratio x requests + kHeld x slack, also of those that are cut off or restart once in it.
 #pragma once
 
@@ -13,8 +14,8 @@
 class TryBudget {
  public:
   void set(double ratio, double slack, unsigned proxies) {
-    earned_ = kEarned * ratio;
-    most_ = std::max(0.5, kHeld * slack / std::max(1u, proxies));
+    earned_ = proxies > 0 ? kEarned * ratio : 0;
+    most_ = proxies > 0 ? std::max(0.5, kHeld * slack / proxies) : 0;
   }
   void first(const std::string& service) {
     double& level = levels_.try_emplace(service, most_ / 2).first->second;
--- /dev/null
+++ b/src/distributed_quota/quota_bound.hpp
@@ -0,0 +1,65 @@
+// What may be let in of one tenant, over all proxies, added up in one place.
+//
+// In any window of w ms no more is let in than
+//
+//     rate x w + burst + excess
+//
+// The holder's store refills at the rate and holds the burst, less what proxies and cells may have in stock
+// (kStockSpan of the demand, at most of the rate): a token in stock has been taken off the store, so store
+// and stocks together hold the burst at most. What is more comes from these sources, each bounded:
+//
+//  - stocks: where the burst is smaller than what may be in stock, what it is smaller by;
+//  - parts out of touch: a proxy spends rate / n, n the agreed ceiling (registry/proxy_ceiling.hpp), and the
+//    holder refills only the parts of those that draw on it. A proxy tells its registry that it begins, and
+//    counts no more kToldWithin later. Where it can't be heard it counts no more once it, or its registry,
+//    was silent for long enough (kUncountedWithin): meanwhile it spends kUnsureShare of its part. A proxy
+//    that has been out of touch for longer may have saved up part of a burst (kBurstSaved) and a share of
+//    what the rule's slack leaves (kSlackSaved): small quotas over many proxies would let nobody in without
+//    it. Each proxy is in one of the two states, so the larger of the two sums counts;
+//  - a new holder: it believes the level that the one before promised not to go below without telling.
+//    Where the last such message was lost with that holder, up to kBelieved of the burst, or of a second of
+//    the rate, is there twice. Where all proxies have restarted and none has been granted a token since, it
+//    begins with kRestartCredit of the rate. Both can't be in one window: who knows levels gives no credit.
+//
+// Where the sum is not enough refusals are what gives way: a part out of touch grows from nothing, a new
+// holder without levels begins with what a measured idle span gives.
+// The deployments' rule: (rate x w + burst) x 1.1 + 20 over 5 s, burst no smaller than a tenth of the rate.
+#pragma once
+
+#include <algorithm>
+
+namespace burlwind::distributed_quota {
+
+constexpr double kAhead = 0.6;      // seconds of demand that a proxy holds in stock
+constexpr double kCellAhead = 0.3;  // seconds of its proxies' demand that a registry's cell holds
+constexpr double kStockSpan = kAhead + kCellAhead;
+constexpr double kUncountedWithin = 0.7;  // s from a proxy's first doubt until the holder counts it no more
+constexpr double kToldWithin = 0.3;       // s from when a proxy tells that it spends its own part to the same
+constexpr double kUnsureShare = 0.4;      // of its part that a proxy spends meanwhile
+constexpr double kBurstSaved = 0.5;       // of the burst, or of a second of the rate, that all may save up
+constexpr double kSlackSaved = 0.95;      // of the rule's slack that all may save up besides
+constexpr double kBelieved = 0.1;         // of a store's level that the holder promises to its successor
+constexpr double kRestartCredit = 0.4;    // s of the rate
+
+struct Limit {
+  double rate = 0, burst = 0;  // requests a second, requests
+};
+
+// Requests that a proxy out of touch may save up, of `proxies` that there may be.
+inline double partSaved(const Limit& limit, double slack, unsigned proxies) {
+  const double ofBurst = kBurstSaved * std::min(limit.burst, limit.rate);
+  return (ofBurst + kSlackSaved * slack) / std::max(1U, proxies);
+}
+
+// What may be let in beyond rate x w + burst, at worst. `slack`: requests that the rule leaves.
+inline double worstExcess(const Limit& limit, double slack) {
+  const double stocks = std::max(0.0, kStockSpan * limit.rate - limit.burst);
+  const double saved = partSaved(limit, slack, 1);
+  const double uncounted = std::max(kUnsureShare * kUncountedWithin, kToldWithin) * limit.rate;
+  const double outOfTouch = std::max(saved, uncounted);
+  const double believed = kBelieved * std::min(limit.burst, limit.rate);
+  const double restarted = kRestartCredit * limit.rate + kSlackSaved * slack;  // nobody has saved up anything
+  return stocks + std::max(outOfTouch + believed, restarted);
+}
+
+}  // namespace burlwind::distributed_quota
--- a/src/distributed_quota/token_cache.cpp
+++ b/src/distributed_quota/token_cache.cpp
@@ -5,17 +5,27 @@
 
 namespace burlwind::distributed_quota {
 namespace {
-constexpr double kTau = 2500;  // ms, memory of what came; shorter: one request looks like many
-}
+constexpr double kTau = 2500;               // ms, memory of what came; shorter: one request looks like many
+constexpr double kFirstGrantWithin = 1000;  // ms of a process's life in which it waits for its first grant
+constexpr double kPartWait = 350;           // ms that a request may wait for its proxy's own part to grow
+
+// ms in which a store fills.
+double fillSpan(double rate, double burst) { return rate > 0 ? 1000 * burst / rate : 0; }
+
+}  // namespace
 
 TokenCache::Account& TokenCache::account(const std::string& tenant, double rate, double burst, double now) {
   Account* a = table_.touch(tenant);
   if (!a) {
-    if (table_.size() >= kTable) table_.drop(std::string(table_.begin()->tenant), table_.begin());
+    if (table_.size() >= kTable) {
+      table_.drop(std::string(table_.begin()->tenant), table_.begin());
+      evictedAt_ = now;
+    }
     a = &table_.add(tenant);
     a->tenant = tenant;
-    a->cameAt = a->ownAt = now;
-    if (!inTouch_) a->own.level = std::max(burst / proxies_, least_);
+    a->cameAt = now;
+    // Nothing of its part was spent since, whoever it is: an entry was evicted at evictedAt_ at the latest.
+    a->ownAt = std::max(outSince_, evictedAt_);
   }
   a->rate = rate, a->burst = burst;
   return *a;
@@ -26,19 +36,49 @@
   a.fractionAt = std::max(a.fractionAt, now);
 }
 
-void TokenCache::setTouch(bool inTouch, double now) {
-  if (inTouch == inTouch_) return;
-  inTouch_ = inTouch;
+void TokenCache::setContact(Contact contact, double now) {
+  if (contact == contact_) return;
+  const bool wasInTouch = inTouch();
+  for (Account& a : table_) growPart(a, now);
+  contact_ = contact;
+  if (wasInTouch == inTouch()) return;
+  if (wasInTouch) outSince_ = now;
   for (Account& a : table_) a.own.level = 0, a.ownAt = now, a.requests.clear();
 }
 
-// Out of touch the stock goes first: it was taken off the store already.
+double TokenCache::share(double now) const {
+  if (inTouch() || proxies_ == 0 || now - outSince_ > kPartLease) return 0;
+  return contact_ == Contact::unsure ? kUnsureShare : 1;
+}
+
+void TokenCache::growPart(Account& a, double now) const {
+  if (proxies_ == 0) return;
+  const double part = share(now) * a.rate / proxies_;
+  a.own.fill(partSaved({a.rate, a.burst}, slack_, proxies_), part * std::max(0.0, now - a.ownAt) / 1000);
+  a.ownAt = now;
+}
+
 bool TokenCache::spend(Account& a, double chance, double now) {
+  if (!takeOne(a, chance, now)) return false;
+  a.letIn.add(fillSpan(a.rate, a.burst), now);
+  return true;
+}
+
+rpc::UsageReport TokenCache::usage(double now) {
+  rpc::UsageReport out;
+  out.coveredMs = now - std::max(beganAt_, evictedAt_);
+  for (Account& a : table_) {
+    const double used = a.letIn.sum(fillSpan(a.rate, a.burst), now) + std::max(0.0, a.stock);
+    if (used > 0) out.uses.push_back({a.tenant, used});
+  }
+  return out;
+}
+
+// Out of touch the stock goes first: it was taken off the store already.
+bool TokenCache::takeOne(Account& a, double chance, double now) {
   if (a.stock >= 1) return a.stock -= 1, true;
-  if (inTouch_) return false;
-  const double part = a.rate / proxies_;
-  a.own.fill(std::max({1.0, least_, part / 2, a.burst / proxies_}), part * (now - a.ownAt) / 1000);
-  a.ownAt = now;
+  if (share(now) == 0) return false;
+  growPart(a, now);
   if (a.own.level <= chance) return false;
   return a.own.level -= 1, true;
 }
@@ -54,11 +94,19 @@
     if (chance >= a.fraction.value && a.stock < 1) return Admit::no;
   }
   if (spend(a, chance, now)) return Admit::yes;
-  if (!inTouch_ || empty) return Admit::no;
+  if (inTouch() ? empty : !partComes(a, now)) return Admit::no;
   ++a.waits;
   return Admit::wait;
 }
 
+bool TokenCache::partComes(const Account& a, double now) const {
+  if (share(now) == 0) return false;
+  const double part = share(now) * a.rate / proxies_;
+  const double saved =
+      std::min(partSaved({a.rate, a.burst}, slack_, proxies_), a.own.level + part * kPartWait / 1000);
+  return saved - a.waits > 1;
+}
+
 Admit TokenCache::again(const std::string& tenant, double rate, bool last, double now) {
   Account* const known = table_.peek(tenant);
   if (!known) return Admit::no;
@@ -66,7 +114,7 @@
   a.rate = rate;
   const bool in = spend(a, 1, now);
   // Who waits behind others goes on waiting, as long as the store is not told empty.
-  if (!in && !last && inTouch_ && now - a.emptyAt >= kEmptyFor) return Admit::wait;
+  if (!in && !last && (inTouch() || share(now) > 0) && now - a.emptyAt >= kEmptyFor) return Admit::wait;
   if (a.waits) --a.waits;
   return in ? Admit::yes : Admit::no;
 }
@@ -74,7 +122,7 @@
 double TokenCache::target(const Account& a) const {
   const double ahead = a.came * kAhead;
   // Of a tenant that comes here seldom nothing is held ahead: at many proxies that would be its whole store.
-  const double most = a.fresh ? std::max(ahead, std::min(a.burst / proxies_, 4.0)) : ahead;
+  const double most = a.fresh ? std::max(ahead, std::min(a.burst / std::max(1U, proxies_), 4.0)) : ahead;
   return most < 1 ? 0 : most;
 }
 
@@ -89,7 +137,7 @@
 void TokenCache::ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out) {
   if (now - a.cameAt > kStill) {
     // What isn't needed goes back: others may need it.
-    if (a.stock >= 1 && inTouch_) out.push_back({a.tenant, -std::floor(a.stock), 0});
+    if (a.stock >= 1 && inTouch()) out.push_back({a.tenant, -std::floor(a.stock), 0});
     a.stock = 0, a.fresh = true;
     return;
   }
@@ -103,7 +151,20 @@
   out.push_back({a.tenant, want, a.came * std::exp(-(now - a.cameAt) / kTau)});
 }
 
-bool TokenCache::unanswered(double now) const { return asked_ > told_ && now - asked_ > kAnswerWithin; }
+void TokenCache::newHolder(double now) {
+  for (Account& a : table_) a.requests.clear();
+  holderless_ = false;
+  told_ = now;
+}
+
+Contact TokenCache::answered(Contact contact, double now) const {
+  const double waits = asked_ > told_ ? now - asked_ : 0;
+  // After a start of everything a holder comes in a moment, with more than the part that has grown since.
+  const bool expectsHolder = !hasGrants() && now - beganAt_ < kFirstGrantWithin;
+  if (contact == Contact::held && holderless_ && !expectsHolder) return Contact::lost;
+  if (contact != Contact::held || waits <= kAnswerWithin) return contact;
+  return waits <= kAnswerWithin + 1000 * kUncountedWithin ? Contact::unsure : Contact::lost;
+}
 
 void TokenCache::granted(std::uint64_t number, const rpc::TokenGrant& grant, double now) {
   Account* const known = table_.peek(grant.tenant);
@@ -113,6 +174,8 @@
     return;
   }
   told_ = now;
+  if (!firstGrantAt_) firstGrantAt_ = now;
+  holderless_ = false;
   Account& a = *known;
   a.fresh = false;
   a.stock += std::clamp(grant.granted, 0.0, *wanted);
--- a/src/distributed_quota/token_cache.hpp
+++ b/src/distributed_quota/token_cache.hpp
@@ -4,9 +4,12 @@
 // the design; it follows what comes here, up to kAhead of it, and is given up when a tenant has been still
 // for kStill. A tenant new here begins with a demand of burst / gatekeepers. Where the allocator says that
 // the store is empty, the admit fraction trims: each reading u multiplies it by 100 / u, within [0.05, 1]; it
-// climbs back within kClimb without readings. Out of touch: a part of its own, rate / n, which nobody else is
-// given (see allocator.hpp). It holds no more than half a second of it. The table is an LRU of kTable
-// tenants; an evicted one comes back with nothing and asks.
+// climbs back within kClimb without readings. Out of touch: a part of its own, rate / n, n the agreed ceiling
+// of proxies, which nobody else is given (quota_bound.hpp has the sum). The part grows from nothing from when
+// touch was lost, or the process began, holds no more than partSaved, and ends kPartLease later: who is out
+// of touch for longer may have been forgotten. Who was never told a ceiling has no part. The table is an LRU
+// of kTable tenants; an evicted one comes back with nothing and asks, or has what has grown since the
+// eviction.
 //
 // Properties: a grant adds to the stock once, only for a request that is under way, and no more than that one
 // asked for; so the stock and what may come never exceed the target and those who wait. A stock that nobody
@@ -15,10 +18,13 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "distributed_quota/outstanding_requests.hpp"
+#include "distributed_quota/quota_bound.hpp"
+#include "distributed_quota/recent_use.hpp"
 #include "quota/bucket.hpp"
 #include "quota/lru_table.hpp"
 #include "rpc/messages.hpp"
@@ -26,25 +32,39 @@
 namespace burlwind::distributed_quota {
 
 constexpr std::size_t kTable = 4096;
-constexpr double kAhead = 0.6;         // seconds of demand in stock
 constexpr double kStill = 3000;        // ms
 constexpr double kClimb = 3000;        // ms from the floor back to 1
 constexpr double kEmptyFor = 150;      // ms that "the store is empty" is believed
 constexpr double kAnswerWithin = 500;  // ms until an ask counts as lost
+constexpr double kPartLease = 120000;  // ms out of touch until a proxy's own part ends
 
 enum class Admit { yes, wait, no };
 
+enum class Contact {
+  held,    // tokens come from the holder
+  unsure,  // they don't, and the holder may still count this proxy among those that draw on it
+  lost     // it counts it no more: the part of its own is set aside for it
+};
+
 // Out of touch a part of less than a request lets one in by as much chance, and owes the rest.
 class TokenCache {
  public:
-  void setTouch(bool inTouch, double now);
-  // `slack`: requests that the rule leaves above rate and burst, over all proxies.
-  void setProxies(unsigned known, double slack) {
-    proxies_ = known ? known : 1;
-    least_ = std::min(1.5, 0.7 * slack / proxies_);
-  }
-  // An ask has gone unanswered for longer than one that is answered takes.
-  bool unanswered(double now) const;
+  explicit TokenCache(double beganAt = 0) : beganAt_(beganAt), outSince_(beganAt), evictedAt_(beganAt) {}
+  void setContact(Contact contact, double now);
+  // `ceiling`: how many proxies there may be; 0: not told, there is no part out of touch. `slack`: requests
+  // that the rule leaves above rate and burst, over all proxies.
+  void setProxies(unsigned ceiling, double slack) { proxies_ = ceiling, slack_ = slack; }
+  Contact contact() const { return contact_; }
+  // `contact` of the session, less where asks go unanswered: the registry doesn't reach the holder, which
+  // counts this proxy no more once it has not heard that registry for kUncountedWithin.
+  Contact answered(Contact contact, double now) const;
+  // The registry reaches nobody who grants: until the next grant this proxy has its own part alone.
+  void noHolder() { holderless_ = true; }
+  // There is a new holder: what was asked of the one before is asked again, the own part ends.
+  void newHolder(double now);
+  // When an ask was answered for the first time in this life; nothing before.
+  std::optional<double> firstGrantAt() const { return firstGrantAt_; }
+  bool hasGrants() const { return firstGrantAt_.has_value(); }
 
   // One request of a tenant with a limit (rate above 0). wait: ask now and try again when told. `chance`: a
   // number drawn from 0 to 1.
@@ -57,6 +77,8 @@
   // One tenant's part of the answer to the request of that number.
   void granted(std::uint64_t number, const rpc::TokenGrant& grant, double now);
   std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
+  // What was let in and is in stock, by tenant, and how far back that is known (usage_recovery.hpp).
+  rpc::UsageReport usage(double now);
   double fraction(const std::string& tenant) const;
   double stock(const std::string& tenant) const;
 
@@ -66,7 +88,8 @@
     double rate = 0, burst = 0;
     double stock = 0;
     double came = 0, cameAt = 0;  // requests a second, of late
-    quota::Bucket own;            // the part out of touch
+    RecentUse letIn;
+    quota::Bucket own;  // the part out of touch
     double ownAt = 0;
     OutstandingRequests requests{kAnswerWithin};
     double emptyAt = -1e18;  // the store was told empty
@@ -79,12 +102,20 @@
   void ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out);
   static void climb(Account& a, double now);
   bool spend(Account& a, double chance, double now);
+  bool takeOne(Account& a, double chance, double now);
+  void growPart(Account& a, double now) const;
+  double share(double now) const;                      // of the part out of touch that may be spent
+  bool partComes(const Account& a, double now) const;  // soon enough for one more that waits
+  bool inTouch() const { return contact_ == Contact::held; }
   double target(const Account& a) const;
   quota::LruTable<std::string, Account> table_;
-  bool inTouch_ = false;
-  double least_ = 0.5;     // that a part out of touch begins with
-  unsigned proxies_ = 32;  // until told: more than there may be, so that parts are too small at worst
+  Contact contact_ = Contact::lost;
+  bool holderless_ = false;  // told so, and no grant since
+  double beganAt_ = 0, outSince_ = 0, evictedAt_ = 0;
+  double slack_ = 0;
+  unsigned proxies_ = 0;  // the ceiling; 0: not told
   double asked_ = -1e18, told_ = -1e18;
+  std::optional<double> firstGrantAt_;
   std::uint64_t number_ = 0;  // of the latest request
   std::uint64_t dropped_ = 0;
 };
--- a/src/load_balancing/core.cpp
+++ b/src/load_balancing/core.cpp
@@ -101,7 +101,7 @@
   unsigned sharers = 0;
   for (const auto& [zone, count] : proxies_)
     if (regionOfZone(zone) == state.region) sharers += count;
-  return std::max(1U, sharers);
+  return sharers;  // 0 where no ceiling of proxies is known: nobody may take itself for the only one
 }
 
 bool Core::mayWarm(WorkerState& state, double now) {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -19,7 +19,6 @@
 constexpr double kBytesPart = 0.4;       // of the memory, for bodies
 constexpr double kMemoryUntoldMb = 256;  // where the settings tell none
 constexpr double kReportMs = 10000;      // between two lines of figures
-constexpr unsigned kProxiesUntold = 64;  // more than there may be: parts are too small at worst
 // Until a proxy that starts may serve; clients ask but once more, and not all in one moment: up to so much
 // later.
 constexpr double kStartsMs = 800, kStartsMoreMs = 700;
@@ -39,7 +38,9 @@
       balancer_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
                 settings_.bounds.coldSlack),
       forwarder_(io, balancer_, [this] { return draw(); }),
-      tokens_(io, [this](const rpc::TokenRequest& request) { sessions_.tell(rpc::frame(request)); }),
+      tokens_(
+          io, now(), [this](const rpc::TokenRequest& request) { sessions_.tell(rpc::frame(request)); },
+          [this] { sessions_.tellStatus(); }),
       bytes_(std::make_shared<Budget>(bodyBytesOf(settings_))),
       clients_(
           io, bytes_, [this] { return configuration_ ? configuration_->limits : config::ClientLimits{}; },
@@ -48,7 +49,7 @@
   startedAt_ = now();
   std::random_device device;
   random_.seed(std::uint64_t{device()} << 32 | device());
-  forwarder_.setBudget(settings_.bounds.retryRatio, settings_.bounds.retrySlack, kProxiesUntold);
+  forwarder_.setBudget(settings_.bounds.retryRatio, settings_.bounds.retrySlack, 0);
 }
 
 Sessions::Hooks Proxy::hooks() {
@@ -59,13 +60,21 @@
             takeProxyCounts();
           },
           [this](const rpc::TokenResponse& response) { tokens_.take(response); },
-          [this] { return status(); }};
+          [this] { return tokens_.usage(); },
+          [this] { return status(); },
+          [this] { tokens_.tick(sessions_.contact(now()), now()); }};
 }
 
 rpc::Status Proxy::status() const {
-  const double age = now() - startedAt_;
-  const double firstAt = tokens_.firstAdmittedAt();
-  return {ready(), index_, balancer_.number(), age, firstAt > 0 ? firstAt - startedAt_ : age};
+  const double at = now();
+  rpc::Status out;
+  out.ready = ready(), out.index = index_, out.workers = balancer_.number();
+  out.age = at - startedAt_, out.idle = at - std::max(startedAt_, tokens_.lastAdmittedAt());
+  out.unreadable = unreadable_;
+  out.ownPart = tokens_.spendsOwnPart();
+  out.hasGrants = tokens_.firstGrantAt().has_value();
+  out.granted = at - tokens_.firstGrantAt().value_or(at);
+  return out;
 }
 
 double Proxy::draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
@@ -85,7 +94,7 @@
   settings_ = settings;
   balancer_.setPlaces(settings_.regionOf);
   balancer_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
-  sessions_.meetSeeds();
+  sessions_.adoptSeeds();
   bytes_->setMost(bodyBytesOf(settings_));
   if (!proxies_.empty()) takeProxyCounts();
 }
@@ -102,10 +111,11 @@
   if (update.index <= index_ || update.configuration.empty()) return;
   auto read = config::readConfiguration(update.configuration);
   if (!read.configuration) {
-    program::error("news does not read", {{"why", read.fault}});
+    program::error("configuration does not read", {{"why", read.fault}, {"index", update.index}});
+    unreadable_ = update.index;
+    sessions_.tellStatus();
     return;
   }
-  const bool first = !configuration_;
   configuration_ = std::move(read.configuration);
   index_ = update.index;
   for (const auto& service : configuration_->services)
@@ -114,7 +124,7 @@
   program::info(
       "in force",
       {{"version", configuration_->version}, {"index", index_}, {"evacuated", update.evacuated.size()}});
-  if (first) sessions_.tellStatus();
+  sessions_.tellStatus();  // the registry sends the next one then
 }
 
 asio::awaitable<void> Proxy::handle(ClientRequest& request) {
@@ -140,7 +150,7 @@
   if (at - lastTick_ > kProcessStallThreshold) program::warn("stood still", {{"ms", at - lastTick_}});
   lastTick_ = at;
   sessions_.tick(at);
-  tokens_.tick(sessions_.inTouch(at), at);
+  tokens_.tick(sessions_.contact(at), at);
   forwarder_.tick(at);
   report(at);
   if (leaving_) finishLeaving(at);
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -47,7 +47,8 @@
   asio::io_context& io_;
   config::Settings settings_;
   std::shared_ptr<const config::Configuration> configuration_;
-  std::uint64_t index_ = 0;  // of the configuration in force
+  std::uint64_t index_ = 0;       // of the configuration in force
+  std::uint64_t unreadable_ = 0;  // of the last one that didn't read
   Sessions sessions_;
   load_balancing::Core balancer_;
   Forwarder forwarder_;
--- a/src/proxy/session.cpp
+++ b/src/proxy/session.cpp
@@ -36,6 +36,8 @@
       return readAs<rpc::Cores>(arrived);
     case rpc::kTokenResponse:
       return readAs<rpc::TokenResponse>(arrived);
+    case rpc::kUsageQuery:
+      return readAs<rpc::UsageQuery>(arrived);
     default:
       return std::nullopt;
   }
@@ -49,7 +51,7 @@
       hooks_(std::move(hooks)),
       incarnation_(drawIncarnation()),
       core_({settings.zone, settings.region}, incarnation_) {
-  meetSeeds();
+  adoptSeeds();
 }
 
 // A dialer and its link hold each other until it is closed.
@@ -57,8 +59,10 @@
   for (const auto& [id, dialer] : dialers_) dialer->close();
 }
 
-void Sessions::meetSeeds() {
-  for (const auto& seed : settings_.seeds) core_.meet(seed.ip);
+void Sessions::adoptSeeds() {
+  std::vector<std::string> ips;
+  for (const auto& seed : settings_.seeds) ips.push_back(seed.ip);
+  core_.setSeeds(ips, now());
 }
 
 void Sessions::start() { tick(now()); }
@@ -91,6 +95,7 @@
   if (core_.currentIp() == currentIp_) return;
   currentIp_ = core_.currentIp();
   program::info("session", {{"registry", currentIp_}});
+  if (hooks_.moved) hooks_.moved();
 }
 
 void Sessions::carryOut(const SessionEffects& effects) {
@@ -116,6 +121,12 @@
   open->tell(status);
 }
 
+void Sessions::carryOut(const rpc::UsageQuery& query) {
+  rpc::UsageReport report = hooks_.usage();
+  report.epoch = query.epoch;
+  tell(rpc::frame(report));
+}
+
 std::shared_ptr<rpc::Link> Sessions::link(SessionId id) const {
   const auto found = dialers_.find(id);
   return found == dialers_.end() ? nullptr : found->second->link();
--- a/src/proxy/session.hpp
+++ b/src/proxy/session.hpp
@@ -24,14 +24,17 @@
     std::function<void(const rpc::Workers&)> workers;
     std::function<void(const rpc::Cores&)> cores;
     std::function<void(const rpc::TokenResponse&)> tokens;
+    std::function<rpc::UsageReport()> usage;
     std::function<rpc::Status()> status;
+    std::function<void()> moved;  // another registry's session counts from now on; may be empty
   };
   Sessions(asio::io_context& io, const config::Settings& settings, Hooks hooks);
   ~Sessions();
   void start();
-  void meetSeeds();      // those that the settings name now
+  void adoptSeeds();     // those that the settings name now
   void tick(double at);  // each 100 ms
   bool inTouch(double now) const { return core_.inTouch(now); }
+  distributed_quota::Contact contact(double now) const { return core_.contact(now); }
   void tell(const std::string& frame);  // on the session that counts
   void tellStatus();
 
@@ -48,6 +51,7 @@
   void carryOut(const rpc::Workers& workers) { hooks_.workers(workers); }
   void carryOut(const rpc::Cores& cores) { hooks_.cores(cores); }
   void carryOut(const rpc::TokenResponse& tokens) { hooks_.tokens(tokens); }
+  void carryOut(const rpc::UsageQuery& query);
   std::shared_ptr<rpc::Link> link(SessionId id) const;  // empty while there is none
 
   asio::io_context& io_;
--- a/src/proxy/session_core.cpp
+++ b/src/proxy/session_core.cpp
@@ -1,19 +1,17 @@
 #include "proxy/session_core.hpp"
 
 #include <algorithm>
+#include <set>
 #include <type_traits>
 
 namespace burlwind::proxy {
 namespace {
 
-constexpr double kSessionTimeout = 1300;       // ms without a word: another registry is tried
+constexpr double kSessionTimeout = 1300;       // ms without a message: another registry is tried
 constexpr double kConfirmationTimeout = 2600;  // ms since the question that the leader confirmed
-constexpr double kLinkWithin = 450;            // ms until a trial has at least a link
-constexpr double kTrialWithin = 900;           // ms that a trial has to become good
-constexpr double kStatusPause = 400;           // ms between two words of this proxy
+constexpr double kLinkTimeout = 450;           // ms until a trial has at least a link
+constexpr double kStatusPause = 400;           // ms between two Status messages of this proxy
 constexpr double kNearerPause = 2000;          // ms between two tries of a nearer one
-constexpr double kFailedFor = 1500;            // ms that one that failed comes last
-constexpr double kFailedNearerFor = 10 * kFailedFor;
 
 }  // namespace
 
@@ -24,64 +22,64 @@
 
 SessionCore::Session* SessionCore::find(SessionId id) {
   if (current_ && current_->id == id) return &*current_;
-  if (trial_ && trial_->id == id) return &*trial_;
-  return nullptr;
+  const auto found =
+      std::find_if(trials_.begin(), trials_.end(), [&](const Session& s) { return s.id == id; });
+  return found == trials_.end() ? nullptr : &*found;
 }
 
 bool SessionCore::good(const Session& s, double now) const {
-  return s.isLinked && s.hasUpdate && s.hasWorkers && now - s.heardAt < kSessionTimeout &&
+  const bool lacksNothing = s.hasUpdate || (s.contentIndex > 0 && s.contentIndex <= index_);
+  return s.isLinked && lacksNothing && s.hasWorkers && now - s.heardAt < kSessionTimeout &&
          now - s.confirmedFrom < kConfirmationTimeout;
 }
 
-unsigned SessionCore::distance(const std::string& ip) const {
-  const auto found = registries_.find(ip);
-  if (found == registries_.end() || found->second.zone.empty()) return 2;
-  if (found->second.zone == self_.zone) return 0;
-  return found->second.region == self_.region ? 1 : 2;
-}
-
-// The nearest that has not failed of late, by chance among equals.
-std::string SessionCore::next(double now) {
-  std::string best;
-  std::pair<bool, unsigned> bestRank;
-  unsigned ties = 0;
-  for (const auto& [ip, registry] : registries_) {
-    if (current_ && current_->ip == ip && current_->isLinked) continue;
-    const auto failed = failedAt_.find(ip);
-    const std::pair rank(failed != failedAt_.end() && now - failed->second < kFailedFor, distance(ip));
-    if (best.empty() || rank < bestRank)
-      best = ip, bestRank = rank, ties = 1;
-    else if (rank == bestRank && random_() % ++ties == 0)
-      best = ip;
-  }
-  return best;
+distributed_quota::Contact SessionCore::contact(double now) const {
+  using distributed_quota::Contact;
+  if (inTouch(now)) return Contact::held;
+  const bool mayCount =
+      current_ && current_->isLinked && now - current_->confirmedFrom < kConfirmationTimeout;
+  return mayCount ? Contact::unsure : Contact::lost;
 }
 
 void SessionCore::open(const std::string& ip, double now, SessionEffects& out) {
-  trial_ = Session{};
-  trial_->id = ++ids_;
-  trial_->ip = ip;
-  trial_->openedAt = now;
-  out.push_back(OpenSession{trial_->id, ip});
+  Session& trial = trials_.emplace_back();
+  trial.id = ++ids_;
+  trial.ip = ip;
+  trial.openedAt = trialAt_ = now;
+  out.push_back(OpenSession{trial.id, ip});
+}
+
+void SessionCore::closeOverdueTrials(double now, SessionEffects& out) {
+  std::erase_if(trials_, [&](const Session& trial) {
+    if (now - trial.openedAt <= (trial.isLinked ? kTrialTimeout : kLinkTimeout)) return false;
+    registries_.failed(trial.ip, now);
+    out.push_back(CloseSession{trial.id});
+    return true;
+  });
+}
+
+// The current session's own link is dialled again by itself, beside the trials.
+void SessionCore::openTrial(double now, SessionEffects& out) {
+  if (trials_.size() >= kMostTrials || now - trialAt_ < kTrialPause) return;
+  std::set<std::string> open;
+  if (current_) open.insert(current_->ip);
+  for (const Session& trial : trials_) open.insert(trial.ip);
+  if (const std::string ip = registries_.next(open, now); !ip.empty()) this->open(ip, now, out);
+}
+
+void SessionCore::openNearer(double now, SessionEffects& out) {
+  if (!trials_.empty() || now < nearerAt_) return;
+  nearerAt_ = now + kNearerPause;
+  if (const std::string ip = registries_.nearer(current_->ip, now); !ip.empty()) open(ip, now, out);
 }
 
 SessionEffects SessionCore::tick(double now) {
   SessionEffects out;
-  if (trial_ && now - trial_->openedAt > (trial_->isLinked ? kTrialWithin : kLinkWithin)) {
-    failedAt_[trial_->ip] = now;
-    out.push_back(CloseSession{trial_->id});
-    trial_.reset();
-  }
-  const bool well = inTouch(now);
-  if (!well && !trial_) {
-    if (const std::string ip = next(now); !ip.empty()) open(ip, now, out);
-  } else if (well && !trial_ && now >= nearerAt_) {
-    nearerAt_ = now + kNearerPause;
-    const std::string ip = next(now);
-    const auto failed = failedAt_.find(ip);
-    const bool failedOfLate = failed != failedAt_.end() && now - failed->second < kFailedNearerFor;
-    if (!ip.empty() && distance(ip) < distance(current_->ip) && !failedOfLate) open(ip, now, out);
-  }
+  closeOverdueTrials(now, out);
+  if (inTouch(now))
+    openNearer(now, out);
+  else
+    openTrial(now, out);
   if (now >= statusAt_)
     for (auto& effect : statusNow(now)) out.push_back(std::move(effect));
   return out;
@@ -101,16 +99,20 @@
   Session* const session = find(id);
   if (!session) return;
   session->isLinked = session->hasUpdate = session->hasWorkers = false;
+  session->contentIndex = 0;
   session->statuses.clear();
   session->update.reset();
+  session->cores.reset();
+  session->query.reset();
   session->workers.clear();
 }
 
 SessionEffects SessionCore::statusNow(double now) {
   SessionEffects out;
   statusAt_ = now + kStatusPause;
-  for (auto* session : {&current_, &trial_})
-    if (*session && (*session)->isLinked) sendStatus(**session, now, out);
+  if (current_ && current_->isLinked) sendStatus(*current_, now, out);
+  for (Session& trial : trials_)
+    if (trial.isLinked) sendStatus(trial, now, out);
   return out;
 }
 
@@ -136,28 +138,30 @@
         if constexpr (std::is_same_v<Message, rpc::Heartbeat>)
           on(*session, m);
         else if constexpr (std::is_same_v<Message, rpc::Cores>)
-          on(std::move(m), out);
+          on(*session, std::move(m), now, out);
         else
           on(*session, std::move(m), out);
       },
       message);
-  if (trial_ && trial_->id == id && good(*trial_, now)) promote(now, out);
+  if (!counts(*session) && good(*session, now)) promote(id, now, out);
   return out;
 }
 
 void SessionCore::on(Session& session, const rpc::Heartbeat& heartbeat) {
   const auto sent = session.statuses.find(heartbeat.number);
   if (sent == session.statuses.end()) return;
-  if (heartbeat.confirmed)
+  if (heartbeat.confirmed) {
+    session.contentIndex = heartbeat.index;
     session.confirmedFrom =
         std::max(session.confirmedFrom, sent->second - static_cast<double>(heartbeat.age));
+  }
   // The newest one stays: where the registry becomes confirmed it says so by the same number again.
   session.statuses.erase(session.statuses.begin(), sent);
 }
 
 void SessionCore::on(Session& session, rpc::ConfigUpdate update, SessionEffects& out) {
   session.hasUpdate = true;
-  if (current_ && session.id == current_->id)
+  if (counts(session))
     putInForce(std::move(update), out);
   else
     session.update = std::move(update);
@@ -181,7 +185,7 @@
   if (!joins) return restart(session, out);
   session.hasWorkers = true;
   session.workersEpoch = workers.term, session.workersNumber = workers.number;
-  if (current_ && session.id == current_->id)
+  if (counts(session))
     putInForce(session, std::move(workers), out);
   else
     session.workers.push_back(std::move(workers));
@@ -200,22 +204,47 @@
   out.push_back(std::move(workers));
 }
 
-void SessionCore::on(rpc::Cores cores, SessionEffects& out) {
-  for (const auto& registry : cores.cores) registries_[registry.ip] = registry;
+// A registry that isn't confirmed may be right about who is there besides, not about who is gone.
+void SessionCore::on(Session& session, rpc::Cores cores, double now, SessionEffects& out) {
+  if (counts(session)) return putInForce(std::move(cores), now, out);
+  for (const rpc::Core& registry : cores.cores) registries_.mention(registry, now);
+  session.cores = std::move(cores);
+}
+
+void SessionCore::putInForce(rpc::Cores cores, double now, SessionEffects& out) {
+  registries_.setListed(cores.version, cores.cores, now);
   out.push_back(std::move(cores));
 }
 
 // A trial was asked for nothing.
 void SessionCore::on(const Session& session, rpc::TokenResponse tokens, SessionEffects& out) {
-  if (current_ && session.id == current_->id) out.push_back(std::move(tokens));
+  if (counts(session)) out.push_back(std::move(tokens));
+}
+
+// What is told on another session than the one that counts would be told to a registry that is left.
+void SessionCore::on(Session& session, const rpc::UsageQuery& query, SessionEffects& out) {
+  if (counts(session))
+    out.push_back(query);
+  else
+    session.query = query;
 }
 
 // The trial counts from now on, and what it has told comes into force.
-void SessionCore::promote(double now, SessionEffects& out) {
+void SessionCore::promote(SessionId id, double now, SessionEffects& out) {
   if (current_) out.push_back(CloseSession{current_->id});
-  current_ = std::exchange(trial_, std::nullopt);
+  for (Session& trial : trials_) {
+    if (trial.id == id)
+      current_ = std::move(trial);
+    else
+      out.push_back(CloseSession{trial.id});
+  }
+  trials_.clear();
+  registries_.succeeded(current_->ip);
+  trialAt_ = -1e18;  // the next search begins without a pause
+  if (auto cores = std::exchange(current_->cores, std::nullopt)) putInForce(std::move(*cores), now, out);
   if (auto update = std::exchange(current_->update, std::nullopt)) putInForce(std::move(*update), out);
   for (auto& workers : std::exchange(current_->workers, {})) putInForce(*current_, std::move(workers), out);
+  if (const auto query = std::exchange(current_->query, std::nullopt)) out.push_back(*query);
   for (auto& effect : statusNow(now)) out.push_back(std::move(effect));
 }
 
--- a/src/proxy/session_core.hpp
+++ b/src/proxy/session_core.hpp
@@ -2,7 +2,8 @@
 // randomness handed in.
 //
 // One session counts at a time, the near registries first. While it is silent, or its registry's state is no
-// longer known to be the newest, another one is tried beside it and takes over once it is good.
+// longer known to be the newest, others are tried beside it, up to kMostTrials at a time, and the first that
+// is good takes over. Which one is tried next is decided in registry_selector.hpp.
 //
 // Properties:
 //  - What is in force never goes back: a configuration by term and index, the list of workers by epoch and
@@ -11,7 +12,11 @@
 //    stores' leader, a configuration and a whole list received.
 //  - A registry's word counts from when the Status was sent that it answers, less the age that it tells: what
 //    waited in a buffer, or came while this process stood still, makes nothing fresher than it is.
-// Cost: a map entry for each registry known; two sessions at most.
+//  - With n registries known, of which one lives and is confirmed, a session with it is opened at most
+//    n x kTrialPause after the last good one was lost, whatever the others do (kMostTrials trials may each
+//    last kTrialTimeout, which is no more than kMostTrials x kTrialPause).
+// Cost: a map entry for each registry known; 1 + kMostTrials sessions at most, and 2 while there is a good
+// one.
 #pragma once
 
 #include <cstdint>
@@ -24,15 +29,18 @@
 #include <variant>
 #include <vector>
 
+#include "distributed_quota/token_cache.hpp"
+#include "proxy/registry_selector.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::proxy {
 
 using SessionId = std::uint64_t;
 
-struct Place {
-  std::string zone, region;
-};
+constexpr double kTrialPause = 250;    // ms between the beginnings of two trials
+constexpr double kTrialTimeout = 900;  // ms that a trial has to become good
+constexpr std::size_t kMostTrials = 4;
+static_assert(kTrialTimeout <= kMostTrials * kTrialPause);
 
 struct OpenSession {  // dial this registry, and again after each loss, until it is closed
   SessionId id = 0;
@@ -49,16 +57,17 @@
   std::uint64_t number = 0;
 };
 using SessionEffect = std::variant<OpenSession, CloseSession, RestartLink, SendStatus, rpc::ConfigUpdate,
-                                   rpc::Workers, rpc::Cores, rpc::TokenResponse>;
+                                   rpc::Workers, rpc::Cores, rpc::TokenResponse, rpc::UsageQuery>;
 using SessionEffects = std::vector<SessionEffect>;
-using FromRegistry =
-    std::variant<rpc::Heartbeat, rpc::ConfigUpdate, rpc::Workers, rpc::Cores, rpc::TokenResponse>;
+using FromRegistry = std::variant<rpc::Heartbeat, rpc::ConfigUpdate, rpc::Workers, rpc::Cores,
+                                  rpc::TokenResponse, rpc::UsageQuery>;
 
 class SessionCore {
  public:
-  SessionCore(Place self, std::uint64_t seed) : self_(std::move(self)), random_(seed) {}
+  SessionCore(Place self, std::uint64_t seed) : registries_(std::move(self), seed) {}
 
-  void meet(const std::string& ip) { registries_.try_emplace(ip, rpc::Core{ip, "", ""}); }
+  // Those that the settings name now, by address.
+  void setSeeds(const std::vector<std::string>& ips, double now) { registries_.setSeeds(ips, now); }
   SessionEffects tick(double now);  // each 100 ms
   SessionEffects linked(SessionId id, double now);
   void unlinked(SessionId id);
@@ -66,6 +75,9 @@
   SessionEffects statusNow(double now);  // this proxy has changed
 
   bool inTouch(double now) const { return current_ && good(*current_, now); }
+  // Whether the holder of the quotas may still count this proxy among those that draw on it. `lost`: the link
+  // has ended, or the registry was not known to be confirmed for so long that it is counted no more.
+  distributed_quota::Contact contact(double now) const;
   SessionId current() const { return current_ ? current_->id : 0; }  // 0: none
   const std::string& currentIp() const;
   std::uint64_t dropped() const { return dropped_; }  // messages that were behind what is in force
@@ -79,33 +91,39 @@
     std::map<std::uint64_t, double> statuses;           // sent on this link and not answered: number, when
     std::uint64_t workersEpoch = 0, workersNumber = 0;  // of the list as this session tells it
     bool hasUpdate = false;
+    std::uint64_t contentIndex =
+        0;  // from which on a proxy lacks no configuration, as told here; 0: not told
     std::optional<rpc::ConfigUpdate> update;  // of a trial: in force once it counts
+    std::optional<rpc::Cores> cores;          // the same
+    std::optional<rpc::UsageQuery> query;     // the same
     std::deque<rpc::Workers> workers;         // the same
   };
   Session* find(SessionId id);
   bool good(const Session& session, double now) const;
-  unsigned distance(const std::string& ip) const;
-  std::string next(double now);
+  bool counts(const Session& session) const { return current_ && session.id == current_->id; }
+  void closeOverdueTrials(double now, SessionEffects& out);
+  void openTrial(double now, SessionEffects& out);
+  void openNearer(double now, SessionEffects& out);
   void open(const std::string& ip, double now, SessionEffects& out);
   void on(Session& session, const rpc::Heartbeat& heartbeat);
   void on(Session& session, rpc::ConfigUpdate update, SessionEffects& out);
   void on(Session& session, rpc::Workers workers, SessionEffects& out);
   void on(const Session& session, rpc::TokenResponse tokens, SessionEffects& out);
-  void on(rpc::Cores cores, SessionEffects& out);
+  void on(Session& session, const rpc::UsageQuery& query, SessionEffects& out);
+  void on(Session& session, rpc::Cores cores, double now, SessionEffects& out);
+  void putInForce(rpc::Cores cores, double now, SessionEffects& out);
   void putInForce(rpc::ConfigUpdate update, SessionEffects& out);
   void putInForce(Session& session, rpc::Workers workers, SessionEffects& out);
-  void promote(double now, SessionEffects& out);
+  void promote(SessionId id, double now, SessionEffects& out);
   void sendStatus(Session& session, double now, SessionEffects& out);
   void restart(Session& session, SessionEffects& out);
 
-  const Place self_;
-  std::mt19937_64 random_;
-  std::map<std::string, rpc::Core> registries_;  // by ip; zone empty where not told yet
-  std::map<std::string, double> failedAt_;       // by ip
-  std::optional<Session> current_, trial_;
+  RegistrySelector registries_;
+  std::optional<Session> current_;
+  std::vector<Session> trials_;  // oldest first
   SessionId ids_ = 0;
   std::uint64_t statusNumber_ = 0, dropped_ = 0;
-  double statusAt_ = 0, nearerAt_ = 0;
+  double statusAt_ = 0, nearerAt_ = 0, trialAt_ = -1e18;
   // In force.
   std::uint64_t term_ = 0, index_ = 0;
   std::uint64_t workersEpoch_ = 0, workersNumber_ = 0;
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -35,7 +35,7 @@
     waiting_.erase(mine);
   }
   const bool admitted = decision == Admit::yes;
-  if (admitted && firstAdmittedAt_ == 0) firstAdmittedAt_ = now();
+  if (admitted) lastAdmittedAt_ = now();
   co_return admitted;
 }
 
@@ -44,13 +44,23 @@
   if (!due.demands.empty()) send_(due);
 }
 
+rpc::UsageReport TokenGate::usage() {
+  cache_.newHolder(now());
+  update(now());
+  return cache_.usage(now());
+}
+
 void TokenGate::take(const rpc::TokenResponse& response) {
   for (const rpc::TokenGrant& grant : response.grants) {
     cache_.granted(response.number, grant, now());
     for (const Waiting& waiting : waiting_)
       if (waiting.tenant == grant.tenant) waiting.timer->cancel();
   }
-  request();
+  if (response.noHolder) {
+    cache_.noHolder();
+    for (const Waiting& waiting : waiting_) waiting.timer->cancel();
+  }
+  update(now());
 }
 
 void TokenGate::report() {
@@ -59,9 +69,15 @@
   droppedTold_ = dropped;
 }
 
-// Where nobody answers for the quotas, each proxy has its own part alone.
-void TokenGate::tick(bool inTouch, double now) {
-  cache_.setTouch(inTouch && !cache_.unanswered(now), now);
+void TokenGate::tick(distributed_quota::Contact contact, double now) {
+  sessionContact_ = contact;
+  update(now);
+}
+
+void TokenGate::update(double now) {
+  const bool before = spendsOwnPart();
+  cache_.setContact(cache_.answered(sessionContact_, now), now);
+  if (before != spendsOwnPart()) ownPartChanged_();
   request();
 }
 
--- a/src/proxy/token_gate.hpp
+++ b/src/proxy/token_gate.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <optional>
 #include <string>
 
 #include "config/configuration.hpp"
@@ -20,16 +21,23 @@
 class TokenGate {
  public:
   using Send = std::function<void(const rpc::TokenRequest&)>;
-  TokenGate(asio::io_context& io, Send send) : io_(io), send_(std::move(send)) {}
+  // beganAt: ms, of this process. `ownPartChanged`: the registry must be told at once that this proxy spends
+  // its own part from now on, or no longer.
+  TokenGate(asio::io_context& io, double beganAt, Send send, std::function<void()> ownPartChanged)
+      : io_(io), send_(std::move(send)), ownPartChanged_(std::move(ownPartChanged)), cache_(beganAt) {}
   // Whether a request of that tenant may go on. chance: drawn from 0 to under 1. until: ms, its time is over.
   asio::awaitable<bool> admit(const config::Tenant& tenant, double chance, double until);
   void take(const rpc::TokenResponse& response);
   void request();  // what is due
-  void setProxies(unsigned known, double slack) { cache_.setProxies(known, slack); }
-  // inTouch: with a registry that hears the store's leader.
-  void tick(bool inTouch, double now);
+  // A new holder of the quotas asks: its tokens are drawn on from now on.
+  rpc::UsageReport usage();
+  void setProxies(unsigned ceiling, double slack) { cache_.setProxies(ceiling, slack); }
+  // `contact`: of the session with the registries.
+  void tick(distributed_quota::Contact contact, double now);
+  bool spendsOwnPart() const { return cache_.contact() != distributed_quota::Contact::held; }
+  std::optional<double> firstGrantAt() const { return cache_.firstGrantAt(); }  // ms
   void report();  // logs the grants that were dropped since the last report
-  double firstAdmittedAt() const { return firstAdmittedAt_; }  // ms; 0: nobody yet
+  double lastAdmittedAt() const { return lastAdmittedAt_; }  // ms; 0: nobody yet
 
  private:
   struct Waiting {
@@ -37,10 +45,13 @@
     asio::steady_timer* timer;  // of the coroutine that waits, which takes it out of the list
   };
   asio::io_context& io_;
+  void update(double now);
   const Send send_;
+  const std::function<void()> ownPartChanged_;
   distributed_quota::TokenCache cache_;
+  distributed_quota::Contact sessionContact_ = distributed_quota::Contact::lost;
   std::list<Waiting> waiting_;
-  double firstAdmittedAt_ = 0;
+  double lastAdmittedAt_ = 0;
   std::uint64_t droppedTold_ = 0;
 };
 
--- a/src/registry/dialer_set.cpp
+++ b/src/registry/dialer_set.cpp
@@ -19,6 +19,21 @@
                 [this, ip](const rpc::Arrived& arrived) { hooks_.arrived(ip, arrived); }, std::move(lost));
 }
 
+void DialerSet::keepOnly(const std::set<std::string>& ips) {
+  for (auto it = dialers_.begin(); it != dialers_.end();) {
+    if (ips.contains(it->first)) {
+      ++it;
+      continue;
+    }
+    const std::string ip = it->first;
+    const bool wasLinked = it->second->link() != nullptr;
+    it->second->close();
+    it = dialers_.erase(it);
+    if (wasLinked && hooks_.lost) hooks_.lost(ip);
+  }
+  for (const std::string& ip : ips) dial(ip);
+}
+
 LinkPtr DialerSet::link(const std::string& ip) const {
   const auto found = dialers_.find(ip);
   return found == dialers_.end() ? nullptr : found->second->link();
--- a/src/registry/dialer_set.hpp
+++ b/src/registry/dialer_set.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "rpc/link.hpp"
@@ -21,7 +22,10 @@
     std::function<void(const std::string& ip)> lost;  // may be empty
   };
   DialerSet(asio::io_context& io, std::uint16_t port, Hooks hooks);
-  void dial(const std::string& ip);           // no-op where it is dialled already
+  void dial(const std::string& ip);  // no-op where it is dialled already
+  // Dials those that are not dialled yet and closes all others; of a link that is closed so, `lost` is
+  // called.
+  void keepOnly(const std::set<std::string>& ips);
   LinkPtr link(const std::string& ip) const;  // empty while there is none
   void broadcast(const std::string& frame);   // to all that are linked
   void close();
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -1,5 +1,7 @@
 // registry: the registry program. Wires sessions of proxies, the other registries, the config stores, the
 // platform's list, the quotas and the calls from outside; what they mean is decided in the modules beside.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,12 +12,14 @@
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
 #include "program/start.hpp"
+#include "registry/control_membership.hpp"
 #include "registry/dialer_set.hpp"
 #include "registry/duty_lease.hpp"
 #include "registry/leader_tracker.hpp"
 #include "registry/list_reader.hpp"
 #include "registry/order_forwarder.hpp"
 #include "registry/outside_calls.hpp"
+#include "registry/proxy_ceiling.hpp"
 #include "registry/proxy_sessions.hpp"
 #include "registry/quota_service.hpp"
 #include "registry/registry.hpp"
@@ -32,10 +36,11 @@
 using rpc::Error;
 
 constexpr auto kTick = std::chrono::milliseconds(100);
-constexpr auto kEndPause = std::chrono::milliseconds(400);  // SIGTERM: for what is under way
-constexpr double kHeartbeat = 400;                          // ms, to other registries
-constexpr double kProcessStallThreshold = 1000;             // ms between two ticks: this process stood still
-constexpr double kReport = 10000;                           // ms between two lines of figures
+constexpr auto kEndPause = std::chrono::milliseconds(400);      // SIGTERM: for what is under way
+constexpr auto kSessionsPause = std::chrono::milliseconds(20);  // between two whole lists of sessions
+constexpr double kHeartbeat = 250;                              // ms, to other registries
+constexpr double kProcessStallThreshold = 1000;  // ms between two ticks: this process stood still
+constexpr double kReport = 10000;                // ms between two lines of figures
 
 std::uint64_t drawIncarnation() {
   std::random_device device;
@@ -49,6 +54,8 @@
         file_(std::move(file)),
         settings_(std::move(settings)),
         incarnation_(drawIncarnation()),
+        membership_({settings_.ip, settings_.zone, settings_.region}),
+        ceiling_(now()),
         registry_(settings_.ip, settings_.regionOf),
         lease_(settings_.ip, incarnation_),
         stores_(io, settings_.portFrom, storeHooks()),
@@ -56,7 +63,7 @@
         orders_(io, stores_, tracker_),
         quotas_(settings_.ip, incarnation_, registry_, lease_, quotaHooks()),
         sessions_(registry_, tracker_, sessionHooks()),
-        peers_({settings_.ip, settings_.zone, settings_.region}, registry_, quotas_, lease_,
+        peers_(membership_, registry_, quotas_, lease_,
                [this](const rpc::Workers& workers) { sessions_.broadcast(rpc::frame(workers)); }),
         list_(io, settings_, registry_, lease_,
               [this](const rpc::Workers& change, bool byHolder) { listChanged(change, byHolder); }),
@@ -76,8 +83,8 @@
       return 1;
     }
     program::info("starts", {{"ip", settings_.ip}, {"zone", settings_.zone}});
-    for (const auto& seed : settings_.seeds) meet(seed.ip);
-    meet(settings_.ip);
+    adoptSeeds();
+    keepLinks(now());
     list_.start();
     tick();
     wait();
@@ -102,10 +109,49 @@
     return {"registry", settings_.name, settings_.ip, settings_.zone, settings_.region, incarnation_, {}, 0};
   }
 
-  // A machine of the core has a store and a registry.
-  void meet(const std::string& ip) {
-    stores_.dial(ip);
-    if (ip != settings_.ip) peerLinks_.dial(ip);
+  // --- Which control machines there are ---
+  void adoptSeeds() {
+    std::vector<std::string> ips;
+    for (const auto& seed : settings_.seeds) ips.push_back(seed.ip);
+    membership_.setSeeds(ips);
+  }
+
+  // A control machine has a store and a registry.
+  void keepLinks(double at) {
+    std::set<std::string> ips = membership_.wanted(tracker_.confirmed(at), at);
+    if (ips == linksKept_) return;
+    linksKept_ = ips;
+    stores_.keepOnly(ips);
+    ips.erase(settings_.ip);
+    peerLinks_.keepOnly(ips);
+  }
+
+  rpc::Cores cores() const {
+    return {membership_.listed(), tracker_.update().proxies, membership_.version()};
+  }
+
+  // --- How many proxies there may be ---
+  void proposeCeiling(double at) {
+    ceiling_.observe(registry_.liveByZone(), membership_.complete() && tracker_.confirmed(at), at);
+    if (!tracker_.confirmed(at) || ceilingUnderWay_) return;
+    const ProxiesByZone& agreed = tracker_.update().proxies;
+    if (auto wanted = ceiling_.raise(agreed, at)) {
+      program::info("raises the proxy ceiling", {{"from", sumOf(agreed)}, {"to", sumOf(*wanted)}});
+      orderCeiling(rpc::kRaiseCeiling, rpc::packed(rpc::RaiseCeiling{std::move(*wanted)}));
+    } else if (auto fewer = lease_.holds(at) ? ceiling_.lower(agreed, at) : std::nullopt) {
+      program::info("lowers the proxy ceiling", {{"from", sumOf(agreed)}, {"to", sumOf(*fewer)}});
+      orderCeiling(rpc::kLowerCeiling, rpc::packed(rpc::LowerCeiling{agreed, std::move(*fewer)}));
+    }
+  }
+
+  void orderCeiling(const char* what, std::string body) {
+    ceilingUnderWay_ = true;
+    asio::co_spawn(io_, sendCeiling(what, std::move(body)), asio::detached);
+  }
+
+  asio::awaitable<void> sendCeiling(std::string what, std::string body) {
+    co_await orders_.order(std::move(what), std::move(body));
+    ceilingUnderWay_ = false;
   }
 
   // --- The config stores ---
@@ -150,7 +196,10 @@
   void takeUpdate(const std::string& store, rpc::ConfigUpdate update) {
     const auto taken = tracker_.take(store, std::move(update));
     if (taken == LeaderTracker::Taken::dropped) return;
-    for (const std::string& ip : tracker_.update().stores) meet(ip);
+    const rpc::ConfigUpdate& held = tracker_.update();
+    membership_.agree(held.index, held.stores);
+    quotas_.setCeiling(sumOf(held.proxies));
+    if (held.proxies != toldCeiling_) tellCores();
     if (taken == LeaderTracker::Taken::unchanged) return;
     const auto configuration = config::readConfiguration(tracker_.update().configuration).configuration;
     quotas_.setConfiguration(configuration);
@@ -162,7 +211,7 @@
     if (!tracker_.take(store, confirmation, now())) return;
     lease_.heard(confirmation, now());
     askLease();
-    for (const std::string& ip : confirmation.stores) meet(ip);
+    membership_.agree(confirmation.index, confirmation.stores);
   }
 
   // --- The duties ---
@@ -187,7 +236,13 @@
   QuotaService::Hooks quotaHooks() {
     return {[this] { return peerLinks_.link(lease_.holderIp()) != nullptr; },
             [this](const rpc::TokenRequest& request) { peerLinks_.link(lease_.holderIp())->tell(request); },
-            [this](const rpc::TokenResponse& response) { sessions_.tell(response); }};
+            [this](const rpc::TokenResponse& response) { sessions_.tell(response); },
+            [this](const rpc::Levels& levels) { peerLinks_.broadcast(rpc::frame(levels)); },
+            [this](const rpc::UsageQuery& query) { sessions_.broadcast(rpc::frame(query)); },
+            [this](const rpc::UsageQuery& query) { peerLinks_.broadcast(rpc::frame(query)); },
+            [this](const std::string& ip, const rpc::UsageReport& report) {
+              if (const LinkPtr link = peerLinks_.link(ip)) link->tell(report);
+            }};
   }
 
   // --- The other registries, on the links that this one has dialled ---
@@ -207,6 +262,17 @@
     if (!lease_.holds(now())) return;
     link->tell(registry_.whole(now()));
     link->tell(rpc::Levels{lease_.epoch(), quotas_.levels()});
+    if (const auto query = quotas_.openQuery(now())) link->tell(*query);
+  }
+
+  // The other registries are told once of what changes within a moment.
+  void sessionsChanged() {
+    if (std::exchange(sessionsChanged_, true)) return;
+    tellTimer_.expires_after(kSessionsPause);
+    tellTimer_.async_wait([this](const Error& error) {
+      sessionsChanged_ = false;
+      if (!error) tellSessions(true);
+    });
   }
 
   void tellSessions(bool whole) {
@@ -217,13 +283,15 @@
 
   // --- Links that others dial: proxies and registries ---
   ProxySessions::Hooks sessionHooks() {
-    return {[this](const LinkPtr& link) { welcome(link); }, [this] { tellSessions(true); },
-            [this](const rpc::TokenRequest& request) { quotas_.demand(request, now()); }};
+    return {[this](const LinkPtr& link) { welcome(link); }, [this] { sessionsChanged(); },
+            [this](const rpc::TokenRequest& request) { quotas_.demand(request, now()); },
+            [this](const rpc::UsageReport& report) { quotas_.usage(report, now()); }};
   }
 
   void welcome(const LinkPtr& link) {
-    link->tell(peers_.cores(now()));
+    link->tell(cores());
     if (registry_.number() > 0) link->tell(registry_.whole(now()));
+    if (const auto query = quotas_.lastQuery()) link->tell(*query);
   }
 
   void arrivedOn(const LinkPtr& link, const Arrived& arrived) {
@@ -238,13 +306,13 @@
 
   void greet(const LinkPtr& link, const rpc::Handshake& handshake) {
     if (handshake.role != "registry") return sessions_.greet(link, handshake, now());
-    peers_.greet(link, handshake);
-    meet(handshake.ip);
+    peers_.greet(link, handshake, now());
+    keepLinks(now());
   }
 
   void ended(const LinkPtr& link) {
     sessions_.ended(link, now());
-    peers_.ended(link);
+    peers_.ended(link, now());
   }
 
   // --- Time ---
@@ -268,7 +336,7 @@
     if (!fresh) return;
     settings_ = *fresh;
     registry_.setPlaces(settings_.regionOf);
-    for (const auto& seed : settings_.seeds) meet(seed.ip);
+    adoptSeeds();
   }
 
   void tick() {
@@ -282,6 +350,9 @@
     if (const auto levels = quotas_.changedLevels(at)) peerLinks_.broadcast(rpc::frame(*levels));
     registry_.sweep(at);
     sessions_.closeSilent(at);
+    peers_.closeSilent(at);
+    keepLinks(at);
+    proposeCeiling(at);
     if (at >= heartbeatAt_) tellOthers(at);
     timer_.expires_after(kTick);
     timer_.async_wait([this](const Error& error) {
@@ -292,10 +363,14 @@
   void tellOthers(double at) {
     heartbeatAt_ = at + kHeartbeat;
     tellSessions(false);
-    const rpc::Cores cores = peers_.cores(at);
-    if (cores.proxies == toldCounts_) return;
-    toldCounts_ = cores.proxies;
-    sessions_.broadcast(rpc::frame(cores));
+    if (membership_.listed() != toldMachines_) tellCores();
+  }
+
+  // To the proxies.
+  void tellCores() {
+    const rpc::Cores told = cores();
+    toldMachines_ = told.cores, toldCeiling_ = told.proxies;
+    sessions_.broadcast(rpc::frame(told));
   }
 
   // What went to each machine of the core over the links that this one has dialled, since the start.
@@ -326,6 +401,8 @@
   program::SettingsFile file_;
   config::Settings settings_;
   const std::uint64_t incarnation_;
+  ControlMembership membership_;
+  ProxyCeiling ceiling_;
   Registry registry_;
   LeaderTracker tracker_;
   DutyLease lease_;
@@ -338,9 +415,12 @@
   OutsideCalls calls_;
   rpc::Acceptor acceptor_;
   control_api::Server control_, directory_;
-  asio::steady_timer timer_, endTimer_;
+  asio::steady_timer timer_, endTimer_, tellTimer_{io_};
   asio::signal_set signals_;
-  std::map<std::string, unsigned> toldCounts_;  // proxies by zone
+  std::set<std::string> linksKept_;
+  std::vector<rpc::Core> toldMachines_;  // to the proxies
+  ProxiesByZone toldCeiling_;            // the same
+  bool ceilingUnderWay_ = false, sessionsChanged_ = false;
   StallDetector stall_{now()};
   double heartbeatAt_ = 0, reportAt_ = 0;
 };
--- a/src/registry/proxy_sessions.cpp
+++ b/src/registry/proxy_sessions.cpp
@@ -18,7 +18,6 @@
   session.number = ++numbers_;
   program::info("session", {{"proxy", handshake.name}});
   hooks_.welcome(link);
-  publish(now);
 }
 
 bool ProxySessions::arrived(const LinkPtr& link, const rpc::Arrived& arrived, double now) {
@@ -31,19 +30,25 @@
   } else if (rpc::TokenRequest request; arrived.kind == rpc::kTokenRequest && arrived.read(request)) {
     request.proxy = session.seat.name, request.incarnation = session.seat.incarnation;
     hooks_.demand(request);
+  } else if (rpc::UsageReport report; arrived.kind == rpc::kUsageReport && arrived.read(report)) {
+    report.proxy = session.seat.name, report.incarnation = session.seat.incarnation;
+    hooks_.usage(report);
   }
   return true;
 }
 
 void ProxySessions::onStatus(const LinkPtr& link, Session& session, const rpc::Status& status, double now) {
-  const bool changed = session.seat.ready != status.ready;
+  const rpc::ProxySession before = session.seat;
   session.index = status.index, session.workers = status.workers;
-  session.seat.ready = status.ready, session.seat.age = status.age, session.seat.quiet = status.quiet;
+  session.seat.ready = status.ready, session.seat.age = status.age, session.seat.idle = status.idle;
+  session.seat.ownPart = status.ownPart, session.seat.hasGrants = status.hasGrants, session.seat.told = 0;
+  session.seat.granted = status.granted;
   session.seat.place(now);
   registry_.seat(session.seat, now, session.number);
   session.feed.heard(status);
   link->tell(session.feed.heartbeat(tracker_, now));
-  if (changed) hooks_.changed();
+  if (const rpc::ConfigUpdate* const update = session.feed.due(tracker_, now)) link->tell(*update);
+  if (!session.seat.sameAs(before)) hooks_.changed();
 }
 
 void ProxySessions::publish(double now) {
@@ -70,8 +75,18 @@
 }
 
 void ProxySessions::closeSilent(double now) {
-  for (auto& [link, session] : sessions_)
+  for (auto& [link, session] : sessions_) {
     if (now - session.heard > kSessionTimeout) link->close();
+    presumeOwnPart(session, now);
+  }
+}
+
+// Who hasn't been heard may have no answers either, and spends its own part: the holder must know in time.
+void ProxySessions::presumeOwnPart(Session& session, double now) {
+  if (session.seat.ownPart || now - session.seat.toldAt < kCountedWithin) return;
+  session.seat.ownPart = true;
+  registry_.seat(session.seat, now, session.number);
+  hooks_.changed();
 }
 
 void ProxySessions::broadcast(const std::string& frame) {
--- a/src/registry/proxy_sessions.hpp
+++ b/src/registry/proxy_sessions.hpp
@@ -22,6 +22,7 @@
     std::function<void(const LinkPtr&)> welcome;  // a new session: tell it of workers and registries
     std::function<void()> changed;                // other registries must be told
     std::function<void(const rpc::TokenRequest&)> demand;
+    std::function<void(const rpc::UsageReport&)> usage;
   };
   ProxySessions(Registry& registry, const LeaderTracker& tracker, Hooks hooks)
       : registry_(registry), tracker_(tracker), hooks_(std::move(hooks)) {}
@@ -44,6 +45,7 @@
     std::uint64_t index = 0, workers = 0;  // in force there
     ProxyFeed feed;
   };
+  void presumeOwnPart(Session& session, double now);
   void onStatus(const LinkPtr& link, Session& session, const rpc::Status& status, double now);
 
   Registry& registry_;
--- a/src/registry/quota_service.cpp
+++ b/src/registry/quota_service.cpp
@@ -8,12 +8,10 @@
 
 namespace burlwind::registry {
 namespace {
-// The holder tells the levels of its stores so often, and who comes next believes so much of them: what the
-// one before may have given out since is less than the rule leaves above the quota.
-constexpr double kLevelsPause = 500, kBelieved = 0.5;
-// Where all proxies have started anew of late, what comes in over so long is there at the least: while they
-// were down nobody was let in, and half a second of the rate is within what the rule leaves above the quota.
-constexpr double kYoung = 5000, kRestarted = 500;
+constexpr double kLevelsPause = 500;       // ms between two looks for floors that have risen
+constexpr double kRestartedWithin = 5000;  // ms in which all proxies have begun anew
+constexpr double kReachPause = 20;         // ms between two counts of the proxies that draw
+constexpr double kCreditWithin = 2000;     // ms of the duties until all proxies' sessions are known
 }  // namespace
 
 QuotaService::QuotaService(std::string ip, std::uint64_t incarnation, const Registry& registry,
@@ -25,22 +23,81 @@
       hooks_(std::move(hooks)),
       fence_(incarnation) {}
 
-// What came in while nobody can have let anything in, and what the holder before told of its stores.
+// What came in while nobody can have let anything in, and what the holder before promised of its stores.
 void QuotaService::takeDuty(double now) {
-  double quiet = registry_.allQuiet();
-  if (registry_.allYounger(kYoung, now)) quiet = std::max(quiet, kRestarted);
-  allocator_.clear(now, quiet);
-  if (standby_.epoch + 1 == lease_.epoch())
-    for (const auto& [tenant, level] : standby_.levels) allocator_.begin(tenant, kBelieved * level, now);
-  program::info("takes the duties",
-                {{"epoch", lease_.epoch()}, {"quiet", quiet}, {"levels", standby_.levels.size()}});
+  takenAt_ = now;
+  knowsLevels_ = standby_.epoch + 1 == lease_.epoch() && !standby_.levels.empty();
+  allocator_.clear(now);
+  if (knowsLevels_)
+    for (const auto& [tenant, level] : standby_.levels) allocator_.begin(tenant, level, now);
+  creditIdle(now);
+  recovery_.begin(lease_.epoch(), now);
+  const rpc::UsageQuery query{lease_.epoch()};
+  asked(query, ip_);
+  hooks_.askRegistries(query);
+  program::info("takes the duties", {{"epoch", lease_.epoch()},
+                                     {"levels", knowsLevels_ ? standby_.levels.size() : 0},
+                                     {"drawing", registry_.drawing(now)},
+                                     {"ceiling", ceiling_}});
+}
+
+void QuotaService::asked(const rpc::UsageQuery& query, const std::string& ip) {
+  if (query.epoch < std::max(askedEpoch_, newestEpoch_)) return;
+  newestEpoch_ = query.epoch;
+  if (query.epoch > askedEpoch_) aggregator_.dropStocks();
+  askedEpoch_ = query.epoch;
+  askedBy_ = ip;
+  hooks_.askProxies(query);
+}
+
+void QuotaService::usage(const rpc::UsageReport& report, double now) {
+  if (!lease_.holds(now) || report.epoch != lease_.epoch()) {
+    if (report.epoch == askedEpoch_ && askedBy_ != ip_) hooks_.report(askedBy_, report);
+    return;
+  }
+  recovery_.take(report, now);
+  if (configuration_ && recovery_.complete(ceiling_, now)) recoverLevels(now);
+}
+
+void QuotaService::recoverLevels(double now) {
+  unsigned known = 0;
+  for (const auto& tenant : configuration_->tenants) {
+    const auto least = recovery_.leastLevel(tenant.name, {tenant.rate, tenant.burst});
+    if (!least) continue;
+    allocator_.atLeast(tenant.name, *least, now);
+    ++known;
+  }
+  program::info("levels recovered", {{"epoch", lease_.epoch()}, {"tenants", known}, {"ms", now - takenAt_}});
+}
+
+// What came in before the duties were taken, where nobody let anything in then. Which proxies there are may
+// be known only a moment later.
+void QuotaService::creditIdle(double now) {
+  if (const auto answers = recovery_.expired(now))
+    program::info("levels not recovered",
+                  {{"epoch", lease_.epoch()}, {"answers", *answers}, {"of", ceiling_}});
+  if (now - takenAt_ > kCreditWithin) return;
+  double idle = registry_.allIdle(ceiling_, takenAt_);
+  if (!knowsLevels_ && registry_.allRestarted(ceiling_, kRestartedWithin, takenAt_))
+    idle = std::max(idle, distributed_quota::kRestartCredit * 1000);
+  allocator_.credit(idle);
+}
+
+double QuotaService::reach(double now) {
+  if (ceiling_ == 0) return 1;  // nobody has a part
+  if (now - reachAt_ >= kReachPause) {
+    reachAt_ = now;
+    const std::size_t drawing = std::max<std::size_t>(registry_.drawing(now), recovery_.answeredLately(now));
+    reach_ = std::min(1.0, static_cast<double>(drawing) / ceiling_);
+  }
+  return reach_;
 }
 
 rpc::TokenResponse QuotaService::grant(const rpc::TokenRequest& request, double now) {
   rpc::TokenResponse out{request.number, request.proxy, request.incarnation, {}, lease_.epoch()};
   if (!configuration_) return out;
-  const auto counts = registry_.counts(now);
-  allocator_.setReach(counts.known ? static_cast<double>(counts.live) / counts.known : 1);
+  allocator_.setReach(reach(now));
+  creditIdle(now);
   const auto& tenants = configuration_->tenants;
   for (const rpc::TokenDemand& demand : request.demands) {
     const auto tenant = std::find_if(tenants.begin(), tenants.end(),
@@ -50,13 +107,16 @@
                                        demand.want, demand.asked, now);
     out.grants.push_back({demand.tenant, given.granted, given.use, given.empty});
   }
+  // Before the grants are sent: nobody may have tokens that a successor believes to be there.
+  if (rpc::Levels broken{lease_.epoch(), allocator_.promises(false)}; !broken.levels.empty())
+    hooks_.tellLevels(broken);
   return out;
 }
 
 std::optional<rpc::Levels> QuotaService::changedLevels(double now) {
   if (!lease_.holds(now) || now < levelsAt_) return std::nullopt;
   levelsAt_ = now + kLevelsPause;
-  rpc::Levels out{lease_.epoch(), allocator_.changed()};
+  rpc::Levels out{lease_.epoch(), allocator_.promises(true)};
   if (out.levels.empty()) return std::nullopt;
   return out;
 }
@@ -69,7 +129,16 @@
   for (const auto& level : levels.levels) standby_.levels[level.tenant] = level.level;
 }
 
+rpc::TokenResponse QuotaService::noHolder(const rpc::TokenRequest& request) {
+  return {request.number, request.proxy, request.incarnation, {}, 0, true};
+}
+
+bool QuotaService::reachesHolder(double now) const {
+  return lease_.holds(now) || (!holderHasNone_ && hooks_.holderIsLinked());
+}
+
 void QuotaService::demand(const rpc::TokenRequest& request, double now) {
+  if (!reachesHolder(now)) hooks_.tellProxy(noHolder(request));
   Answers answers;
   for (const rpc::TokenDemand& demand : request.demands)
     aggregator_.demand({request.proxy, request.incarnation, request.number}, demand, now, answers);
@@ -78,7 +147,12 @@
 }
 
 void QuotaService::granted(const rpc::TokenResponse& response, double now) {
+  if (response.noHolder) {
+    holderHasNone_ = response.incarnation == incarnation_;
+    return;
+  }
   if (!fence_.accepts(response, std::max(lease_.ownerEpoch(), newestEpoch_), now)) return;
+  holderHasNone_ = false;
   newestEpoch_ = response.epoch;
   takeGrants(response, now);
 }
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace burlwind::registry {
@@ -54,58 +56,82 @@
   std::vector<rpc::ProxySession> out;
   for (const auto& [name, own] : own_) {
     out.push_back(own.seat);
-    out.back().age = now - own.seat.bornAt;
+    out.back().unplace(now);
   }
   return out;
 }
 
-bool Registry::allYounger(double age, double now) const {
-  return !seats_.empty() && std::all_of(seats_.begin(), seats_.end(),
-                                        [&](const auto& seat) { return now - seat.second.bornAt < age; });
+unsigned Registry::drawing(double now) const {
+  std::set<std::string_view> names;
+  const auto add = [&](const rpc::ProxySession& seat) {
+    const auto counts = seats_.find(seat.name);
+    if (counts != seats_.end() && counts->second.incarnation == seat.incarnation && !seat.ownPart)
+      names.insert(seat.name);
+  };
+  for (const auto& [name, own] : own_)
+    if (now - own.seat.toldAt < kCountedWithin) add(own.seat);
+  for (const auto& [registry, others] : others_)
+    if (now - others.heard < kCountedWithin)
+      for (const rpc::ProxySession& seat : others.seats) add(seat);
+  return static_cast<unsigned>(names.size());
+}
+
+bool Registry::allRestarted(unsigned expected, double age, double until) const {
+  if (expected == 0 || seats_.size() < expected) return false;
+  return std::all_of(seats_.begin(), seats_.end(), [&](const auto& seat) {
+    const bool grantedBefore = seat.second.hasGrants && seat.second.grantedAt < until;
+    return until - seat.second.bornAt < age && !grantedBefore;
+  });
 }
 
-double Registry::allQuiet() const {
-  if (seats_.empty()) return 0;
-  double lastBorn = -1e18;
-  double firstBegan = 1e18;
+double Registry::allIdle(unsigned expected, double until) const {
+  if (expected == 0 || seats_.size() < expected) return 0;
+  double lastAdmitted = -1e18;
+  double firstTold = until;
   for (const auto& [name, seat] : seats_) {
-    lastBorn = std::max(lastBorn, seat.bornAt);
-    firstBegan = std::min(firstBegan, seat.beganAt);
+    lastAdmitted = std::max(lastAdmitted, seat.admittedAt);
+    firstTold = std::min(firstTold, seat.toldAt);
   }
-  return std::max(0.0, firstBegan - lastBorn);
+  return std::max(0.0, firstTold - lastAdmitted);
+}
+
+std::map<std::string, unsigned> Registry::liveByZone() const {
+  std::map<std::string, unsigned> out;
+  for (const auto& [name, seat] : seats_) ++out[seat.zone];
+  return out;
 }
 
-void Registry::heard(const std::string& registry, const rpc::Sessions& told, double now) {
+void Registry::silent(const std::string& registry, double now) {
+  const auto found = others_.find(registry);
+  if (found == others_.end()) return;
+  note(now, "registry silent", registry);
+  others_.erase(found);
+  refold(now);
+}
+
+bool Registry::heard(const std::string& registry, const rpc::Sessions& told, double now) {
+  if (!told.whole && !others_.contains(registry)) return false;
   Others& others = others_[registry];
   others.heard = now;
-  if (!told.whole) return;
+  if (!told.whole) return true;
   others.seats = told.seats;
   for (rpc::ProxySession& seat : others.seats) seat.place(now);
   refold(now);
+  return true;
 }
 
 bool Registry::sweep(double now) {
-  bool changed = false;
-  for (auto& [registry, others] : others_)
-    if (!others.seats.empty() && now - others.heard > kOthersSilent) {
-      note(now, "registry silent", registry);
-      others.seats.clear();
-      changed = true;
-    }
+  const bool changed = std::erase_if(others_, [&](const auto& other) {
+                         if (now - other.second.heard <= kOthersSilent) return false;
+                         note(now, "registry silent", other.first);
+                         return true;
+                       }) > 0;
   if (changed) refold(now);
   for (const auto& [name, seat] : seats_) known_[name] = {seat.zone, now};
   return std::erase_if(known_, [&](const auto& k) { return now - k.second.second > kRemembered; }) > 0 ||
          changed;
 }
 
-Registry::Counts Registry::counts(double) const {
-  Counts out;
-  out.live = static_cast<unsigned>(seats_.size());
-  out.known = static_cast<unsigned>(known_.size());
-  for (const auto& [name, place] : known_) ++out.byZone[place.first];
-  return out;
-}
-
 std::vector<std::string> Registry::addresses(const std::string& region, const std::string& zone,
                                              std::size_t least, std::size_t most,
                                              std::mt19937_64& random) const {
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -18,10 +18,11 @@
 
 namespace burlwind::registry {
 
-constexpr double kOthersSilent = 1800;  // ms until a registry's sessions are no longer believed
-constexpr double kRemembered = 20000;   // ms that a proxy that is gone still counts as known
-constexpr double kNarrow = 50;          // Mbit/s under which a link is soon full
-constexpr std::size_t kJournal = 256;   // events kept
+constexpr double kOthersSilent = 1800;   // ms until a registry's sessions are no longer believed
+constexpr double kCountedWithin = 1000;  // ms of silence until proxies count as spending their own parts
+constexpr double kRemembered = 20000;    // ms that a proxy that is gone still counts as known
+constexpr double kNarrow = 50;           // Mbit/s under which a link is soon full
+constexpr std::size_t kJournal = 256;    // events kept
 
 struct Event {
   double at = 0;
@@ -42,20 +43,26 @@
   // That session has ended; nothing where another one of the proxy counts.
   void unseat(const std::string& name, std::uint64_t session, double now);
   std::vector<rpc::ProxySession> own(double now) const;
-  void heard(const std::string& registry, const rpc::Sessions& told, double now);
+  // False where it tells that nothing has changed since a list that isn't held here: a whole one is needed.
+  bool heard(const std::string& registry, const rpc::Sessions& told, double now);
+  // That registry's links have ended: what it told counts no more.
+  void silent(const std::string& registry, double now);
   // True where views may have changed.
   bool sweep(double now);
 
-  // The span in which no proxy that is seated can have let anything in: from the last one's start to the
-  // first one's first request. 0 unless all of them have started anew.
-  double allQuiet() const;
-  bool allYounger(double age, double now) const;  // each proxy that is seated; false where there is none
+  // --- What the quotas may be reckoned from ---
+  // Proxies that are seated, draw on the holder's tokens alone, and were heard within kCountedWithin, as was
+  // their registry.
+  unsigned drawing(double now) const;
+  // ms before `until` in which no proxy has let anything in under a quota: from the last admission of any to
+  // the earliest of their last Status messages. `expected`: how many proxies there may be; 0 where fewer are
+  // seated, as nothing is known of the others.
+  double allIdle(unsigned expected, double until) const;
+  // All that there may be are seated and began within `age` ms before `until`, and none had been granted a
+  // token by then.
+  bool allRestarted(unsigned expected, double age, double until) const;
+  std::map<std::string, unsigned> liveByZone() const;
 
-  struct Counts {
-    unsigned live = 0, known = 0;
-    std::map<std::string, unsigned> byZone;  // known
-  };
-  Counts counts(double now) const;
   // Addresses for a client in that zone: its zone's proxies that are ready, and others in place of those
   // known there that are not, drawn anew each time so that they share what is lost: from its region first,
   // where links are narrow no more than half as many as stand there, the rest from everywhere.
--- a/src/registry/registry_peers.hpp
+++ b/src/registry/registry_peers.hpp
@@ -1,11 +1,12 @@
 // The other registries: the links that they have dialled, and what they tell of their proxies, of the workers
-// and of the quotas. Who they are is told on to the proxies.
+// and of the quotas.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <string>
 
+#include "registry/control_membership.hpp"
 #include "registry/dialer_set.hpp"
 #include "registry/quota_service.hpp"
 #include "registry/registry.hpp"
@@ -16,26 +17,31 @@
 
 class RegistryPeers {
  public:
-  // `self`: this registry's own place. `workersChanged`: a newer list was taken, its proxies must be told.
-  RegistryPeers(rpc::Core self, Registry& registry, QuotaService& quotas, const DutyLease& lease,
-                std::function<void(const rpc::Workers&)> workersChanged);
+  // `workersChanged`: a newer list was taken, this registry's proxies must be told.
+  RegistryPeers(ControlMembership& membership, Registry& registry, QuotaService& quotas,
+                const DutyLease& lease, std::function<void(const rpc::Workers&)> workersChanged);
 
-  void greet(const LinkPtr& link, const rpc::Handshake& handshake);
+  void greet(const LinkPtr& link, const rpc::Handshake& handshake, double now);
   // False where the link is none of a registry.
   bool arrived(const LinkPtr& link, const rpc::Arrived& arrived, double now);
-  void ended(const LinkPtr& link) { links_.erase(link); }
-  // What the proxies are told of the registries, and how many proxies there are in each zone.
-  rpc::Cores cores(double now) const;
+  void ended(const LinkPtr& link, double now);
+  // Closes the links on which nothing has come for kOthersSilent: a machine that is gone ends none.
+  void closeSilent(double now);
 
  private:
+  struct Peer {
+    std::string ip;  // of who dialled
+    double heardAt = 0;
+  };
+  void onSessions(const LinkPtr& link, const rpc::Sessions& sessions, double now);
   void onWorkers(const LinkPtr& link, const rpc::Workers& workers, double now);
 
+  ControlMembership& membership_;
   Registry& registry_;
   QuotaService& quotas_;
   const DutyLease& lease_;
   const std::function<void(const rpc::Workers&)> workersChanged_;
-  std::map<LinkPtr, std::string> links_;    // ip of who dialled
-  std::map<std::string, rpc::Core> cores_;  // by ip
+  std::map<LinkPtr, Peer> links_;
 };
 
 }  // namespace burlwind::registry
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -36,7 +36,9 @@
   kConfirmationRequest,
   kTimeoutNow,
   kStatePiece,
-  kStatePieceResponse
+  kStatePieceResponse,
+  kUsageQuery,
+  kUsageReport
 };
 
 // --- Who speaks ---
@@ -130,8 +132,9 @@
   std::uint64_t term = 0, index = 0;
   std::string configuration;  // as the operator sent it; empty before the first
   std::vector<std::string> evacuated;
-  std::vector<std::string> stores;  // ips
-  MSGPACK_DEFINE(term, index, configuration, evacuated, stores)
+  std::vector<std::string> stores;          // ips
+  std::map<std::string, unsigned> proxies;  // by zone: the agreed ceiling of how many there may be
+  MSGPACK_DEFINE(term, index, configuration, evacuated, stores, proxies)
 };
 struct ConfirmationRequest {  // a reader asks whether this store still leads
   static constexpr Kind kKind = kConfirmationRequest;
@@ -153,12 +156,29 @@
 struct CommandRequest {
   static constexpr Kind kKind = kCommandRequest;
   std::uint64_t number = 0;  // of this question on its link
-  std::string what;          // "config", "evacuate", "return"
-  std::string body;          // the configuration, or the zone
+  std::string what;          // "config", "evacuate", "return"; of registries: kRaiseCeiling, kLowerCeiling
+  std::string body;          // the configuration, the zone, or a packed RaiseCeiling or LowerCeiling
   bool tellsIndex = false;   // else `knownIndex` is not told, and nothing is held against it
   std::uint64_t knownIndex = 0;
   MSGPACK_DEFINE(number, what, body, tellsIndex, knownIndex)
 };
+template <class Message>
+std::string packed(const Message& message) {
+  msgpack::sbuffer out;
+  msgpack::pack(out, message);
+  return {out.data(), out.size()};
+}
+// How many proxies there may be, by zone. Registries alone order it, never a call from outside.
+constexpr const char* kRaiseCeiling = "raise_proxy_ceiling";
+constexpr const char* kLowerCeiling = "lower_proxy_ceiling";
+struct RaiseCeiling {  // to at least these
+  std::map<std::string, unsigned> proxies;
+  MSGPACK_DEFINE(proxies)
+};
+struct LowerCeiling {  // to `wanted`, where it is still `expected`
+  std::map<std::string, unsigned> expected, wanted;
+  MSGPACK_DEFINE(expected, wanted)
+};
 struct ReadRequest {
   static constexpr Kind kKind = kReadRequest;
   std::uint64_t number = 0;
@@ -194,15 +214,27 @@
   bool ready = false;
   std::uint64_t incarnation = 0;
   double linkMbps = 0;
-  double age = 0, quiet = 0;  // ms since its process began; from then until it first let a request in
-  // The two as times of the clock of who holds this; not told.
-  double bornAt = 0, beganAt = 0;
+  double age = 0;          // ms since its process began
+  double idle = 0;         // ms from its last admission under a quota, or its beginning, to its last Status
+  double told = 0;         // ms since that Status
+  bool ownPart = false;    // it spends its own part of the quotas, not the holder's tokens
+  bool hasGrants = false;  // it has been granted tokens in this life,
+  double granted = 0;      // ms before its last Status for the first time
+  // The spans as times of the clock of who holds this; not sent.
+  double bornAt = 0, admittedAt = 0, toldAt = 0, grantedAt = 0;
   bool sameAs(const ProxySession& o) const {
     return name == o.name && front == o.front && zone == o.zone && region == o.region && ready == o.ready &&
-           incarnation == o.incarnation && linkMbps == o.linkMbps;
+           incarnation == o.incarnation && linkMbps == o.linkMbps && ownPart == o.ownPart &&
+           hasGrants == o.hasGrants;
+  }
+  void place(double now) {
+    bornAt = now - age, toldAt = now - told;
+    admittedAt = toldAt - idle, grantedAt = toldAt - granted;
   }
-  void place(double now) { bornAt = now - age, beganAt = bornAt + quiet; }
-  MSGPACK_DEFINE(name, front, zone, region, ready, incarnation, linkMbps, age, quiet)
+  // The other way; `idle` and `granted` stand as they were told.
+  void unplace(double now) { age = now - bornAt, told = now - toldAt; }
+  MSGPACK_DEFINE(name, front, zone, region, ready, incarnation, linkMbps, age, idle, told, ownPart, hasGrants,
+                 granted)
 };
 struct Sessions {
   static constexpr Kind kKind = kSessions;
@@ -231,28 +263,34 @@
 // --- A registry and its proxies ---
 struct Core {
   std::string ip, zone, region;
+  bool operator==(const Core&) const = default;
   MSGPACK_DEFINE(ip, zone, region)
 };
 struct Cores {
   static constexpr Kind kKind = kCores;
-  std::vector<Core> cores;
-  std::map<std::string, unsigned> proxies;  // by zone
-  MSGPACK_DEFINE(cores, proxies)
+  std::vector<Core> cores;                  // the control machines
+  std::map<std::string, unsigned> proxies;  // by zone: the agreed ceiling; empty: none is agreed on yet
+  std::uint64_t version = 0;                // index of the agreed state that both were taken from
+  MSGPACK_DEFINE(cores, proxies, version)
 };
 struct Status {
   static constexpr Kind kKind = kStatus;
   bool ready = false;
-  std::uint64_t index = 0, workers = 0;  // what is in force there
-  double age = 0, quiet = 0;             // as in ProxySession
-  std::uint64_t number = 0;              // grows with each of this proxy; from 1
-  MSGPACK_DEFINE(ready, index, workers, age, quiet, number)
+  std::uint64_t index = 0, workers = 0;     // what is in force there
+  double age = 0, idle = 0;                 // as in ProxySession
+  std::uint64_t number = 0;                 // grows with each of this proxy; from 1
+  bool ownPart = false, hasGrants = false;  // as in ProxySession
+  double granted = 0;                       // the same
+  std::uint64_t unreadable = 0;             // index of the last update that didn't read there; 0: none
+  MSGPACK_DEFINE(ready, index, workers, age, idle, number, ownPart, hasGrants, granted, unreadable)
 };
 struct Heartbeat {  // the answer to a Status, and told where `confirmed` begins
   static constexpr Kind kKind = kHeartbeat;
   bool confirmed = false;    // the leader has confirmed what this registry holds
   std::uint64_t age = 0;     // ms since the registry sent the question that the leader confirmed
   std::uint64_t number = 0;  // of the newest Status that came before this was sent; 0: none
-  MSGPACK_DEFINE(confirmed, age, number)
+  std::uint64_t index = 0;   // a proxy that has this index or a later one in force lacks no configuration
+  MSGPACK_DEFINE(confirmed, age, number, index)
 };
 
 // --- Quotas ---
@@ -284,10 +322,32 @@
   std::uint64_t incarnation = 0;
   std::vector<TokenGrant> grants;
   std::uint64_t epoch = 0;  // of the owner of the duties that grants; 0 to a proxy
-  MSGPACK_DEFINE(number, proxy, incarnation, grants, epoch)
+  bool noHolder = false;    // nobody who grants can be reached, and so nobody counts on this asker
+  MSGPACK_DEFINE(number, proxy, incarnation, grants, epoch, noHolder)
+};
+
+// The holder asks what proxies have let in lately, through their registries; each answers the same way.
+struct UsageQuery {
+  static constexpr Kind kKind = kUsageQuery;
+  std::uint64_t epoch = 0;  // of the owner of the duties that asks
+  MSGPACK_DEFINE(epoch)
+};
+struct TenantUse {
+  std::string tenant;
+  double used = 0;  // let in within the last burst / rate seconds, and in stock
+  MSGPACK_DEFINE(tenant, used)
+};
+struct UsageReport {
+  static constexpr Kind kKind = kUsageReport;
+  std::uint64_t epoch = 0;
+  std::string proxy;
+  std::uint64_t incarnation = 0;
+  double coveredMs = 0;  // how far back the proxy knows of all that it has let in
+  std::vector<TenantUse> uses;
+  MSGPACK_DEFINE(epoch, proxy, incarnation, coveredMs, uses)
 };
 
-struct Level {  // what a tenant's store holds
+struct Level {  // of a tenant's store: the holder grants nothing of it before it has told a lower one
   std::string tenant;
   double level = 0;
   MSGPACK_DEFINE(tenant, level)
--- a/src/scale_run/hollow_proxy.cpp
+++ b/src/scale_run/hollow_proxy.cpp
@@ -32,6 +32,7 @@
   out.news = [this](const rpc::ConfigUpdate& update) {
     if (update.index <= configIndex_ || update.configuration.empty()) return;
     configIndex_ = update.index, configAt_ = now();
+    sessions_.tellStatus();
   };
   out.workers = [this](const rpc::Workers& workers) { takeWorkers(workers); };
   out.cores = [this](const rpc::Cores& cores) {
@@ -40,6 +41,7 @@
     tokens_.setProxies(all, settings_.bounds.quotaSlack);
   };
   out.tokens = [this](const rpc::TokenResponse& response) { takeTokens(response); };
+  out.usage = [this] { return tokens_.usage(now()); };
   out.status = [this] { return status(); };
   return out;
 }
@@ -54,7 +56,12 @@
 
 rpc::Status HollowProxy::status() const {
   const double age = now() - bornAt_;
-  return {configIndex_ > 0 && listNumber_ > 0, configIndex_, listNumber_, age, age};
+  rpc::Status out;
+  out.ready = configIndex_ > 0 && listNumber_ > 0;
+  out.index = configIndex_, out.workers = listNumber_, out.age = out.idle = age;
+  out.ownPart = tokens_.contact() != distributed_quota::Contact::held, out.hasGrants = tokens_.hasGrants();
+  if (out.hasGrants) out.granted = now() - *tokens_.firstGrantAt();
+  return out;
 }
 
 void HollowProxy::takeWorkers(const rpc::Workers& workers) {
@@ -106,7 +113,7 @@
 void HollowProxy::tick() {
   const double at = now();
   sessions_.tick(at);
-  tokens_.setTouch(sessions_.inTouch(at) && !tokens_.unanswered(at), at);
+  tokens_.setContact(tokens_.answered(sessions_.contact(at), at), at);
   if (inTouch()) {
     due_ += std::min(at - tickAt_, 2 * kTick) * plan_.options().requestsPerSecond / 1000;
     for (; due_ >= 1; --due_) request(at);
--- a/tests/system/distributed_quota_test.cpp
+++ b/tests/system/distributed_quota_test.cpp
@@ -8,6 +8,8 @@
 #include "distributed_quota/aggregator.hpp"
 #include "distributed_quota/allocator.hpp"
 #include "distributed_quota/budget.hpp"
+#include "distributed_quota/quota_bound.hpp"
+#include "distributed_quota/recent_use.hpp"
 #include "distributed_quota/token_cache.hpp"
 #include "lease/lease.hpp"
 
@@ -32,12 +34,13 @@
       for (std::size_t c = 0; c < purses.size(); ++c) {
         const char is = columns[c][slot], was = slot ? columns[c][slot - 1] : '.';
         if (is == 'r' && std::fmod(now, 500.0) < 5) {
-          purses[c] = TokenCache{};
+          purses[c] = TokenCache{now};
           purses[c].setProxies(static_cast<unsigned>(columns.size()), 20);
         }
         // The allocator hears of a loss one silence later.
         live += is != 'd' && (is != 'x' || was != 'x');
-        purses[c].setTouch((is == '.' || is == 'r') && !purses[c].unanswered(now), now);
+        const Contact cutOff = was == 'x' ? Contact::lost : Contact::unsure;
+        purses[c].setContact(purses[c].answered(is == 'x' ? cutOff : Contact::held, now), now);
         if (is == 'd') continue;
         if (draw(random) < asked[c] * 0.005) come(c, draw(random), now);
         if (std::fmod(now, 100.0) < 5 && is != 'x') ask(c, now);
@@ -75,21 +78,23 @@
     if (admit == Admit::yes) letIn(now);
     return admit != Admit::wait;
   }
-  // The holder is lost each `lostEvery` ms, and another one follows after the lease: with half of the levels
-  // that the one before told each half second.
+  // The holder is lost each `lostEvery` ms, and another one follows after the lease: with the floors that the
+  // one before promised.
   void loseHolder(double now) {
     const auto slot = static_cast<std::size_t>(now / 500);
     const bool allStart = slot && columns[0][slot] == 'r' && columns[0][slot - 1] == 'd';
     if (restarted > 0 && allStart && std::fmod(now, 500.0) < 5) allocator.clear(now, restarted);
-    if (std::fmod(now, 500.0) < 5 && !lost)
-      for (const auto& level : allocator.all()) told = level.level;
+    if (std::fmod(now, 500.0) < 5 && !lost) hear(allocator.promises(true));
     if (lostEvery <= 0) return;
     const double since = std::fmod(now, lostEvery);
     if (now >= lostEvery && since < 5) lost = true, answers.clear();
     if (!lost || since < 900) return;
     lost = false;
     allocator.clear(now);
-    allocator.begin("t", 0.5 * told, now);
+    allocator.begin("t", told, now);
+  }
+  void hear(const std::vector<rpc::Level>& promised) {
+    for (const auto& level : promised) told = level.level;
   }
   void ask(std::size_t c, double now) {
     const rpc::TokenRequest request = purses[c].request(now);
@@ -97,6 +102,7 @@
       if (lost) continue;
       const auto given =
           allocator.take(std::to_string(c), demand.tenant, limit, demand.want, demand.asked, now);
+      hear(allocator.promises(false));
       answers.push_back(
           {now + 30, c, request.number, {demand.tenant, given.granted, given.use, given.empty}});
     }
@@ -157,7 +163,7 @@
       std::string row = "....";
       while (row.size() < 40) row += "dr" + std::string(1 + (seed + row.size()) % 7, '.');
       Quotas q(std::vector<std::string>(11, row), limit);
-      q.restarted = 500;
+      q.restarted = kRestartCredit * 1000;
       q.play(std::vector<double>(11, limit.rate * (seed % 2 ? 8 : 1.5) / 11), seed);
       CHECK(static_cast<double>(q.most) <= ruleOf(limit));
     }
@@ -191,7 +197,7 @@
 
 TEST_CASE("who waits behind others for a token is not refused when the first one's comes") {
   TokenCache tokenCache;
-  tokenCache.setTouch(true, 0);
+  tokenCache.setContact(Contact::held, 0);
   CHECK(tokenCache.admit("t", 10, 10, 0, 0) == Admit::wait);
   const auto first = tokenCache.request(0);
   REQUIRE(first.demands.size() == 1);
@@ -215,7 +221,7 @@
   std::mt19937 random(5);
   std::uniform_real_distribution<double> draw(0, 1);
   std::vector<TokenCache> purses(kMany);
-  for (TokenCache& p : purses) p.setProxies(kMany, 0);
+  for (TokenCache& p : purses) p.setProxies(kMany, 20);
   double let = 0, first = 0;
   for (double now = 0; now < 5000; now += 10)
     for (TokenCache& p : purses) {
@@ -285,7 +291,7 @@
 
 TEST_CASE("the admit fraction falls with the reading, has a floor, and climbs back") {
   TokenCache tokenCache;
-  tokenCache.setTouch(true, 0);
+  tokenCache.setContact(Contact::held, 0);
   tokenCache.admit("t", 10, 10, 0, 0);
   const auto reads = [&](int use, double now) {
     const auto request = tokenCache.request(now);
@@ -304,7 +310,7 @@
 
 TEST_CASE("a grant counts once, for its own request, within its time, and for no more than was asked") {
   TokenCache tokenCache;
-  tokenCache.setTouch(true, 0);
+  tokenCache.setContact(Contact::held, 0);
   CHECK(tokenCache.admit("t", 10, 10, 0, 0) == Admit::wait);
   const auto first = tokenCache.request(0);
   REQUIRE(first.demands.size() == 1);
@@ -328,8 +334,8 @@
     CHECK(tokenCache.stock("t") == want);
   }
   SUBCASE("of a link that was lost meanwhile") {
-    tokenCache.setTouch(false, 5);
-    tokenCache.setTouch(true, 6);
+    tokenCache.setContact(Contact::lost, 5);
+    tokenCache.setContact(Contact::held, 6);
     tokenCache.granted(first.number, {"t", want, 10, false}, 10);
     CHECK(tokenCache.stock("t") == 0);
   }
@@ -341,7 +347,7 @@
 
 TEST_CASE("the stock of one that stood still lets nothing in when it wakes") {
   TokenCache tokenCache;
-  tokenCache.setTouch(true, 0);
+  tokenCache.setContact(Contact::held, 0);
   tokenCache.admit("t", 100, 100, 0, 0);
   const auto asked = tokenCache.request(0);
   tokenCache.granted(asked.number, {"t", asked.demands.at(0).want, 10, false}, 10);
@@ -352,7 +358,7 @@
 
 TEST_CASE("an evicted tenant comes back with nothing and asks") {
   TokenCache tokenCache;
-  tokenCache.setTouch(true, 0);
+  tokenCache.setContact(Contact::held, 0);
   tokenCache.admit("first", 10, 10, 0, 0);
   const auto asked = tokenCache.request(1);
   REQUIRE(asked.demands.size() == 1);
@@ -447,30 +453,108 @@
 }
 
 TEST_CASE(
-    "who holds the quotas next begins with what came in while all were still, and with half of what it was "
-    "told") {
+    "who holds the quotas next begins with what came in while all were still, and with what was promised") {
   const Limit limit{40, 40};
   QuotaAllocator allocator;
   allocator.clear(10000, 500);  // nobody can have let anything in for half a second
-  CHECK(allocator.take("a", "t", limit, 30, 30, 10000).granted == 20);
+  CHECK(allocator.take("a", "t", limit, 30, 1, 10000).granted == 20);
   allocator.begin("u", 12, 10000);
-  CHECK(allocator.take("a", "u", limit, 30, 30, 10000).granted == 12);
+  CHECK(allocator.take("a", "u", limit, 30, 1, 10000).granted == 12);
   allocator.clear(20000);
-  CHECK(allocator.take("a", "t", limit, 30, 30, 20000).granted == 0);
+  CHECK(allocator.take("a", "t", limit, 30, 1, 20000).granted == 0);
+  allocator.credit(500);  // known only now, and given once
+  allocator.credit(500);
+  CHECK(allocator.take("a", "t", limit, 30, 1, 20000).granted == 20);
+  CHECK(allocator.take("a", "t", limit, 30, 1, 20000).granted == 0);
 }
 
-TEST_CASE("levels are told when they have moved, and all of them to who begins to listen") {
+TEST_CASE("a floor is promised for each store, also 0, and a lower one before anything below it is granted") {
   const Limit limit{100, 100};
   QuotaAllocator allocator;
   allocator.clear(0, 1000);
   allocator.take("a", "t", limit, 1, 1, 0);
-  CHECK(allocator.changed().size() == 1);
-  CHECK(allocator.changed().empty());
-  allocator.take("a", "t", limit, 1, 1, 0);
-  CHECK(allocator.changed().empty());  // by one of 79
+  allocator.take("a", "empty", limit, 200, 1, 0);
+  CHECK(allocator.promises(true).size() == 2);  // the one of the empty store is 0
+  CHECK(allocator.promises(true).empty());
+  CHECK(allocator.floors().size() == 2);
   allocator.take("a", "t", limit, 40, 40, 0);
-  CHECK(allocator.changed().size() == 1);
-  CHECK(allocator.all().size() == 1);
+  CHECK(allocator.promises(false).empty());  // still above what was promised
+  allocator.take("a", "t", limit, 55, 40, 0);
+  const auto lower = allocator.promises(false);
+  REQUIRE(lower.size() == 1);
+  CHECK(lower[0].level <= allocator.level("t"));
+}
+
+TEST_CASE("the burst is shared with what lies in stock") {
+  const Limit limit{100, 100};
+  QuotaAllocator allocator;
+  allocator.clear(0);
+  allocator.take("a", "t", limit, 1, 50, 59900);
+  CHECK(allocator.take("a", "t", limit, 1000, 50, 60000).granted <= limit.burst - kStockSpan * 50 + 10);
+}
+
+TEST_CASE("a store that all proxies have answered for begins with what they have not used") {
+  const Limit limit{100, 100};
+  QuotaAllocator allocator;
+  allocator.clear(0);
+  allocator.atLeast("t", 60, 0);
+  CHECK(allocator.take("a", "t", limit, 1000, 1, 0).granted == 60);
+  allocator.atLeast("t", 60, 0);  // all of it has been granted since
+  CHECK(allocator.take("a", "t", limit, 1000, 1, 0).granted == 0);
+}
+
+TEST_CASE("a proxy's part out of touch: none before a ceiling is told, none after its lease") {
+  TokenCache cache;
+  CHECK(cache.admit("t", 100, 100, 0, 5000) == Admit::no);
+  cache.setProxies(10, 20);
+  CHECK(cache.admit("t", 100, 100, 0, 6000) == Admit::yes);
+  CHECK(cache.admit("u", 100, 100, 0, kPartLease + 10) == Admit::no);
+}
+
+TEST_CASE("a proxy restarted each second out of touch spends no more than its part") {
+  const Limit limit{40, 40};
+  double let = 0;
+  for (int life = 0; life < 20; ++life) {
+    TokenCache cache(1000.0 * life);
+    cache.setProxies(4, 20);
+    for (double now = 1000.0 * life; now < 1000.0 * (life + 1); now += 10)
+      let += cache.admit("t", limit.rate, limit.burst, 0.5, now) == Admit::yes;
+  }
+  CHECK(let <= 20 * limit.rate / 4 + 20);  // at most one owed a life
+}
+
+TEST_CASE("an entry that falls out of the table brings back no part that was spent") {
+  TokenCache cache;
+  cache.setProxies(1, 0);
+  double let = 0;
+  for (double now = 0; now < 5000; now += 10) {
+    for (std::size_t i = 0; i < 20; ++i)
+      cache.admit("other" + std::to_string(now * 20 + double(i)), 1, 1, 1, now);
+    let += cache.admit("t", 100, 100, 0.5, now) == Admit::yes;
+  }
+  CHECK(let <= 100 * 5 + 100);
+}
+
+TEST_CASE("what may be let in beyond rate x window and burst is within the rule of all deployments") {
+  constexpr double kSlack = 20, kWindow = 5;
+  for (const double rate : {2.0, 10.0, 33.0, 100.0, 150.0, 1000.0, 8000.0}) {
+    const Limit limit{rate, rate};
+    CAPTURE(rate);
+    CHECK(worstExcess(limit, kSlack) <= 0.1 * (rate * kWindow + limit.burst) + kSlack);
+    for (const unsigned proxies : {9U, 11U, 59U, 63U, 540U})
+      CHECK(proxies * partSaved(limit, kSlack, proxies) <= limit.burst + worstExcess(limit, kSlack));
+  }
+}
+
+TEST_CASE(
+    "recent use covers its whole span, no more than a slot beyond, and counts all where the span changes") {
+  RecentUse use;
+  for (double now = 0; now < 1000; now += 10) use.add(800, now);
+  CHECK(use.sum(800, 1000) >= 80);
+  CHECK(use.sum(800, 1000) <= 91);
+  CHECK(use.sum(800, 5000) == 0);
+  use.add(800, 5000);
+  CHECK(use.sum(400, 5000) == 1);
 }
 
 }  // namespace
--- a/tests/system/load_balancing_test.cpp
+++ b/tests/system/load_balancing_test.cpp
@@ -189,27 +189,5 @@
   CHECK(choose().id == "three");
 }
 
-TEST_CASE("the span in which no proxy let anything in is from the last start to the first request") {
-  registry::Registry registry("10.0.0.1", {{"a1", "A"}});
-  const auto seat = [&](const char* name, double age, double quiet, double now) {
-    rpc::ProxySession s;
-    s.name = name, s.zone = "a1", s.incarnation = 1, s.age = age, s.quiet = quiet;
-    s.place(now);
-    registry.seat(s, now);
-  };
-  CHECK(registry.allQuiet() == 0);
-  CHECK_FALSE(registry.allYounger(5000, 10000));
-  seat("one", 900, 700, 10000);  // began at 9100, let in at 9800
-  seat("two", 600, 600, 10000);  // began at 9400, nothing yet
-  CHECK(registry.allQuiet() == 400);
-  CHECK(registry.allYounger(5000, 10000));
-  seat("two", 1100, 600, 10500);  // the same, told again: it let its first in at 10000
-  CHECK(registry.allQuiet() == 400);
-  // One that has not started anew: nothing can be said.
-  seat("three", 60000, 100, 10500);
-  CHECK(registry.allQuiet() == 0);
-  CHECK_FALSE(registry.allYounger(5000, 10500));
-}
-
 }  // namespace
 }  // namespace burlwind::load_balancing
--- a/tests/system/quota_simulation_test.cpp
+++ b/tests/system/quota_simulation_test.cpp
@@ -40,7 +40,7 @@
       for (unsigned i = 0; i < kProxies; ++i) stepProxy(i, askedPerS / kProxies);
       for (unsigned r = 0; r < kRegistries; ++r)
         if (awake(registries_[r]) && due(100)) askHolder(r);
-      if (due(500)) told_ = levelOf();
+      if (due(500)) hearPromises(true);
       countWindow();
     }
   }
@@ -82,14 +82,13 @@
   bool perSecond(double rate) { return chance(rate * kStepMs / 1000); }
   bool due(double everyMs) const { return std::fmod(now_, everyMs) < kStepMs; }
   bool awake(const Process& p) const { return now_ >= p.frozenUntil; }
-  double levelOf() const {
-    for (const auto& level : allocator_.all()) return level.level;
-    return 0;
+  void hearPromises(bool all) {
+    for (const auto& level : allocator_.promises(all)) told_ = level.level;
   }
 
   void start(Proxy& proxy) {
     dropped_ += proxy.cache.dropped();
-    proxy.cache = TokenCache{};
+    proxy.cache = TokenCache{now_};
     proxy.cache.setProxies(kProxies, 20);
     proxy.waiting.clear(), proxy.queued = 0;
     ++proxy.incarnation;
@@ -113,7 +112,7 @@
     noHolderUntil_ = 0;
     ++epoch_;
     allocator_.clear(now_);
-    allocator_.begin("t", 0.5 * told_, now_);
+    allocator_.begin("t", told_, now_);
   }
 
   template <class Receiver>
@@ -148,7 +147,8 @@
     }
     if (due(400) && awake(r)) p.heardAt = now_;
     const bool linked = troubles_.alwaysInTouch || now_ - p.heardAt < kSilenceMs;
-    p.cache.setTouch(linked && (troubles_.alwaysInTouch || !p.cache.unanswered(now_)), now_);
+    const Contact contact = linked ? Contact::held : Contact::lost;
+    p.cache.setContact(troubles_.alwaysInTouch ? Contact::held : p.cache.answered(contact, now_), now_);
     for (unsigned n = std::exchange(p.queued, 0) + comes; n > 0; --n) come(p);
     std::erase_if(p.waiting, [&](double until) {
       const Admit admit = p.cache.again("t", limit_.rate, now_ >= until, now_);
@@ -209,6 +209,7 @@
         const auto given =
             allocator_.take(std::to_string(index), "t", limit_, demand.want, demand.asked, now_);
         granted_ += given.granted;
+        hearPromises(false);
         const rpc::TokenGrant grant{"t", given.granted, given.use, given.empty};
         send(r, troubles_.repeatedAnswers,
              [this, &r, index, grant, incarnation, number = request.number, epoch = epoch_] {
--- a/tests/system/serving_test.cpp
+++ b/tests/system/serving_test.cpp
@@ -87,6 +87,9 @@
 TEST_CASE("A registry that lacks what was confirmed is not confirmed, and tells proxies nothing") {
   Asked asked;
   ProxyFeed feed;
+  rpc::Status status;
+  status.number = 1;
+  feed.heard(status);
   asked.tracker.take("a", update(1, 4));
   asked.tracker.take("a", confirmation(1, 5, asked.numbers["a"]), 10);
   CHECK_FALSE(asked.tracker.confirmed(10));
@@ -102,6 +105,65 @@
   CHECK(asked.tracker.questions(650).size() == 1);  // confirmed: the leader alone
 }
 
+// A registry that is confirmed at 10 ms and holds an update of that index.
+struct Confirmed : Asked {
+  explicit Confirmed(std::uint64_t index) {
+    tracker.take("a", update(1, index));
+    tracker.take("a", confirmation(1, index, numbers["a"]), 10);
+  }
+  void change(std::uint64_t index) { tracker.take("a", update(1, index, "c" + std::to_string(index))); }
+};
+rpc::Status statusOf(std::uint64_t number, std::uint64_t index, std::uint64_t unreadable = 0) {
+  rpc::Status out;
+  out.number = number, out.index = index, out.unreadable = unreadable;
+  return out;
+}
+
+TEST_CASE("One update is under way on a session, and the newest follows it") {
+  Confirmed registry(4);
+  ProxyFeed feed;
+  CHECK(feed.due(registry.tracker, 20) == nullptr);  // what the proxy holds isn't known yet
+  feed.heard(statusOf(1, 0));
+  REQUIRE(feed.due(registry.tracker, 20));
+  for (std::uint64_t index = 5; index < 300; ++index) {
+    registry.change(index);
+    CHECK(feed.due(registry.tracker, 30) == nullptr);
+  }
+  feed.heard(statusOf(2, 4));
+  const auto* const next = feed.due(registry.tracker, 40);
+  REQUIRE(next);
+  CHECK(next->index == 299);
+  feed.heard(statusOf(3, 299));
+  CHECK(feed.due(registry.tracker, 50) == nullptr);
+}
+
+TEST_CASE("An update that does not read, or is dropped without a word, holds up no newer one") {
+  Confirmed registry(4);
+  ProxyFeed feed;
+  feed.heard(statusOf(1, 0));
+  REQUIRE(feed.due(registry.tracker, 20));
+  registry.change(5);
+  SUBCASE("told") {
+    feed.heard(statusOf(2, 0, 4));
+    CHECK(feed.due(registry.tracker, 30) != nullptr);
+  }
+  SUBCASE("not told") {
+    CHECK(feed.due(registry.tracker, 900) == nullptr);
+    const auto questions = registry.tracker.questions(1500);
+    REQUIRE_FALSE(questions.empty());
+    registry.tracker.take("a", confirmation(1, 5, questions[0].request.number), 1510);
+    CHECK(feed.due(registry.tracker, 20 + registry::kUpdateTimeout) != nullptr);
+  }
+}
+
+TEST_CASE("A proxy that lacks nothing is sent nothing when it comes to another registry") {
+  Confirmed registry(9);
+  ProxyFeed feed;
+  feed.heard(statusOf(1, 9));
+  CHECK(feed.due(registry.tracker, 20) == nullptr);
+  CHECK(feed.heartbeat(registry.tracker, 20).index == 9);
+}
+
 TEST_CASE("A new leader's hint has it asked at once") {
   Asked asked;
   asked.tracker.take("b", confirmation(1, 0, asked.numbers["b"]), 10);  // and is confirmed: asked alone
@@ -139,7 +201,7 @@
   registry.heard("10.0.0.2", told, 1000);
   std::mt19937_64 random(1);
   CHECK(registry.addresses("", "", 1, 9, random).empty());  // the later one is not ready
-  CHECK(registry.counts(1000).live == 1);
+  CHECK(registry.liveByZone()[""] == 1);
 }
 
 TEST_CASE("A grant counts once, for this process's own question, from the newest holder known") {
@@ -202,7 +264,7 @@
 // A proxy that has opened one session and sent its first Status on it, number 1.
 struct Linked {
   Linked() {
-    core.meet("10.0.0.1");
+    core.setSeeds({"10.0.0.1"}, 0);
     id = only<proxy::OpenSession>(core.tick(0)).at(0).id;
     core.linked(id, 0);
   }
@@ -222,6 +284,26 @@
   CHECK(p.core.inTouch(20));
 }
 
+TEST_CASE("A session is good without an update where the proxy has what its registry holds") {
+  Linked p;
+  p.core.arrived(p.id, update(1, 7), 10);
+  p.core.arrived(p.id, list(1, 1), 10);
+  p.core.arrived(p.id, rpc::Heartbeat{true, 0, 1, 7}, 10);
+  p.core.setSeeds({"10.0.0.1", "10.0.0.2"}, 0);
+  p.core.unlinked(p.id);
+  const auto opened = only<proxy::OpenSession>(p.core.tick(100)).at(0);
+  const auto status = only<proxy::SendStatus>(p.core.linked(opened.id, 110)).at(0);
+  p.core.arrived(opened.id, list(1, 1), 120);
+  SUBCASE("the same") {
+    p.core.arrived(opened.id, rpc::Heartbeat{true, 0, status.number, 7}, 120);
+    CHECK(p.core.inTouch(120));
+  }
+  SUBCASE("a newer one, which must come first") {
+    p.core.arrived(opened.id, rpc::Heartbeat{true, 0, status.number, 8}, 120);
+    CHECK_FALSE(p.core.inTouch(120));
+  }
+}
+
 TEST_CASE("Heartbeats that waited in a buffer make nothing fresher") {
   Linked p;
   p.core.arrived(p.id, update(1, 1), 10);
@@ -234,7 +316,7 @@
 
 TEST_CASE("Nothing in force goes back when another registry takes over") {
   Linked p;
-  p.core.meet("10.0.0.2");
+  p.core.setSeeds({"10.0.0.1", "10.0.0.2"}, 0);
   p.core.arrived(p.id, update(2, 9), 10);
   p.core.arrived(p.id, list(5, 100), 10);
   p.core.arrived(p.id, rpc::Heartbeat{true, 0, 1}, 10);
--- a/tests/system/serving_world.hpp
+++ b/tests/system/serving_world.hpp
@@ -87,7 +87,9 @@
     start(node);
     node.core =
         std::make_unique<proxy::SessionCore>(proxy::Place{"z" + std::to_string(p % kCores), "r"}, random_());
-    for (const unsigned seed : seeds) node.core->meet(ip(seed));
+    std::vector<std::string> ips;
+    for (const unsigned seed : seeds) ips.push_back(ip(seed));
+    node.core->setSeeds(ips, now_);
     node.index = 0;
     node.holding = {};
     refresh(node.holding);
@@ -392,7 +394,7 @@
   }
   void greetProxy(unsigned i, const LinkPtr& link) {
     RegistryNode& node = registries_[i];
-    registry::ProxyFeed& feed = node.sessions[link];
+    node.sessions[link];
     rpc::Cores cores;
     for (const unsigned machine : node.known)
       cores.cores.push_back({ip(machine), "z" + std::to_string(machine), "r"});
@@ -400,7 +402,6 @@
     rpc::Workers workers;
     workers.term = workers.number = 1, workers.whole = true;
     tellProxy(link, workers);
-    if (const auto* update = feed.due(*node.tracker, now_)) tellProxy(link, *update);
   }
   void tellProxy(const LinkPtr& link, const proxy::FromRegistry& message) {
     const unsigned p = link->nodes[0] - 2 * kCores;
@@ -483,18 +484,22 @@
         sendStatus(node, status->id, status->number);
       } else if (const auto* update = std::get_if<rpc::ConfigUpdate>(&effect)) {
         inForce(node, *update);
+        carry(p, node.core->statusNow(now_));
       }
     }
   }
   void sendStatus(ProxyNode& node, proxy::SessionId id, std::uint64_t number) {
     const auto [machine, link] = node.sessions.at(id);
-    send(link, registryOf(machine), [this, machine = machine, link = link, number] {
+    const std::uint64_t index = node.index;
+    send(link, registryOf(machine), [this, machine = machine, link = link, number, index] {
       const auto feed = registries_[machine].sessions.find(link);
       if (feed == registries_[machine].sessions.end()) return;
       rpc::Status status;
-      status.number = number;
+      status.number = number, status.index = index;
       feed->second.heard(status);
       tellProxy(link, feed->second.heartbeat(*registries_[machine].tracker, now_));
+      if (const auto* update = feed->second.due(*registries_[machine].tracker, now_))
+        tellProxy(link, *update);
     });
   }
   void inForce(ProxyNode& node, const rpc::ConfigUpdate& update) {
