--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -132,8 +132,8 @@
   std::uint64_t term = 0, index = 0;
   std::string configuration;  // as the operator sent it; empty before the first
   std::vector<std::string> evacuated;
-  std::vector<std::string> stores;          // ips
-  std::map<std::string, unsigned> proxies;  // by zone: the agreed ceiling of how many there may be
+  std::vector<std::string> stores;            // ips
+  std::map<std::string, unsigned> proxies{};  // by zone: the agreed ceiling of how many there may be
   MSGPACK_DEFINE(term, index, configuration, evacuated, stores, proxies)
 };
 struct ConfirmationRequest {  // a reader asks whether this store still leads
--- a/tests/system/membership_test.cpp
+++ b/tests/system/membership_test.cpp
@@ -79,7 +79,7 @@
 // A proxy's sessions with registries of which one answers. Time until it is in touch.
 struct Search {
   enum class Kind { gone, silent, living };
-  explicit Search(std::vector<Kind> kinds) : registries(std::move(kinds)) {
+  explicit Search(std::vector<Kind> all) : registries(std::move(all)) {
     std::vector<std::string> seeds;
     for (unsigned i = 0; i < registries.size(); ++i) seeds.push_back(ip(i));
     sessions.setSeeds(seeds, 0);
