Token cache: a default constructor that is not explicit

Cause: the tests' world value-initializes a proxy, which -Werror refuses through an explicit default. Change: a constructor of its own.

--- a/src/distributed_quota/token_cache.hpp
+++ b/src/distributed_quota/token_cache.hpp
@@ -49,7 +49,9 @@
 // Out of touch a part of less than a request lets one in by as much chance, and owes the rest.
 class TokenCache {
  public:
-  explicit TokenCache(double beganAt = 0) : beganAt_(beganAt), outSince_(beganAt), evictedAt_(beganAt) {}
+  TokenCache() : TokenCache(0) {}
+  // beganAt: ms, of this process.
+  explicit TokenCache(double beganAt) : beganAt_(beganAt), outSince_(beganAt), evictedAt_(beganAt) {}
   void setContact(Contact contact, double now);
   // `ceiling`: how many proxies there may be; 0: not told, there is no part out of touch. `slack`: requests
   // that the rule leaves above rate and burst, over all proxies.
