Proxy: departures of clients seen, counted by stage, and how long workers go on

A read stays pending on each client's connection while its request is handled. The end of a connection is noted with the stage at which the request stood: log lines 'clients left' and 'work after departure', and GET /api/metrics at the readiness address. What is done with a request is unchanged.

--- a/src/control_api/server.cpp
+++ b/src/control_api/server.cpp
@@ -174,7 +174,8 @@
 asio::awaitable<bool> Server::writeReply(std::shared_ptr<Connection> connection, const Call& call,
                                          const Reply& reply) {
   http::response<http::empty_body> head{static_cast<http::status>(reply.status), 11};
-  if (!reply.body.empty()) head.set(http::field::content_type, "application/json");
+  if (!reply.body.empty())
+    head.set(http::field::content_type, {reply.contentType.data(), reply.contentType.size()});
   head.keep_alive(call.keepAlive);
   head.content_length(reply.body.size());
   std::string out;
--- a/src/control_api/server.hpp
+++ b/src/control_api/server.hpp
@@ -37,10 +37,13 @@
 // Takes "/api/rpc?call=x" apart.
 Call callOf(std::string_view method, std::string_view target);
 
+constexpr std::string_view kMetricsType = "text/plain; version=0.0.4";  // Prometheus text format
+
 struct Reply {
   explicit Reply(int s, std::string b = {}) : status(s), body(std::move(b)) {}
   int status;
-  std::string body;  // JSON, or nothing
+  std::string body;  // may be empty
+  std::string_view contentType = "application/json";
 };
 
 class Server {
--- a/src/proxy/client_request.hpp
+++ b/src/proxy/client_request.hpp
@@ -9,6 +9,7 @@
 #include "config/configuration.hpp"
 #include "http/http.hpp"
 #include "node/budget.hpp"
+#include "proxy/client_presence.hpp"
 
 namespace burlwind::proxy {
 
@@ -28,9 +29,10 @@
 
 struct ClientRequest {
   http::request<http::string_body> message;
-  double arrivedAt = 0;            // ms, read whole
-  double until = 0;                // ms; its time is over
-  Budget::Share* bytes = nullptr;  // of its connection
+  double arrivedAt = 0;                    // ms, read whole
+  double until = 0;                        // ms; its time is over
+  Budget::Share* bytes = nullptr;          // of its connection
+  std::shared_ptr<ClientPresence> client;  // of its connection
   // What the configuration says of it; the pointers lead into the configuration that was in force.
   std::shared_ptr<const config::Configuration> configuration;
   const config::Route* route = nullptr;
@@ -39,6 +41,10 @@
   ClientAnswer answer;
 
   std::string_view field(const char* name) const { return view(message[name]); }
+  RequestKind kind() const {
+    if (!route) return RequestKind::unrouted;
+    return route->safe ? RequestKind::repeatable : RequestKind::onceOnly;
+  }
 };
 
 }  // namespace burlwind::proxy
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -6,9 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 
-#include "program/deadline.hpp"
 #include "program/listen.hpp"
 #include "program/log.hpp"
 #include "program/start.hpp"
@@ -52,35 +50,19 @@
 
 }  // namespace
 
-struct ClientServer::Connection {
-  Connection(Tcp::socket s, asio::io_context& io, std::shared_ptr<Budget> all)
-      : socket(std::move(s)), deadline(io), budget(std::move(all)), bytes(*budget) {}
-  Tcp::socket socket;
-  program::Deadline deadline;
-  beast::flat_buffer in;  // read, and not yet part of a request
-  const std::shared_ptr<Budget> budget;
-  Budget::Share bytes;  // of the request at work
-  bool idle = true;     // no byte of a request has come
-  void close() {
-    Error ignored;
-    socket.close(ignored);
-    deadline.disarm();
-  }
-  static void closeAfter(const ConnectionPtr& connection, double ms) {
-    connection->deadline.arm(ms, [weak = std::weak_ptr<Connection>(connection)] {
-      if (const auto late = weak.lock()) late->close();
-    });
-  }
-};
-
-ClientServer::ClientServer(asio::io_context& io, std::shared_ptr<Budget> bytes, Limits limits,
-                           Handler handler)
+ClientServer::ClientServer(asio::io_context& io, std::shared_ptr<Budget> bytes,
+                           std::shared_ptr<DepartureFigures> departures, Limits limits, Handler handler)
     : io_(io),
       bytes_(std::move(bytes)),
+      departures_(std::move(departures)),
       limits_(std::move(limits)),
       handler_(std::move(handler)),
       acceptor_(io) {}
 
+ClientServer::~ClientServer() {
+  for (const auto& connection : connections_) connection->abandon();
+}
+
 Error ClientServer::listen(const std::string& ip, std::uint16_t port) {
   const Error error = program::listenAt(acceptor_, ip, port, kBacklog);
   if (!error) asio::co_spawn(io_, accept(), asio::detached);
@@ -114,25 +96,30 @@
       continue;
     }
     socket.set_option(Tcp::no_delay(true), error);
-    auto connection = std::make_shared<Connection>(std::move(socket), io_, bytes_);
+    auto connection = ClientConnection::create(std::move(socket), io_, bytes_);
     connections_.insert(connection);
     asio::co_spawn(io_, serve(connection), asio::detached);
   }
 }
 
 asio::awaitable<void> ClientServer::serve(ConnectionPtr connection) {
-  for (bool goOn = true; goOn && connection->socket.is_open();) {
+  for (bool goOn = true; goOn && connection->isOpen();) {
     ClientRequest request;
-    request.bytes = &connection->bytes;
+    request.bytes = &connection->bytes();
+    request.client = connection->presence();
     const Read read = co_await readRequest(connection, request);
     if (read == Read::ended) break;
+    connection->beginRequest();
     if (read == Read::request) co_await handler_(request);
     goOn = read == Read::request && request.message.keep_alive() && !closeBehindAnswers_;
     ++answers_[{request.answer.statusCode(),
                 request.answer.fromWorker ? std::string_view("a worker's") : request.answer.reason}];
+    connection->presence()->enter(RequestStage::answering);
     const bool written = co_await writeAnswer(connection, request, !goOn);
+    if (connection->presence()->left())
+      departures_->left(request.kind(), connection->presence()->stageAtDeparture());
     if (!written) break;
-    connection->bytes.shrinkTo(0);
+    connection->endRequest();
   }
   connection->close();
   connections_.erase(connection);
@@ -144,16 +131,16 @@
   Parser parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.header));
   parser.body_limit(std::min<std::uint64_t>(limits.body, kMostBody));
-  auto& in = connection->in;
+  auto& in = connection->input();
   connection->idle = in.size() == 0;
   bool toldToContinue = false;
-  Connection::closeAfter(connection, connection->idle ? limits.idle : limits.headerRead);
+  connection->closeAfter(connection->idle ? limits.idle : limits.headerRead);
   Error error;
   while (!parser.is_done()) {
     if (in.size() > 0 && feed(parser, in, error)) break;
     if (error) break;
     // What will not fit is refused by its head; what tells no length, once it does not fit any more.
-    if (parser.is_header_done() && !connection->bytes.growTo(2 * bodyBytes(parser))) {
+    if (parser.is_header_done() && !connection->bytes().growTo(2 * bodyBytes(parser))) {
       request.arrivedAt = now();
       request.answer.refuse(503, "too many bytes are held", kNoRoomRetryMs);
       co_return Read::refused;
@@ -161,18 +148,16 @@
     if (!toldToContinue && expectsContinue(parser)) {
       toldToContinue = true;
       static const std::string go = "HTTP/1.1 100 Continue\r\n\r\n";
-      co_await asio::async_write(connection->socket, asio::buffer(go), redirect_error(use_awaitable, error));
+      error = co_await connection->write(asio::buffer(go));
     }
-    const std::size_t read = co_await connection->socket.async_read_some(
-        in.prepare(kReadStep), redirect_error(use_awaitable, error));
+    error = co_await connection->moreInput();
     if (error) break;
-    in.commit(read);
     if (!connection->idle) continue;
     connection->idle = false;
-    Connection::closeAfter(connection, limits.headerRead + kBodyWithinMs);
+    connection->closeAfter(limits.headerRead + kBodyWithinMs);
   }
-  connection->deadline.disarm();
-  if (!connection->socket.is_open()) co_return Read::ended;
+  connection->keepOpen();
+  if (!connection->isOpen()) co_return Read::ended;
   request.arrivedAt = now();
   if (error) {
     if (!isBadRequest(error)) co_return Read::ended;
@@ -188,10 +173,9 @@
 asio::awaitable<bool> ClientServer::writeAnswer(ConnectionPtr connection, const ClientRequest& request,
                                                 bool close) {
   const std::string text = clientAnswerText(request, close);
-  Connection::closeAfter(connection, kWriteWithinMs);
-  Error error;
-  co_await asio::async_write(connection->socket, asio::buffer(text), redirect_error(use_awaitable, error));
-  connection->deadline.disarm();
+  connection->closeAfter(kWriteWithinMs);
+  const Error error = co_await connection->write(asio::buffer(text));
+  connection->keepOpen();
   co_return !error;
 }
 
--- a/src/proxy/client_server.hpp
+++ b/src/proxy/client_server.hpp
@@ -16,12 +16,12 @@
 #include <string_view>
 #include <utility>
 
+#include "proxy/client_connection.hpp"
 #include "proxy/client_request.hpp"
+#include "proxy/departure_figures.hpp"
 
 namespace burlwind::proxy {
 
-using Tcp = asio::ip::tcp;
-
 class ClientServer {
  public:
   // Ends with the request's answer standing.
@@ -29,7 +29,11 @@
   using Limits = std::function<config::ClientLimits()>;
   // bytes: of bodies that are held whole, both ways. Connections share it: their coroutines end with the
   // loop, which may outlive this object.
-  ClientServer(asio::io_context& io, std::shared_ptr<Budget> bytes, Limits limits, Handler handler);
+  ClientServer(asio::io_context& io, std::shared_ptr<Budget> bytes,
+               std::shared_ptr<DepartureFigures> departures, Limits limits, Handler handler);
+  ~ClientServer();
+  ClientServer(const ClientServer&) = delete;
+  ClientServer& operator=(const ClientServer&) = delete;
   Error listen(const std::string& ip, std::uint16_t port);
   void closeBehindAnswers() { closeBehindAnswers_ = true; }  // each connection ends with its next answer
   void stopAccepting();
@@ -40,8 +44,7 @@
   void report();  // logs the answers given since the last report
 
  private:
-  struct Connection;
-  using ConnectionPtr = std::shared_ptr<Connection>;
+  using ConnectionPtr = std::shared_ptr<ClientConnection>;
   enum class Read { request, refused, ended };
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(ConnectionPtr connection);
@@ -50,6 +53,7 @@
 
   asio::io_context& io_;
   const std::shared_ptr<Budget> bytes_;
+  const std::shared_ptr<DepartureFigures> departures_;
   const Limits limits_;
   const Handler handler_;
   Tcp::acceptor acceptor_;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -37,6 +37,7 @@
   Attempts attempts(*request.route);
   budget_.first(request.service);
   while (mayAttempt(request, attempts)) {
+    request.client->enter(RequestStage::choosing);
     const load_balancing::Core::Choice choice = chooseWorker(request, attempts);
     if (choice.id.empty()) {
       const bool nobody = choice.why == load_balancing::Why::nobody;
@@ -49,9 +50,12 @@
     WorkerCall call = callOf(request, attempts, choice);
     const std::size_t bytes = call.text.size();
     balancer_.sent(choice.id, now());
+    if (request.client->left()) departures_->sentAfterDeparture();
     ExchangeResult result = co_await workers_.exchange(std::move(call));
     request.bytes->growTo(2 * (request.message.body().size() + result.response.body().size()));
     noteWorker(choice.id, result);
+    noteDeparture(request, result);
+    request.client->enter(RequestStage::choosing);
     Sent& sent = sent_[choice.away];
     ++sent.count, sent.bytes += bytes + result.response.body().size();
     skippedAnswers_ += result.skippedAnswers;
@@ -134,10 +138,16 @@
   call.request.head = request.message.method() == http::verb::head;
   call.request.maxBodyBytes = request.bytes->room() / 2;  // held as it comes and as it goes out
   call.runsOnce = !request.route->safe;
+  call.client = request.client;
   call.withinMs = answerWithinMs(request, attempts);
   return call;
 }
 
+void Forwarder::noteDeparture(const ClientRequest& request, const ExchangeResult& result) {
+  if (!request.client->left() || certainlyNotRun(result.outcome)) return;
+  departures_->workEnded(request.kind(), now() - request.client->leftAt());
+}
+
 // What an exchange says of the worker.
 void Forwarder::noteWorker(const std::string& worker, const ExchangeResult& result) {
   const double at = now();
--- a/src/proxy/forwarder.hpp
+++ b/src/proxy/forwarder.hpp
@@ -11,6 +11,7 @@
 #include "distributed_quota/budget.hpp"
 #include "load_balancing/core.hpp"
 #include "proxy/client_request.hpp"
+#include "proxy/departure_figures.hpp"
 #include "proxy/worker_side.hpp"
 
 namespace burlwind::proxy {
@@ -18,9 +19,10 @@
 class Forwarder {
  public:
   // draw: a number from 0 to under 1.
-  Forwarder(asio::io_context& io, load_balancing::Core& balancer, std::function<double()> draw)
-      : balancer_(balancer), draw_(std::move(draw)), workers_(io) {}
-  // Ends with request.answer standing. request.bytes is there.
+  Forwarder(asio::io_context& io, load_balancing::Core& balancer,
+            std::shared_ptr<DepartureFigures> departures, std::function<double()> draw)
+      : balancer_(balancer), departures_(std::move(departures)), draw_(std::move(draw)), workers_(io) {}
+  // Ends with request.answer standing. request.bytes and request.client are there.
   asio::awaitable<void> forward(ClientRequest& request);
   void setBudget(double retryRatio, double retrySlack, unsigned proxies) {
     budget_.set(retryRatio, retrySlack, proxies);
@@ -41,8 +43,10 @@
   static void giveUp(ClientRequest& request, const Attempts& attempts, std::string_view reason,
                      double retryAfterMs);
   void noteWorker(const std::string& worker, const ExchangeResult& result);
+  void noteDeparture(const ClientRequest& request, const ExchangeResult& result);
 
   load_balancing::Core& balancer_;
+  const std::shared_ptr<DepartureFigures> departures_;
   const std::function<double()> draw_;
   distributed_quota::TryBudget budget_;
   WorkerSide workers_;
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -39,6 +39,11 @@
 
  private:
   asio::awaitable<control_api::Reply> answer(control_api::Call call) {
+    if (call.is("GET", {"api", "metrics"})) {
+      control_api::Reply metrics(200, proxy_.metrics());
+      metrics.contentType = control_api::kMetricsType;
+      co_return metrics;
+    }
     if (!call.is("GET", {"api", "ready"}))
       co_return control_api::Reply(404, control_api::message("no such call"));
     co_return control_api::Reply(proxy_.ready() ? 200 : 503, "");
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -37,13 +37,14 @@
       sessions_(io, settings_, hooks()),
       balancer_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
                 settings_.bounds.coldSlack),
-      forwarder_(io, balancer_, [this] { return draw(); }),
+      forwarder_(io, balancer_, departures_, [this] { return draw(); }),
       tokens_(
           io, now(), [this](const rpc::TokenRequest& request) { sessions_.tell(rpc::frame(request)); },
           [this] { sessions_.tellStatus(); }),
       bytes_(std::make_shared<Budget>(bodyBytesOf(settings_))),
       clients_(
-          io, bytes_, [this] { return configuration_ ? configuration_->limits : config::ClientLimits{}; },
+          io, bytes_, departures_,
+          [this] { return configuration_ ? configuration_->limits : config::ClientLimits{}; },
           [this](ClientRequest& request) { return handle(request); }),
       timer_(io) {
   startedAt_ = now();
@@ -136,7 +137,7 @@
   if (!assignRoute(request, draw())) co_return;
   if (request.tenant && request.tenant->rate > 0) {
     const double chance = draw();
-    const bool admitted = co_await tokens_.admit(*request.tenant, chance, request.until);
+    const bool admitted = co_await tokens_.admit(*request.tenant, chance, request.until, request.client);
     if (!admitted) {
       request.answer.refuse(429, "over the quota", kQuotaRetryMs * (1 + chance));
       co_return;
@@ -173,6 +174,7 @@
   forwarder_.report();
   tokens_.report();
   clients_.report();
+  departures_->report();
   rpc::logTraffic();
 }
 
@@ -180,6 +182,7 @@
   if (leaving_) return;
   leaving_ = true;
   leaveAt_ = now();
+  departures_->report();
   rpc::logTraffic();
   clients_.closeBehindAnswers();
   sessions_.tellStatus();
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -32,6 +32,7 @@
   Error start();  // takes its addresses; nothing is served before it has a configuration
   void leave();   // SIGTERM: serves what it has, takes little more, ends the loop
   bool ready() const;
+  std::string metrics() const { return departures_->text(); }  // Prometheus text format
 
  private:
   Sessions::Hooks hooks();
@@ -51,6 +52,7 @@
   std::uint64_t unreadable_ = 0;  // of the last one that didn't read
   Sessions sessions_;
   load_balancing::Core balancer_;
+  const std::shared_ptr<DepartureFigures> departures_ = std::make_shared<DepartureFigures>();
   Forwarder forwarder_;
   TokenGate tokens_;
   const std::shared_ptr<Budget> bytes_;  // of bodies that are held whole, both ways
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -18,7 +18,9 @@
 
 }  // namespace
 
-asio::awaitable<bool> TokenGate::admit(const config::Tenant& tenant, double chance, double until) {
+asio::awaitable<bool> TokenGate::admit(const config::Tenant& tenant, double chance, double until,
+                                       std::shared_ptr<ClientPresence> client) {
+  client->enter(RequestStage::tokens);
   Admit decision = cache_.admit(tenant.name, tenant.rate, tenant.burst, chance, now());
   if (decision == Admit::wait) {
     request();
--- a/src/proxy/token_gate.hpp
+++ b/src/proxy/token_gate.hpp
@@ -12,6 +12,7 @@
 
 #include "config/configuration.hpp"
 #include "distributed_quota/token_cache.hpp"
+#include "proxy/client_presence.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::proxy {
@@ -26,7 +27,8 @@
   TokenGate(asio::io_context& io, double beganAt, Send send, std::function<void()> ownPartChanged)
       : io_(io), send_(std::move(send)), ownPartChanged_(std::move(ownPartChanged)), cache_(beganAt) {}
   // Whether a request of that tenant may go on. chance: drawn from 0 to under 1. until: ms, its time is over.
-  asio::awaitable<bool> admit(const config::Tenant& tenant, double chance, double until);
+  asio::awaitable<bool> admit(const config::Tenant& tenant, double chance, double until,
+                              std::shared_ptr<ClientPresence> client);
   void take(const rpc::TokenResponse& response);
   void request();  // what is due
   // A new holder of the quotas asks: its tokens are drawn on from now on.
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -94,13 +94,15 @@
 }
 
 // Writes the request and reads until the exchange is finished.
-asio::awaitable<void> WorkerSide::transfer(ConnectionPtr connection, const std::string& text,
+asio::awaitable<void> WorkerSide::transfer(ConnectionPtr connection, const WorkerCall& call,
                                            WorkerExchange& exchange, double withinMs) {
   Tcp::socket& socket = connection->socket;
   closeAfter(connection, withinMs);
   Error error;
+  call.client->enter(RequestStage::sending);
   const std::size_t written =
-      co_await asio::async_write(socket, asio::buffer(text), redirect_error(use_awaitable, error));
+      co_await asio::async_write(socket, asio::buffer(call.text), redirect_error(use_awaitable, error));
+  call.client->enter(RequestStage::atWorker);
   exchange.requestWritten(written, !error);
   if (connection->overdue) exchange.deadlinePassed();
   while (!exchange.finished()) {
@@ -127,13 +129,14 @@
   const double until = now() + call.withinMs;
   ExchangeResult result;
   while (true) {
+    call.client->enter(RequestStage::connecting);
     ConnectionPtr connection = takeIdle(call);
     const bool reused = connection != nullptr;
     if (!reused) connection = co_await connect(call.address, std::min(call.connectWithin, until - now()));
     if (!connection || now() >= until) co_return result;
     const double sentAt = now();
     WorkerExchange exchange(call.request);
-    co_await transfer(connection, call.text, exchange, until - sentAt);
+    co_await transfer(connection, call, exchange, until - sentAt);
     keepOrClose(connection, call.worker, exchange);
     // An idle connection that took nothing any more: another one does.
     if (reused && exchange.outcome() == ExchangeOutcome::notSent) continue;
--- a/src/proxy/worker_side.hpp
+++ b/src/proxy/worker_side.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "program/deadline.hpp"
+#include "proxy/client_presence.hpp"
 #include "proxy/idle_connections.hpp"
 #include "proxy/worker_exchange.hpp"
 
@@ -31,6 +32,7 @@
   bool runsOnce = false;       // it must not be sent again once it may have run: see kAvoidIdleForMs
   double withinMs = 1000;      // in all, connecting included
   double connectWithin = 400;  // ms
+  std::shared_ptr<ClientPresence> client;
 };
 
 class WorkerSide {
@@ -50,7 +52,7 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   ConnectionPtr takeIdle(const WorkerCall& call);
   asio::awaitable<ConnectionPtr> connect(const std::string& address, double withinMs);
-  static asio::awaitable<void> transfer(ConnectionPtr connection, const std::string& text,
+  static asio::awaitable<void> transfer(ConnectionPtr connection, const WorkerCall& call,
                                         WorkerExchange& exchange, double withinMs);
   void keepOrClose(const ConnectionPtr& connection, const std::string& worker,
                    const WorkerExchange& exchange);
--- a/tests/system/proxy_connections_test.cpp
+++ b/tests/system/proxy_connections_test.cpp
@@ -49,8 +49,8 @@
   config::ClientLimits limits;
   std::vector<std::string> handled;
   std::vector<std::shared_ptr<asio::steady_timer>> held;
-  ClientServer server{io, std::make_shared<Budget>(100000), [this] { return limits; },
-                      [this](ClientRequest& request) { return handle(request); }};
+  ClientServer server{io, std::make_shared<Budget>(100000), std::make_shared<DepartureFigures>(),
+                      [this] { return limits; }, [this](ClientRequest& request) { return handle(request); }};
 };
 
 TEST_CASE("requests that a client sends at once are answered one after the other, in their order") {
@@ -133,6 +133,7 @@
     call.withinMs = withinMs;
     call.connectWithin = 60000;
     call.runsOnce = runsOnce;
+    call.client = std::make_shared<ClientPresence>();
     result.reset();
     asio::co_spawn(
         io,
@@ -243,6 +244,7 @@
     request.message.target("/");
     request.message.set("Try-Id", "a");
     request.bytes = &bytes;
+    request.client = std::make_shared<ClientPresence>();
     request.route = &route;
     request.service = "s";
     request.arrivedAt = program::now();
@@ -280,7 +282,7 @@
   Budget all{1000000};
   Budget::Share bytes{all};
   load_balancing::Core balancer{{"z", "r"}, {{"z", "r"}}, 1, 1};
-  Forwarder forwarder{io, balancer, [] { return 0.0; }};
+  Forwarder forwarder{io, balancer, std::make_shared<DepartureFigures>(), [] { return 0.0; }};
   config::Route route;
   ClientRequest request;
   bool done = false;
