Proxy: what a client asked for ends with the client

Cause: from the last byte of a request to the last byte of its answer nothing in the proxy could end the work for it but the answer or its deadline: a request had no notion of its client's being there. So every worker went on for clients that had left, and what waited was sent on late.

Change: a request carries its client's presence (std::stop_token). Its end wins over each send: the connection is looked at right before bytes go to a worker. Waiting for tokens, connecting, sending and repeatable work at a worker are broken off at once; with bytes on their way the connection is reset, so that what is queued does not arrive ahead of the end. Once-only work that is with its worker is left to run, its answer read, dropped, the connection kept. No further try for either kind; the retry budget and the tenant's stock get back what no worker has seen. A departure says nothing of the worker: no failure, no ejection; what was broken off counts as somebody else's load until the worker's next report.

--- a/src/distributed_quota/budget.hpp
+++ b/src/distributed_quota/budget.hpp
@@ -26,6 +26,11 @@
     if (level < 1) return false;
     return level -= 1, true;
   }
+  // A try that was taken and reached no worker.
+  void giveBack(const std::string& service) {
+    double& level = levels_.try_emplace(service, most_ / 2).first->second;
+    level = std::min(most_, level + 1);
+  }
   double left(const std::string& service) const {
     const auto found = levels_.find(service);
     return found == levels_.end() ? most_ / 2 : found->second;
--- a/src/distributed_quota/recent_use.hpp
+++ b/src/distributed_quota/recent_use.hpp
@@ -17,6 +17,15 @@
     advance(spanMs, now);
     ++slots_[index(slot_)];
   }
+  // One that was counted of late let nothing in; false: none is remembered.
+  bool takeBack(double spanMs, double now) {
+    advance(spanMs, now);
+    for (std::int64_t s = slot_; s > slot_ - static_cast<std::int64_t>(kSlots); --s) {
+      std::uint32_t& count = slots_[index(s)];
+      if (count > 0) return --count, true;
+    }
+    return false;
+  }
   // Requests let in within the last spanMs.
   double sum(double spanMs, double now) {
     advance(spanMs, now);
--- a/src/distributed_quota/token_cache.cpp
+++ b/src/distributed_quota/token_cache.cpp
@@ -76,7 +76,8 @@
 
 // Out of touch the stock goes first: it was taken off the store already.
 bool TokenCache::takeOne(Account& a, double chance, double now) {
-  if (a.stock >= 1) return a.stock -= 1, true;
+  lastFromStock_ = a.stock >= 1;
+  if (lastFromStock_) return a.stock -= 1, true;
   if (share(now) == 0) return false;
   growPart(a, now);
   if (a.own.level <= chance) return false;
@@ -119,6 +120,18 @@
   return in ? Admit::yes : Admit::no;
 }
 
+void TokenCache::withdraw(const std::string& tenant) {
+  Account* const known = table_.peek(tenant);
+  if (known && known->waits) --known->waits;
+}
+
+void TokenCache::giveBack(const std::string& tenant, double now) {
+  Account* const known = table_.peek(tenant);
+  if (!known || !inTouch()) return;
+  if (!known->letIn.takeBack(fillSpan(known->rate, known->burst), now)) return;
+  known->stock += 1;
+}
+
 double TokenCache::target(const Account& a) const {
   const double ahead = a.came * kAhead;
   // Of a tenant that comes here seldom nothing is held ahead: at many proxies that would be its whole store.
--- a/src/distributed_quota/token_cache.hpp
+++ b/src/distributed_quota/token_cache.hpp
@@ -74,6 +74,13 @@
   // One that waited: no second count of its coming.
   // `last`: it will not wait any longer.
   Admit again(const std::string& tenant, double rate, bool last, double now);
+  // One that waited waits no more: its client has left.
+  void withdraw(const std::string& tenant);
+  // Whether the request that was let in last took its token off a stock.
+  bool lastFromStock() const { return lastFromStock_; }
+  // A token that was taken off the stock and let nothing in: it is in stock again. Out of touch, or where
+  // the tenant was forgotten, it is lost.
+  void giveBack(const std::string& tenant, double now);
   // What to ask for, now, under a number of its own. Without demands: nothing.
   rpc::TokenRequest request(double now);
   // One tenant's part of the answer to the request of that number.
@@ -112,6 +119,7 @@
   double target(const Account& a) const;
   quota::LruTable<std::string, Account> table_;
   Contact contact_ = Contact::lost;
+  bool lastFromStock_ = false;
   bool holderless_ = false;  // told so, and no grant since
   double beganAt_ = 0, outSince_ = 0, evictedAt_ = 0;
   double slack_ = 0;
--- a/src/load_balancing/core.cpp
+++ b/src/load_balancing/core.cpp
@@ -121,14 +121,23 @@
   return found == usual_.end() ? kUsualFirst : found->second;
 }
 
-double Core::cost(const WorkerState& state, const Ask& ask, double now) const {
+double Core::responseTime(const WorkerState& state) const {
   const double usualTime = usual(state.worker.service);
-  const double time = state.responseTime > 0 ? 0.5 * state.responseTime + 0.5 * usualTime : usualTime;
-  const double slots = std::max(1U, state.worker.slots);
+  return state.responseTime > 0 ? 0.5 * state.responseTime + 0.5 * usualTime : usualTime;
+}
+
+// As last reported, fading to what is usual.
+double Core::othersLoad(const WorkerState& state, double now) const {
   const auto usualLoad = usualLoad_.find(state.worker.service);
   const double mean = usualLoad == usualLoad_.end() ? 0 : usualLoad->second;
-  const double fading = std::exp(-(now - state.reportedAt) / std::max(kLoadMemory, time));
-  const double load = state.outstanding + mean + (state.othersLoad - mean) * fading;
+  const double fading = std::exp(-(now - state.reportedAt) / std::max(kLoadMemory, responseTime(state)));
+  return mean + (state.othersLoad - mean) * fading;
+}
+
+double Core::cost(const WorkerState& state, const Ask& ask, double now) const {
+  const double time = responseTime(state);
+  const double slots = std::max(1U, state.worker.slots);
+  const double load = state.outstanding + othersLoad(state, now);
   double out = time * (1 + 0.3 * std::min(1.0, load / slots) + std::max(0.0, load + 1 - slots) / slots);
   if (now < state.coldUntil) out += 2 * time;
   return out + kDistanceCost[away(state)] * ask.aim;
@@ -193,6 +202,14 @@
   if (WorkerState* state = find(id)) state->outstanding = std::max(0.0, state->outstanding - 1);
 }
 
+void Core::abandoned(const std::string& id, double now) {
+  released(id);
+  WorkerState* state = find(id);
+  if (!state) return;
+  state->othersLoad = othersLoad(*state, now) + 1;
+  state->reportedAt = now;
+}
+
 void Core::answered(const std::string& id, double took, double now) {
   released(id);
   WorkerState* state = find(id);
--- a/src/load_balancing/core.hpp
+++ b/src/load_balancing/core.hpp
@@ -77,6 +77,9 @@
   void load(const std::string& id, double running, double waiting, double now);
   void full(const std::string& id, double now);                      // did not run it: full
   void failed(const std::string& id, bool unreachable, double now);  // no answer, or none that can be read
+  // Broken off by this side. The worker may go on with it: until its next report, and for as long as a
+  // report is believed, it counts as a request of somebody else.
+  void abandoned(const std::string& id, double now);
   void released(const std::string& id);  // gives back `sent` where none of these fits
   void cold(const std::string& id, double left, double now);
 
@@ -114,6 +117,8 @@
   bool mayWarm(WorkerState& state, double now);
   unsigned warmingProxies(const WorkerState& state) const;
   double cost(const WorkerState& state, const Ask& ask, double now) const;
+  double responseTime(const WorkerState& state) const;  // ms to expect of it, as far as it isn't loaded
+  double othersLoad(const WorkerState& state, double now) const;
   void put(const rpc::Worker& worker, double now);
   void remove(const std::string& id);
   void removeAllBut(const std::vector<rpc::Worker>& kept);
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -90,7 +90,9 @@
 
 void ClientConnection::noteEnd(const Error& error) {
   if (!end_) end_ = error;
-  if (handling_) presence_->noteLeft(program::now());
+  if (!handling_) return;
+  presence_->noteLeft(program::now());
+  close();
 }
 
 void ClientConnection::beginRequest() {
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -5,8 +5,8 @@
 // reading pauses, and the connection is looked at each kEndCheckMs instead: an end behind bytes that are not
 // read is seen as long as the system's own buffer has taken these.
 //
-// A client that only shuts its sending side can't be told from one that closed: either has left. It is not
-// read from again, and what it sent behind the request at work is not handled.
+// A client that only shuts its sending side can't be told from one that closed: either has left. Its
+// connection is closed at once, and what it sent behind the request at work is not handled.
 #pragma once
 
 #include <array>
--- a/src/proxy/client_presence.hpp
+++ b/src/proxy/client_presence.hpp
@@ -16,6 +16,7 @@
 namespace burlwind::proxy {
 
 enum class RequestStage : std::uint8_t {
+  reading,     // some of it has come
   routing,     // read, not routed yet
   tokens,      // waits for tokens of its tenant
   choosing,    // before a worker is chosen, also between two tries
@@ -24,14 +25,14 @@
   atWorker,    // sent whole, its answer is waited for
   answering    // its answer is being written
 };
-constexpr std::size_t kRequestStages = 7;
+constexpr std::size_t kRequestStages = 8;
 
 enum class RequestKind : std::uint8_t { unrouted, repeatable, onceOnly };
 constexpr std::size_t kRequestKinds = 3;
 
 constexpr std::string_view nameOf(RequestStage stage) {
-  constexpr std::string_view names[kRequestStages] = {"routing", "tokens",    "choosing", "connecting",
-                                                      "sending", "at_worker", "answering"};
+  constexpr std::string_view names[kRequestStages] = {"reading",    "routing", "tokens",    "choosing",
+                                                      "connecting", "sending", "at_worker", "answering"};
   return names[static_cast<std::size_t>(stage)];
 }
 
--- a/src/proxy/client_request.hpp
+++ b/src/proxy/client_request.hpp
@@ -38,6 +38,7 @@
   const config::Route* route = nullptr;
   const config::Tenant* tenant = nullptr;
   std::string service;
+  bool reachedWorker = false;  // some of it was handed to a worker's connection
   ClientAnswer answer;
 
   std::string_view field(const char* name) const { return view(message[name]); }
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -108,17 +108,25 @@
     request.bytes = &connection->bytes();
     request.client = connection->presence();
     const Read read = co_await readRequest(connection, request);
-    if (read == Read::ended) break;
+    if (read == Read::ended) {
+      const bool leftMidway = !connection->idle && connection->isOpen();
+      if (leftMidway) departures_->left(RequestKind::unrouted, RequestStage::reading);
+      break;
+    }
     connection->beginRequest();
-    if (read == Read::request) co_await handler_(request);
+    const ClientPresence& client = *request.client;
+    if (read == Read::request && !client.left()) co_await handler_(request);
+    if (client.left()) {
+      departures_->left(request.kind(), client.stageAtDeparture());
+      break;
+    }
     goOn = read == Read::request && request.message.keep_alive() && !closeBehindAnswers_;
     ++answers_[{request.answer.statusCode(),
                 request.answer.fromWorker ? std::string_view("a worker's") : request.answer.reason}];
-    connection->presence()->enter(RequestStage::answering);
+    request.client->enter(RequestStage::answering);
     const bool written = co_await writeAnswer(connection, request, !goOn);
-    if (connection->presence()->left())
-      departures_->left(request.kind(), connection->presence()->stageAtDeparture());
-    if (!written) break;
+    if (client.left()) departures_->left(request.kind(), client.stageAtDeparture());
+    if (!written || client.left()) break;
     connection->endRequest();
   }
   connection->close();
--- a/src/proxy/departure_figures.cpp
+++ b/src/proxy/departure_figures.cpp
@@ -42,7 +42,6 @@
   constexpr std::string_view seconds = "burlwind_work_after_departure_seconds";
   constexpr std::string_view longWork = "burlwind_long_work_after_departure_total";
   constexpr std::string_view longest = "burlwind_longest_work_after_departure_seconds";
-  constexpr std::string_view sent = "burlwind_sent_after_departure_total";
   std::string out;
   appendType(out, left, "counter");
   for (std::size_t kind = 0; kind < kRequestKinds; ++kind)
@@ -63,8 +62,7 @@
   appendType(out, longest, "gauge");
   for (std::size_t kind = 0; kind < kRequestKinds; ++kind)
     appendSample(out, longest, kindLabel(kind), work_[kind].longestMs / 1000);
-  appendType(out, sent, "counter");
-  return out.append(sent).append(" ").append(std::to_string(sentAfter_)).append("\n");
+  return out;
 }
 
 void DepartureFigures::report() {
--- a/src/proxy/departure_figures.hpp
+++ b/src/proxy/departure_figures.hpp
@@ -16,14 +16,11 @@
   void left(RequestKind kind, RequestStage stage) { ++left_[index(kind)][static_cast<std::size_t>(stage)]; }
   // A worker's connection was closed, or its answer read, so long after its client had left.
   void workEnded(RequestKind kind, double afterMs);
-  // A request was sent to a worker although its client had left before.
-  void sentAfterDeparture() { ++sentAfter_; }
 
   std::uint64_t count(RequestKind kind, RequestStage stage) const {
     return left_[index(kind)][static_cast<std::size_t>(stage)];
   }
   std::uint64_t total() const;
-  std::uint64_t sentAfter() const { return sentAfter_; }
   std::uint64_t longWork(RequestKind kind) const { return work_[index(kind)].overHalfSecond; }
   double longestWorkMs(RequestKind kind) const { return work_[index(kind)].longestMs; }
 
@@ -42,7 +39,6 @@
   std::array<std::array<std::uint64_t, kRequestStages>, kRequestKinds> reported_{};
   std::array<Work, kRequestKinds> work_{};
   std::array<Work, kRequestKinds> reportedWork_{};
-  std::uint64_t sentAfter_ = 0;
 };
 
 }  // namespace burlwind::proxy
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -31,15 +31,17 @@
   explicit Attempts(const config::Route& route) : policy(route.safe, route.tries) {}
   RetryPolicy policy;
   std::vector<std::string> tried;  // ids of workers
+  bool tookFromBudget = false;     // for the attempt at hand
 };
 
 asio::awaitable<void> Forwarder::forward(ClientRequest& request) {
   Attempts attempts(*request.route);
   budget_.first(request.service);
-  while (mayAttempt(request, attempts)) {
-    request.client->enter(RequestStage::choosing);
+  request.client->enter(RequestStage::choosing);
+  while (!request.client->left() && mayAttempt(request, attempts)) {
     const load_balancing::Core::Choice choice = chooseWorker(request, attempts);
     if (choice.id.empty()) {
+      returnUnusedTry(request, attempts);
       const bool nobody = choice.why == load_balancing::Why::nobody;
       if (nobody)
         giveUp(request, attempts, "no worker may serve it", kNobodyRetryMs);
@@ -50,10 +52,12 @@
     WorkerCall call = callOf(request, attempts, choice);
     const std::size_t bytes = call.text.size();
     balancer_.sent(choice.id, now());
-    if (request.client->left()) departures_->sentAfterDeparture();
     ExchangeResult result = co_await workers_.exchange(std::move(call));
     request.bytes->growTo(2 * (request.message.body().size() + result.response.body().size()));
-    noteWorker(choice.id, result);
+    const bool reached = result.outcome != ExchangeOutcome::notSent;
+    if (!reached) returnUnusedTry(request, attempts);
+    request.reachedWorker = request.reachedWorker || reached;
+    noteWorker(request, choice.id, result);
     noteDeparture(request, result);
     request.client->enter(RequestStage::choosing);
     Sent& sent = sent_[choice.away];
@@ -78,9 +82,15 @@
     giveUp(request, attempts, "no further try in the budget", kBudgetRetryMs);
     return false;
   }
+  attempts.tookFromBudget = attempts.policy.needsRetryBudget();
   return true;
 }
 
+// What no worker has seen counts toward no budget.
+void Forwarder::returnUnusedTry(const ClientRequest& request, Attempts& attempts) {
+  if (std::exchange(attempts.tookFromBudget, false)) budget_.giveBack(request.service);
+}
+
 bool Forwarder::afterAttempt(ClientRequest& request, Attempts& attempts, ExchangeResult result) {
   const bool timeForAnother = request.until - now() > kUsualForRetry * balancer_.usual(request.service);
   switch (attempts.policy.after(result.outcome, result.response.result_int(), timeForAnother)) {
@@ -148,8 +158,9 @@
   departures_->workEnded(request.kind(), now() - request.client->leftAt());
 }
 
-// What an exchange says of the worker.
-void Forwarder::noteWorker(const std::string& worker, const ExchangeResult& result) {
+// What an exchange says of the worker: nothing, where it ended because the client has left.
+void Forwarder::noteWorker(const ClientRequest& request, const std::string& worker,
+                           const ExchangeResult& result) {
   const double at = now();
   const auto& response = result.response;
   switch (result.outcome) {
@@ -167,12 +178,23 @@
       workers_.forget(worker);
       break;
     case ExchangeOutcome::notSent:
-      balancer_.failed(worker, true, at);
+      if (request.client->left())
+        balancer_.released(worker);
+      else
+        balancer_.failed(worker, true, at);
+      break;
+    case ExchangeOutcome::abandoned:
+      balancer_.abandoned(worker, at);
       break;
     case ExchangeOutcome::broken:
-    case ExchangeOutcome::timedOut:
       balancer_.failed(worker, false, at);
       break;
+    case ExchangeOutcome::timedOut:
+      if (request.client->left())
+        balancer_.abandoned(worker, at);
+      else
+        balancer_.failed(worker, false, at);
+      break;
   }
   std::string_view load = view(response["Server-Load"]);
   if (!load.empty() && result.outcome == ExchangeOutcome::answered) {
--- a/src/proxy/forwarder.hpp
+++ b/src/proxy/forwarder.hpp
@@ -1,5 +1,6 @@
 // Carries one routed request to workers, one after the other where it may be tried again, until it has an
-// answer. Choice of worker is decided in load_balancing, what follows an exchange in retry_policy.
+// answer or its client has left: then nothing more is begun for it, whatever its last exchange ended with.
+// Choice of worker is decided in load_balancing, what follows an exchange in retry_policy.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -22,7 +23,7 @@
   Forwarder(asio::io_context& io, load_balancing::Core& balancer,
             std::shared_ptr<DepartureFigures> departures, std::function<double()> draw)
       : balancer_(balancer), departures_(std::move(departures)), draw_(std::move(draw)), workers_(io) {}
-  // Ends with request.answer standing. request.bytes and request.client are there.
+  // Ends with request.answer standing, or with its client gone. request.bytes and request.client are there.
   asio::awaitable<void> forward(ClientRequest& request);
   void setBudget(double retryRatio, double retrySlack, unsigned proxies) {
     budget_.set(retryRatio, retrySlack, proxies);
@@ -42,8 +43,9 @@
   bool afterAttempt(ClientRequest& request, Attempts& attempts, ExchangeResult result);
   static void giveUp(ClientRequest& request, const Attempts& attempts, std::string_view reason,
                      double retryAfterMs);
-  void noteWorker(const std::string& worker, const ExchangeResult& result);
+  void noteWorker(const ClientRequest& request, const std::string& worker, const ExchangeResult& result);
   void noteDeparture(const ClientRequest& request, const ExchangeResult& result);
+  void returnUnusedTry(const ClientRequest& request, Attempts& attempts);
 
   load_balancing::Core& balancer_;
   const std::shared_ptr<DepartureFigures> departures_;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -135,15 +135,18 @@
     co_return;
   }
   if (!assignRoute(request, draw())) co_return;
+  auto admission = TokenGate::Admission::admitted;
   if (request.tenant && request.tenant->rate > 0) {
     const double chance = draw();
-    const bool admitted = co_await tokens_.admit(*request.tenant, chance, request.until, request.client);
-    if (!admitted) {
+    admission = co_await tokens_.admit(*request.tenant, chance, request.until, request.client);
+    if (admission == TokenGate::Admission::refused) {
       request.answer.refuse(429, "over the quota", kQuotaRetryMs * (1 + chance));
       co_return;
     }
   }
   co_await forwarder_.forward(request);
+  const bool unused = request.client->left() && !request.reachedWorker;
+  if (unused && admission == TokenGate::Admission::admittedFromStock) tokens_.giveBack(request.tenant->name);
 }
 
 void Proxy::tick() {
--- a/src/proxy/retry_policy.cpp
+++ b/src/proxy/retry_policy.cpp
@@ -16,6 +16,10 @@
       ++arrivals_;
       mayHaveRun_ = true;
       return repeatable_ ? NextStep::tryAnother : NextStep::giveUpNoAnswer;
+    case ExchangeOutcome::abandoned:
+      ++arrivals_;
+      mayHaveRun_ = true;
+      return NextStep::giveUpNoAnswer;
     case ExchangeOutcome::answered:
       return afterAnswer(status, timeForAnother);
   }
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -18,13 +18,14 @@
 
 }  // namespace
 
-asio::awaitable<bool> TokenGate::admit(const config::Tenant& tenant, double chance, double until,
-                                       std::shared_ptr<ClientPresence> client) {
+asio::awaitable<TokenGate::Admission> TokenGate::admit(const config::Tenant& tenant, double chance,
+                                                       double until, std::shared_ptr<ClientPresence> client) {
   client->enter(RequestStage::tokens);
   Admit decision = cache_.admit(tenant.name, tenant.rate, tenant.burst, chance, now());
   if (decision == Admit::wait) {
     request();
     asio::steady_timer timer(io_);
+    const std::stop_callback clientLeft(client->departure(), [&timer] { timer.cancel(); });
     const double waitUntil = std::min(until, now() + kTokensWithinMs);
     const auto mine = waiting_.insert(waiting_.end(), Waiting{tenant.name, &timer});
     while (decision == Admit::wait) {
@@ -32,15 +33,19 @@
       timer.expires_after(std::chrono::microseconds(static_cast<long>(left * 1000)));
       boost::system::error_code woken;
       co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, woken));
+      if (client->left()) break;
       decision = cache_.again(tenant.name, tenant.rate, !woken, now());
     }
     waiting_.erase(mine);
+    if (decision == Admit::wait) cache_.withdraw(tenant.name);
   }
-  const bool admitted = decision == Admit::yes;
-  if (admitted) lastAdmittedAt_ = now();
-  co_return admitted;
+  if (decision != Admit::yes) co_return Admission::refused;
+  lastAdmittedAt_ = now();
+  co_return cache_.lastFromStock() ? Admission::admittedFromStock : Admission::admitted;
 }
 
+void TokenGate::giveBack(const std::string& tenant) { cache_.giveBack(tenant, now()); }
+
 void TokenGate::request() {
   const rpc::TokenRequest due = cache_.request(now());
   if (!due.demands.empty()) send_(due);
--- a/src/proxy/worker_exchange.cpp
+++ b/src/proxy/worker_exchange.cpp
@@ -67,6 +67,11 @@
   finish(ExchangeOutcome::timedOut);
 }
 
+void WorkerExchange::brokenOff() {
+  if (finished()) return;
+  finish(written_ > 0 ? ExchangeOutcome::abandoned : ExchangeOutcome::notSent);
+}
+
 void WorkerExchange::consume() {
   while (!finished() && in_.size() > 0) {
     Error error;
--- a/src/proxy/worker_exchange.hpp
+++ b/src/proxy/worker_exchange.hpp
@@ -31,7 +31,8 @@
   notRun,       // turned away by its worker, which says so: certainly not run
   wrongServer,  // 421: another worker has the address: certainly not run
   broken,       // sent, and no whole answer: may have run
-  timedOut      // sent, and the time is over: may have run, or run yet
+  timedOut,     // sent, and the time is over: may have run, or run yet
+  abandoned     // sent, at least in part, and broken off because its client has left: may have run
 };
 
 // Whether the request has run nowhere in this exchange and never will.
@@ -67,6 +68,7 @@
   void received(std::string_view bytes);  // as prepare and received, with a copy
   void connectionEnded();                 // its end, or an error
   void deadlinePassed();
+  void brokenOff();  // by this side, because the client has left
 
   // --- What came of it ---
   bool finished() const { return outcome_.has_value(); }
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -1,6 +1,8 @@
 #include "proxy/worker_side.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -32,6 +34,13 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+// Bytes handed to the system that the peer has not acknowledged (SIOCOUTQ), or that have not even been sent
+// (SIOCOUTQNSD); 0 where the system can't tell.
+int queuedBytes(Tcp::socket& socket, unsigned long which) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), which, &bytes) == 0 ? bytes : 0;
+}
+
 // A worker that is gone without a word: bytes that nobody acknowledges, and probes where nothing is sent.
 void detectSilentLoss(Tcp::socket& socket) {
   Error ignored;
@@ -60,14 +69,19 @@
 
 }  // namespace
 
+// With bytes on their way the connection is reset, which drops those that still wait; else it is closed in
+// order, which the system repeats until the peer knows.
+void WorkerSide::Connection::breakOff(EndedBy why) {
+  if (!socket.is_open()) return;
+  endedBy = why;
+  Error ignored;
+  if (queuedBytes(socket, SIOCOUTQ) > 0) socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 void WorkerSide::closeAfter(const ConnectionPtr& connection, double ms) {
-  connection->overdue = false;
   connection->deadline.arm(ms, [weak = std::weak_ptr<Connection>(connection)] {
-    const auto late = weak.lock();
-    if (!late) return;
-    late->overdue = true;
-    Error ignored;
-    late->socket.close(ignored);
+    if (const auto late = weak.lock()) late->breakOff(EndedBy::deadline);
   });
 }
 
@@ -78,17 +92,19 @@
   return idle_.take(call.worker, now(), usable).value_or(nullptr);
 }
 
-asio::awaitable<WorkerSide::ConnectionPtr> WorkerSide::connect(const std::string& address, double withinMs) {
-  const auto endpoint = config::endpointOf(address);
+asio::awaitable<WorkerSide::ConnectionPtr> WorkerSide::connect(const WorkerCall& call, double withinMs) {
+  const auto endpoint = config::endpointOf(call.address);
   if (!endpoint) co_return nullptr;
   Error error;
   const auto ip = asio::ip::make_address(endpoint->ip, error);
   if (error) co_return nullptr;
   auto connection = std::make_shared<Connection>(io_);
   closeAfter(connection, withinMs);
+  const std::stop_callback giveUp(call.client->departure(),
+                                  [&connection] { connection->breakOff(EndedBy::departure); });
   co_await connection->socket.async_connect({ip, endpoint->port}, redirect_error(use_awaitable, error));
   connection->deadline.disarm();
-  if (error || connection->overdue || !connection->socket.is_open()) co_return nullptr;
+  if (error || !connection->socket.is_open()) co_return nullptr;
   detectSilentLoss(connection->socket);
   co_return connection;
 }
@@ -99,22 +115,34 @@
   Tcp::socket& socket = connection->socket;
   closeAfter(connection, withinMs);
   Error error;
+  bool sending = true;
+  const std::stop_callback clientLeft(call.client->departure(), [&] {
+    const bool withWorker = !sending && queuedBytes(socket, SIOCOUTQNSD) == 0;
+    if (!call.runsOnce || !withWorker) connection->breakOff(EndedBy::departure);
+  });
   call.client->enter(RequestStage::sending);
   const std::size_t written =
       co_await asio::async_write(socket, asio::buffer(call.text), redirect_error(use_awaitable, error));
+  sending = false;
   call.client->enter(RequestStage::atWorker);
   exchange.requestWritten(written, !error);
-  if (connection->overdue) exchange.deadlinePassed();
+  noteOwnEnd(*connection, exchange);
   while (!exchange.finished()) {
     const std::size_t read =
         co_await socket.async_read_some(exchange.prepare(), redirect_error(use_awaitable, error));
     exchange.received(read);
-    if (connection->overdue) exchange.deadlinePassed();
+    noteOwnEnd(*connection, exchange);
     if (error) exchange.connectionEnded();
   }
   connection->deadline.disarm();
 }
 
+// Where this side has ended the connection, the exchange is told why before it hears of the end.
+void WorkerSide::noteOwnEnd(const Connection& connection, WorkerExchange& exchange) {
+  if (connection.endedBy == EndedBy::deadline) exchange.deadlinePassed();
+  if (connection.endedBy == EndedBy::departure) exchange.brokenOff();
+}
+
 void WorkerSide::keepOrClose(const ConnectionPtr& connection, const std::string& worker,
                              const WorkerExchange& exchange) {
   if (exchange.connectionReusable() && connection->socket.is_open()) {
@@ -130,10 +158,18 @@
   ExchangeResult result;
   while (true) {
     call.client->enter(RequestStage::connecting);
+    if (call.client->leftNow()) co_return result;
     ConnectionPtr connection = takeIdle(call);
     const bool reused = connection != nullptr;
-    if (!reused) connection = co_await connect(call.address, std::min(call.connectWithin, until - now()));
-    if (!connection || now() >= until) co_return result;
+    if (!reused) {
+      connection = co_await connect(call, std::min(call.connectWithin, until - now()));
+      if (!connection) co_return result;
+      if (call.client->leftNow()) {
+        idle_.add(call.worker, connection, now(), kKeepUntoldMs);
+        co_return result;
+      }
+    }
+    if (now() >= until) co_return result;
     const double sentAt = now();
     WorkerExchange exchange(call.request);
     co_await transfer(connection, call, exchange, until - sentAt);
--- a/src/proxy/worker_side.hpp
+++ b/src/proxy/worker_side.hpp
@@ -1,5 +1,10 @@
 // The proxy's connections to workers: opens, keeps and closes them, and moves the bytes of one request and
 // its answer at a time on each. What the bytes mean is decided in worker_exchange.hpp.
+//
+// Where the client leaves: nothing is sent for it from then on. A connection that is being opened is given
+// up; a request that may be repeated, or that is not yet with the worker whole, is broken off, and its
+// connection is closed so that no byte still queued arrives ahead of the end. One that may run once only and
+// is with its worker is left to run; its answer is read and the connection kept.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
@@ -43,17 +48,20 @@
   void sweep(double now) { idle_.sweep(now); }                      // closes what has waited too long
 
  private:
+  enum class EndedBy { peer, deadline, departure };
   struct Connection {
     explicit Connection(asio::io_context& io) : socket(io), deadline(io) {}
+    void breakOff(EndedBy why);
     Tcp::socket socket;
     program::Deadline deadline;
-    bool overdue = false;
+    EndedBy endedBy = EndedBy::peer;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
   ConnectionPtr takeIdle(const WorkerCall& call);
-  asio::awaitable<ConnectionPtr> connect(const std::string& address, double withinMs);
+  asio::awaitable<ConnectionPtr> connect(const WorkerCall& call, double withinMs);
   static asio::awaitable<void> transfer(ConnectionPtr connection, const WorkerCall& call,
                                         WorkerExchange& exchange, double withinMs);
+  static void noteOwnEnd(const Connection& connection, WorkerExchange& exchange);
   void keepOrClose(const ConnectionPtr& connection, const std::string& worker,
                    const WorkerExchange& exchange);
   static void closeAfter(const ConnectionPtr& connection, double ms);
--- a/tests/system/edge_loop.hpp
+++ b/tests/system/edge_loop.hpp
@@ -24,6 +24,7 @@
 using loop::Peer;
 using loop::runUntil;
 
+constexpr std::size_t kMostHeard = 64 * 1024 * 1024;  // on one connection, by a test
 constexpr double kToldWithinMs = 500;  // that a worker may be at work for a client that has left
 
 // Runs the loop until `done`, for no longer than withinMs; false: it did not come.
@@ -42,8 +43,12 @@
 
 class WorkerStandIn {
  public:
-  WorkerStandIn(asio::io_context& io, std::string id)
-      : io_(io), id_(std::move(id)), acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}) {
+  // receiveBuffer: bytes that the system takes for it unread; 0: the system's default.
+  WorkerStandIn(asio::io_context& io, std::string id, int receiveBuffer)
+      : io_(io), id_(std::move(id)), acceptor_(io, Tcp::v4()) {
+    if (receiveBuffer > 0) acceptor_.set_option(asio::socket_base::receive_buffer_size(receiveBuffer));
+    acceptor_.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor_.listen();
     accept();
   }
   rpc::Worker entry() const {
@@ -68,11 +73,11 @@
 
 class EdgeLoop {
  public:
-  explicit EdgeLoop(unsigned workerCount = 1) {
+  explicit EdgeLoop(unsigned workerCount = 1, int workersReceiveBuffer = 0) {
     rpc::Workers told;
     told.whole = true;
     for (unsigned i = 0; i < workerCount; ++i) {
-      workers.push_back(std::make_unique<WorkerStandIn>(io, "w" + std::to_string(i)));
+      workers.push_back(std::make_unique<WorkerStandIn>(io, "w" + std::to_string(i), workersReceiveBuffer));
       told.put.push_back(workers[i]->entry());
     }
     balancer.take(told, 0);
@@ -121,7 +126,7 @@
   }
   // Whether the worker's connection ends in time; what came on it before is in `heard`.
   bool workerIsTold(Peer& worker, std::string* heard = nullptr) {
-    std::string text(1 << 22, '\0');
+    std::string text(kMostHeard, '\0');
     bool ended = false;
     std::size_t size = 0;
     asio::async_read(worker.socket, asio::buffer(text), [&](const Error& error, std::size_t read) {
