Forwarder: a client that closes as its time ends is a deadline, not a departure

Cause: a departure says nothing of a worker.

Test: two silent once-only requests eject their worker whether their clients stay or close as their time ends; the bounded wait of the tests takes in what is due in the turn of its bound.

--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -158,6 +158,12 @@
   departures_->workEnded(request.kind(), now() - request.client->leftAt());
 }
 
+// Clients that give up when their time is over are as good as a deadline: which of the two is noticed first
+// is chance.
+bool Forwarder::leftInTime(const ClientRequest& request) {
+  return request.client->left() && request.client->leftAt() < request.until - kLeastTimeMs;
+}
+
 // What an exchange says of the worker: nothing, where it ended because the client has left.
 void Forwarder::noteWorker(const ClientRequest& request, const std::string& worker,
                            const ExchangeResult& result) {
@@ -183,14 +189,12 @@
       else
         balancer_.failed(worker, true, at);
       break;
-    case ExchangeOutcome::abandoned:
-      balancer_.abandoned(worker, at);
-      break;
     case ExchangeOutcome::broken:
       balancer_.failed(worker, false, at);
       break;
+    case ExchangeOutcome::abandoned:
     case ExchangeOutcome::timedOut:
-      if (request.client->left())
+      if (leftInTime(request))
         balancer_.abandoned(worker, at);
       else
         balancer_.failed(worker, false, at);
--- a/src/proxy/forwarder.hpp
+++ b/src/proxy/forwarder.hpp
@@ -45,6 +45,8 @@
                      double retryAfterMs);
   void noteWorker(const ClientRequest& request, const std::string& worker, const ExchangeResult& result);
   void noteDeparture(const ClientRequest& request, const ExchangeResult& result);
+  // The client left while there was time for an answer: what the worker had not done by then is no fault.
+  static bool leftInTime(const ClientRequest& request);
   void returnUnusedTry(const ClientRequest& request, Attempts& attempts);
 
   load_balancing::Core& balancer_;
--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -279,6 +279,28 @@
   CHECK(payer->hearsHead().starts_with("HTTP/1.1 200"));
 }
 
+TEST_CASE("a worker that is silent until clients' time is over is ejected, whether or not they close first") {
+  EdgeLoop edge;
+  edge.timeLeftMs = 300;
+  bool close = false;
+  SUBCASE("they stay") {}
+  SUBCASE("they close as their time ends") { close = true; }
+  for (int i = 0; i < 2; ++i) {
+    auto [client, worker] = edge.atWorker("/once");
+    if (close) {
+      CHECK_FALSE(comesWithin(edge.io, 285, [] { return false; }));
+      closes(client);
+    } else {
+      CHECK(client->hearsHead().starts_with("HTTP/1.1 504 "));
+      closes(client);
+    }
+    CHECK(edge.allEnd());
+  }
+  load_balancing::Ask ask;
+  ask.service = "s";
+  CHECK(edge.balancer.choose(ask, 0, program::now()).why == load_balancing::Why::failing);
+}
+
 TEST_CASE("a client that leaves while its request waits for tokens takes none") {
   asio::io_context io{1};
   std::vector<rpc::TokenRequest> sent;
--- a/tests/system/edge_loop.hpp
+++ b/tests/system/edge_loop.hpp
@@ -34,11 +34,11 @@
   asio::steady_timer bound(io, std::chrono::microseconds(static_cast<long>(withinMs * 1000)));
   bound.async_wait([&](const Error& cancelled) { late = !cancelled; });
   runUntil(io, [&] { return late || done(); });
-  const bool came = done();
   bound.cancel();
+  // What is due in the turn of the bound has come in time; the timer's own handler leaves the loop.
   io.restart();
-  io.poll();  // takes the timer's handler out of the loop
-  return came;
+  io.poll();
+  return done();
 }
 
 class WorkerStandIn {
