Worker side: once-only work is not broken off while the end of its write is pending

Cause: a departure between the system taking the last byte of a request and the loop telling so was taken for one in the midst of the request, so a once-only request that was whole at its worker was broken off.

Change: the departure cancels the write, and its end tells how far it came: whole and sent, it is left to run; else it is broken off.

--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -116,14 +116,24 @@
   closeAfter(connection, withinMs);
   Error error;
   bool sending = true;
-  const std::stop_callback clientLeft(call.client->departure(), [&] {
-    const bool withWorker = !sending && queuedBytes(socket, SIOCOUTQNSD) == 0;
+  // Only the end of the write tells whether the request was handed over whole: it may have been, and not be
+  // known here yet.
+  const auto leaveOrBreakOff = [&] {
+    const bool withWorker = !sending && !error && queuedBytes(socket, SIOCOUTQNSD) == 0;
     if (!call.runsOnce || !withWorker) connection->breakOff(EndedBy::departure);
+  };
+  const std::stop_callback clientLeft(call.client->departure(), [&] {
+    Error ignored;
+    if (call.runsOnce && sending)
+      socket.cancel(ignored);
+    else
+      leaveOrBreakOff();
   });
   call.client->enter(RequestStage::sending);
   const std::size_t written =
       co_await asio::async_write(socket, asio::buffer(call.text), redirect_error(use_awaitable, error));
   sending = false;
+  if (call.client->left()) leaveOrBreakOff();
   call.client->enter(RequestStage::atWorker);
   exchange.requestWritten(written, !error);
   noteOwnEnd(*connection, exchange);
--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -108,6 +108,56 @@
   CHECK(edge.departures->count(RequestKind::onceOnly, RequestStage::atWorker) == 1);
 }
 
+TEST_CASE("once-only work goes on if the client leaves before the end of its write is known") {
+  EdgeLoop edge;
+  auto [first, worker] = edge.atWorker("/once");
+  const std::string firstAnswer = EdgeLoop::answer("/once");
+  worker->say(firstAnswer);
+  CHECK(first->hears(firstAnswer.size()) == firstAnswer);
+
+  WorkerSide side(edge.io);
+  WorkerCall call;
+  call.worker = "w";
+  call.address = edge.workers[0]->entry().address;
+  call.text = EdgeLoop::request("/once2");
+  call.request.tryId = "/once2";
+  call.runsOnce = true;
+  call.withinMs = call.connectWithin = 60000;
+  // The client leaves at each turn of the loop: also between the write and the moment at which it is known.
+  for (unsigned turns = 1; turns < 12; ++turns) {
+    CAPTURE(turns);
+    call.client = std::make_shared<ClientPresence>();
+    std::optional<ExchangeResult> result;
+    const std::size_t before = edge.reached();
+    asio::co_spawn(
+        edge.io,
+        [&]() -> asio::awaitable<void> {
+          ExchangeResult got = co_await side.exchange(call);
+          result.emplace(std::move(got));
+        },
+        asio::detached);
+    for (unsigned turn = 0; turn < turns; ++turn) {
+      edge.io.restart();
+      edge.io.poll_one();
+    }
+    call.client->noteLeft(program::now());
+    std::string heard;
+    Peer* peer = nullptr;
+    const auto answerWhatComes = [&] {
+      if (!peer && edge.reached() > before) peer = edge.workers[0]->connections.back().get();
+      if (!peer || peer->socket.available() == 0) return result.has_value();
+      peer->hearsHead();
+      peer->say(EdgeLoop::answer("/once2"));
+      return result.has_value();
+    };
+    if (edge.reached() > 1) peer = edge.workers[0]->connections.back().get();
+    REQUIRE(comesWithin(edge.io, kToldWithinMs, answerWhatComes));
+    const bool leftAlone =
+        result->outcome == ExchangeOutcome::answered || result->outcome == ExchangeOutcome::notSent;
+    CHECK(leftAlone);
+  }
+}
+
 TEST_CASE("no other worker is tried for a client that has left") {
   EdgeLoop edge(3);
   auto [client, worker] = edge.atWorker("/once");
