One tested piece for the ends of connections, in the proxy and in the gatekeeper

Cause: the same class in the gatekeeper in service: it reads a client at all times but when 4 KiB are read ahead or a long body waits for its worker; then a client's end was not seen before the answer. Attempts that were given up closed in order, so bytes still queued reached the worker ahead of the end.

Change: src/http/connection_end.hpp (has the peer ended, what is queued, close and drop what is queued) serves both programs; the gatekeeper looks at a client that it does not read each 100 ms.

--- a/src/node/client_server.cpp
+++ b/src/node/client_server.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/connection_end.hpp"
 #include "http/pieces.hpp"
 
 namespace burlwind {
@@ -25,6 +26,8 @@
 constexpr std::chrono::milliseconds kFirstByteWhileEmptying{300};
 constexpr irisring::Time kDrainedRetryAfter = 200;  // by then the front knows, and asks elsewhere
 
+constexpr auto kEndCheck =
+    std::chrono::milliseconds(100);           // while nothing is read of a held request's client
 constexpr std::size_t kMostAhead = 4 * 1024;  // read of what follows a request that is held
 constexpr std::size_t kMostMarks = 16;        // of when that came
 constexpr auto kAcceptPause = 50ms;           // after an accept that failed for want of descriptors
@@ -87,6 +90,7 @@
       : server_(server),
         socket_(std::move(socket)),
         timer_(socket_.get_executor()),
+        endCheck_(socket_.get_executor()),
         bytes_(server.budget_),
         ahead_(server.ahead_),
         place_(place) {}
@@ -183,6 +187,7 @@
     state_ = State::closed;
     countOut();
     timer_.cancel();
+    endCheck_.cancel();
     Error ignored;
     socket_.close(ignored);
     bytes_.shrinkTo(0);
@@ -308,10 +313,23 @@
                               received_ += n;
                               readAt_ = Clock::now();
                               came(n);
-                              if (wantsMore()) read();
+                              if (wantsMore())
+                                read();
+                              else
+                                watchEnd();
                             }));
   }
 
+  // While nothing is read of a client whose request is held, its end is looked for.
+  void watchEnd() {
+    endCheck_.expires_after(kEndCheck);
+    endCheck_.async_wait(guard([this](const Error& cancelled, std::size_t) {
+      if (cancelled || reading_ || state_ == State::lingering) return;
+      if (peerHasEnded(socket_)) return close();
+      watchEnd();
+    }));
+  }
+
   bool wantsMore() const {
     if (uploading_) return upload_->hasRoom();
     if (state_ == State::lingering) return lingered_ <= lingerBytes();
@@ -565,6 +583,7 @@
   ClientServer& server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
+  asio::steady_timer endCheck_;
   Budget::Share bytes_;
   beast::flat_buffer in_;
   std::optional<http::request_parser<GrowingBody>> parser_;  // from a request's first byte on
--- a/src/node/worker_pool.cpp
+++ b/src/node/worker_pool.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <cmath>
 
+#include "http/connection_end.hpp"
+
 namespace burlwind {
 namespace {
 
@@ -151,8 +153,7 @@
   void close() {
     closed_ = true;
     timer_.cancel();
-    Error ignored;
-    socket_.close(ignored);
+    closeDroppingQueued(socket_);  // what is given up is not to arrive later
     bytes_.shrinkTo(0);
   }
 
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -1,12 +1,11 @@
 #include "proxy/client_connection.hpp"
 
-#include <poll.h>
-
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
 
+#include "http/connection_end.hpp"
 #include "program/start.hpp"
 
 namespace burlwind::proxy {
@@ -83,9 +82,7 @@
 
 // An end is seen here also behind bytes that are not read.
 void ClientConnection::look() {
-  if (end_ || !socket_.is_open()) return noteEnd(asio::error::eof);
-  pollfd entry{socket_.native_handle(), POLLRDHUP, 0};
-  if (::poll(&entry, 1, 0) > 0) noteEnd(asio::error::eof);
+  if (end_ || peerHasEnded(socket_)) noteEnd(asio::error::eof);
 }
 
 void ClientConnection::noteEnd(const Error& error) {
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -1,8 +1,6 @@
 #include "proxy/worker_side.hpp"
 
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/redirect_error.hpp>
@@ -11,6 +9,7 @@
 #include <cerrno>
 
 #include "config/settings.hpp"
+#include "http/connection_end.hpp"
 #include "program/start.hpp"
 
 namespace burlwind::proxy {
@@ -34,13 +33,6 @@
   return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-// Bytes handed to the system that the peer has not acknowledged (SIOCOUTQ), or that have not even been sent
-// (SIOCOUTQNSD); 0 where the system can't tell.
-int queuedBytes(Tcp::socket& socket, unsigned long which) {
-  int bytes = 0;
-  return ::ioctl(socket.native_handle(), which, &bytes) == 0 ? bytes : 0;
-}
-
 // A worker that is gone without a word: bytes that nobody acknowledges, and probes where nothing is sent.
 void detectSilentLoss(Tcp::socket& socket) {
   Error ignored;
@@ -69,14 +61,10 @@
 
 }  // namespace
 
-// With bytes on their way the connection is reset, which drops those that still wait; else it is closed in
-// order, which the system repeats until the peer knows.
 void WorkerSide::Connection::breakOff(EndedBy why) {
   if (!socket.is_open()) return;
   endedBy = why;
-  Error ignored;
-  if (queuedBytes(socket, SIOCOUTQ) > 0) socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  socket.close(ignored);
+  closeDroppingQueued(socket);
 }
 
 void WorkerSide::closeAfter(const ConnectionPtr& connection, double ms) {
@@ -119,7 +107,7 @@
   // Only the end of the write tells whether the request was handed over whole: it may have been, and not be
   // known here yet.
   const auto leaveOrBreakOff = [&] {
-    const bool withWorker = !sending && !error && queuedBytes(socket, SIOCOUTQNSD) == 0;
+    const bool withWorker = !sending && !error && unsentBytes(socket) == 0;
     if (!call.runsOnce || !withWorker) connection->breakOff(EndedBy::departure);
   };
   const std::stop_callback clientLeft(call.client->departure(), [&] {
--- a/tests/node/gatekeeper_test.cpp
+++ b/tests/node/gatekeeper_test.cpp
@@ -219,6 +219,16 @@
   EXPECT_EQ(node->held(), 0u);
 }
 
+TEST_F(Gate, AClientThatLeavesBehindMoreThanIsReadAheadEndsItsAttempt) {
+  openWithWorker();
+  const auto client = ask(Ask());
+  untilSeen("00000000000000a1");
+  client->send(Ask().text() + std::string(20000, 'x'));
+  client->end();
+  until([&] { return worker.peers[0]->ended; }, "the attempt's connection ends");
+  EXPECT_EQ(node->held(), 0u);
+}
+
 // An answer followed by more than itself leaves the connection in doubt: what is left there would be taken
 // for the next request's answer.
 TEST_F(Gate, AConnectionWithAnOddAnswerIsNotReused) {
--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr double kWellBeforeConnectTimeoutMs = 250;
+constexpr double kWellBeforeTokenTimeoutMs = 200;
 constexpr std::size_t kMoreThanBuffersHold = 24 * 1024 * 1024;
 
 const std::string kTurnedAway =
@@ -229,6 +230,9 @@
   closes(client);
   CHECK(comesWithin(edge.io, kWellBeforeConnectTimeoutMs, [&] { return edge.server.empty(); }));
   CHECK(edge.departures->count(kind, RequestStage::connecting) == 1);
+  load_balancing::Ask ask;
+  ask.service = "s";
+  CHECK(edge.balancer.choose(ask, 0, program::now()).id == "silent");
 }
 
 TEST_CASE("a body on its way is broken off: what is still queued does not reach the worker") {
@@ -378,7 +382,7 @@
   response.grants.push_back({"t", 1, false, 0});
   SUBCASE("before the grant") {
     clients[0]->noteLeft(program::now());
-    runUntil(io, [&] { return admissions[0].has_value(); });
+    CHECK(comesWithin(io, kWellBeforeTokenTimeoutMs, [&] { return admissions[0].has_value(); }));
     CHECK_FALSE(admissions[1].has_value());
     gate.take(response);
   }
--- a/tests/system/edge_loop.hpp
+++ b/tests/system/edge_loop.hpp
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/connection_end.hpp"
 #include "loop_peer.hpp"
 #include "program/start.hpp"
 #include "proxy/client_server.hpp"
