Config store: what a reader asked is dropped with its link

Cause: the class of GONE at the store: reads and lease questions of a link that had ended were answered all the same. For a lease that counts: a registry that was gone was granted the duties once more, and the next one had to wait for the end of a grant that nobody had heard of (up to a heartbeat's round longer).

Change: undecided reads and lease questions go with their link; as if their frames had been lost. The test fails on the code before (the next registry is told to wait).

--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -71,7 +71,12 @@
   return out;
 }
 
-void Service::readerEnded(ReaderId reader) { readers_.erase(reader); }
+// What it has asked and nobody has decided is dropped: above all, no lease is granted to who can't hear of it.
+void Service::readerEnded(ReaderId reader) {
+  readers_.erase(reader);
+  std::erase_if(reads_, [&](const PendingRead& read) { return read.reader == reader; });
+  std::erase_if(leases_, [&](const PendingLease& asked) { return asked.reader == reader; });
+}
 
 // Who has stood still answers nothing that came before it woke: orders may have been sent again meanwhile,
 // and taken back.
--- a/tests/config_store/service_test.cpp
+++ b/tests/config_store/service_test.cpp
@@ -46,7 +46,17 @@
       take(service_.tick(now_));
     }
   }
-  void ask(const ReaderRequest& request) { take(service_.fromReader(kReader, request, now_)); }
+  void ask(const ReaderRequest& request, ReaderId reader = kReader) {
+    take(service_.fromReader(reader, request, now_));
+  }
+  void greet(ReaderId reader) { take(service_.readerGreeted(reader, now_)); }
+  void end(ReaderId reader) { service_.readerEnded(reader); }
+  void tick() {
+    now_ += 50;
+    take(service_.tick(now_));
+    answer();
+  }
+  Time now() const { return now_; }
   template <class Message>
   const Message* newest() const {
     for (auto it = told_.rbegin(); it != told_.rend(); ++it)
@@ -79,11 +89,6 @@
     out.members = {{1, "10.0.0.1"}, {kOther, "10.0.0.2"}, {3, "10.0.0.3"}};
     return out;
   }
-  void tick() {
-    now_ += 50;
-    take(service_.tick(now_));
-    answer();
-  }
   void take(const Effects& effects) {
     for (const Effect& effect : effects) {
       if (const auto* toStore = std::get_if<SendToStore>(&effect); toStore && toStore->to == kOther)
@@ -120,6 +125,28 @@
   leader.answersOnlyByTheNextRound<rpc::LeaseResponse>(request);
 }
 
+TEST_CASE("a registry whose link has ended before its question was confirmed is granted nothing") {
+  Leader leader;
+  const rpc::LeaseRequest request{5, "10.0.0.9", 77, 0, true};
+  leader.ask(request);
+  leader.answer();
+  REQUIRE(leader.newest<rpc::LeaseResponse>()->span == lease::kLeaseSpan);
+  const Time granted = leader.now();
+  while (leader.now() < granted + 300) leader.tick();
+  leader.nextHeartbeat();
+  leader.ask(request);
+  leader.end(kReader);
+  leader.answer();
+  // The next one need not wait longer than for what was granted before.
+  while (leader.now() < granted + lease::kLeaseSpan * (1 + lease::kDrift)) leader.tick();
+  constexpr ReaderId kNext = 2;
+  leader.greet(kNext);
+  leader.ask(rpc::LeaseRequest{6, "10.0.0.8", 78, 0, true}, kNext);
+  leader.answer();
+  CHECK(leader.newest<rpc::LeaseResponse>()->number == 6);
+  CHECK(leader.newest<rpc::LeaseResponse>()->span == lease::kLeaseSpan);
+}
+
 TEST_CASE("the newest question of a round is answered, once") {
   Leader leader;
   leader.nextHeartbeat();
