--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -25,7 +25,7 @@
 
 using Tcp = asio::ip::tcp;
 
-constexpr std::size_t kMaxReadAhead = 16 * 1024;  // bytes behind a request that is handled
+constexpr std::size_t kMaxReadAhead = 4 * kReadStep;  // bytes behind a request that is handled
 constexpr double kEndCheckMs = 100;
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
