--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -87,7 +87,8 @@
 
 void ClientConnection::noteEnd(const Error& error) {
   if (!end_) end_ = error;
-  if (!handling_) return;
+  const bool closedHere = error == asio::error::operation_aborted;
+  if (!handling_ || closedHere) return;
   presence_->noteLeft(program::now());
   close();
 }
--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -395,6 +395,25 @@
   CHECK(admissions[1] == TokenGate::Admission::admittedFromStock);
 }
 
+TEST_CASE("a connection that this side closes is no departure, its client's end is one") {
+  asio::io_context io{1};
+  Tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  Peer client(io, acceptor.local_endpoint().port());
+  const auto connection =
+      ClientConnection::create(acceptor.accept(), io, std::make_shared<Budget>(kMoreThanBuffersHold));
+  connection->beginRequest();
+  bool departed = false;
+  SUBCASE("this side") { connection->close(); }
+  SUBCASE("the client") {
+    client.socket.close();
+    departed = true;
+  }
+  runUntil(io, [&] { return !connection->isOpen(); });
+  io.restart();
+  io.poll();
+  CHECK(connection->presence()->left() == departed);
+}
+
 // --- Decisions, without sockets ---
 TEST_CASE("a departure is noted once, with the stage of its moment, and told to who asks later as well") {
   unsigned looks = 0;
