--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -71,7 +71,8 @@
   return out;
 }
 
-// What it has asked and nobody has decided is dropped: above all, no lease is granted to who can't hear of it.
+// What it has asked and nobody has decided is dropped: above all, no lease is granted to who can't hear of
+// it.
 void Service::readerEnded(ReaderId reader) {
   readers_.erase(reader);
   std::erase_if(reads_, [&](const PendingRead& read) { return read.reader == reader; });
--- a/src/http/connection_end.hpp
+++ b/src/http/connection_end.hpp
@@ -1,7 +1,8 @@
-// The two ends of a connection, as the system knows them: whether the peer has ended it, which shows here also
-// behind bytes that nobody has read, and how to end it so that no byte still queued arrives first.
+// The two ends of a connection, as the system knows them: whether the peer has ended it, which shows here
+// also behind bytes that nobody has read, and how to end it so that no byte still queued arrives first.
 //
-// Each call is one system call or two. Where the system can't tell, a connection stands and nothing is queued.
+// Each call is one system call or two. Where the system can't tell, a connection stands and nothing is
+// queued.
 #pragma once
 
 #include <linux/sockios.h>
