Registry: look-ups counted by place, the ends of registries' links and answers to orders logged

The choice of a look-up's addresses moves from Registry to Directory, unchanged, and is counted there; the figures are at GET /api/metrics of the directory's address and in the log. The store's order line names the version, a registry logs what it answers to an order.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -96,6 +96,20 @@
   return out;
 }
 
+void addHomes(std::unordered_map<std::string, HostHomes>& hosts, const Route& route) {
+  const auto [found, isFirst] = hosts.try_emplace(route.host);
+  HostHomes& homes = found->second;
+  if (isFirst) homes.ofEach = route.homes;
+  std::erase_if(homes.ofEach, [&](const std::string& region) {
+    return std::find(route.homes.begin(), route.homes.end(), region) == route.homes.end();
+  });
+  for (const std::string& region : route.homes)
+    if (std::find(homes.ofSome.begin(), homes.ofSome.end(), region) == homes.ofSome.end())
+      homes.ofSome.push_back(region);
+}
+
+std::string_view withoutPort(std::string_view host) { return host.substr(0, host.find(':')); }
+
 void checkTogether(const Configuration& read, const Reader& root) {
   std::set<std::string> services;
   for (const Service& service : read.services) services.insert(service.name);
@@ -114,7 +128,9 @@
 }  // namespace
 
 void Configuration::index() {
-  routesOf_.clear(), keys_.clear(), services_.clear();
+  routesOf_.clear(), keys_.clear(), services_.clear(), homesOf_.clear();
+  for (const Route& route : routes)
+    if (!route.homes.empty()) addHomes(homesOf_, route);
   for (std::size_t i = 0; i < routes.size(); ++i) routesOf_[routes[i].host].push_back(i);
   for (auto& [host, all] : routesOf_)
     std::stable_sort(all.begin(), all.end(),
@@ -125,8 +141,7 @@
 }
 
 const Route* Configuration::routeOf(std::string_view host, std::string_view path) const {
-  if (const auto colon = host.find(':'); colon != std::string_view::npos) host = host.substr(0, colon);
-  const auto all = routesOf_.find(lower(std::string(host)));
+  const auto all = routesOf_.find(lower(std::string(withoutPort(host))));
   if (all == routesOf_.end()) return nullptr;
   for (const std::size_t i : all->second)
     if (path.starts_with(routes[i].prefix)) return &routes[i];
@@ -143,6 +158,11 @@
   return found == services_.end() ? nullptr : &services[found->second];
 }
 
+const HostHomes* Configuration::homesOf(std::string_view host) const {
+  const auto found = homesOf_.find(lower(std::string(withoutPort(host))));
+  return found == homesOf_.end() ? nullptr : &found->second;
+}
+
 ConfigurationRead readConfiguration(std::string_view text) {
   ConfigurationRead out;
   const auto json = parseJson(text, out.fault);
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -51,6 +51,12 @@
   double headerRead = 3000, idle = 15000;  // ms
 };
 
+// Regions that routes of one host are bound to.
+struct HostHomes {
+  std::vector<std::string> ofEach;  // homes of each of its routes that has any
+  std::vector<std::string> ofSome;  // homes of at least one
+};
+
 struct Configuration {
   std::uint64_t version = 0, parent = 0;
   std::vector<Route> routes;
@@ -62,10 +68,13 @@
   const Route* routeOf(std::string_view host, std::string_view path) const;
   const Tenant* tenantOf(std::string_view key) const;
   const Service* serviceOf(std::string_view name) const;
+  // Null where no route of that host has homes. `host` may bear a port.
+  const HostHomes* homesOf(std::string_view host) const;
   void index();  // after a change of the lists
 
  private:
   std::unordered_map<std::string, std::vector<std::size_t>> routesOf_;  // longest prefix first
+  std::unordered_map<std::string, HostHomes> homesOf_;                  // of hosts that have any
   std::unordered_map<std::string, std::size_t> keys_, services_;
 };
 
--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -60,17 +60,18 @@
   const std::uint64_t version = read.configuration->version;
   const std::uint64_t parent = read.configuration->parent;
   const Taken asked(version, digestOf(body));
-  if (wasTaken(state, asked)) return {200, "taken before", false};
+  const std::string subject = "r" + std::to_string(version) + " on r" + std::to_string(parent);
+  if (wasTaken(state, asked)) return {200, "taken before", false, subject};
   if (parent < state.forgotten)
-    return {503, "parent r" + std::to_string(parent) + " is too old to tell", false};
+    return {503, "parent r" + std::to_string(parent) + " is too old to tell", false, subject};
   if (parent != state.version)
-    return {412, "version r" + std::to_string(state.version) + " is in place", false};
+    return {412, "version r" + std::to_string(state.version) + " is in place", false, subject};
   if (version <= state.version)
-    return {400, "generation does not exceed r" + std::to_string(state.version), false};
+    return {400, "generation does not exceed r" + std::to_string(state.version), false, subject};
   state.configuration = body;
   state.version = version;
   remember(state, asked);
-  return {200, "taken", true};
+  return {200, "taken", true, subject};
 }
 
 }  // namespace
--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -54,9 +54,10 @@
 std::uint64_t digestOf(const std::string& configuration);  // as kept in State::taken
 
 struct Judged {
-  int status = 0;        // 200, 400, 412; 503: it can't be told
-  std::string text;      // why not
-  bool changes = false;  // the state is another one now
+  int status = 0;         // 200, 400, 412; 503: it can't be told
+  std::string text;       // why not
+  bool changes = false;   // the state is another one now
+  std::string subject{};  // for the log: the version of a configuration and its parent
 };
 // Judges `order` on top of `state` and, where it is taken, changes `state`. `entry` is the index of the
 // agreement's entry that would hold the change.
--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -171,7 +171,8 @@
   }
   void carryOutOne(const DialStore& e) { peers_.dial(e.ip); }
   void carryOutOne(const OrderJudged& e) {
-    program::info("order", {{"what", e.what}, {"status", e.status}, {"text", e.text}});
+    program::info("order",
+                  {{"what", e.what}, {"subject", e.subject}, {"status", e.status}, {"text", e.text}});
   }
   void carryOutOne(const LeadershipGained& e) {
     program::info("leads", {{"term", e.term}, {"index", e.index}});
--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -177,7 +177,7 @@
   std::vector<JudgedOrder> judgedOrders;
   for (const WaitingOrder& order : std::exchange(orders_, {})) {
     const Judged judged = apply(next, order.request, entry);
-    out.emplace_back(OrderJudged{order.request.what, judged.status, judged.text});
+    out.emplace_back(OrderJudged{order.request.what, judged.subject, judged.status, judged.text});
     judgedOrders.push_back({order.reader, {order.request.number, judged.status, judged.text, true}});
     changes = changes || judged.changes;
   }
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -50,6 +50,7 @@
 // For the log.
 struct OrderJudged {
   std::string what;
+  std::string subject;  // the version of a configuration and its parent
   int status = 0;
   std::string text;
 };
--- a/src/proxy/departure_figures.cpp
+++ b/src/proxy/departure_figures.cpp
@@ -18,7 +18,12 @@
   out.append("# TYPE ").append(name).append(" ").append(type).append("\n");
 }
 
-std::string kindLabel(std::size_t kind) { return "kind=\"" + std::string(kKindNames[kind]) + "\""; }
+std::string label(std::string_view name, std::string_view value) {
+  std::string out(name);
+  return out.append("=\"").append(value).append("\"");
+}
+
+std::string kindLabel(std::size_t kind) { return label("kind", kKindNames[kind]); }
 
 }  // namespace
 
@@ -46,14 +51,13 @@
   appendType(out, left, "counter");
   for (std::size_t kind = 0; kind < kRequestKinds; ++kind)
     for (std::size_t stage = 0; stage < kRequestStages; ++stage)
-      appendSample(
-          out, left,
-          kindLabel(kind) + ",stage=\"" + std::string(nameOf(static_cast<RequestStage>(stage))) + "\"",
-          static_cast<double>(left_[kind][stage]));
+      appendSample(out, left,
+                   kindLabel(kind) + "," + label("stage", nameOf(static_cast<RequestStage>(stage))),
+                   static_cast<double>(left_[kind][stage]));
   appendType(out, seconds, "summary");
   for (std::size_t kind = 0; kind < kRequestKinds; ++kind) {
-    appendSample(out, std::string(seconds) + "_sum", kindLabel(kind), work_[kind].sumMs / 1000);
-    appendSample(out, std::string(seconds) + "_count", kindLabel(kind),
+    appendSample(out, "burlwind_work_after_departure_seconds_sum", kindLabel(kind), work_[kind].sumMs / 1000);
+    appendSample(out, "burlwind_work_after_departure_seconds_count", kindLabel(kind),
                  static_cast<double>(work_[kind].count));
   }
   appendType(out, longWork, "counter");
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -14,6 +14,7 @@
 #include "program/start.hpp"
 #include "registry/control_membership.hpp"
 #include "registry/dialer_set.hpp"
+#include "registry/directory.hpp"
 #include "registry/duty_lease.hpp"
 #include "registry/leader_tracker.hpp"
 #include "registry/list_reader.hpp"
@@ -57,6 +58,7 @@
         membership_({settings_.ip, settings_.zone, settings_.region}),
         ceiling_(now()),
         registry_(settings_.ip, settings_.regionOf),
+        lookups_(registry_, incarnation_),
         lease_(settings_.ip, incarnation_),
         stores_(io, settings_.portFrom, storeHooks()),
         peerLinks_(io, registryPort(), peerHooks()),
@@ -67,7 +69,7 @@
                [this](const rpc::Workers& workers) { sessions_.broadcast(rpc::frame(workers)); }),
         list_(io, settings_, registry_, lease_,
               [this](const rpc::Workers& change, bool byHolder) { listChanged(change, byHolder); }),
-        calls_(settings_, registry_, orders_, incarnation_),
+        calls_(settings_, lookups_, orders_),
         acceptor_(io),
         control_(
             io, [this](control_api::Call call) { return controlCall(std::move(call)); },
@@ -203,6 +205,7 @@
     if (taken == LeaderTracker::Taken::unchanged) return;
     const auto configuration = config::readConfiguration(tracker_.update().configuration).configuration;
     quotas_.setConfiguration(configuration);
+    lookups_.setConfiguration(configuration);
     program::info("news", {{"index", tracker_.update().index},
                            {"version", configuration ? configuration->version : 0}});
   }
@@ -380,6 +383,7 @@
     stores_.report("store");
     peerLinks_.report("registry");
     rpc::logTraffic();
+    lookups_.figures().report();
   }
 
   void wait() {
@@ -388,6 +392,7 @@
       if (number == SIGHUP) return lookAtSettings(true), wait();
       program::info("ends", {{"signal", number}});
       rpc::logTraffic();
+      lookups_.figures().report();
       control_.close(), directory_.close();
       endTimer_.expires_after(kEndPause);
       endTimer_.async_wait([this](const Error&) {
@@ -404,6 +409,7 @@
   ControlMembership membership_;
   ProxyCeiling ceiling_;
   Registry registry_;
+  Directory lookups_;
   LeaderTracker tracker_;
   DutyLease lease_;
   DialerSet stores_, peerLinks_;
--- a/src/registry/outside_calls.cpp
+++ b/src/registry/outside_calls.cpp
@@ -2,6 +2,9 @@
 
 #include <utility>
 
+#include "program/log.hpp"
+#include "program/start.hpp"
+
 namespace burlwind::registry {
 namespace {
 
@@ -9,12 +12,15 @@
 using control_api::message;
 using control_api::Reply;
 
-constexpr std::size_t kLeastAddresses = 2, kMostAddresses = 64;
-
 }  // namespace
 
 asio::awaitable<Reply> OutsideCalls::order(std::string what, std::string body) {
+  const double from = program::now();
+  const std::string name = what;
   LeaderAnswer answer = co_await orders_.order(std::move(what), std::move(body));
+  program::info(
+      "order answered",
+      {{"what", name}, {"status", answer.status}, {"text", answer.text}, {"ms", program::now() - from}});
   co_return Reply(answer.status, message(answer.text));
 }
 
@@ -40,9 +46,14 @@
 }
 
 asio::awaitable<Reply> OutsideCalls::directory(Call call) {
+  if (call.is("GET", {"api", "metrics"})) {
+    Reply metrics(200, directory_.figures().text());
+    metrics.contentType = control_api::kMetricsType;
+    co_return metrics;
+  }
   if (!call.is("GET", {"api", "lookup"})) co_return Reply(404, message("no such call"));
   const auto all =
-      registry_.addresses(call.asked("region"), call.asked("zone"), kLeastAddresses, kMostAddresses, random_);
+      directory_.addresses({call.asked("name"), call.asked("region"), call.asked("zone")}, program::now());
   if (all.empty()) co_return Reply(503, message("no gatekeeper is ready"));
   std::string out = "{\"addresses\":[";
   for (std::size_t i = 0; i < all.size(); ++i) out += (i ? ",\"" : "\"") + all[i] + "\"";
--- a/src/registry/outside_calls.hpp
+++ b/src/registry/outside_calls.hpp
@@ -2,21 +2,19 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
-#include <random>
 #include <string>
 
 #include "config/settings.hpp"
 #include "control_api/server.hpp"
+#include "registry/directory.hpp"
 #include "registry/order_forwarder.hpp"
-#include "registry/registry.hpp"
 
 namespace burlwind::registry {
 
 class OutsideCalls {
  public:
-  OutsideCalls(const config::Settings& settings, const Registry& registry, OrderForwarder& orders,
-               std::uint64_t seed)
-      : settings_(settings), registry_(registry), orders_(orders), random_(seed) {}
+  OutsideCalls(const config::Settings& settings, Directory& directory, OrderForwarder& orders)
+      : settings_(settings), directory_(directory), orders_(orders) {}
   asio::awaitable<control_api::Reply> control(control_api::Call call);
   asio::awaitable<control_api::Reply> directory(control_api::Call call);
 
@@ -25,9 +23,8 @@
   asio::awaitable<control_api::Reply> readConfiguration();
 
   const config::Settings& settings_;
-  const Registry& registry_;
+  Directory& directory_;
   OrderForwarder& orders_;
-  std::mt19937_64 random_;
 };
 
 }  // namespace burlwind::registry
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -109,6 +109,11 @@
   refold(now);
 }
 
+std::size_t Registry::toldBy(const std::string& registry) const {
+  const auto found = others_.find(registry);
+  return found == others_.end() ? 0 : found->second.seats.size();
+}
+
 bool Registry::heard(const std::string& registry, const rpc::Sessions& told, double now) {
   if (!told.whole && !others_.contains(registry)) return false;
   Others& others = others_[registry];
@@ -132,30 +137,9 @@
          changed;
 }
 
-std::vector<std::string> Registry::addresses(const std::string& region, const std::string& zone,
-                                             std::size_t least, std::size_t most,
-                                             std::mt19937_64& random) const {
-  std::vector<std::string> out;
-  std::vector<std::string> near;
-  std::vector<std::string> far;
-  bool narrow = false;
-  for (const auto& [name, seat] : seats_) {
-    if (!seat.ready) continue;
-    narrow = narrow || (seat.linkMbps > 0 && seat.linkMbps < kNarrow);
-    (seat.zone == zone ? out : seat.region == region ? near : far).push_back(seat.front);
-  }
-  std::size_t known = 0;
-  for (const auto& [name, place] : known_) known += place.first == zone;
-  const std::size_t wanted = std::max(known, least);
-  const auto fill = [&](std::vector<std::string>& from, std::size_t atMost) {
-    std::shuffle(from.begin(), from.end(), random);
-    for (std::size_t i = 0; i < from.size() && i < atMost && out.size() < wanted; ++i) out.push_back(from[i]);
-  };
-  fill(near, narrow ? (near.size() + 1) / 2 : near.size());
-  if (out.size() < least || narrow) fill(far, far.size());
-  if (out.empty()) fill(far, far.size());
-  if (out.size() > most) out.resize(most);
-  return out;
+std::size_t Registry::knownIn(const std::string& zone) const {
+  return static_cast<std::size_t>(
+      std::count_if(known_.begin(), known_.end(), [&](const auto& k) { return k.second.first == zone; }));
 }
 
 std::optional<rpc::Workers> Registry::listed(std::uint64_t epoch,
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -10,7 +10,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -21,7 +20,6 @@
 constexpr double kOthersSilent = 1800;   // ms until a registry's sessions are no longer believed
 constexpr double kCountedWithin = 1000;  // ms of silence until proxies count as spending their own parts
 constexpr double kRemembered = 20000;    // ms that a proxy that is gone still counts as known
-constexpr double kNarrow = 50;           // Mbit/s under which a link is soon full
 constexpr std::size_t kJournal = 256;    // events kept
 
 struct Event {
@@ -45,6 +43,8 @@
   std::vector<rpc::ProxySession> own(double now) const;
   // False where it tells that nothing has changed since a list that isn't held here: a whole one is needed.
   bool heard(const std::string& registry, const rpc::Sessions& told, double now);
+  // How many proxies that registry has told of.
+  std::size_t toldBy(const std::string& registry) const;
   // That registry's links have ended: what it told counts no more.
   void silent(const std::string& registry, double now);
   // True where views may have changed.
@@ -63,11 +63,10 @@
   bool allRestarted(unsigned expected, double age, double until) const;
   std::map<std::string, unsigned> liveByZone() const;
 
-  // Addresses for a client in that zone: its zone's proxies that are ready, and others in place of those
-  // known there that are not, drawn anew each time so that they share what is lost: from its region first,
-  // where links are narrow no more than half as many as stand there, the rest from everywhere.
-  std::vector<std::string> addresses(const std::string& region, const std::string& zone, std::size_t least,
-                                     std::size_t most, std::mt19937_64& random) const;
+  // One of each proxy that is seated here or at another registry, by name.
+  const std::map<std::string, rpc::ProxySession>& sessions() const { return seats_; }
+  // Proxies that stand in that zone, those that went within kRemembered among them.
+  std::size_t knownIn(const std::string& zone) const;
 
   // --- Workers ---
   struct Known {
--- a/src/registry/registry_peers.cpp
+++ b/src/registry/registry_peers.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "program/log.hpp"
+
 namespace burlwind::registry {
 
 RegistryPeers::RegistryPeers(ControlMembership& membership, Registry& registry, QuotaService& quotas,
@@ -27,6 +29,7 @@
   links_.erase(found);
   for (const auto& [other, peer] : links_)
     if (peer.ip == ip) return;
+  program::info("registry link ends", {{"peer", ip}, {"proxies", registry_.toldBy(ip)}});
   membership_.unlinked(ip);
   registry_.silent(ip, now);
 }
--- a/tests/system/serving_test.cpp
+++ b/tests/system/serving_test.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "proxy/session_core.hpp"
+#include "registry/directory.hpp"
 #include "registry/grant_fence.hpp"
 #include "registry/leader_tracker.hpp"
 #include "registry/order_forwarder.hpp"
@@ -199,8 +200,8 @@
   rpc::Sessions told{true, {seatOf(8, 0, false)}};
   told.seats[0].age = 50;
   registry.heard("10.0.0.2", told, 1000);
-  std::mt19937_64 random(1);
-  CHECK(registry.addresses("", "", 1, 9, random).empty());  // the later one is not ready
+  registry::Directory directory(registry, 1);
+  CHECK(directory.addresses({}, 1000).empty());  // the later one is not ready
   CHECK(registry.liveByZone()[""] == 1);
 }
 
