Configuration: no body ends the process that reads it

One body of a configuration ends the store that leads, and the operator's repeats end the next ones: 100,000 nested tables (the parser bounds the depth of lists alone, the stack ends: exit 139), and a number such as 1e999, also in a field that nobody reads (the parser throws std::overflow_error, nobody catches: exit 134).

A parse context of our own bounds tables and lists at 100 and takes a number that no double holds for no JSON, with its path. It serves settings, configurations and the platform's list alike.

Two tests, which end the test program on the code before.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -165,11 +165,11 @@
 
 ConfigurationRead readConfiguration(std::string_view text) {
   ConfigurationRead out;
-  const auto json = parseJson(text, out.fault);
-  if (!json) return out.fault = "the configuration " + out.fault, out;
+  const ParsedJson json = parseJson(text);
+  if (!json.value) return out.fault = "the configuration " + json.fault, out;
   auto read = std::make_shared<Configuration>();
-  const Reader root(*json, "", out.fault);
-  if (!json->is<picojson::object>()) return out.fault = "the configuration is not a table", out;
+  const Reader root(*json.value, "", out.fault);
+  if (!json.value->is<picojson::object>()) return out.fault = "the configuration is not a table", out;
   read->version = version(root.at("generation"));
   read->parent = root.has("parentVersion") ? version(root.at("parentVersion")) : 0;
   for (const Reader& item : root.at("backends").items()) read->services.push_back(readService(item));
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -62,15 +62,88 @@
   std::string* fault_;
 };
 
-// The whole text as one value; nothing else may follow it. Null where it is none, `fault` then says why.
-inline std::unique_ptr<const picojson::value> parseJson(std::string_view text, std::string& fault) {
-  auto out = std::make_unique<picojson::value>();
+// Nesting that is read; deeper texts are no JSON here.
+constexpr std::size_t kDeepestJson = 100;
+
+// What is found on the way, each with its path; the first of its kind.
+struct JsonNotes {
+  std::string repeatedKey, tooLarge;
+};
+
+// Builds a value as picojson's own context does, but bounds the nesting of tables too, and notes keys that
+// stand twice in one table (the last one counts) and numbers that no double holds (where it would throw).
+class JsonContext : public picojson::default_parse_context {
+ public:
+  JsonContext(picojson::value* out, std::size_t depths, const JsonContext* parent, const std::string* key,
+              std::size_t index, JsonNotes& notes)
+      : default_parse_context(out, depths), parent_(parent), key_(key), index_(index), notes_(notes) {}
+
+  // The parser goes on whatever is answered here.
+  bool set_number(double number) {
+    if (std::isfinite(number)) return default_parse_context::set_number(number);
+    if (notes_.tooLarge.empty()) notes_.tooLarge = path() + " is too large a number";
+    return false;
+  }
+  template <typename Input>
+  bool parse_array_item(Input& in, std::size_t index) {
+    auto& items = out_->get<picojson::array>();
+    items.emplace_back();
+    JsonContext item(&items.back(), depths_, this, nullptr, index, notes_);
+    return picojson::_parse(item, in);
+  }
+  bool parse_object_start() {
+    if (depths_ == 0) return false;
+    --depths_;
+    *out_ = picojson::value(picojson::object_type, false);
+    return true;
+  }
+  template <typename Input>
+  bool parse_object_item(Input& in, const std::string& key) {
+    auto& fields = out_->get<picojson::object>();
+    const auto [field, isFirst] = fields.try_emplace(key);
+    JsonContext item(&field->second, depths_, this, &key, 0, notes_);
+    if (!isFirst && notes_.repeatedKey.empty()) notes_.repeatedKey = item.path() + " stands twice";
+    return picojson::_parse(item, in);
+  }
+
+ private:
+  std::string path() const {
+    if (!parent_) return {};
+    const std::string before = parent_->path();
+    if (!key_) return before + "[" + std::to_string(index_) + "]";
+    return before.empty() ? *key_ : before + "." + *key_;
+  }
+  const JsonContext* const parent_;
+  const std::string* const key_;  // null: an item of a list
+  const std::size_t index_;
+  JsonNotes& notes_;
+};
+
+struct ParsedJson {
+  std::unique_ptr<const picojson::value> value;  // null: `fault` says why
+  std::string fault;
+  std::string repeatedKey;  // the first key that stands twice in one table, with its path
+};
+
+// The whole text as one value; nothing else may follow it.
+inline ParsedJson parseJson(std::string_view text) {
+  ParsedJson out;
+  JsonNotes notes;
+  auto value = std::make_unique<picojson::value>();
   std::string error;
-  auto end = picojson::parse(*out, text.begin(), text.end(), &error);
-  if (!error.empty()) return fault = "is no whole JSON: " + error, nullptr;
-  for (; end != text.end(); ++end)
-    if (*end != ' ' && *end != '\n' && *end != '\r' && *end != '\t')
-      return fault = "goes on after its JSON has ended", nullptr;
+  JsonContext context(value.get(), kDeepestJson, nullptr, nullptr, 0, notes);
+  const auto end = picojson::_parse(context, text.begin(), text.end(), &error);
+  const std::string_view rest(end, text.end());
+  const bool goesOn = rest.find_first_not_of(" \n\r\t") != std::string_view::npos;
+  if (!error.empty())
+    out.fault = "is no whole JSON: " + error;
+  else if (goesOn)
+    out.fault = "goes on after its JSON has ended";
+  else if (!notes.tooLarge.empty())
+    out.fault = "is no JSON: " + notes.tooLarge;
+  else
+    out.value = std::move(value);
+  out.repeatedKey = std::move(notes.repeatedKey);
   return out;
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -107,10 +107,10 @@
 
 SettingsRead readSettings(std::string_view text) {
   SettingsRead out;
-  const auto json = parseJson(text, out.fault);
-  if (!json) return out.fault = "the file " + out.fault, out;
+  const ParsedJson json = parseJson(text);
+  if (!json.value) return out.fault = "the file " + json.fault, out;
   Settings read;
-  const Reader root(*json, "", out.fault);
+  const Reader root(*json.value, "", out.fault);
   readSelf(root.at("self"), read);
   readNetwork(root.at("network"), read);
   if (root.has("provider") && root.at("provider").has("cloudApi")) {
--- a/src/registry/platform_list.cpp
+++ b/src/registry/platform_list.cpp
@@ -17,9 +17,9 @@
 
 bool readPage(const std::string& body, PlatformList::Workers& into, std::string& next, std::string& fault) {
   next.clear();
-  const auto json = config::parseJson(body, fault);
-  if (!json) return false;
-  const config::Reader root(*json, "", fault);
+  const config::ParsedJson json = config::parseJson(body);
+  if (!json.value) return fault = json.fault, false;
+  const config::Reader root(*json.value, "", fault);
   const config::Reader servers = root.at("servers");
   for (const auto& [id, value] : servers.fields()) {
     const config::Reader one(value, "servers." + id, fault);
--- a/tests/config/validation_test.cpp
+++ b/tests/config/validation_test.cpp
@@ -28,5 +28,24 @@
   }
 }
 
+TEST_CASE("a number that no double holds is refused as no JSON, and ends no process") {
+  for (const char* path : {"routes[0].priority", "backends[0].coldRateS", "customers[0].burst", "more"})
+    for (const char* value : {"1e999", "-1e999", "123456789e400"}) {
+      CAPTURE(path);
+      const auto answer = judged(support::spoilt(path, value));
+      CHECK(answer.status == 400);
+      CHECK(answer.text.find("JSON") != std::string::npos);
+    }
+}
+
+TEST_CASE("a body of a hundred thousand nested tables or lists is refused as no JSON") {
+  constexpr unsigned kDeep = 100000;
+  for (const std::string open : {"{\"a\":", "["}) {
+    std::string body;
+    for (unsigned i = 0; i < kDeep; ++i) body += open;
+    CHECK(judged(body).status == 400);
+  }
+}
+
 }  // namespace
 }  // namespace burlwind::config
--- a/tests/support/configurations.hpp
+++ b/tests/support/configurations.hpp
@@ -61,14 +61,18 @@
   table.get<picojson::object>().erase(dot == std::string::npos ? path : path.substr(dot + 1));
 }
 
-// The valid one with `value`, as JSON, at `path`; an empty `value` takes the field away.
+// The valid one with `value`, as it stands in the text, at `path`; an empty `value` takes the field away.
 inline std::string spoilt(const std::string& path, std::string_view value) {
+  constexpr const char* kMark = "(here)";
   picojson::value root = validConfiguration();
-  if (value.empty())
+  if (value.empty()) {
     erase(root, path);
-  else
-    at(root, path) = json(value);
-  return root.serialize();
+    return root.serialize();
+  }
+  at(root, path) = picojson::value(kMark);
+  const std::string mark = picojson::value(kMark).serialize();
+  std::string text = root.serialize();
+  return text.replace(text.find(mark), mark.size(), value);
 }
 
 inline std::string onParent(std::uint64_t version, std::uint64_t parent) {
