Configuration: valid is what can serve, judged in one place with a table of all fields

Callers saw an acknowledgement (200) for a configuration that serves nobody on one of its routes: operations' 'an invalid config was acked'. Cause: what reads was taken; a timeout of 0 counted as none.

Reading stays lenient, so what was acknowledged before still reads, serves and is known again.

Fixtures of other tests became whole configurations; what they assert is unchanged.

--- a/src/config/configuration.cpp
+++ b/src/config/configuration.cpp
@@ -7,16 +7,22 @@
 #include "config/fields.hpp"
 #include "config/json.hpp"
 #include "config/settings.hpp"
+#include "config/validation.hpp"
 
 namespace burlwind::config {
 namespace {
 
+constexpr double kVersionsEnd = 18446744073709551616.0;  // the first that 64 bits don't hold
+constexpr double kMostPriority = 1e9;
+constexpr double kMostBytes = 9007199254740991;
+
 // "r12" is 12; a plain number is taken as well, since the first version's parent is written 0.
 std::uint64_t version(const Reader& field) {
   if (field.value().is<double>()) {
     const double out = field.number();
-    if (out < 0 || out != std::floor(out)) field.fail("is no version");
-    return out < 0 ? 0 : static_cast<std::uint64_t>(out);
+    if (out >= 0 && out < kVersionsEnd && out == std::floor(out)) return static_cast<std::uint64_t>(out);
+    field.fail("is no version");
+    return 0;
   }
   const std::string text = field.text();
   const char* from = text.data() + (text.starts_with('r') ? 1 : 0);
@@ -40,6 +46,10 @@
   return out;
 }
 
+int priorityOf(const Reader& at) {
+  return static_cast<int>(std::clamp(at.at("priority").number(), -kMostPriority, kMostPriority));
+}
+
 std::string lower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
   return text;
@@ -58,7 +68,7 @@
   out.safe = kind == "safe";
   out.timeout = timeOf(at, "timeout", 0);
   out.target = timeOf(at, "target", 0);
-  if (at.has("priority")) out.priority = static_cast<int>(at.at("priority").number());
+  if (at.has("priority")) out.priority = priorityOf(at);
   if (at.has("tries")) out.tries = static_cast<unsigned>(std::clamp(at.at("tries").number(), 1.0, 100.0));
   if (at.has("public")) out.open = at.at("public").truth();
   out.homes = texts(at, "homeRegions");
@@ -68,10 +78,8 @@
       if (weight < 0) part.at("weight").fail("is below 0");
       out.parts.push_back({part.at("backend").text(), weight});
     }
-    if (out.parts.empty()) at.at("split").fail("names no service");
-  } else {
-    out.parts.push_back({at.at("backend").text(), 1});
   }
+  if (out.parts.empty()) out.parts.push_back({at.at("backend").text(), 1});
   return out;
 }
 
@@ -89,7 +97,7 @@
   Tenant out;
   out.name = at.at("name").text();
   out.keys = texts(at, "apiKeys");
-  if (at.has("priority")) out.priority = static_cast<int>(at.at("priority").number());
+  if (at.has("priority")) out.priority = priorityOf(at);
   out.rate = atLeastNothing(at, "ratePerS");
   out.burst = atLeastNothing(at, "burst");
   out.homes = texts(at, "homeRegions");
@@ -110,18 +118,23 @@
 
 std::string_view withoutPort(std::string_view host) { return host.substr(0, host.find(':')); }
 
+// The field that names the service of a route's part.
+Reader backendOf(const Reader& route, std::size_t part) {
+  const bool isSplit = route.has("split") && !route.at("split").items().empty();
+  return isSplit ? route.at("split").items()[part].at("backend") : route.at("backend");
+}
+
 void checkTogether(const Configuration& read, const Reader& root) {
   std::set<std::string> services;
   for (const Service& service : read.services) services.insert(service.name);
   std::set<std::pair<std::string, std::string>> places;
+  const auto all = root.at("routes").items();
   for (std::size_t i = 0; i < read.routes.size(); ++i) {
     const Route& route = read.routes[i];
-    const std::string at = "[" + std::to_string(i) + "] ";
-    for (const Part& part : route.parts)
-      if (!services.contains(part.service))
-        root.at("routes").fail(at + "names the unknown service " + part.service);
-    if (!places.emplace(route.host, route.prefix).second)
-      root.at("routes").fail(at + "has host and prefix of another route");
+    for (std::size_t part = 0; part < route.parts.size(); ++part)
+      if (const std::string& service = route.parts[part].service; !services.contains(service))
+        backendOf(all[i], part).fail("names the unknown service " + service);
+    if (!places.emplace(route.host, route.prefix).second) all[i].fail("has host and prefix of another route");
   }
 }
 
@@ -163,13 +176,13 @@
   return found == homesOf_.end() ? nullptr : &found->second;
 }
 
-ConfigurationRead readConfiguration(std::string_view text) {
-  ConfigurationRead out;
-  const ParsedJson json = parseJson(text);
-  if (!json.value) return out.fault = "the configuration " + json.fault, out;
+namespace {
+
+// Null where it can't be read; `fault` says why.
+std::shared_ptr<Configuration> readWhole(const picojson::value& json, std::string& fault) {
   auto read = std::make_shared<Configuration>();
-  const Reader root(*json.value, "", out.fault);
-  if (!json.value->is<picojson::object>()) return out.fault = "the configuration is not a table", out;
+  const Reader root(json, fault);
+  if (!json.is<picojson::object>()) return fault = "the configuration is not a table", nullptr;
   read->version = version(root.at("generation"));
   read->parent = root.has("parentVersion") ? version(root.at("parentVersion")) : 0;
   for (const Reader& item : root.at("backends").items()) read->services.push_back(readService(item));
@@ -179,16 +192,40 @@
   if (root.has("limits")) {
     const Reader limits = root.at("limits");
     if (limits.has("maxHeaderBytes"))
-      read->limits.header = static_cast<std::size_t>(atLeastNothing(limits, "maxHeaderBytes"));
+      read->limits.header =
+          static_cast<std::size_t>(std::min(kMostBytes, atLeastNothing(limits, "maxHeaderBytes")));
     if (limits.has("maxBodyBytes"))
-      read->limits.body = static_cast<std::uint64_t>(atLeastNothing(limits, "maxBodyBytes"));
+      read->limits.body =
+          static_cast<std::uint64_t>(std::min(kMostBytes, atLeastNothing(limits, "maxBodyBytes")));
     read->limits.headerRead = timeOf(limits, "headerRead", read->limits.headerRead);
     read->limits.idle = timeOf(limits, "idle", read->limits.idle);
   }
-  if (out.fault.empty()) checkTogether(*read, root);
-  if (!out.fault.empty()) return out;
+  if (fault.empty()) checkTogether(*read, root);
+  if (!fault.empty()) return nullptr;
   read->index();
-  out.configuration = std::move(read);
+  return read;
+}
+
+}  // namespace
+
+ConfigurationRead readConfiguration(std::string_view text) {
+  ConfigurationRead out;
+  const ParsedJson json = parseJson(text);
+  if (json.value)
+    out.configuration = readWhole(*json.value, out.fault);
+  else
+    out.fault = "the configuration " + json.fault;
+  return out;
+}
+
+ConfigurationCheck checkConfiguration(std::string_view text, const std::set<std::string>& regions) {
+  ConfigurationCheck out;
+  const ParsedJson json = parseJson(text);
+  if (!json.value) return out.fault = "the configuration " + json.fault, out;
+  out.read = readWhole(*json.value, out.fault);
+  if (!out.read) return out;
+  out.fault = json.repeatedKey;
+  if (out.fault.empty()) out.fault = validate(*json.value, *out.read, regions);
   return out;
 }
 
--- a/src/config/configuration.hpp
+++ b/src/config/configuration.hpp
@@ -1,10 +1,11 @@
-// The operator's configuration: read from the JSON of config.replace and checked whole. An invalid one is
-// told with one plain line that names the fault's path; nothing of it is kept.
+// The operator's configuration: read from the JSON of config.replace. What can't be read, and what is not
+// valid, is told with one plain line that names the fault's path.
 #pragma once
 
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -82,6 +83,14 @@
   std::shared_ptr<const Configuration> configuration;  // nothing: `fault` says why
   std::string fault;
 };
-ConfigurationRead readConfiguration(std::string_view text);  // JSON
+// `text`: JSON. Reads whatever can be served from, as it must what has been acknowledged before.
+ConfigurationRead readConfiguration(std::string_view text);
+
+struct ConfigurationCheck {
+  std::shared_ptr<const Configuration> read;  // null where it can't be read at all
+  std::string fault;  // why it may not be acknowledged (validation.hpp); empty: it may
+};
+// `regions`: that have a zone; empty: not known, and homes are not held against them.
+ConfigurationCheck checkConfiguration(std::string_view text, const std::set<std::string>& regions = {});
 
 }  // namespace burlwind::config
--- a/src/config/json.hpp
+++ b/src/config/json.hpp
@@ -4,41 +4,46 @@
 
 #include <picojson.h>
 
+#include <array>
 #include <cmath>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace burlwind::config {
 
 class Reader {
  public:
-  Reader(const picojson::value& value, std::string path, std::string& fault)
-      : value_(&value), path_(std::move(path)), fault_(&fault) {}
+  Reader(const picojson::value& root, std::string& fault) : value_(&root), fault_(&fault) {}
 
-  bool has(const char* name) const {
-    return value_->is<picojson::object>() && value_->contains(name) &&
-           !value_->get(name).is<picojson::null>();
-  }
+  bool has(const char* name) const { return find(name) != nullptr; }
   Reader at(const char* name) const {
     static const picojson::value nothing;
-    return {has(name) ? value_->get(name) : nothing, pathOf(name), *fault_};
+    const picojson::value* const found = find(name);
+    return child(found ? *found : nothing, {name, 0});
   }
   std::vector<Reader> items() const {
     std::vector<Reader> out;
     if (!value_->is<picojson::array>()) return fail("is not a list"), out;
     const auto& all = value_->get<picojson::array>();
-    for (std::size_t i = 0; i < all.size(); ++i)
-      out.emplace_back(all[i], path_ + "[" + std::to_string(i) + "]", *fault_);
+    out.reserve(all.size());
+    for (std::size_t i = 0; i < all.size(); ++i) out.push_back(child(all[i], {nullptr, i}));
     return out;
   }
-  const picojson::object& fields() const {
-    static const picojson::object none;
-    if (!value_->is<picojson::object>()) return fail("is not a table"), none;
-    return value_->get<picojson::object>();
+  // Of a table whose keys are not known: each with its key. Valid while the JSON is.
+  std::vector<std::pair<std::string_view, Reader>> fields() const {
+    std::vector<std::pair<std::string_view, Reader>> out;
+    if (!value_->is<picojson::object>()) return fail("is not a table"), out;
+    for (const auto& [key, value] : value_->get<picojson::object>())
+      out.emplace_back(key, child(value, {key.c_str(), 0}));
+    return out;
   }
-  std::string text() const {
-    if (!value_->is<std::string>()) return fail("is not a text"), std::string();
+  std::string text() const { return std::string(view()); }
+  // The same without a copy; valid while the JSON is.
+  std::string_view view() const {
+    if (!value_->is<std::string>()) return fail("is not a text"), std::string_view();
     return value_->get<std::string>();
   }
   double number() const {
@@ -50,16 +55,43 @@
     return value_->get<bool>();
   }
   const picojson::value& value() const { return *value_; }
-  const std::string& path() const { return path_; }
   void fail(const std::string& what) const {
-    if (fault_->empty()) *fault_ = (path_.empty() ? std::string("the file") : path_) + " " + what;
+    if (fault_->empty()) *fault_ = (depth_ == 0 ? std::string("the file") : path()) + " " + what;
   }
 
  private:
-  std::string pathOf(const char* name) const { return path_.empty() ? name : path_ + "." + name; }
+  struct Step {
+    const char* name;  // null: an item of a list
+    std::size_t index;
+  };
+  static constexpr std::size_t kMostSteps = 8;  // of a path that is told; deeper ones are cut
+
+  const picojson::value* find(const char* name) const {
+    if (!value_->is<picojson::object>()) return nullptr;
+    const auto& all = value_->get<picojson::object>();
+    const auto found = all.find(name);
+    return found == all.end() || found->second.is<picojson::null>() ? nullptr : &found->second;
+  }
+  Reader child(const picojson::value& value, Step step) const {
+    Reader out = *this;
+    out.value_ = &value;
+    if (depth_ < kMostSteps) out.steps_[out.depth_++] = step;
+    return out;
+  }
+  std::string path() const {
+    std::string out;
+    for (std::size_t i = 0; i < depth_; ++i) {
+      if (steps_[i].name)
+        out.append(out.empty() ? "" : ".").append(steps_[i].name);
+      else
+        out.append("[").append(std::to_string(steps_[i].index)).append("]");
+    }
+    return out;
+  }
   const picojson::value* value_;
-  std::string path_;
   std::string* fault_;
+  std::array<Step, kMostSteps> steps_;
+  std::size_t depth_ = 0;
 };
 
 // Nesting that is read; deeper texts are no JSON here.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -80,7 +80,7 @@
   }
   const Reader zones = network.at("zones");
   for (const auto& [zone, region] : zones.fields())
-    if (region.is<std::string>()) out.regionOf[zone] = region.get<std::string>();
+    if (region.value().is<std::string>()) out.regionOf.emplace(zone, region.text());
 }
 
 void readBounds(const Reader& at, Bounds& out) {
@@ -110,7 +110,7 @@
   const ParsedJson json = parseJson(text);
   if (!json.value) return out.fault = "the file " + json.fault, out;
   Settings read;
-  const Reader root(*json.value, "", out.fault);
+  const Reader root(*json.value, out.fault);
   readSelf(root.at("self"), read);
   readNetwork(root.at("network"), read);
   if (root.has("provider") && root.at("provider").has("cloudApi")) {
@@ -137,4 +137,10 @@
   return out;
 }
 
+std::set<std::string> regionsOf(const Settings& settings) {
+  std::set<std::string> out;
+  for (const auto& [zone, region] : settings.regionOf) out.insert(region);
+  return out;
+}
+
 }  // namespace burlwind::config
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,4 +57,7 @@
 SettingsRead readSettings(std::string_view text);
 SettingsRead readSettingsFile(const std::string& path);
 
+// That have a zone.
+std::set<std::string> regionsOf(const Settings& settings);
+
 }  // namespace burlwind::config
--- a/src/config_store/ledger.cpp
+++ b/src/config_store/ledger.cpp
@@ -54,14 +54,15 @@
   state.taken.erase(state.taken.begin());
 }
 
-Judged takeConfiguration(State& state, const std::string& body) {
-  const auto read = config::readConfiguration(body);
-  if (!read.configuration) return {400, read.fault, false};
-  const std::uint64_t version = read.configuration->version;
-  const std::uint64_t parent = read.configuration->parent;
+Judged takeConfiguration(State& state, const std::string& body, const Regions& regions) {
+  const auto check = config::checkConfiguration(body, regions);
+  if (!check.read) return {400, check.fault, false};
+  const std::uint64_t version = check.read->version;
+  const std::uint64_t parent = check.read->parent;
   const Taken asked(version, digestOf(body));
   const std::string subject = "r" + std::to_string(version) + " on r" + std::to_string(parent);
   if (wasTaken(state, asked)) return {200, "taken before", false, subject};
+  if (!check.fault.empty()) return {400, check.fault, false, subject};
   if (parent < state.forgotten)
     return {503, "parent r" + std::to_string(parent) + " is too old to tell", false, subject};
   if (parent != state.version)
@@ -150,8 +151,8 @@
 
 }  // namespace
 
-Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry) {
-  if (order.what == "config") return takeConfiguration(state, order.body);
+Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry, const Regions& regions) {
+  if (order.what == "config") return takeConfiguration(state, order.body, regions);
   if (order.what == "evacuate") return beginEvacuation(state, order, entry);
   if (order.what == "return") return finishEvacuation(state, order, entry);
   if (order.what == rpc::kRaiseCeiling) return raiseCeiling(state, order.body);
--- a/src/config_store/ledger.hpp
+++ b/src/config_store/ledger.hpp
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +54,8 @@
 
 std::uint64_t digestOf(const std::string& configuration);  // as kept in State::taken
 
+using Regions = std::set<std::string>;
+
 struct Judged {
   int status = 0;         // 200, 400, 412; 503: it can't be told
   std::string text;       // why not
@@ -60,7 +63,8 @@
   std::string subject{};  // for the log: the version of a configuration and its parent
 };
 // Judges `order` on top of `state` and, where it is taken, changes `state`. `entry` is the index of the
-// agreement's entry that would hold the change.
-Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry);
+// agreement's entry that would hold the change. `regions`: that have a zone; empty: not known.
+Judged apply(State& state, const rpc::CommandRequest& order, std::uint64_t entry,
+             const Regions& regions = {});
 
 }  // namespace burlwind::config_store
--- a/src/config_store/main.cpp
+++ b/src/config_store/main.cpp
@@ -98,13 +98,22 @@
                              {"index", record.index},
                              {"version", state.version},
                              {"members", record.members.size()}});
+    warnOfInvalid(state.configuration);
     const double at = now();
     service_.emplace(consensus::Core(std::move(record), consensus::Timeouts{}, seats(),
                                      &ConfigStoreServer::draw, this, at),
                      std::move(state), at);
+    service_->setRegions(config::regionsOf(settings_));
     return !empty || persist();
   }
 
+  // What an earlier program version acknowledged serves on, and would be refused today.
+  void warnOfInvalid(const std::string& configuration) const {
+    if (configuration.empty()) return;
+    const auto checked = config::checkConfiguration(configuration, config::regionsOf(settings_));
+    if (!checked.fault.empty()) program::warn("configuration is not valid", {{"why", checked.fault}});
+  }
+
   static bool readRecord(const std::string& bytes, consensus::PersistentState& out) {
     try {
       msgpack::unpack(bytes.data(), bytes.size()).get().convert(out);
@@ -142,6 +151,7 @@
     if (!fresh) return;
     settings_ = *fresh;
     service_->setSeats(seats());
+    service_->setRegions(config::regionsOf(settings_));
     for (const auto& seed : settings_.seeds) peers_.dial(seed.ip);
   }
 
--- a/src/config_store/service.cpp
+++ b/src/config_store/service.cpp
@@ -176,7 +176,7 @@
     next.owner = {nextOwner_->request.ip, nextOwner_->request.incarnation, state_.owner.epoch + 1};
   std::vector<JudgedOrder> judgedOrders;
   for (const WaitingOrder& order : std::exchange(orders_, {})) {
-    const Judged judged = apply(next, order.request, entry);
+    const Judged judged = apply(next, order.request, entry, regions_);
     out.emplace_back(OrderJudged{order.request.what, judged.subject, judged.status, judged.text});
     judgedOrders.push_back({order.reader, {order.request.number, judged.status, judged.text, true}});
     changes = changes || judged.changes;
--- a/src/config_store/service.hpp
+++ b/src/config_store/service.hpp
@@ -85,6 +85,8 @@
   void readerEnded(ReaderId reader);
 
   void setSeats(unsigned seats) { core_.setSeats(seats); }
+  // That have a zone: a configuration may bind routes to them.
+  void setRegions(Regions regions) { regions_ = std::move(regions); }
   const consensus::PersistentState& record() const { return core_.record(); }
   bool leads() const { return core_.leads(); }
   std::uint64_t incarnation() const { return core_.incarnation(); }  // of this process
@@ -150,6 +152,7 @@
   rpc::LeaderConfirmation leaderConfirmation(Time now, std::uint64_t number) const;
 
   consensus::Core core_;
+  Regions regions_;
   State state_;  // committed
   // Its index. The core's may be ahead: a round may be confirmed by the message that commits the next entry.
   std::uint64_t stateIndex_ = 0;
--- a/src/order_simulation/operators.cpp
+++ b/src/order_simulation/operators.cpp
@@ -13,9 +13,11 @@
 
 std::string bodyOf(std::uint64_t version, std::uint64_t parent, const std::string& host) {
   return R"({"generation":"r)" + std::to_string(version) + R"(","routes":[{"name":"one","hostname":")" +
-         host + R"(","pathPrefix":"/","kind":"safe","timeout":"3s","target":"1s","backend":"x"}],)" +
-         R"("backends":[{"name":"x","healthPath":"/h"}],"limits":{},"parentVersion":"r)" +
-         std::to_string(parent) + "\"}";
+         host +
+         R"(","pathPrefix":"/","kind":"safe","timeout":"3s","target":"1s","priority":0,"tries":1,"backend":"x"}],)" +
+         R"("backends":[{"name":"x","healthPath":"/h","maxConns":10,"coldFor":"0ms","coldRateS":0}],)" +
+         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerRead":"3s","idle":"15s"},)" +
+         R"("parentVersion":"r)" + std::to_string(parent) + "\"}";
 }
 
 // Calls a registry; `done` hears an answer that comes in time and isn't lost, or 0.
--- a/src/registry/platform_list.cpp
+++ b/src/registry/platform_list.cpp
@@ -19,10 +19,9 @@
   next.clear();
   const config::ParsedJson json = config::parseJson(body);
   if (!json.value) return fault = json.fault, false;
-  const config::Reader root(*json.value, "", fault);
+  const config::Reader root(*json.value, fault);
   const config::Reader servers = root.at("servers");
-  for (const auto& [id, value] : servers.fields()) {
-    const config::Reader one(value, "servers." + id, fault);
+  for (const auto& [id, one] : servers.fields()) {
     rpc::Worker w;
     w.id = id;
     w.service = one.at("backend").text();
@@ -36,7 +35,7 @@
       if (!cold) one.at("coldLeft").fail("is no time");
       w.coldLeft = cold.value_or(0);
     }
-    into[id] = std::move(w);
+    into[std::string(id)] = std::move(w);
   }
   if (root.has("nextToken")) next = root.at("nextToken").text();
   return fault.empty();
--- a/tests/system/config_test.cpp
+++ b/tests/system/config_test.cpp
@@ -80,8 +80,9 @@
 }
 
 std::string configuration(unsigned version, unsigned parent) {
-  return R"({"generation":"r)" + std::to_string(version) +
-         R"(","routes":[],"backends":[],"limits":{},"parentVersion":"r)" + std::to_string(parent) + "\"}";
+  return R"({"generation":"r)" + std::to_string(version) + R"(","routes":[],"backends":[],)" +
+         R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerRead":"3s","idle":"15s"},)" +
+         R"("parentVersion":"r)" + std::to_string(parent) + "\"}";
 }
 
 TEST_CASE("of two changes on one parent one wins, and that very one is known again, also after others") {
--- a/tests/system/programs_test.cpp
+++ b/tests/system/programs_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "process.hpp"
+#include "support/configurations.hpp"
 
 namespace burlwind {
 namespace {
@@ -23,7 +24,7 @@
 std::string settings(const fs::path& data) {
   return R"({"self":{"nodeName":"n","ipAddress":"127.77.0.1","zone":"a","region":"A","firstBoot":true,"dataFolder":")" +
          data.string() +
-         R"(","limits":{}},"network":{"bind":{"front":"127.77.0.1:18389","readiness":"127.77.0.1:18384","control":"127.77.0.1:18383","directory":"127.77.0.1:18385"},"internalPorts":[17460,17475],"seedNodes":["127.77.0.1:18383"],"zones":{"a":"A"}},"provider":{},"settings":{"bounds":{"grace":"4s"}}})";
+         R"(","limits":{}},"network":{"bind":{"front":"127.77.0.1:18389","readiness":"127.77.0.1:18384","control":"127.77.0.1:18383","directory":"127.77.0.1:18385"},"internalPorts":[17460,17475],"seedNodes":["127.77.0.1:18383"],"zones":{"a":"leon"}},"provider":{},"settings":{"bounds":{"grace":"4s"}}})";
 }
 
 // A clock that jumps can do no harm to what never looks at it: all spans are of the steady clock.
@@ -53,6 +54,8 @@
   std::string wrong = text;
   wrong.replace(wrong.find("[17460,17475]"), 13, "[17460]      ");
   std::ofstream(bad) << wrong;
+  std::ofstream(folder.path / "valid.conf") << support::spoilt("customers", "[]");
+  std::ofstream(folder.path / "spoilt.conf") << support::spoilt("limits.idle", "\"0ms\"");
   for (const char* program : kPrograms) {
     CAPTURE(program);
     Process version(program, {"--version"}, good);
@@ -66,6 +69,13 @@
     Process ports(program, {"--check"}, bad);
     CHECK(ports.ends() == 2);
     CHECK(ports.said().find("network.internalPorts") != std::string::npos);
+    Process valid(program, {"--check", "--configuration", (folder.path / "valid.conf").string()}, good);
+    CHECK(valid.ends() == 0);
+    Process spoilt(program, {"--check", "--configuration", (folder.path / "spoilt.conf").string()}, good);
+    CHECK(spoilt.ends() == 2);
+    CHECK(spoilt.said().find("spoilt.conf: limits.idle") != std::string::npos);
+    Process alone(program, {"--configuration", (folder.path / "valid.conf").string()}, good);
+    CHECK(alone.ends() == 2);
     Process missing(program, {}, folder.path / "none.json");
     CHECK(missing.ends() == 2);
     Process odd(program, {"--bogus"}, good);
