Directory: proxies of a registry that has ended are named until they are seen elsewhere

What it had told of its proxies was dropped with its link, though they serve on and open sessions at other registries within some 0.1 to 0.6 s; look-ups in between were answered from half a view and held for 2 to 6 s.

A lost registry's proxies count for look-ups, as they were told last, until another registry tells of them or 1.8 s after its last word, which is when a silent one was given up before. A registry that isn't confirmed by the leading store may itself be the one that is cut off: it keeps what it lost for 5 s, its own ended sessions too. Quotas, budgets and the ceiling of proxies see no difference.

Three tests more: seen elsewhere, ready or not; a cut-off registry; five registries replaced every 3 s for 180 s without a look-up abroad, short or empty.

--- a/src/registry/directory.cpp
+++ b/src/registry/directory.cpp
@@ -25,24 +25,25 @@
   bool narrow = false;
 };
 
-Directory::ByPlace Directory::candidates(const Lookup& lookup, const config::HostHomes* homes) const {
+Directory::ByPlace Directory::candidates(const Lookup& lookup, const config::HostHomes* homes,
+                                         double now) const {
   ByPlace out;
-  for (const auto& [name, proxy] : registry_.sessions()) {
-    if (!proxy.ready) continue;
-    out.narrow = out.narrow || (proxy.linkMbps > 0 && proxy.linkMbps < kNarrowLinkMbps);
-    switch (placeOf(proxy, lookup, homes)) {
+  for (const rpc::ProxySession* proxy : registry_.proxies(now)) {
+    if (!proxy->ready) continue;
+    out.narrow = out.narrow || (proxy->linkMbps > 0 && proxy->linkMbps < kNarrowLinkMbps);
+    switch (placeOf(*proxy, lookup, homes)) {
       case Place::ownZone:
-        out.ownZone.push_back(&proxy);
+        out.ownZone.push_back(proxy);
         break;
       case Place::ownRegion:
-        out.ownRegion.push_back(&proxy);
+        out.ownRegion.push_back(proxy);
         break;
       case Place::homeRegion:
-        (contains(homes->ofEach, proxy.region) ? out.homesOfEach : out.homesOfSome).push_back(&proxy);
+        (contains(homes->ofEach, proxy->region) ? out.homesOfEach : out.homesOfSome).push_back(proxy);
         break;
       case Place::unfitRegion:
       case Place::freeRegion:
-        out.others.push_back(&proxy);
+        out.others.push_back(proxy);
         break;
     }
   }
@@ -75,10 +76,10 @@
   return out;
 }
 
-LookupAnswer Directory::answer(Lookup lookup) {
+LookupAnswer Directory::answer(Lookup lookup, double now) {
   if (lookup.region.empty()) lookup.region = registry_.regionOf(lookup.zone);
   const config::HostHomes* const homes = configuration_ ? configuration_->homesOf(lookup.host) : nullptr;
-  ByPlace all = candidates(lookup, homes);
+  ByPlace all = candidates(lookup, homes, now);
   const std::size_t wanted = std::max(registry_.knownIn(lookup.zone), kLeastAddresses);
   Candidates named = homes ? chooseFit(all, wanted) : choose(all, wanted);
   if (named.size() > kMostAddresses) {
--- a/src/registry/directory.hpp
+++ b/src/registry/directory.hpp
@@ -44,13 +44,13 @@
   void setConfiguration(std::shared_ptr<const config::Configuration> configuration) {
     configuration_ = std::move(configuration);
   }
-  LookupAnswer answer(Lookup lookup);
+  LookupAnswer answer(Lookup lookup, double now);
   LookupFigures& figures() { return figures_; }
 
  private:
   using Candidates = std::vector<const rpc::ProxySession*>;
   struct ByPlace;
-  ByPlace candidates(const Lookup& lookup, const config::HostHomes* homes) const;
+  ByPlace candidates(const Lookup& lookup, const config::HostHomes* homes, double now) const;
   Candidates choose(ByPlace& from, std::size_t wanted);
   Candidates chooseFit(ByPlace& from, std::size_t wanted);
   void fill(Candidates& into, Candidates& from, std::size_t upTo);
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -351,7 +351,7 @@
     askLease();
     quotas_.askHolder(at);
     if (const auto levels = quotas_.changedLevels(at)) peerLinks_.broadcast(rpc::frame(*levels));
-    registry_.sweep(at);
+    registry_.sweep(at, tracker_.confirmed(at));
     sessions_.closeSilent(at);
     peers_.closeSilent(at);
     keepLinks(at);
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -29,6 +29,22 @@
   for (const auto& [name, own] : own_) put(own.seat);
   for (const auto& [registry, others] : others_)
     for (const rpc::ProxySession& seat : others.seats) put(seat);
+  std::erase_if(lost_, [&](const auto& lost) { return seats_.contains(lost.first); });
+}
+
+void Registry::lose(const rpc::ProxySession& session, double heard) {
+  Lost& lost = lost_[session.name];
+  if (heard >= lost.heard) lost = {session, heard};
+}
+
+std::vector<const rpc::ProxySession*> Registry::proxies(double now) const {
+  std::vector<const rpc::ProxySession*> out;
+  out.reserve(seats_.size() + lost_.size());
+  for (const auto& [name, session] : seats_) out.push_back(&session);
+  const double memory = confirmed_ ? kOthersSilent : kUnconfirmedMemory;
+  for (const auto& [name, lost] : lost_)
+    if (now - lost.heard <= memory) out.push_back(&lost.session);
+  return out;
 }
 
 void Registry::seat(const rpc::ProxySession& seat, double now, std::uint64_t session) {
@@ -48,6 +64,7 @@
   const auto found = own_.find(name);
   if (found == own_.end() || found->second.session != session) return;
   note(now, "proxy gone", name);
+  if (!confirmed_) lose(found->second.seat, now);  // perhaps it is this registry that is cut off
   own_.erase(found);
   refold(now);
 }
@@ -105,10 +122,15 @@
   const auto found = others_.find(registry);
   if (found == others_.end()) return;
   note(now, "registry silent", registry);
+  loseAll(found->second);
   others_.erase(found);
   refold(now);
 }
 
+void Registry::loseAll(const Others& others) {
+  for (const rpc::ProxySession& session : others.seats) lose(session, others.heard);
+}
+
 std::size_t Registry::toldBy(const std::string& registry) const {
   const auto found = others_.find(registry);
   return found == others_.end() ? 0 : found->second.seats.size();
@@ -125,13 +147,16 @@
   return true;
 }
 
-bool Registry::sweep(double now) {
+bool Registry::sweep(double now, bool confirmed) {
+  confirmed_ = confirmed;
   const bool changed = std::erase_if(others_, [&](const auto& other) {
                          if (now - other.second.heard <= kOthersSilent) return false;
                          note(now, "registry silent", other.first);
+                         loseAll(other.second);
                          return true;
                        }) > 0;
   if (changed) refold(now);
+  std::erase_if(lost_, [&](const auto& lost) { return now - lost.second.heard > kUnconfirmedMemory; });
   for (const auto& [name, seat] : seats_) known_[name] = {seat.zone, now};
   return std::erase_if(known_, [&](const auto& k) { return now - k.second.second > kRemembered; }) > 0 ||
          changed;
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -21,6 +21,9 @@
 constexpr double kCountedWithin = 1000;  // ms of silence until proxies count as spending their own parts
 constexpr double kRemembered = 20000;    // ms that a proxy that is gone still counts as known
 constexpr std::size_t kJournal = 256;    // events kept
+// ms that look-ups count on what is lost while this registry itself isn't confirmed: below the shortest time
+// after which a proxy that has ended may not be named any more.
+constexpr double kUnconfirmedMemory = 5000;
 
 struct Event {
   double at = 0;
@@ -45,10 +48,12 @@
   bool heard(const std::string& registry, const rpc::Sessions& told, double now);
   // How many proxies that registry has told of.
   std::size_t toldBy(const std::string& registry) const;
-  // That registry's links have ended: what it told counts no more.
+  // That registry's links have ended: what it told counts no more for the quotas. Its proxies serve on and
+  // seek another registry: for look-ups they stay as they were for a while.
   void silent(const std::string& registry, double now);
-  // True where views may have changed.
-  bool sweep(double now);
+  // `confirmed`: this registry is in touch with the leading store; else it forgets nobody for look-ups, up to
+  // kUnconfirmedMemory. True where views may have changed.
+  bool sweep(double now, bool confirmed = true);
 
   // --- What the quotas may be reckoned from ---
   // Proxies that are seated, draw on the holder's tokens alone, and were heard within kCountedWithin, as was
@@ -63,8 +68,9 @@
   bool allRestarted(unsigned expected, double age, double until) const;
   std::map<std::string, unsigned> liveByZone() const;
 
-  // One of each proxy that is seated here or at another registry, by name.
-  const std::map<std::string, rpc::ProxySession>& sessions() const { return seats_; }
+  // One of each proxy for look-ups: with a session here or at another registry, or remembered from the last
+  // word of one that is lost.
+  std::vector<const rpc::ProxySession*> proxies(double now) const;
   std::string regionOf(const std::string& zone) const;  // empty: not known
   // Proxies that stand in that zone, those that went within kRemembered among them.
   std::size_t knownIn(const std::string& zone) const;
@@ -93,15 +99,23 @@
   };
   void note(double now, std::string what, std::string who);
   void refold(double now);
+  struct Lost {
+    rpc::ProxySession session;
+    double heard = 0;  // the last time
+  };
+  void lose(const rpc::ProxySession& session, double heard);
+  void loseAll(const Others& others);
   const std::string self_;
   std::map<std::string, std::string> regionOf_;
   struct Own {
     rpc::ProxySession seat;
     std::uint64_t session = 0;
   };
-  std::map<std::string, Own> own_;                               // by name
-  std::map<std::string, Others> others_;                         // by registry
-  std::map<std::string, rpc::ProxySession> seats_;               // the view: one of each name
+  std::map<std::string, Own> own_;                  // by name
+  std::map<std::string, Others> others_;            // by registry
+  std::map<std::string, rpc::ProxySession> seats_;  // the view: one of each name
+  std::map<std::string, Lost> lost_;                // by name; none that is in the view
+  bool confirmed_ = true;
   std::map<std::string, std::pair<std::string, double>> known_;  // name -> zone, last seen
   std::map<std::string, Known> workers_;
   std::uint64_t epoch_ = 0, number_ = 0;
--- a/tests/registry/directory_test.cpp
+++ b/tests/registry/directory_test.cpp
@@ -3,7 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+#include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -51,14 +54,15 @@
   void tell(const std::string& peer, std::vector<rpc::ProxySession> sessions, double now = 0) {
     registry.heard(peer, {true, std::move(sessions)}, now);
   }
-  std::vector<std::string> ask(const std::string& host, const std::string& zone) {
-    return directory.answer({host, zone.substr(0, zone.find('-')), zone}).addresses;
+  std::vector<std::string> ask(const std::string& host, const std::string& zone, double now = 0) {
+    return directory.answer({host, zone.substr(0, zone.find('-')), zone}, now).addresses;
   }
   // Regions of what is named in many look-ups.
-  std::set<std::string> regions(const std::string& host, const std::string& zone) {
+  std::set<std::string> regions(const std::string& host, const std::string& zone, double now = 0) {
     std::set<std::string> out;
     for (int i = 0; i < 50; ++i)
-      for (const std::string& address : ask(host, zone)) out.insert(address.substr(0, address.find('-')));
+      for (const std::string& address : ask(host, zone, now))
+        out.insert(address.substr(0, address.find('-')));
     return out;
   }
   Registry registry{"10.0.0.1", {{"leon-a", "leon"}, {"celaya-a", "celaya"}, {"qro-a", "qro"}}};
@@ -73,10 +77,10 @@
     Site site;
     site.tell("10.0.0.2", proxies("leon-a", 6), 1000);
     site.tell("10.0.0.3", proxies("qro-a", 6), 1000);
-    REQUIRE(site.ask(host, "leon-a").size() == 6);
+    REQUIRE(site.ask(host, "leon-a", 1000).size() == 6);
     site.registry.silent("10.0.0.2", 1100);
-    CHECK(site.regions(host, "leon-a") == Regions{"leon"});
-    CHECK(site.ask(host, "leon-a").size() == 6);
+    CHECK(site.regions(host, "leon-a", 1110) == Regions{"leon"});
+    CHECK(site.ask(host, "leon-a", 1110).size() == 6);
   }
 }
 
@@ -158,16 +162,16 @@
   Site site;
   site.tell("10.0.0.2", proxies("leon-a", 3));
   site.tell("10.0.0.3", proxies("qro-a", 3));
-  CHECK(site.directory.answer({"shop.example", "", "leon-a"}).addresses.size() == 3);
-  CHECK(site.directory.answer({"shop.example", "", "leon-a"}).abroad == 0);
-  CHECK(site.directory.answer({"shop.example", "leon", "unknown"}).abroad == 0);
-  CHECK(site.directory.answer({"shop.example", "leon", "unknown"}).addresses.size() == 2);
+  CHECK(site.directory.answer({"shop.example", "", "leon-a"}, 0).addresses.size() == 3);
+  CHECK(site.directory.answer({"shop.example", "", "leon-a"}, 0).abroad == 0);
+  CHECK(site.directory.answer({"shop.example", "leon", "unknown"}, 0).abroad == 0);
+  CHECK(site.directory.answer({"shop.example", "leon", "unknown"}, 0).addresses.size() == 2);
   for (const char* host : {"", "unknown.example"}) {
     CHECK(site.regions(host, "leon-a") == Regions{"leon"});
     CHECK(site.regions(host, "celaya-a") == Regions{"leon", "qro"});
   }
   Directory empty(site.registry, 1);
-  CHECK(empty.answer({"shop.example", "leon", "leon-a"}).addresses.size() == 3);
+  CHECK(empty.answer({"shop.example", "leon", "leon-a"}, 0).addresses.size() == 3);
 }
 
 TEST_CASE("of more than 64 proxies in a zone each is named to some") {
@@ -180,5 +184,83 @@
   CHECK(named.size() == 100);
 }
 
+TEST_CASE("proxies of a lost registry are named until they are seen elsewhere or 1.8 s after its last word") {
+  Site site;
+  site.tell("10.0.0.2", proxies("leon-a", 4), 1000);
+  site.registry.silent("10.0.0.2", 1200);
+  CHECK(site.registry.liveByZone().empty());  // for the quotas they count no more
+  std::vector<rpc::ProxySession> moved = proxies("leon-a", 2);
+  moved[1].ready = false;  // this one is about to end
+  site.tell("10.0.0.3", moved, 1500);
+  site.registry.sweep(1500);
+  CHECK(site.ask("shop.example", "leon-a", 1500).size() == 3);
+  CHECK(site.ask("shop.example", "leon-a", 1000 + kOthersSilent).size() == 3);
+  CHECK(site.ask("shop.example", "leon-a", 1001 + kOthersSilent).size() == 1);
+  // One that tells of itself again is no lost one any more, whatever becomes of it.
+  site.tell("10.0.0.3", {}, 1600);
+  CHECK(site.ask("shop.example", "leon-a", 1600).size() == 2);
+}
+
+TEST_CASE(
+    "a registry that is cut off keeps what it knew for 5 s, and forgets it when it is confirmed again") {
+  Site site;
+  site.tell("10.0.0.2", proxies("leon-a", 3), 1000);
+  site.registry.seat(proxy("leon-a/9", "leon-a"), 1000, 1);
+  site.registry.sweep(1100, false);
+  site.registry.unseat("leon-a/9", 1, 2600);  // nothing was heard of it either
+  site.registry.sweep(2900, false);
+  CHECK(site.ask("shop.example", "leon-a", 2900).size() == 4);
+  CHECK(site.ask("shop.example", "leon-a", 1000 + kUnconfirmedMemory).size() == 4);
+  CHECK(site.ask("shop.example", "leon-a", 1001 + kUnconfirmedMemory).size() == 1);
+  site.registry.sweep(3000, true);
+  CHECK(site.ask("shop.example", "leon-a", 3000).size() == 1);
+  site.registry.sweep(9000, true);
+  CHECK(site.ask("shop.example", "leon-a", 9000).empty());
+}
+
+// A core machine after the other is replaced: its proxies open their sessions at the others 100 to 600 ms
+// later.
+TEST_CASE("no look-up fails or leads abroad while core machines are replaced one after another for minutes") {
+  Site site;
+  constexpr double kStep = 50;
+  constexpr int kRegistries = 5;
+  const std::vector<std::string> zones = {"leon-a", "celaya-a", "qro-a"};
+  std::map<std::string, int> registryOf;
+  std::map<std::string, double> backAt;
+  std::vector<rpc::ProxySession> all;
+  for (const std::string& zone : zones)
+    for (const rpc::ProxySession& one : proxies(zone, 7)) all.push_back(one);
+  for (std::size_t i = 0; i < all.size(); ++i) registryOf[all[i].name] = static_cast<int>(i) % kRegistries;
+  const auto tellAll = [&](double now) {
+    for (int peer = 0; peer < kRegistries; ++peer) {
+      std::vector<rpc::ProxySession> told;
+      for (const rpc::ProxySession& one : all)
+        if (registryOf[one.name] == peer && backAt[one.name] <= now) told.push_back(one);
+      site.tell("10.0.0." + std::to_string(10 + peer), told, now);
+    }
+  };
+  tellAll(0);
+  std::mt19937_64 random(7);
+  for (double now = 0; now < 180000; now += kStep) {
+    if (std::fmod(now, 3000) < kStep) {
+      const int ending = static_cast<int>(now / 3000) % kRegistries;
+      site.registry.silent("10.0.0." + std::to_string(10 + ending), now);
+      for (auto& [name, peer] : registryOf)
+        if (peer == ending) {
+          peer = (ending + 1 + static_cast<int>(random() % (kRegistries - 1))) % kRegistries;
+          backAt[name] = now + 100 + static_cast<double>(random() % 500);
+        }
+    } else {
+      tellAll(now);
+    }
+    site.registry.sweep(now);
+    for (const std::string& zone : zones) {
+      const auto named = site.ask("shop.example", zone, now);
+      REQUIRE(named.size() == 7);
+      for (const std::string& address : named) REQUIRE(address.starts_with(zone));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace burlwind::registry
--- a/tests/system/serving_test.cpp
+++ b/tests/system/serving_test.cpp
@@ -201,7 +201,7 @@
   told.seats[0].age = 50;
   registry.heard("10.0.0.2", told, 1000);
   registry::Directory directory(registry, 1);
-  CHECK(directory.answer({}).addresses.empty());  // the later one is not ready
+  CHECK(directory.answer({}, 1000).addresses.empty());  // the later one is not ready
   CHECK(registry.liveByZone()[""] == 1);
 }
 
