Directory: a registry that has just begun or stood still can't tell yet

Callers of a registry in its first moments got answers from the few sessions that it had by then (six foreign proxies for a region with six of its own, in the test), held for up to three times their ttl.

It answers 503 until its view may be whole: 1 s after its beginning, where it is confirmed and all other registries hold links to it; 2 s where one is missing; 5 s where no store leads. Callers ask the next registry, or keep the answer they have. The same after a stop of the process.

Its test was not run on the code before: the calls it makes weren't there.

--- a/src/registry/directory.cpp
+++ b/src/registry/directory.cpp
@@ -76,7 +76,17 @@
   return out;
 }
 
+void Directory::observe(bool linked, bool confirmed, double now) {
+  const double age = now - begunAt_;
+  settled_ = settled_ || (confirmed && linked && age >= kSessionsReturn) ||
+             (confirmed && age >= kViewSettles) || age >= kViewAtLast;
+}
+
 LookupAnswer Directory::answer(Lookup lookup, double now) {
+  if (!settled_) {
+    figures_.refused();
+    return {.addresses = {}, .tooEarly = true};
+  }
   if (lookup.region.empty()) lookup.region = registry_.regionOf(lookup.zone);
   const config::HostHomes* const homes = configuration_ ? configuration_->homesOf(lookup.host) : nullptr;
   ByPlace all = candidates(lookup, homes, now);
--- a/src/registry/directory.hpp
+++ b/src/registry/directory.hpp
@@ -7,6 +7,8 @@
 //    client's own fits all, then those that are homes of each route that has any, then those of some.
 //  - Where nothing fits, others are named rather than nobody: the proxy that a client connects to may pass
 //    its request on to a home.
+//  - A registry that has just begun, or has stood still, answers nothing before its view may be whole: an
+//    answer is held for up to three times its ttl.
 // Homes of tenants don't count here: a look-up doesn't tell who asks, and the same holds for its proxy.
 // Cost: a look-up goes once over the sessions of all proxies.
 #pragma once
@@ -27,12 +29,18 @@
 constexpr std::size_t kLeastAddresses = 2;  // of one answer, where there are so many
 constexpr std::size_t kMostAddresses = 64;
 
+// When a view may be whole, in ms since it began:
+constexpr double kSessionsReturn = 1000;  // all registries are linked, and proxies have had time to come back
+constexpr double kViewSettles = 2000;     // some registry is missing: it has had time to link, if it runs
+constexpr double kViewAtLast = 5000;      // no store leads: what there is, is better than nothing
+
 struct Lookup {
   std::string host, region, zone;  // of the client; any may be empty
 };
 
 struct LookupAnswer {
-  std::vector<std::string> addresses;  // empty: none is known that is ready
+  std::vector<std::string> addresses;  // empty: none is known that is ready, or
+  bool tooEarly = false;               // the view isn't whole yet: the caller had better ask another registry
   std::size_t abroad = 0;              // of them in a region that is neither the client's nor a home
   bool hasHomes = false;               // the host has routes with homes
 };
@@ -44,6 +52,11 @@
   void setConfiguration(std::shared_ptr<const config::Configuration> configuration) {
     configuration_ = std::move(configuration);
   }
+  // The view begins anew.
+  void begin(double now) { begunAt_ = now, settled_ = false; }
+  // `linked`: all other registries hold links to this one; `confirmed`: it is in touch with the leading
+  // store.
+  void observe(bool linked, bool confirmed, double now);
   LookupAnswer answer(Lookup lookup, double now);
   LookupFigures& figures() { return figures_; }
 
@@ -58,6 +71,8 @@
   const Registry& registry_;
   std::shared_ptr<const config::Configuration> configuration_;  // null before the first
   std::mt19937_64 random_;
+  double begunAt_ = -1e18;
+  bool settled_ = true;
   LookupFigures figures_;
 };
 
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -85,6 +85,7 @@
       return 1;
     }
     program::info("starts", {{"ip", settings_.ip}, {"zone", settings_.zone}});
+    lookups_.begin(now());
     adoptSeeds();
     keepLinks(now());
     list_.start();
@@ -323,6 +324,7 @@
   void detectStall() {
     if (!stall_.observe(now())) return;
     program::warn("stood still", {});
+    lookups_.begin(now());
     control_.dropAll();
     orders_.dropAll("stood still");
   }
@@ -352,6 +354,7 @@
     quotas_.askHolder(at);
     if (const auto levels = quotas_.changedLevels(at)) peerLinks_.broadcast(rpc::frame(*levels));
     registry_.sweep(at, tracker_.confirmed(at));
+    lookups_.observe(membership_.complete(), tracker_.confirmed(at), at);
     sessions_.closeSilent(at);
     peers_.closeSilent(at);
     keepLinks(at);
--- a/src/registry/outside_calls.cpp
+++ b/src/registry/outside_calls.cpp
@@ -67,6 +67,7 @@
   if (!call.is("GET", {"api", "lookup"})) co_return Reply(404, message("no such call"));
   const Lookup lookup{call.asked("name"), call.asked("region"), call.asked("zone")};
   const LookupAnswer answer = directory_.answer(lookup, program::now());
+  if (answer.tooEarly) co_return Reply(503, message("begins: not all gatekeepers are known yet"));
   logAbroad(lookup, answer);
   const auto& all = answer.addresses;
   if (all.empty()) co_return Reply(503, message("no gatekeeper is ready"));
--- a/tests/registry/directory_test.cpp
+++ b/tests/registry/directory_test.cpp
@@ -262,5 +262,27 @@
   }
 }
 
+TEST_CASE("a registry that has just begun says that it can't tell until its view may be whole") {
+  Site site;
+  site.directory.begin(0);
+  site.tell("10.0.0.3", proxies("qro-a", 6), 0);
+  const auto early = [&](bool linked, bool confirmed, double now) {
+    site.directory.observe(linked, confirmed, now);
+    return site.directory.answer({"shop.example", "leon", "leon-a"}, now).tooEarly;
+  };
+  CHECK(early(true, true, 100));
+  CHECK(early(true, true, kSessionsReturn - 1));
+  CHECK(early(false, true, kViewSettles - 1));
+  CHECK(early(true, false, kViewAtLast - 1));
+  CHECK(site.ask("shop.example", "leon-a", 100).empty());
+  CHECK_FALSE(early(false, false, kViewAtLast));
+  site.directory.begin(10000);  // it has stood still
+  CHECK(early(true, true, 10100));
+  CHECK_FALSE(early(true, true, 10000 + kSessionsReturn));
+  CHECK_FALSE(early(false, false, 10001 + kSessionsReturn));  // once whole it stays so
+  site.directory.begin(20000);
+  CHECK_FALSE(early(false, true, 20000 + kViewSettles));
+}
+
 }  // namespace
 }  // namespace burlwind::registry
