--- a/src/registry/directory.cpp
+++ b/src/registry/directory.cpp
@@ -76,10 +76,10 @@
   return out;
 }
 
-void Directory::observe(bool linked, bool confirmed, double now) {
+void Directory::observe(const ViewState& state, double now) {
   const double age = now - begunAt_;
-  settled_ = settled_ || (confirmed && linked && age >= kSessionsReturn) ||
-             (confirmed && age >= kViewSettles) || age >= kViewAtLast;
+  const double needed = state.allPresent ? 0 : state.linked ? kSessionsReturn : kViewSettles;
+  settled_ = settled_ || (state.confirmed && age >= needed) || age >= kViewAtLast;
 }
 
 LookupAnswer Directory::answer(Lookup lookup, double now) {
--- a/src/registry/directory.hpp
+++ b/src/registry/directory.hpp
@@ -29,7 +29,14 @@
 constexpr std::size_t kLeastAddresses = 2;  // of one answer, where there are so many
 constexpr std::size_t kMostAddresses = 64;
 
-// When a view may be whole, in ms since it began:
+// What a registry can say of how whole its view is.
+struct ViewState {
+  bool confirmed = false;   // it is in touch with the leading store
+  bool linked = false;      // all other registries hold links to it
+  bool allPresent = false;  // as many proxies have sessions as there may be by the agreed ceiling
+};
+
+// When a view may be whole, in ms since it began; at once where it is confirmed and all are present:
 constexpr double kSessionsReturn = 1000;  // all registries are linked, and proxies have had time to come back
 constexpr double kViewSettles = 2000;     // some registry is missing: it has had time to link, if it runs
 constexpr double kViewAtLast = 5000;      // no store leads: what there is, is better than nothing
@@ -54,9 +61,7 @@
   }
   // The view begins anew.
   void begin(double now) { begunAt_ = now, settled_ = false; }
-  // `linked`: all other registries hold links to this one; `confirmed`: it is in touch with the leading
-  // store.
-  void observe(bool linked, bool confirmed, double now);
+  void observe(const ViewState& state, double now);
   LookupAnswer answer(Lookup lookup, double now);
   LookupFigures& figures() { return figures_; }
 
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -285,6 +285,13 @@
     peerLinks_.broadcast(rpc::frame(sessions));
   }
 
+  ViewState viewState(double at) const {
+    const unsigned expected = sumOf(tracker_.update().proxies);
+    return {.confirmed = tracker_.confirmed(at),
+            .linked = membership_.complete(),
+            .allPresent = expected > 0 && registry_.proxies(at).size() >= expected};
+  }
+
   // --- Links that others dial: proxies and registries ---
   ProxySessions::Hooks sessionHooks() {
     return {[this](const LinkPtr& link) { welcome(link); }, [this] { sessionsChanged(); },
@@ -354,7 +361,7 @@
     quotas_.askHolder(at);
     if (const auto levels = quotas_.changedLevels(at)) peerLinks_.broadcast(rpc::frame(*levels));
     registry_.sweep(at, tracker_.confirmed(at));
-    lookups_.observe(membership_.complete(), tracker_.confirmed(at), at);
+    lookups_.observe(viewState(at), at);
     sessions_.closeSilent(at);
     peers_.closeSilent(at);
     keepLinks(at);
--- a/tests/registry/directory_test.cpp
+++ b/tests/registry/directory_test.cpp
@@ -267,7 +267,7 @@
   site.directory.begin(0);
   site.tell("10.0.0.3", proxies("qro-a", 6), 0);
   const auto early = [&](bool linked, bool confirmed, double now) {
-    site.directory.observe(linked, confirmed, now);
+    site.directory.observe({.confirmed = confirmed, .linked = linked}, now);
     return site.directory.answer({"shop.example", "leon", "leon-a"}, now).tooEarly;
   };
   CHECK(early(true, true, 100));
@@ -282,6 +282,11 @@
   CHECK_FALSE(early(false, false, 10001 + kSessionsReturn));  // once whole it stays so
   site.directory.begin(20000);
   CHECK_FALSE(early(false, true, 20000 + kViewSettles));
+  site.directory.begin(30000);
+  site.directory.observe({.confirmed = false, .linked = true, .allPresent = true}, 30100);
+  CHECK(site.ask("shop.example", "leon-a", 30100).empty());
+  site.directory.observe({.confirmed = true, .linked = true, .allPresent = true}, 30100);
+  CHECK_FALSE(site.ask("shop.example", "leon-a", 30100).empty());
 }
 
 }  // namespace
