--- a/src/order_simulation/history.cpp
+++ b/src/order_simulation/history.cpp
@@ -14,12 +14,18 @@
 }  // namespace
 
 void History::called(const ConfigOrder& order) {
-  called_[order.parent].emplace(order.version, config_store::digestOf(order.body));
+  const Taken taken(order.version, config_store::digestOf(order.body));
+  if (order.valid)
+    called_[order.parent].insert(taken);
+  else
+    invalid_.insert(taken);
 }
 
 void History::answered(const ConfigOrder& order, int status) {
   const Taken taken(order.version, config_store::digestOf(order.body));
-  if (status == kOk) {
+  if (!order.valid) {
+    if (status == kOk) violated(named(order.version) + " was confirmed and is invalid");
+  } else if (status == kOk) {
     acknowledged_[taken] = order.parent;
     newest_ = std::max(newest_, order.version);
   } else if (status == kInvalid || status == kConflict) {
@@ -29,8 +35,10 @@
   }
 }
 
-void History::read(const Snapshot& before, std::uint64_t version) {
+void History::read(const Snapshot& before, std::uint64_t version, const std::string& body) {
   ++reads_;
+  if (invalid_.contains({version, config_store::digestOf(body)}))
+    violated("config.read gives " + named(version) + ", which is invalid");
   if (version < before.version)
     violated("config.read gives " + named(version) + ", " + named(before.version) + " was confirmed before");
   newest_ = std::max(newest_, version);
@@ -74,6 +82,8 @@
   }
   for (const Taken& taken : refused_)
     if (chain.contains(taken)) violated(named(taken.first) + " was taken and refused");
+  for (const Taken& taken : invalid_)
+    if (chain.contains(taken)) violated(named(taken.first) + " is in the chain and invalid");
   for (const std::string& zone : evacuated_)
     if (!state.evacuated.contains(zone)) violated("zone " + zone + " is free at the end, not finished");
   for (const std::string& zone : free_)
--- a/src/order_simulation/history.hpp
+++ b/src/order_simulation/history.hpp
@@ -3,6 +3,7 @@
 //    versions at the end, as the child of its parent;
 //  - nothing taken is refused: what was answered 400 or 412 is not in that chain; and 412 only where another
 //    order on the same parent had been called by then (operators build on confirmed versions alone);
+//  - an invalid configuration is never answered 200, never read and not in the chain;
 //  - a read, and the state that a registry holds confirmed, are never behind what was confirmed before the
 //    question (with the chain, config.read is linearizable);
 //  - a zone is evacuated from its begin's 200 until its finish is called, and free after the finish's 200;
@@ -24,6 +25,7 @@
   std::uint64_t version = 0;
   std::uint64_t parent = 0;
   std::string body;
+  bool valid = true;
 };
 
 class History {
@@ -36,7 +38,7 @@
 
   void called(const ConfigOrder& order);  // before any copy of it can arrive
   void answered(const ConfigOrder& order, int status);
-  void read(const Snapshot& before, std::uint64_t version);
+  void read(const Snapshot& before, std::uint64_t version, const std::string& body);
   void registryConfirmed(const Snapshot& before, std::uint64_t version,
                          const std::vector<std::string>& evacuated);
   void evacuationAcknowledged(const std::string& zone);
@@ -48,6 +50,7 @@
 
   const std::vector<std::string>& violations() const { return violations_; }
   std::size_t acknowledged() const { return acknowledged_.size(); }
+  std::size_t invalid() const { return invalid_.size(); }
   std::size_t refused() const { return refused_.size(); }
   std::size_t reads() const { return reads_; }
   std::size_t evacuations() const { return evacuations_; }
@@ -60,6 +63,7 @@
   std::set<std::string> free_;                   // finish acknowledged, and no later begin acknowledged
   std::map<Taken, std::uint64_t> acknowledged_;  // with the parent
   std::set<Taken> refused_;
+  std::set<Taken> invalid_;
   std::map<std::uint64_t, std::set<Taken>> called_;  // by parent
   std::size_t reads_ = 0;
   std::size_t evacuations_ = 0;
--- a/src/order_simulation/operators.cpp
+++ b/src/order_simulation/operators.cpp
@@ -11,10 +11,12 @@
 constexpr double kMostPause = 1500;
 constexpr unsigned kMostStep = 3;
 
-std::string bodyOf(std::uint64_t version, std::uint64_t parent, const std::string& host) {
+// Invalid with a timeout of 0.
+std::string bodyOf(std::uint64_t version, std::uint64_t parent, const std::string& host,
+                   const std::string& timeout) {
   return R"({"generation":"r)" + std::to_string(version) + R"(","routes":[{"name":"one","hostname":")" +
-         host +
-         R"(","pathPrefix":"/","kind":"safe","timeout":"3s","target":"1s","priority":0,"tries":1,"backend":"x"}],)" +
+         host + R"(","pathPrefix":"/","kind":"safe","timeout":")" + timeout +
+         R"(","target":"1s","priority":0,"tries":1,"backend":"x"}],)" +
          R"("backends":[{"name":"x","healthPath":"/h","maxConns":10,"coldFor":"0ms","coldRateS":0}],)" +
          R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerRead":"3s","idle":"15s"},)" +
          R"("parentVersion":"r)" + std::to_string(parent) + "\"}";
@@ -70,7 +72,7 @@
     if (answer.status == kOk) {
       const auto parsed = config::readConfiguration(answer.text);
       self->version_ = parsed.configuration ? parsed.configuration->version : 0;
-      self->cluster_.history.read(before, self->version_);
+      self->cluster_.history.read(before, self->version_, answer.text);
     }
     self->next();
   };
@@ -81,7 +83,8 @@
 void ConfigOperator::order() {
   const std::uint64_t version = version_ + 1 + cluster_.pick(kMostStep);
   const std::string host = "h" + std::to_string(name_) + "-" + std::to_string(++orders_);
-  const ConfigOrder order{version, version_, bodyOf(version, version_, host)};
+  const bool valid = !cluster_.chance(habits_.invalidOrders);
+  const ConfigOrder order{version, version_, bodyOf(version, version_, host, valid ? "3s" : "0ms"), valid};
   cluster_.history.called(order);
   if (cluster_.chance(habits_.lateCopies)) sendLateCopy(order);
   send(order, 0);
--- a/src/order_simulation/operators.hpp
+++ b/src/order_simulation/operators.hpp
@@ -13,6 +13,7 @@
 struct OperatorHabits {
   double lostAnswers = 0.1;  // shares
   double lateCopies = 0.1;
+  double invalidOrders = 0.15;
   double mostLate = 10000;  // ms
   double silence = 1000;    // ms, then the next registry is asked
   double mostPause = 1200;  // ms between two calls of its own
--- a/tests/config_store/order_simulation_test.cpp
+++ b/tests/config_store/order_simulation_test.cpp
@@ -117,7 +117,7 @@
       history.answered(waiting, order->status);
       history.answered(meanwhile, second->status);
       if (read->status == 200)
-        history.read(before, config::readConfiguration(read->text).configuration->version);
+        history.read(before, config::readConfiguration(read->text).configuration->version, read->text);
       history.finish(site.state(), true);
       for (const auto& violation : history.violations()) FAIL_CHECK(violation);
     }
