Registry: sessions by the field's names

registerSession, deregisterSession, ownSessions, observeSessions, peerLost, reportedBy; PeerSessions, OwnSession and LastSeen in place of 'others', 'seat' and a pair; kPeerTimeout, kReportTimeout, kLastSeenKept.

--- a/src/config/validation.hpp
+++ b/src/config/validation.hpp
@@ -19,7 +19,7 @@
 namespace burlwind::config {
 
 // The first fault with its path; empty where the configuration is valid. `read`: the same, as it was read.
-std::string validate(const picojson::value& root, const Configuration& read,
+std::string validate(const picojson::value& json, const Configuration& read,
                      const std::set<std::string>& regions);
 
 }  // namespace burlwind::config
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -262,7 +262,7 @@
 
   void introduce(const LinkPtr& link) {
     link->tell(handshake());
-    link->tell(rpc::Sessions{true, registry_.own(now())});
+    link->tell(rpc::Sessions{true, registry_.ownSessions(now())});
     if (!lease_.holds(now())) return;
     link->tell(registry_.whole(now()));
     link->tell(rpc::Levels{lease_.epoch(), quotas_.levels()});
@@ -281,7 +281,7 @@
 
   void tellSessions(bool whole) {
     rpc::Sessions sessions{whole, {}};
-    if (whole) sessions.seats = registry_.own(now());
+    if (whole) sessions.sessions = registry_.ownSessions(now());
     peerLinks_.broadcast(rpc::frame(sessions));
   }
 
--- a/src/registry/proxy_sessions.cpp
+++ b/src/registry/proxy_sessions.cpp
@@ -44,7 +44,7 @@
   session.seat.ownPart = status.ownPart, session.seat.hasGrants = status.hasGrants, session.seat.told = 0;
   session.seat.granted = status.granted;
   session.seat.place(now);
-  registry_.seat(session.seat, now, session.number);
+  registry_.registerSession(session.seat, now, session.number);
   session.feed.heard(status);
   link->tell(session.feed.heartbeat(tracker_, now));
   if (const rpc::ConfigUpdate* const update = session.feed.due(tracker_, now)) link->tell(*update);
@@ -69,7 +69,7 @@
   const auto found = sessions_.find(link);
   if (found == sessions_.end()) return;
   program::info("session ends", {{"proxy", found->second.seat.name}});
-  registry_.unseat(found->second.seat.name, found->second.number, now);
+  registry_.deregisterSession(found->second.seat.name, found->second.number, now);
   sessions_.erase(found);
   hooks_.changed();
 }
@@ -83,9 +83,9 @@
 
 // Who hasn't been heard may have no answers either, and spends its own part: the holder must know in time.
 void ProxySessions::presumeOwnPart(Session& session, double now) {
-  if (session.seat.ownPart || now - session.seat.toldAt < kCountedWithin) return;
+  if (session.seat.ownPart || now - session.seat.toldAt < kReportTimeout) return;
   session.seat.ownPart = true;
-  registry_.seat(session.seat, now, session.number);
+  registry_.registerSession(session.seat, now, session.number);
   hooks_.changed();
 }
 
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -17,62 +17,62 @@
 }
 
 void Registry::refold(double now) {
-  seats_.clear();
-  const auto put = [&](const rpc::ProxySession& seat) {
-    const auto [found, fresh] = seats_.try_emplace(seat.name, seat);
+  sessions_.clear();
+  const auto put = [&](const rpc::ProxySession& session) {
+    const auto [found, fresh] = sessions_.try_emplace(session.name, session);
     // Two registries may hold sessions of one proxy while it moves: ready at one is ready. One that has
     // restarted may still have an earlier incarnation's session elsewhere.
-    const bool same = seat.incarnation == found->second.incarnation;
-    if (!fresh && (same ? seat.ready : seat.bornAt > found->second.bornAt)) found->second = seat;
-    known_[seat.name] = {seat.zone, now};
+    const bool same = session.incarnation == found->second.incarnation;
+    if (!fresh && (same ? session.ready : session.bornAt > found->second.bornAt)) found->second = session;
+    lastSeen_[session.name] = {session.zone, now};
   };
-  for (const auto& [name, own] : own_) put(own.seat);
-  for (const auto& [registry, others] : others_)
-    for (const rpc::ProxySession& seat : others.seats) put(seat);
-  std::erase_if(lost_, [&](const auto& lost) { return seats_.contains(lost.first); });
+  for (const auto& [name, own] : own_) put(own.session);
+  for (const auto& [registry, peer] : peers_)
+    for (const rpc::ProxySession& session : peer.sessions) put(session);
+  std::erase_if(lost_, [&](const auto& lost) { return sessions_.contains(lost.first); });
 }
 
-void Registry::lose(const rpc::ProxySession& session, double heard) {
+void Registry::lose(const rpc::ProxySession& session, double lastSeen) {
   Lost& lost = lost_[session.name];
-  if (heard >= lost.heard) lost = {session, heard};
+  if (lastSeen >= lost.lastSeen) lost = {session, lastSeen};
 }
 
 std::vector<const rpc::ProxySession*> Registry::proxies(double now) const {
   std::vector<const rpc::ProxySession*> out;
-  out.reserve(seats_.size() + lost_.size());
-  for (const auto& [name, session] : seats_) out.push_back(&session);
-  const double memory = confirmed_ ? kOthersSilent : kUnconfirmedMemory;
+  out.reserve(sessions_.size() + lost_.size());
+  for (const auto& [name, session] : sessions_) out.push_back(&session);
+  const double memory = confirmed_ ? kPeerTimeout : kUnconfirmedMemory;
   for (const auto& [name, lost] : lost_)
-    if (now - lost.heard <= memory) out.push_back(&lost.session);
+    if (now - lost.lastSeen <= memory) out.push_back(&lost.session);
   return out;
 }
 
-void Registry::seat(const rpc::ProxySession& seat, double now, std::uint64_t session) {
-  const auto [found, fresh] = own_.try_emplace(seat.name);
-  Own& own = found->second;
-  if (session < own.session) return;
-  const bool same = !fresh && own.seat.sameAs(seat);
-  if (fresh || own.seat.ready != seat.ready)
-    note(now, seat.ready ? "proxy ready" : "proxy seated", seat.name);
-  own = {seat, session};
+void Registry::registerSession(const rpc::ProxySession& session, double now, std::uint64_t number) {
+  const auto [found, fresh] = own_.try_emplace(session.name);
+  OwnSession& own = found->second;
+  if (number < own.number) return;
+  const bool same = !fresh && own.session.sameAs(session);
+  if (fresh || own.session.ready != session.ready)
+    note(now, session.ready ? "proxy ready" : "proxy session", session.name);
+  own = {session, number};
   if (!same) return refold(now);
-  const auto view = seats_.find(seat.name);
-  if (view != seats_.end() && view->second.sameAs(seat)) view->second = seat;
+  const auto view = sessions_.find(session.name);
+  if (view != sessions_.end() && view->second.sameAs(session)) view->second = session;
 }
 
-void Registry::unseat(const std::string& name, std::uint64_t session, double now) {
+void Registry::deregisterSession(const std::string& name, std::uint64_t number, double now) {
   const auto found = own_.find(name);
-  if (found == own_.end() || found->second.session != session) return;
+  if (found == own_.end() || found->second.number != number) return;
   note(now, "proxy gone", name);
-  if (!confirmed_) lose(found->second.seat, now);  // perhaps it is this registry that is cut off
+  if (!confirmed_) lose(found->second.session, now);  // perhaps it is this registry that is cut off
   own_.erase(found);
   refold(now);
 }
 
-std::vector<rpc::ProxySession> Registry::own(double now) const {
+std::vector<rpc::ProxySession> Registry::ownSessions(double now) const {
   std::vector<rpc::ProxySession> out;
   for (const auto& [name, own] : own_) {
-    out.push_back(own.seat);
+    out.push_back(own.session);
     out.back().unplace(now);
   }
   return out;
@@ -80,85 +80,85 @@
 
 unsigned Registry::drawing(double now) const {
   std::set<std::string_view> names;
-  const auto add = [&](const rpc::ProxySession& seat) {
-    const auto counts = seats_.find(seat.name);
-    if (counts != seats_.end() && counts->second.incarnation == seat.incarnation && !seat.ownPart)
-      names.insert(seat.name);
+  const auto add = [&](const rpc::ProxySession& session) {
+    const auto counts = sessions_.find(session.name);
+    if (counts != sessions_.end() && counts->second.incarnation == session.incarnation && !session.ownPart)
+      names.insert(session.name);
   };
   for (const auto& [name, own] : own_)
-    if (now - own.seat.toldAt < kCountedWithin) add(own.seat);
-  for (const auto& [registry, others] : others_)
-    if (now - others.heard < kCountedWithin)
-      for (const rpc::ProxySession& seat : others.seats) add(seat);
+    if (now - own.session.toldAt < kReportTimeout) add(own.session);
+  for (const auto& [registry, peer] : peers_)
+    if (now - peer.lastSeen < kReportTimeout)
+      for (const rpc::ProxySession& session : peer.sessions) add(session);
   return static_cast<unsigned>(names.size());
 }
 
 bool Registry::allRestarted(unsigned expected, double age, double until) const {
-  if (expected == 0 || seats_.size() < expected) return false;
-  return std::all_of(seats_.begin(), seats_.end(), [&](const auto& seat) {
-    const bool grantedBefore = seat.second.hasGrants && seat.second.grantedAt < until;
-    return until - seat.second.bornAt < age && !grantedBefore;
+  if (expected == 0 || sessions_.size() < expected) return false;
+  return std::all_of(sessions_.begin(), sessions_.end(), [&](const auto& session) {
+    const bool grantedBefore = session.second.hasGrants && session.second.grantedAt < until;
+    return until - session.second.bornAt < age && !grantedBefore;
   });
 }
 
 double Registry::allIdle(unsigned expected, double until) const {
-  if (expected == 0 || seats_.size() < expected) return 0;
+  if (expected == 0 || sessions_.size() < expected) return 0;
   double lastAdmitted = -1e18;
   double firstTold = until;
-  for (const auto& [name, seat] : seats_) {
-    lastAdmitted = std::max(lastAdmitted, seat.admittedAt);
-    firstTold = std::min(firstTold, seat.toldAt);
+  for (const auto& [name, session] : sessions_) {
+    lastAdmitted = std::max(lastAdmitted, session.admittedAt);
+    firstTold = std::min(firstTold, session.toldAt);
   }
   return std::max(0.0, firstTold - lastAdmitted);
 }
 
 std::map<std::string, unsigned> Registry::liveByZone() const {
   std::map<std::string, unsigned> out;
-  for (const auto& [name, seat] : seats_) ++out[seat.zone];
+  for (const auto& [name, session] : sessions_) ++out[session.zone];
   return out;
 }
 
-void Registry::silent(const std::string& registry, double now) {
-  const auto found = others_.find(registry);
-  if (found == others_.end()) return;
+void Registry::peerLost(const std::string& registry, double now) {
+  const auto found = peers_.find(registry);
+  if (found == peers_.end()) return;
   note(now, "registry silent", registry);
   loseAll(found->second);
-  others_.erase(found);
+  peers_.erase(found);
   refold(now);
 }
 
-void Registry::loseAll(const Others& others) {
-  for (const rpc::ProxySession& session : others.seats) lose(session, others.heard);
+void Registry::loseAll(const PeerSessions& peer) {
+  for (const rpc::ProxySession& session : peer.sessions) lose(session, peer.lastSeen);
 }
 
-std::size_t Registry::toldBy(const std::string& registry) const {
-  const auto found = others_.find(registry);
-  return found == others_.end() ? 0 : found->second.seats.size();
+std::size_t Registry::reportedBy(const std::string& registry) const {
+  const auto found = peers_.find(registry);
+  return found == peers_.end() ? 0 : found->second.sessions.size();
 }
 
-bool Registry::heard(const std::string& registry, const rpc::Sessions& told, double now) {
-  if (!told.whole && !others_.contains(registry)) return false;
-  Others& others = others_[registry];
-  others.heard = now;
-  if (!told.whole) return true;
-  others.seats = told.seats;
-  for (rpc::ProxySession& seat : others.seats) seat.place(now);
+bool Registry::observeSessions(const std::string& registry, const rpc::Sessions& reported, double now) {
+  if (!reported.whole && !peers_.contains(registry)) return false;
+  PeerSessions& peer = peers_[registry];
+  peer.lastSeen = now;
+  if (!reported.whole) return true;
+  peer.sessions = reported.sessions;
+  for (rpc::ProxySession& session : peer.sessions) session.place(now);
   refold(now);
   return true;
 }
 
 bool Registry::sweep(double now, bool confirmed) {
   confirmed_ = confirmed;
-  const bool changed = std::erase_if(others_, [&](const auto& other) {
-                         if (now - other.second.heard <= kOthersSilent) return false;
-                         note(now, "registry silent", other.first);
-                         loseAll(other.second);
+  const bool changed = std::erase_if(peers_, [&](const auto& peer) {
+                         if (now - peer.second.lastSeen <= kPeerTimeout) return false;
+                         note(now, "registry silent", peer.first);
+                         loseAll(peer.second);
                          return true;
                        }) > 0;
   if (changed) refold(now);
-  std::erase_if(lost_, [&](const auto& lost) { return now - lost.second.heard > kUnconfirmedMemory; });
-  for (const auto& [name, seat] : seats_) known_[name] = {seat.zone, now};
-  return std::erase_if(known_, [&](const auto& k) { return now - k.second.second > kRemembered; }) > 0 ||
+  std::erase_if(lost_, [&](const auto& lost) { return now - lost.second.lastSeen > kUnconfirmedMemory; });
+  for (const auto& [name, session] : sessions_) lastSeen_[name] = {session.zone, now};
+  return std::erase_if(lastSeen_, [&](const auto& k) { return now - k.second.at > kLastSeenKept; }) > 0 ||
          changed;
 }
 
@@ -168,8 +168,8 @@
 }
 
 std::size_t Registry::knownIn(const std::string& zone) const {
-  return static_cast<std::size_t>(
-      std::count_if(known_.begin(), known_.end(), [&](const auto& k) { return k.second.first == zone; }));
+  return static_cast<std::size_t>(std::count_if(lastSeen_.begin(), lastSeen_.end(),
+                                                [&](const auto& k) { return k.second.zone == zone; }));
 }
 
 std::optional<rpc::Workers> Registry::listed(std::uint64_t epoch,
--- a/src/registry/registry.hpp
+++ b/src/registry/registry.hpp
@@ -1,9 +1,9 @@
 // The registry's knowledge: decisions only. Events are appended to a journal in memory; cells, the directory
 // and the list of workers are views folded from it.
 //
-// A cell for each zone keeps the proxies that are seated there, by their own registry's sessions or by what
-// another registry has told of its own. A seat stands while its session does; what another registry told
-// stands while that one is heard. Of two incarnations of a name the one that began later counts.
+// Each proxy has its session with one registry, and registries report theirs to each other. A session counts
+// while its link does; what another registry reported counts while that one reports. Of two incarnations of a
+// proxy the one that began later counts.
 #pragma once
 
 #include <cstdint>
@@ -17,9 +17,9 @@
 
 namespace burlwind::registry {
 
-constexpr double kOthersSilent = 1800;   // ms until a registry's sessions are no longer believed
-constexpr double kCountedWithin = 1000;  // ms of silence until proxies count as spending their own parts
-constexpr double kRemembered = 20000;    // ms that a proxy that is gone still counts as known
+constexpr double kPeerTimeout = 1800;    // ms until a registry's sessions are no longer believed
+constexpr double kReportTimeout = 1000;  // ms of silence until proxies count as spending their own parts
+constexpr double kLastSeenKept = 20000;  // ms that a proxy that is gone still counts as known
 constexpr std::size_t kJournal = 256;    // events kept
 // ms that look-ups count on what is lost while this registry itself isn't confirmed: below the shortest time
 // after which a proxy that has ended may not be named any more.
@@ -37,26 +37,26 @@
 
   void setPlaces(std::map<std::string, std::string> regionOf) { regionOf_ = std::move(regionOf); }
 
-  // --- Seats ---
-  // Opened, or changed. `session`: a number of this registry's own; the newest of a proxy is the one that
+  // --- Sessions of proxies ---
+  // Opened, or changed. `number`: of the session, this registry's own; the newest of a proxy is the one that
   // counts.
-  void seat(const rpc::ProxySession& seat, double now, std::uint64_t session = 0);
+  void registerSession(const rpc::ProxySession& session, double now, std::uint64_t number = 0);
   // That session has ended; nothing where another one of the proxy counts.
-  void unseat(const std::string& name, std::uint64_t session, double now);
-  std::vector<rpc::ProxySession> own(double now) const;
+  void deregisterSession(const std::string& name, std::uint64_t number, double now);
+  std::vector<rpc::ProxySession> ownSessions(double now) const;
   // False where it tells that nothing has changed since a list that isn't held here: a whole one is needed.
-  bool heard(const std::string& registry, const rpc::Sessions& told, double now);
+  bool observeSessions(const std::string& registry, const rpc::Sessions& reported, double now);
   // How many proxies that registry has told of.
-  std::size_t toldBy(const std::string& registry) const;
+  std::size_t reportedBy(const std::string& registry) const;
   // That registry's links have ended: what it told counts no more for the quotas. Its proxies serve on and
   // seek another registry: for look-ups they stay as they were for a while.
-  void silent(const std::string& registry, double now);
+  void peerLost(const std::string& registry, double now);
   // `confirmed`: this registry is in touch with the leading store; else it forgets nobody for look-ups, up to
   // kUnconfirmedMemory. True where views may have changed.
   bool sweep(double now, bool confirmed = true);
 
   // --- What the quotas may be reckoned from ---
-  // Proxies that are seated, draw on the holder's tokens alone, and were heard within kCountedWithin, as was
+  // Proxies that are seated, draw on the holder's tokens alone, and were heard within kReportTimeout, as was
   // their registry.
   unsigned drawing(double now) const;
   // ms before `until` in which no proxy has let anything in under a quota: from the last admission of any to
@@ -72,7 +72,7 @@
   // word of one that is lost.
   std::vector<const rpc::ProxySession*> proxies(double now) const;
   std::string regionOf(const std::string& zone) const;  // empty: not known
-  // Proxies that stand in that zone, those that went within kRemembered among them.
+  // Proxies that stand in that zone, those that went within kLastSeenKept among them.
   std::size_t knownIn(const std::string& zone) const;
 
   // --- Workers ---
@@ -93,30 +93,34 @@
   const std::deque<Event>& journal() const { return journal_; }
 
  private:
-  struct Others {
-    std::vector<rpc::ProxySession> seats;
-    double heard = 0;
+  struct PeerSessions {
+    std::vector<rpc::ProxySession> sessions;
+    double lastSeen = 0;
+  };
+  struct LastSeen {
+    std::string zone;
+    double at = 0;
   };
   void note(double now, std::string what, std::string who);
   void refold(double now);
   struct Lost {
     rpc::ProxySession session;
-    double heard = 0;  // the last time
+    double lastSeen = 0;
   };
-  void lose(const rpc::ProxySession& session, double heard);
-  void loseAll(const Others& others);
+  void lose(const rpc::ProxySession& session, double lastSeen);
+  void loseAll(const PeerSessions& peer);
   const std::string self_;
   std::map<std::string, std::string> regionOf_;
-  struct Own {
-    rpc::ProxySession seat;
-    std::uint64_t session = 0;
+  struct OwnSession {
+    rpc::ProxySession session;
+    std::uint64_t number = 0;
   };
-  std::map<std::string, Own> own_;                  // by name
-  std::map<std::string, Others> others_;            // by registry
-  std::map<std::string, rpc::ProxySession> seats_;  // the view: one of each name
-  std::map<std::string, Lost> lost_;                // by name; none that is in the view
+  std::map<std::string, OwnSession> own_;              // by name
+  std::map<std::string, PeerSessions> peers_;          // by registry
+  std::map<std::string, rpc::ProxySession> sessions_;  // the view: one of each name
+  std::map<std::string, Lost> lost_;                   // by name; none that is in the view
   bool confirmed_ = true;
-  std::map<std::string, std::pair<std::string, double>> known_;  // name -> zone, last seen
+  std::map<std::string, LastSeen> lastSeen_;  // by proxy
   std::map<std::string, Known> workers_;
   std::uint64_t epoch_ = 0, number_ = 0;
   std::deque<Event> journal_;
--- a/src/registry/registry_peers.cpp
+++ b/src/registry/registry_peers.cpp
@@ -29,14 +29,14 @@
   links_.erase(found);
   for (const auto& [other, peer] : links_)
     if (peer.ip == ip) return;
-  program::info("registry link ends", {{"peer", ip}, {"proxies", registry_.toldBy(ip)}});
+  program::info("registry link ends", {{"peer", ip}, {"proxies", registry_.reportedBy(ip)}});
   membership_.unlinked(ip);
-  registry_.silent(ip, now);
+  registry_.peerLost(ip, now);
 }
 
 void RegistryPeers::closeSilent(double now) {
   for (const auto& [link, peer] : links_)
-    if (now - peer.heardAt > kOthersSilent) link->close();
+    if (now - peer.heardAt > kPeerTimeout) link->close();
 }
 
 bool RegistryPeers::arrived(const LinkPtr& link, const rpc::Arrived& arrived, double now) {
@@ -60,7 +60,7 @@
 }
 
 void RegistryPeers::onSessions(const LinkPtr& link, const rpc::Sessions& sessions, double now) {
-  const bool isHeld = registry_.heard(links_.at(link).ip, sessions, now);
+  const bool isHeld = registry_.observeSessions(links_.at(link).ip, sessions, now);
   if (!isHeld) link->close();  // dialled anew, it begins with a whole list
 }
 
--- a/src/registry/registry_peers.hpp
+++ b/src/registry/registry_peers.hpp
@@ -25,7 +25,7 @@
   // False where the link is none of a registry.
   bool arrived(const LinkPtr& link, const rpc::Arrived& arrived, double now);
   void ended(const LinkPtr& link, double now);
-  // Closes the links on which nothing has come for kOthersSilent: a machine that is gone ends none.
+  // Closes the links on which nothing has come for kPeerTimeout: a machine that is gone ends none.
   void closeSilent(double now);
 
  private:
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -239,8 +239,8 @@
 struct Sessions {
   static constexpr Kind kKind = kSessions;
   bool whole = false;  // else nothing has changed since the last
-  std::vector<ProxySession> seats;
-  MSGPACK_DEFINE(whole, seats)
+  std::vector<ProxySession> sessions;
+  MSGPACK_DEFINE(whole, sessions)
 };
 
 // --- The list of workers ---
--- a/tests/registry/directory_test.cpp
+++ b/tests/registry/directory_test.cpp
@@ -52,7 +52,7 @@
     directory.setConfiguration(read.configuration);
   }
   void tell(const std::string& peer, std::vector<rpc::ProxySession> sessions, double now = 0) {
-    registry.heard(peer, {true, std::move(sessions)}, now);
+    registry.observeSessions(peer, {true, std::move(sessions)}, now);
   }
   std::vector<std::string> ask(const std::string& host, const std::string& zone, double now = 0) {
     return directory.answer({host, zone.substr(0, zone.find('-')), zone}, now).addresses;
@@ -78,7 +78,7 @@
     site.tell("10.0.0.2", proxies("leon-a", 6), 1000);
     site.tell("10.0.0.3", proxies("qro-a", 6), 1000);
     REQUIRE(site.ask(host, "leon-a", 1000).size() == 6);
-    site.registry.silent("10.0.0.2", 1100);
+    site.registry.peerLost("10.0.0.2", 1100);
     CHECK(site.regions(host, "leon-a", 1110) == Regions{"leon"});
     CHECK(site.ask(host, "leon-a", 1110).size() == 6);
   }
@@ -187,15 +187,15 @@
 TEST_CASE("proxies of a lost registry are named until they are seen elsewhere or 1.8 s after its last word") {
   Site site;
   site.tell("10.0.0.2", proxies("leon-a", 4), 1000);
-  site.registry.silent("10.0.0.2", 1200);
+  site.registry.peerLost("10.0.0.2", 1200);
   CHECK(site.registry.liveByZone().empty());  // for the quotas they count no more
   std::vector<rpc::ProxySession> moved = proxies("leon-a", 2);
   moved[1].ready = false;  // this one is about to end
   site.tell("10.0.0.3", moved, 1500);
   site.registry.sweep(1500);
   CHECK(site.ask("shop.example", "leon-a", 1500).size() == 3);
-  CHECK(site.ask("shop.example", "leon-a", 1000 + kOthersSilent).size() == 3);
-  CHECK(site.ask("shop.example", "leon-a", 1001 + kOthersSilent).size() == 1);
+  CHECK(site.ask("shop.example", "leon-a", 1000 + kPeerTimeout).size() == 3);
+  CHECK(site.ask("shop.example", "leon-a", 1001 + kPeerTimeout).size() == 1);
   // One that tells of itself again is no lost one any more, whatever becomes of it.
   site.tell("10.0.0.3", {}, 1600);
   CHECK(site.ask("shop.example", "leon-a", 1600).size() == 2);
@@ -205,9 +205,9 @@
     "a registry that is cut off keeps what it knew for 5 s, and forgets it when it is confirmed again") {
   Site site;
   site.tell("10.0.0.2", proxies("leon-a", 3), 1000);
-  site.registry.seat(proxy("leon-a/9", "leon-a"), 1000, 1);
+  site.registry.registerSession(proxy("leon-a/9", "leon-a"), 1000, 1);
   site.registry.sweep(1100, false);
-  site.registry.unseat("leon-a/9", 1, 2600);  // nothing was heard of it either
+  site.registry.deregisterSession("leon-a/9", 1, 2600);  // nothing was heard of it either
   site.registry.sweep(2900, false);
   CHECK(site.ask("shop.example", "leon-a", 2900).size() == 4);
   CHECK(site.ask("shop.example", "leon-a", 1000 + kUnconfirmedMemory).size() == 4);
@@ -244,7 +244,7 @@
   for (double now = 0; now < 180000; now += kStep) {
     if (std::fmod(now, 3000) < kStep) {
       const int ending = static_cast<int>(now / 3000) % kRegistries;
-      site.registry.silent("10.0.0." + std::to_string(10 + ending), now);
+      site.registry.peerLost("10.0.0." + std::to_string(10 + ending), now);
       for (auto& [name, peer] : registryOf)
         if (peer == ending) {
           peer = (ending + 1 + static_cast<int>(random() % (kRegistries - 1))) % kRegistries;
--- a/tests/system/membership_test.cpp
+++ b/tests/system/membership_test.cpp
@@ -241,7 +241,7 @@
     rpc::ProxySession s;
     s.name = name, s.zone = "a1", s.incarnation = 1, s.age = age, s.idle = idle, s.ownPart = ownPart;
     s.place(now);
-    registry.seat(s, now);
+    registry.registerSession(s, now);
   }
   registry::Registry registry{"10.0.0.1", {{"a1", "A"}}};
 };
@@ -270,11 +270,11 @@
   granted.hasGrants = true;
   granted.granted = 50;  // by the holder that took the duties at 10000
   granted.place(10100);
-  seats.registry.seat(granted, 10100);
+  seats.registry.registerSession(granted, 10100);
   CHECK(seats.registry.allRestarted(2, 5000, 10000));
   granted.granted = 150;  // by one before
   granted.place(10100);
-  seats.registry.seat(granted, 10100);
+  seats.registry.registerSession(granted, 10100);
   CHECK_FALSE(seats.registry.allRestarted(2, 5000, 10000));
 }
 
@@ -283,17 +283,17 @@
   seats.seat("one", 1000, 0, 1000);
   seats.seat("two", 1000, 0, 1000, true);
   CHECK(seats.registry.drawing(1100) == 1);
-  CHECK(seats.registry.drawing(1000 + registry::kCountedWithin) == 0);
+  CHECK(seats.registry.drawing(1000 + registry::kReportTimeout) == 0);
   rpc::Sessions told{true, {}};
   rpc::ProxySession three;
   three.name = "three", three.zone = "a1", three.incarnation = 1;
-  told.seats.push_back(three);
-  CHECK(seats.registry.heard("10.0.0.2", told, 1500));
+  told.sessions.push_back(three);
+  CHECK(seats.registry.observeSessions("10.0.0.2", told, 1500));
   CHECK(seats.registry.drawing(1600) == 2);
-  seats.registry.silent("10.0.0.2", 1700);
+  seats.registry.peerLost("10.0.0.2", 1700);
   CHECK(seats.registry.drawing(1700) == 1);
   // It knows of no list that hasn't changed since: a whole one is needed.
-  CHECK_FALSE(seats.registry.heard("10.0.0.2", rpc::Sessions{false, {}}, 1800));
+  CHECK_FALSE(seats.registry.observeSessions("10.0.0.2", rpc::Sessions{false, {}}, 1800));
 }
 
 TEST_CASE("Levels are recovered only from all proxies, each with a memory of a whole filling") {
--- a/tests/system/quota_world.hpp
+++ b/tests/system/quota_world.hpp
@@ -68,7 +68,7 @@
   void killRegistry(unsigned r) {
     registries_[r].up = false;
     for (unsigned other = 0; other < registries_.size(); ++other)
-      if (registries_[other].up) registries_[other].view->silent(ip(r), now_);
+      if (registries_[other].up) registries_[other].view->peerLost(ip(r), now_);
     for (Proxy& proxy : proxies_)
       if (proxy.registry == int(r)) proxy.registry = -1, proxy.retryAt = now_ + 50 + 200 * draw();
   }
@@ -199,14 +199,15 @@
   void tellSessions(unsigned r) {
     registries_[r].heartbeatAt = now_ + kHeartbeatPause;
     registries_[r].changed = false;
-    const rpc::Sessions sessions{true, registries_[r].view->own(now_)};
-    toOthers(r, [this, r, sessions](RegistryNode& node) { node.view->heard(ip(r), sessions, now_); });
+    const rpc::Sessions sessions{true, registries_[r].view->ownSessions(now_)};
+    toOthers(r,
+             [this, r, sessions](RegistryNode& node) { node.view->observeSessions(ip(r), sessions, now_); });
   }
   void closeSilent(unsigned r) {
     RegistryNode& node = registries_[r];
     std::erase_if(node.sessions, [&](const auto& session) {
       if (now_ - session.second <= kLinkTimeout) return false;
-      node.view->unseat(name(session.first), 0, now_);
+      node.view->deregisterSession(name(session.first), 0, now_);
       node.changed = true;
       return true;
     });
@@ -301,7 +302,7 @@
     fromProxy(p, [this, p, seat](unsigned r, RegistryNode& node) mutable {
       node.sessions[p] = now_;
       seat.place(now_);
-      node.view->seat(seat, now_);
+      node.view->registerSession(seat, now_);
       node.changed = true;
       toProxy(r, p, [this](Proxy& told) { told.heardAt = now_; });
     });
--- a/tests/system/serving_test.cpp
+++ b/tests/system/serving_test.cpp
@@ -184,22 +184,22 @@
 
 TEST_CASE("A proxy that has dialled again keeps its seat when its earlier link ends") {
   registry::Registry registry("10.0.0.1", {});
-  registry.seat(seatOf(7, 0, true), 100, 1);
-  registry.seat(seatOf(7, 0, true), 200, 2);
-  registry.unseat("p", 1, 210);
-  CHECK(registry.own(210).size() == 1);
-  registry.seat(seatOf(7, 0, false), 220, 1);  // late, on the earlier link
-  CHECK(registry.own(220)[0].ready);
-  registry.unseat("p", 2, 230);
-  CHECK(registry.own(230).empty());
+  registry.registerSession(seatOf(7, 0, true), 100, 1);
+  registry.registerSession(seatOf(7, 0, true), 200, 2);
+  registry.deregisterSession("p", 1, 210);
+  CHECK(registry.ownSessions(210).size() == 1);
+  registry.registerSession(seatOf(7, 0, false), 220, 1);  // late, on the earlier link
+  CHECK(registry.ownSessions(220)[0].ready);
+  registry.deregisterSession("p", 2, 230);
+  CHECK(registry.ownSessions(230).empty());
 }
 
 TEST_CASE("Of two incarnations of a proxy the later one counts, wherever it has its session") {
   registry::Registry registry("10.0.0.1", {});
-  registry.seat(seatOf(7, 0, true), 1000, 1);  // its process has ended, which isn't known here yet
+  registry.registerSession(seatOf(7, 0, true), 1000, 1);  // its process has ended, which isn't known here yet
   rpc::Sessions told{true, {seatOf(8, 0, false)}};
-  told.seats[0].age = 50;
-  registry.heard("10.0.0.2", told, 1000);
+  told.sessions[0].age = 50;
+  registry.observeSessions("10.0.0.2", told, 1000);
   registry::Directory directory(registry, 1);
   CHECK(directory.answer({}, 1000).addresses.empty());  // the later one is not ready
   CHECK(registry.liveByZone()[""] == 1);
