Proxy: figures of what workers' answers hold, and why they are given up

Cause: no line and no figure of a proxy told how many bytes answers held while they were read, how many there were, why one was given up, or that a coroutine had ended by an exception: the hypotheses on endless answers could not be told apart from outside.

Change: AnswerFigures (held by reading and writing, peaks, the largest, given up by bound and worker, exceptions) at /api/metrics and in the log; program::spawn logs what ends a coroutine that nobody waits for, in place of asio::detached; Prometheus text is worded in one place for all three users. What is done with answers is unchanged.

--- a/src/control_api/server.cpp
+++ b/src/control_api/server.cpp
@@ -2,8 +2,6 @@
 
 #include <picojson.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -13,6 +11,7 @@
 #include "http/http.hpp"
 #include "program/deadline.hpp"
 #include "program/listen.hpp"
+#include "program/spawn.hpp"
 
 namespace burlwind::control_api {
 namespace {
@@ -96,7 +95,7 @@
 
 boost::system::error_code Server::listen(const std::string& ip, std::uint16_t port) {
   const Error error = program::listenAt(acceptor_, ip, port, kBacklog);
-  if (!error) asio::co_spawn(io_, accept(), asio::detached);
+  if (!error) program::spawn(io_, accept(), "accept calls");
   return error;
 }
 
@@ -128,7 +127,7 @@
     socket.set_option(Tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket), io_);
     connections_.insert(connection);
-    asio::co_spawn(io_, serve(connection), asio::detached);
+    program::spawn(io_, serve(connection), "serve a call");
   }
 }
 
--- a/src/load_balancing/core.cpp
+++ b/src/load_balancing/core.cpp
@@ -198,6 +198,11 @@
   if (now < state->coldUntil) state->coldSent.push_back(now);
 }
 
+double Core::outstanding(const std::string& id) const {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? 0 : found->second.outstanding;
+}
+
 void Core::released(const std::string& id) {
   if (WorkerState* state = find(id)) state->outstanding = std::max(0.0, state->outstanding - 1);
 }
--- a/src/load_balancing/core.hpp
+++ b/src/load_balancing/core.hpp
@@ -84,7 +84,8 @@
   void cold(const std::string& id, double left, double now);
 
   std::size_t size() const { return workers_.size(); }
-  double usual(const std::string& service) const;  // ms of an answer
+  double outstanding(const std::string& id) const;  // own requests at a worker
+  double usual(const std::string& service) const;   // ms of an answer
 
  private:
   struct WorkerState {
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -1,14 +1,13 @@
 #include "proxy/client_server.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "program/listen.hpp"
 #include "program/log.hpp"
+#include "program/spawn.hpp"
 #include "program/start.hpp"
 #include "proxy/message_text.hpp"
 
@@ -51,10 +50,12 @@
 }  // namespace
 
 ClientServer::ClientServer(asio::io_context& io, std::shared_ptr<Budget> bytes,
-                           std::shared_ptr<DepartureFigures> departures, Limits limits, Handler handler)
+                           std::shared_ptr<DepartureFigures> departures,
+                           std::shared_ptr<AnswerFigures> answers, Limits limits, Handler handler)
     : io_(io),
       bytes_(std::move(bytes)),
       departures_(std::move(departures)),
+      answerFigures_(std::move(answers)),
       limits_(std::move(limits)),
       handler_(std::move(handler)),
       acceptor_(io) {}
@@ -65,7 +66,7 @@
 
 Error ClientServer::listen(const std::string& ip, std::uint16_t port) {
   const Error error = program::listenAt(acceptor_, ip, port, kBacklog);
-  if (!error) asio::co_spawn(io_, accept(), asio::detached);
+  if (!error) program::spawn(io_, accept(), "accept clients");
   return error;
 }
 
@@ -98,7 +99,7 @@
     socket.set_option(Tcp::no_delay(true), error);
     auto connection = ClientConnection::create(std::move(socket), io_, bytes_);
     connections_.insert(connection);
-    asio::co_spawn(io_, serve(connection), asio::detached);
+    program::spawn(io_, serve(connection), "serve a client", [this] { answerFigures_->exception(); });
   }
 }
 
@@ -181,6 +182,8 @@
 asio::awaitable<bool> ClientServer::writeAnswer(ConnectionPtr connection, const ClientRequest& request,
                                                 bool close) {
   const std::string text = clientAnswerText(request, close);
+  AnswerFigures::Held held(*answerFigures_, AnswerHolder::writing);
+  held.set(text.capacity() + (request.answer.fromWorker ? request.answer.fromWorker->body().capacity() : 0));
   connection->closeAfter(kWriteWithinMs);
   const Error error = co_await connection->write(asio::buffer(text));
   connection->keepOpen();
--- a/src/proxy/client_server.hpp
+++ b/src/proxy/client_server.hpp
@@ -16,6 +16,7 @@
 #include <string_view>
 #include <utility>
 
+#include "proxy/answer_figures.hpp"
 #include "proxy/client_connection.hpp"
 #include "proxy/client_request.hpp"
 #include "proxy/departure_figures.hpp"
@@ -30,7 +31,8 @@
   // bytes: of bodies that are held whole, both ways. Connections share it: their coroutines end with the
   // loop, which may outlive this object.
   ClientServer(asio::io_context& io, std::shared_ptr<Budget> bytes,
-               std::shared_ptr<DepartureFigures> departures, Limits limits, Handler handler);
+               std::shared_ptr<DepartureFigures> departures, std::shared_ptr<AnswerFigures> answers,
+               Limits limits, Handler handler);
   ~ClientServer();
   ClientServer(const ClientServer&) = delete;
   ClientServer& operator=(const ClientServer&) = delete;
@@ -54,6 +56,7 @@
   asio::io_context& io_;
   const std::shared_ptr<Budget> bytes_;
   const std::shared_ptr<DepartureFigures> departures_;
+  const std::shared_ptr<AnswerFigures> answerFigures_;
   const Limits limits_;
   const Handler handler_;
   Tcp::acceptor acceptor_;
--- a/src/proxy/departure_figures.cpp
+++ b/src/proxy/departure_figures.cpp
@@ -3,26 +3,18 @@
 #include <algorithm>
 
 #include "program/log.hpp"
+#include "program/prometheus.hpp"
 
 namespace burlwind::proxy {
 namespace {
 
+using program::appendSample;
+using program::appendType;
+using program::label;
+
 constexpr double kLongWorkMs = 500;
 constexpr std::string_view kKindNames[kRequestKinds] = {"unrouted", "repeatable", "once_only"};
 
-void appendSample(std::string& out, std::string_view name, const std::string& labels, double value) {
-  out.append(name).append("{").append(labels).append("} ").append(std::to_string(value)).append("\n");
-}
-
-void appendType(std::string& out, std::string_view name, std::string_view type) {
-  out.append("# TYPE ").append(name).append(" ").append(type).append("\n");
-}
-
-std::string label(std::string_view name, std::string_view value) {
-  std::string out(name);
-  return out.append("=\"").append(value).append("\"");
-}
-
 std::string kindLabel(std::size_t kind) { return label("kind", kKindNames[kind]); }
 
 }  // namespace
--- a/src/proxy/forwarder.hpp
+++ b/src/proxy/forwarder.hpp
@@ -21,8 +21,12 @@
  public:
   // draw: a number from 0 to under 1.
   Forwarder(asio::io_context& io, load_balancing::Core& balancer,
-            std::shared_ptr<DepartureFigures> departures, std::function<double()> draw)
-      : balancer_(balancer), departures_(std::move(departures)), draw_(std::move(draw)), workers_(io) {}
+            std::shared_ptr<DepartureFigures> departures, std::shared_ptr<AnswerFigures> answers,
+            std::function<double()> draw)
+      : balancer_(balancer),
+        departures_(std::move(departures)),
+        draw_(std::move(draw)),
+        workers_(io, std::move(answers)) {}
   // Ends with request.answer standing, or with its client gone. request.bytes and request.client are there.
   asio::awaitable<void> forward(ClientRequest& request);
   void setBudget(double retryRatio, double retrySlack, unsigned proxies) {
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -37,13 +37,13 @@
       sessions_(io, settings_, hooks()),
       balancer_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
                 settings_.bounds.coldSlack),
-      forwarder_(io, balancer_, departures_, [this] { return draw(); }),
+      forwarder_(io, balancer_, departures_, answerFigures_, [this] { return draw(); }),
       tokens_(
           io, now(), [this](const rpc::TokenRequest& request) { sessions_.tell(rpc::frame(request)); },
           [this] { sessions_.tellStatus(); }),
       bytes_(std::make_shared<Budget>(bodyBytesOf(settings_))),
       clients_(
-          io, bytes_, departures_,
+          io, bytes_, departures_, answerFigures_,
           [this] { return configuration_ ? configuration_->limits : config::ClientLimits{}; },
           [this](ClientRequest& request) { return handle(request); }),
       timer_(io) {
@@ -178,6 +178,7 @@
   tokens_.report();
   clients_.report();
   departures_->report();
+  answerFigures_->report();
   rpc::logTraffic();
 }
 
@@ -186,6 +187,7 @@
   leaving_ = true;
   leaveAt_ = now();
   departures_->report();
+  answerFigures_->report();
   rpc::logTraffic();
   clients_.closeBehindAnswers();
   sessions_.tellStatus();
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -32,7 +32,9 @@
   Error start();  // takes its addresses; nothing is served before it has a configuration
   void leave();   // SIGTERM: serves what it has, takes little more, ends the loop
   bool ready() const;
-  std::string metrics() const { return departures_->text(); }  // Prometheus text format
+  std::string metrics() const {
+    return departures_->text() + answerFigures_->text();
+  }  // Prometheus text format
 
  private:
   Sessions::Hooks hooks();
@@ -53,6 +55,7 @@
   Sessions sessions_;
   load_balancing::Core balancer_;
   const std::shared_ptr<DepartureFigures> departures_ = std::make_shared<DepartureFigures>();
+  const std::shared_ptr<AnswerFigures> answerFigures_ = std::make_shared<AnswerFigures>();
   Forwarder forwarder_;
   TokenGate tokens_;
   const std::shared_ptr<Budget> bytes_;  // of bodies that are held whole, both ways
--- a/src/proxy/worker_exchange.cpp
+++ b/src/proxy/worker_exchange.cpp
@@ -17,6 +17,12 @@
   return status == 400 || status == 408 || status == 429 || status == 503;
 }
 
+std::optional<AnswerBound> boundOf(const Error& error) {
+  if (error == http::error::header_limit) return AnswerBound::head;
+  if (error == http::error::body_limit || error == http::error::buffer_overflow) return AnswerBound::body;
+  return std::nullopt;
+}
+
 }  // namespace
 
 WorkerExchange::WorkerExchange(Request request) : request_(std::move(request)) { beginAnswer(); }
@@ -76,7 +82,10 @@
   while (!finished() && in_.size() > 0) {
     Error error;
     const bool whole = feed(*parser_, in_, error);
-    if (error) return finish(ExchangeOutcome::broken);
+    if (error) {
+      passedBound_ = boundOf(error);
+      return finish(ExchangeOutcome::broken);
+    }
     if (!whole) return;
     takeAnswer();
   }
@@ -122,6 +131,11 @@
   return ExchangeOutcome::answered;
 }
 
+std::size_t WorkerExchange::heldBytes() const {
+  const auto& body = finished() ? response_.body() : parser_->get().body();
+  return in_.capacity() + body.capacity();
+}
+
 bool WorkerExchange::connectionReusable() const {
   const bool ownAnswer = outcome_ == ExchangeOutcome::answered || outcome_ == ExchangeOutcome::notRun;
   return ownAnswer && !request_.tryId.empty() && writtenWhole_ && !answeredEarly_ && skipped_ == 0 &&
--- a/src/proxy/worker_exchange.hpp
+++ b/src/proxy/worker_exchange.hpp
@@ -22,6 +22,7 @@
 #include <string_view>
 
 #include "http/http.hpp"
+#include "proxy/answer_figures.hpp"
 
 namespace burlwind::proxy {
 
@@ -78,6 +79,8 @@
   const Response& response() const { return response_; }  // of answered, notRun and wrongServer
   Response takeResponse() { return std::move(response_); }
   unsigned skippedAnswers() const { return skipped_; }
+  std::size_t heldBytes() const;                                           // read, parsed and kept
+  std::optional<AnswerBound> passedBound() const { return passedBound_; }  // of broken
 
  private:
   enum class Attribution { own, foreign };
@@ -94,6 +97,7 @@
   beast::flat_buffer in_;
   Response response_;
   std::optional<ExchangeOutcome> outcome_;
+  std::optional<AnswerBound> passedBound_;
   std::size_t written_ = 0;
   unsigned skipped_ = 0;  // interim answers and those that were not asked for here
   bool writtenWhole_ = false;
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -125,14 +125,17 @@
   call.client->enter(RequestStage::atWorker);
   exchange.requestWritten(written, !error);
   noteOwnEnd(*connection, exchange);
+  AnswerFigures::Held held(*figures_, AnswerHolder::reading);
   while (!exchange.finished()) {
     const std::size_t read =
         co_await socket.async_read_some(exchange.prepare(), redirect_error(use_awaitable, error));
     exchange.received(read);
+    held.set(exchange.heldBytes());
     noteOwnEnd(*connection, exchange);
     if (error) exchange.connectionEnded();
   }
   connection->deadline.disarm();
+  if (const auto bound = exchange.passedBound()) figures_->gaveUp(*bound, call.worker);
 }
 
 // Where this side has ended the connection, the exchange is told why before it hears of the end.
--- a/src/proxy/worker_side.hpp
+++ b/src/proxy/worker_side.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "program/deadline.hpp"
 #include "proxy/client_presence.hpp"
@@ -42,7 +43,8 @@
 
 class WorkerSide {
  public:
-  explicit WorkerSide(asio::io_context& io) : io_(io) {}
+  WorkerSide(asio::io_context& io, std::shared_ptr<AnswerFigures> figures)
+      : io_(io), figures_(std::move(figures)) {}
   asio::awaitable<ExchangeResult> exchange(WorkerCall call);
   void forget(const std::string& worker) { idle_.forget(worker); }  // closes what is kept open to it
   void sweep(double now) { idle_.sweep(now); }                      // closes what has waited too long
@@ -59,14 +61,15 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   ConnectionPtr takeIdle(const WorkerCall& call);
   asio::awaitable<ConnectionPtr> connect(const WorkerCall& call, double withinMs);
-  static asio::awaitable<void> transfer(ConnectionPtr connection, const WorkerCall& call,
-                                        WorkerExchange& exchange, double withinMs);
+  asio::awaitable<void> transfer(ConnectionPtr connection, const WorkerCall& call, WorkerExchange& exchange,
+                                 double withinMs);
   static void noteOwnEnd(const Connection& connection, WorkerExchange& exchange);
   void keepOrClose(const ConnectionPtr& connection, const std::string& worker,
                    const WorkerExchange& exchange);
   static void closeAfter(const ConnectionPtr& connection, double ms);
 
   asio::io_context& io_;
+  const std::shared_ptr<AnswerFigures> figures_;
   IdleConnections<ConnectionPtr> idle_;
   double avoidIdleUntil_ = -1e18;
 };
--- a/src/registry/list_reader.cpp
+++ b/src/registry/list_reader.cpp
@@ -1,8 +1,6 @@
 #include "registry/list_reader.hpp"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -10,6 +8,7 @@
 #include <utility>
 
 #include "program/log.hpp"
+#include "program/spawn.hpp"
 #include "program/start.hpp"
 #include "rpc/link.hpp"
 
@@ -40,7 +39,7 @@
       list_(io),
       platformMs_(kUnknownWay) {}
 
-void ListReader::start() { asio::co_spawn(io_, run(), asio::detached); }
+void ListReader::start() { program::spawn(io_, run(), "read the platform's list"); }
 
 // Who starts with no list at all reads it once for itself: leases may be a while in coming.
 bool ListReader::due() const { return lease_.holds(now()) || registry_.number() == 0; }
--- a/src/registry/lookup_figures.cpp
+++ b/src/registry/lookup_figures.cpp
@@ -4,29 +4,33 @@
 #include <utility>
 
 #include "program/log.hpp"
+#include "program/prometheus.hpp"
 
 namespace burlwind::registry {
 namespace {
 
+using program::appendSample;
+using program::appendType;
+using program::label;
+
 constexpr std::string_view kPlaceNames[kPlaces] = {"own_zone", "own_region", "home_region", "unfit_region",
                                                    "free_region"};
 
-void appendSample(std::string& out, std::string_view name, std::uint64_t value) {
-  out.append(name).append(" ").append(std::to_string(value)).append("\n");
-}
-
 }  // namespace
 
 std::string LookupFigures::text() const {
-  std::string out = "# TYPE burlwind_lookups_total counter\n";
-  appendSample(out, R"(burlwind_lookups_total{outcome="answered"})", answered_);
-  appendSample(out, R"(burlwind_lookups_total{outcome="refused"})", refused_);
-  out += "# TYPE burlwind_lookups_with_unfit_region_total counter\n";
-  appendSample(out, "burlwind_lookups_with_unfit_region_total", withUnfit_);
-  out += "# TYPE burlwind_lookup_addresses_total counter\n";
+  constexpr std::string_view lookups = "burlwind_lookups_total";
+  constexpr std::string_view withUnfit = "burlwind_lookups_with_unfit_region_total";
+  constexpr std::string_view addresses = "burlwind_lookup_addresses_total";
+  std::string out;
+  appendType(out, lookups, "counter");
+  appendSample(out, lookups, label("outcome", "answered"), answered_);
+  appendSample(out, lookups, label("outcome", "refused"), refused_);
+  appendType(out, withUnfit, "counter");
+  appendSample(out, withUnfit, "", withUnfit_);
+  appendType(out, addresses, "counter");
   for (std::size_t place = 0; place < kPlaces; ++place)
-    appendSample(out, "burlwind_lookup_addresses_total{place=\"" + std::string(kPlaceNames[place]) + "\"}",
-                 named_[place]);
+    appendSample(out, addresses, label("place", kPlaceNames[place]), named_[place]);
   return out;
 }
 
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -1,7 +1,6 @@
 // registry: the registry program. Wires sessions of proxies, the other registries, the config stores, the
 // platform's list, the quotas and the calls from outside; what they mean is decided in the modules beside.
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +10,7 @@
 #include "control_api/server.hpp"
 #include "program/log.hpp"
 #include "program/settings_file.hpp"
+#include "program/spawn.hpp"
 #include "program/start.hpp"
 #include "registry/control_membership.hpp"
 #include "registry/dialer_set.hpp"
@@ -149,7 +149,8 @@
 
   void orderCeiling(const char* what, std::string body) {
     ceilingUnderWay_ = true;
-    asio::co_spawn(io_, sendCeiling(what, std::move(body)), asio::detached);
+    program::spawn(io_, sendCeiling(what, std::move(body)), "change the proxy ceiling",
+                   [this] { ceilingUnderWay_ = false; });
   }
 
   asio::awaitable<void> sendCeiling(std::string what, std::string body) {
--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -116,7 +116,7 @@
   worker->say(firstAnswer);
   CHECK(first->hears(firstAnswer.size()) == firstAnswer);
 
-  WorkerSide side(edge.io);
+  WorkerSide side(edge.io, edge.answerFigures);
   WorkerCall call;
   call.worker = "w";
   call.address = edge.workers[0]->entry().address;
--- a/tests/system/edge_loop.hpp
+++ b/tests/system/edge_loop.hpp
@@ -155,9 +155,15 @@
   load_balancing::Core balancer{{"z", "r"}, {{"z", "r"}}, 1, 1};
   std::shared_ptr<DepartureFigures> departures = std::make_shared<DepartureFigures>();
   std::shared_ptr<Budget> bytes = std::make_shared<Budget>(64 * 1024 * 1024);
-  Forwarder forwarder{io, balancer, departures, [] { return 0.0; }};
+  std::shared_ptr<AnswerFigures> answerFigures = std::make_shared<AnswerFigures>();
+  static constexpr std::size_t answerBudgetBytes = 32 * 1024 * 1024;
+  Forwarder forwarder{io, balancer, departures, answerFigures, [] { return 0.0; }};
   double timeLeftMs = 60000;
-  ClientServer server{io, bytes, departures, [this] { return limits; },
+  ClientServer server{io,
+                      bytes,
+                      departures,
+                      answerFigures,
+                      [this] { return limits; },
                       [this](ClientRequest& request) { return handle(request); }};
 
  private:
--- a/tests/system/proxy_connections_test.cpp
+++ b/tests/system/proxy_connections_test.cpp
@@ -49,8 +49,12 @@
   config::ClientLimits limits;
   std::vector<std::string> handled;
   std::vector<std::shared_ptr<asio::steady_timer>> held;
-  ClientServer server{io, std::make_shared<Budget>(100000), std::make_shared<DepartureFigures>(),
-                      [this] { return limits; }, [this](ClientRequest& request) { return handle(request); }};
+  ClientServer server{io,
+                      std::make_shared<Budget>(100000),
+                      std::make_shared<DepartureFigures>(),
+                      std::make_shared<AnswerFigures>(),
+                      [this] { return limits; },
+                      [this](ClientRequest& request) { return handle(request); }};
 };
 
 TEST_CASE("requests that a client sends at once are answered one after the other, in their order") {
@@ -162,7 +166,7 @@
   asio::io_context io{1};
   Tcp::acceptor acceptor;
   const std::string address;
-  WorkerSide side{io};
+  WorkerSide side{io, std::make_shared<AnswerFigures>()};
   std::optional<ExchangeResult> result;
 };
 
@@ -282,7 +286,8 @@
   Budget all{1000000};
   Budget::Share bytes{all};
   load_balancing::Core balancer{{"z", "r"}, {{"z", "r"}}, 1, 1};
-  Forwarder forwarder{io, balancer, std::make_shared<DepartureFigures>(), [] { return 0.0; }};
+  Forwarder forwarder{io, balancer, std::make_shared<DepartureFigures>(), std::make_shared<AnswerFigures>(),
+                      [] { return 0.0; }};
   config::Route route;
   ClientRequest request;
   bool done = false;
