--- /dev/null
+++ b/tests/system/endless_answers_programs_test.cpp
@@ -0,0 +1,158 @@
+// Workers that send without end, before real programs: what a proxy holds meanwhile, and what callers get.
+// Programs as they ship: a sanitizer's own memory would be counted too.
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <fstream>
+
+#include "endless_answers.hpp"
+#include "whole_system.hpp"
+
+namespace burlwind {
+namespace {
+
+constexpr unsigned kMemoryMb = 64;                           // of a proxy
+constexpr std::size_t kSentAtMost = std::size_t{300} << 20;  // bytes on one connection
+constexpr unsigned kWorkers = 24;
+constexpr unsigned kAtOnce = 24;
+constexpr std::size_t kFullSpeedPiece = 65536;  // bytes of one write
+constexpr std::size_t kDripPiece = 1;
+constexpr int kLeftMs = 3000;  // that a client waits
+constexpr int kAfterMs = 500;  // until its answer must be there, past that
+
+// The most that a process has had in memory since it began.
+double peakMb(const Process& process) {
+  std::ifstream in("/proc/" + std::to_string(process.id()) + "/status");
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with("VmHWM:")) return std::stod(line.substr(6)) / 1024;
+  return 0;
+}
+
+std::size_t descriptorsOf(const Process& process) {
+  std::size_t count = 0;
+  for ([[maybe_unused]] const auto& entry :
+       fs::directory_iterator("/proc/" + std::to_string(process.id()) + "/fd"))
+    ++count;
+  return count;
+}
+
+// What came on a connection until it had a whole head or ended, within the time that a client waits.
+struct Heard {
+  std::string text;
+  bool inTime = false;
+  unsigned status() const {
+    return text.size() < 12 ? 0 : static_cast<unsigned>(std::stoul(text.substr(9, 3)));
+  }
+};
+
+Heard hearHead(const std::string& request) {
+  Socket socket(::socket(AF_INET, SOCK_STREAM, 0));
+  const auto where = at(System::proxyIp(0), kFront);
+  REQUIRE(::connect(socket.fd, reinterpret_cast<const sockaddr*>(&where), sizeof where) == 0);
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(kLeftMs + kAfterMs);
+  say(socket.fd, request);
+  Heard out;
+  while (out.text.find("\r\n\r\n") == std::string::npos) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(until - std::chrono::steady_clock::now());
+    pollfd entry{socket.fd, POLLIN, 0};
+    if (left.count() <= 0 || ::poll(&entry, 1, static_cast<int>(left.count())) <= 0) return out;
+    char piece[2048];
+    const auto n = ::recv(socket.fd, piece, sizeof piece, 0);
+    if (n <= 0) return out;
+    out.text.append(piece, static_cast<std::size_t>(n));
+  }
+  out.inTime = true;
+  return out;
+}
+
+// A proxy of kMemoryMb before workers that all answer as the path of a request says: /a/FORM/PIECE.
+class FaultyWorkers {
+ public:
+  FaultyWorkers() : system({.memoryMb = kMemoryMb, .workers = kWorkers, .workerCapacity = kAtOnce}) {
+    system.atWork = [](const StandIn::Incoming& incoming) { work(incoming); };
+    REQUIRE(system.order("config.replace", System::configuration(1, 0, "/a/", "safe"))
+                .starts_with("HTTP/1.1 200"));
+    system.awaitStart(0, 1);
+    REQUIRE(system.served(0, "/a/x").starts_with("HTTP/1.1 200"));
+  }
+  // What a client gets; one that is sent away before its request was at a worker comes again.
+  Heard askFor(std::size_t form, std::size_t pieceBytes, const std::string& verb = "POST") {
+    while (true) {
+      const std::string tryId = "f" + std::to_string(number_++);
+      const Heard heard = hearHead(verb + " /a/" + std::to_string(form) + "/" + std::to_string(pieceBytes) +
+                                   " HTTP/1.1\r\nHost: shop.example\r\nTry-Id: " + tryId +
+                                   "\r\nTime-Left-Ms: " + std::to_string(kLeftMs) +
+                                   "\r\nApi-Key: key1\r\nContent-Length: 4\r\n\r\nwool");
+      if (system.arrived(tryId) || heard.text.empty()) return heard;
+    }
+  }
+  const Process& proxy() const { return *system.proxies[0]; }
+  System system;
+
+ private:
+  static void work(const StandIn::Incoming& incoming) {
+    const std::string target = incoming.text.substr(incoming.text.find("/a/") + 3);
+    if (target.starts_with("x")) return;
+    const std::size_t form = std::stoul(target);
+    const std::size_t pieceBytes = std::stoul(target.substr(target.find('/') + 1));
+    sendWithoutEnd(incoming.fd, endlessAnswers(field(incoming.text, "Try-Id"))[form], pieceBytes,
+                   kSentAtMost);
+  }
+  std::atomic<unsigned> number_{0};
+};
+
+void checkAnswered(const Heard& heard) {
+  CHECK(heard.inTime);
+  const bool mayHaveRun = heard.status() == 502 || heard.status() == 504;
+  CHECK(mayHaveRun);
+}
+
+TEST_CASE(
+    "programs: one answer without end, of any form, stays in a proxy's memory and its caller is answered") {
+  FaultyWorkers workers;
+  const auto forms = endlessAnswers("");
+  for (std::size_t form = 0; form < forms.size(); ++form) {
+    CAPTURE(forms[form].name);
+    checkAnswered(workers.askFor(form, kFullSpeedPiece));
+    checkAnswered(workers.askFor(form, kDripPiece));
+    CHECK(peakMb(workers.proxy()) < kMemoryMb);
+  }
+  CHECK(workers.system.served(0, "/a/x").starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("programs: as many answers without end as workers stay together in a proxy's memory") {
+  FaultyWorkers workers;
+  const std::size_t before = descriptorsOf(workers.proxy());
+  const auto forms = endlessAnswers("");
+  std::vector<Heard> heard(2 * forms.size());
+  std::vector<std::thread> clients;
+  for (std::size_t i = 0; i < heard.size(); ++i)
+    clients.emplace_back([&, i] {
+      heard[i] = workers.askFor(i / 2, i % 2 ? kFullSpeedPiece : kDripPiece, i % 3 ? "POST" : "PUT");
+    });
+  for (std::thread& client : clients) client.join();
+  for (std::size_t i = 0; i < heard.size(); ++i) {
+    CAPTURE(forms[i / 2].name);
+    checkAnswered(heard[i]);
+  }
+  CHECK(peakMb(workers.proxy()) < kMemoryMb);
+  CHECK(workers.system.served(0, "/a/x").starts_with("HTTP/1.1 200"));
+  CHECK(descriptorsOf(workers.proxy()) <= before + kWorkers);
+}
+
+TEST_CASE("programs: bodies that end too late, all at once, stay together in a proxy's memory") {
+  FaultyWorkers workers;
+  const auto forms = endlessAnswers("");
+  std::size_t untold = 0;
+  while (forms[untold].name != "no length told") ++untold;
+  std::vector<Heard> heard(kAtOnce);
+  std::vector<std::thread> clients;
+  for (Heard& one : heard) clients.emplace_back([&] { one = workers.askFor(untold, kFullSpeedPiece); });
+  for (std::thread& client : clients) client.join();
+  for (const Heard& one : heard) checkAnswered(one);
+  CHECK(peakMb(workers.proxy()) < kMemoryMb);
+}
+
+}  // namespace
+}  // namespace burlwind
--- a/tests/system/process.hpp
+++ b/tests/system/process.hpp
@@ -99,6 +99,7 @@
   void signal(int number) const { ::kill(id_, number); }
   bool runs() const { return id_ > 0 && ::waitpid(id_, nullptr, WNOHANG) == 0; }
   const std::string& said() const { return said_; }
+  pid_t id() const { return id_; }
 
  private:
   pid_t id_ = 0;
--- a/tests/system/whole_system.hpp
+++ b/tests/system/whole_system.hpp
@@ -172,11 +172,20 @@
                      kWorker = 18480;
 inline const char* const kZones[] = {"a", "b", "c"};
 
+struct SystemOptions {
+  unsigned memoryMb = 2;        // of each process, as its settings tell it
+  unsigned workers = 1;         // all of one service
+  unsigned workerCapacity = 4;  // requests at once
+};
+
 class System {
  public:
-  System()
-      : platform_("127.78.9.1", kPlatform, [this](const StandIn::Incoming&) { return list(); }),
-        worker_("127.78.3.1", kWorker, [this](const StandIn::Incoming& incoming) { return work(incoming); }) {
+  explicit System(SystemOptions options = {})
+      : options_(options),
+        platform_("127.78.9.1", kPlatform, [this](const StandIn::Incoming&) { return list(); }) {
+    for (unsigned i = 0; i < options_.workers; ++i)
+      workers_.push_back(std::make_unique<StandIn>(
+          workerIp(i), kWorker, [this](const StandIn::Incoming& incoming) { return work(incoming); }));
     for (unsigned i = 0; i < 3; ++i) startCore(i);
     for (unsigned i = 0; i < 2; ++i) startProxy(i);
   }
@@ -184,6 +193,7 @@
 
   static std::string coreIp(unsigned i) { return "127.78.1." + std::to_string(i + 1); }
   static std::string proxyIp(unsigned i) { return "127.78.2." + std::to_string(i + 1); }
+  static std::string workerIp(unsigned i) { return "127.78.3." + std::to_string(i + 1); }
 
   void startCore(unsigned i) {
     const fs::path file = settings("core" + std::to_string(i), coreIp(i), kZones[i], true);
@@ -258,10 +268,14 @@
   }
 
  private:
-  std::string list() {
-    const std::string body =
-        R"({"servers":{"w1":{"backend":"s","address":"127.78.3.1:)" + std::to_string(kWorker) +
-        R"(","zone":"a","generation":"v1","capacity":4,"state":"ready","coldLeft":"0ms"}},"nextToken":null})";
+  std::string list() const {
+    std::string entries;
+    for (unsigned i = 0; i < options_.workers; ++i)
+      entries += std::string(i ? "," : "") + "\"w" + std::to_string(i + 1) +
+                 R"(":{"backend":"s","address":")" + workerIp(i) + ":" + std::to_string(kWorker) +
+                 R"(","zone":"a","generation":"v1","capacity":)" + std::to_string(options_.workerCapacity) +
+                 R"(,"state":"ready","coldLeft":"0ms"})";
+    const std::string body = R"({"servers":{)" + entries + R"(},"nextToken":null})";
     return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
   }
@@ -292,20 +306,23 @@
     std::ofstream(file)
         << R"({"self":{"nodeName":")" + name + R"(","ipAddress":")" + ip + R"(","zone":")" + zone +
                R"(","region":"R","firstBoot":)" + (first_ ? "true" : "false") + R"(,"dataFolder":")" +
-               data.string() + R"(","limits":{"memoryMb":2}},"network":{"bind":{)" + bind +
-               R"(},"internalPorts":[17560,17575],"seedNodes":[)" + seeds +
+               data.string() + R"(","limits":{"memoryMb":)" + std::to_string(options_.memoryMb) +
+               R"(}},"network":{"bind":{)" + bind + R"(},"internalPorts":[17560,17575],"seedNodes":[)" +
+               seeds +
                R"(],"zones":{"a":"R","b":"R","c":"R"}},"provider":{"cloudApi":{"address":"127.78.9.1:)" +
                std::to_string(kPlatform) +
                R"(","ratePerS":100,"maxLag":"100ms"}},"settings":{"tolerance":{"machines":1},"bounds":{"grace":"9s","retryRatio":0.2,"retrySlack":60}}})";
     return file;
   }
+  const SystemOptions options_;
   bool first_ = true;  // the first start of all core machines
   Folder folder_;
   std::mutex mutex_;
   std::string seen_;
   unsigned runs_ = 0;
   std::set<std::string> arrived_;  // Try-Ids that a worker has read
-  StandIn platform_, worker_;
+  StandIn platform_;
+  std::vector<std::unique_ptr<StandIn>> workers_;
 };
 
 }  // namespace burlwind
