A body's bound holds however head and body are cut into reads

Callers saw proxies end for want of memory, and some requests never end: a worker's told length over the bound was taken wherever the first bytes of the body came in one read with the head.

Cause: Beast's basic_parser::put, told to go on past the head (eager), enters its loop again after finish_header and drops the error body_limit; the body is then read without a bound, and room for its whole told length is reserved at once. For 1 TB that throws where the answer is read.

Why this works: the head is parsed without eager, so put returns at its end with its error; body bytes are given to the parser only after that. All readers feed their parsers by this one function. The gatekeeper's readers stop at the head anyway and were not struck.

--- a/src/http/http.hpp
+++ b/src/http/http.hpp
@@ -84,8 +84,9 @@
 template <class Parser>
 bool feed(Parser& parser, beast::flat_buffer& in, Error& error, Feed until = Feed::whole) {
   const auto enough = [&] { return until == Feed::head ? parser.is_header_done() : parser.is_done(); };
-  parser.eager(until == Feed::whole);
   while (!enough() && in.size() > 0) {
+    // A head is parsed alone: told to go on past it, Beast drops the error of a body over its limit.
+    parser.eager(until == Feed::whole && parser.is_header_done());
     const std::size_t used = parser.put(in.data(), error);
     in.consume(used);
     if (error == http::error::need_more) {
--- a/tests/system/proxy_connections_test.cpp
+++ b/tests/system/proxy_connections_test.cpp
@@ -94,6 +94,23 @@
   CHECK(clients.handled.empty());
 }
 
+TEST_CASE(
+    "a request's told length over the bound is refused as such, with bytes of its body behind the head") {
+  Clients clients;
+  clients.limits.body = 50000;
+  Peer client(clients.io, clients.server.port());
+  SUBCASE("just over it") {
+    client.say("POST /a HTTP/1.1\r\nHost: c\r\nContent-Length: 50001\r\n\r\nraw wool\r\n");
+  }
+  SUBCASE("beyond all memory") {
+    client.say("POST /a HTTP/1.1\r\nHost: c\r\nContent-Length: 1099511627776\r\n\r\n" +
+               std::string(3000, 'w'));
+  }
+  CHECK(client.hearsHead().starts_with("HTTP/1.1 413 "));
+  runUntil(clients.io, [&] { return clients.server.empty(); });
+  CHECK(clients.handled.empty());
+}
+
 TEST_CASE("who asks whether to go on is told so once, and its answer follows its body") {
   Clients clients;
   Peer client(clients.io, clients.server.port());
