What is thrown for one request ends that request, and its caller is told

Callers saw requests without any end: a worker's head whose room can't be had (1 TB told) threw where the answer is read.

Cause: the coroutine that serves a client's connection was started detached. What is thrown in it ended it without a word: the connection stayed open, neither served nor closed, its entry and descriptor with it, and the worker's count of running requests was never given back. The registry's reading of the platform's list and the control API's connections had the same: one throw, and no list is read any more, no call on that connection answered.

Change: an exchange that throws ends as givenUpHere (may have run, says nothing of its worker, is not sent again); a handler that throws is answered 502 and its connection goes on; what is thrown elsewhere closes its connection; one reading of the list that throws is logged and the next one follows.

The list's loop has no test of its own: nothing known throws there any more.

--- a/src/control_api/server.cpp
+++ b/src/control_api/server.cpp
@@ -127,7 +127,7 @@
     socket.set_option(Tcp::no_delay(true), error);
     auto connection = std::make_shared<Connection>(std::move(socket), io_);
     connections_.insert(connection);
-    program::spawn(io_, serve(connection), "serve a call");
+    program::spawn(io_, serve(connection), "serve a call", [this, connection] { end(connection); });
   }
 }
 
@@ -142,6 +142,10 @@
     const bool written = co_await writeReply(connection, call, reply);
     goOn = written && call.keepAlive;
   }
+  end(connection);
+}
+
+void Server::end(const std::shared_ptr<Connection>& connection) {
   connection->close();
   connections_.erase(connection);
 }
--- a/src/control_api/server.hpp
+++ b/src/control_api/server.hpp
@@ -61,6 +61,7 @@
  private:
   struct Connection;
   asio::awaitable<void> accept();
+  void end(const std::shared_ptr<Connection>& connection);
   asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
   static asio::awaitable<bool> readCall(std::shared_ptr<Connection> connection, Call& call);
   static asio::awaitable<bool> writeReply(std::shared_ptr<Connection> connection, const Call& call,
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -99,7 +99,10 @@
     socket.set_option(Tcp::no_delay(true), error);
     auto connection = ClientConnection::create(std::move(socket), io_, bytes_);
     connections_.insert(connection);
-    program::spawn(io_, serve(connection), "serve a client", [this] { answerFigures_->exception(); });
+    program::spawn(io_, serve(connection), "serve a client", [this, connection] {
+      answerFigures_->exception();
+      end(connection);
+    });
   }
 }
 
@@ -116,7 +119,7 @@
     }
     connection->beginRequest();
     const ClientPresence& client = *request.client;
-    if (read == Read::request && !client.left()) co_await handler_(request);
+    if (read == Read::request && !client.left()) co_await handle(request);
     if (client.left()) {
       departures_->left(request.kind(), client.stageAtDeparture());
       break;
@@ -130,10 +133,27 @@
     if (!written || client.left()) break;
     connection->endRequest();
   }
+  end(connection);
+}
+
+void ClientServer::end(const ConnectionPtr& connection) {
   connection->close();
   connections_.erase(connection);
 }
 
+// What the handler throws ends the request alone: it may have run.
+asio::awaitable<void> ClientServer::handle(ClientRequest& request) {
+  try {
+    co_await handler_(request);
+    co_return;
+  } catch (const std::exception& exception) {
+    program::error("request ended by an exception", {{"why", exception.what()}});
+  }
+  answerFigures_->exception();
+  request.answer = {};
+  request.answer.refuse(502, "its handling failed");
+}
+
 asio::awaitable<ClientServer::Read> ClientServer::readRequest(ConnectionPtr connection,
                                                               ClientRequest& request) {
   const config::ClientLimits limits = limits_();
--- a/src/proxy/client_server.hpp
+++ b/src/proxy/client_server.hpp
@@ -50,6 +50,8 @@
   enum class Read { request, refused, ended };
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(ConnectionPtr connection);
+  asio::awaitable<void> handle(ClientRequest& request);
+  void end(const ConnectionPtr& connection);
   asio::awaitable<Read> readRequest(ConnectionPtr connection, ClientRequest& request);
   asio::awaitable<bool> writeAnswer(ConnectionPtr connection, const ClientRequest& request, bool close);
 
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -52,7 +52,7 @@
     WorkerCall call = callOf(request, attempts, choice);
     const std::size_t bytes = call.text.size();
     balancer_.sent(choice.id, now());
-    ExchangeResult result = co_await workers_.exchange(std::move(call));
+    ExchangeResult result = co_await exchange(std::move(call));
     request.bytes->growTo(2 * (request.message.body().size() + result.response.body().size()));
     const bool reached = result.outcome != ExchangeOutcome::notSent;
     if (!reached) returnUnusedTry(request, attempts);
@@ -69,6 +69,20 @@
   }
 }
 
+// What an exchange throws ends it alone; what it held is released by its objects.
+asio::awaitable<ExchangeResult> Forwarder::exchange(WorkerCall call) {
+  try {
+    ExchangeResult result = co_await workers_.exchange(std::move(call));
+    co_return result;
+  } catch (const std::exception& exception) {
+    program::error("exchange ended by an exception", {{"why", exception.what()}});
+  }
+  answerFigures_->exception();
+  ExchangeResult result;
+  result.outcome = ExchangeOutcome::givenUpHere;
+  co_return result;
+}
+
 bool Forwarder::mayAttempt(ClientRequest& request, Attempts& attempts) {
   if (request.until - now() < kLeastTimeMs) {
     giveUp(request, attempts, "its time is over", -1);
@@ -192,6 +206,9 @@
     case ExchangeOutcome::broken:
       balancer_.failed(worker, false, at);
       break;
+    case ExchangeOutcome::givenUpHere:
+      balancer_.released(worker);
+      break;
     case ExchangeOutcome::abandoned:
     case ExchangeOutcome::timedOut:
       if (leftInTime(request))
--- a/src/proxy/forwarder.hpp
+++ b/src/proxy/forwarder.hpp
@@ -25,8 +25,9 @@
             std::function<double()> draw)
       : balancer_(balancer),
         departures_(std::move(departures)),
+        answerFigures_(std::move(answers)),
         draw_(std::move(draw)),
-        workers_(io, std::move(answers)) {}
+        workers_(io, answerFigures_) {}
   // Ends with request.answer standing, or with its client gone. request.bytes and request.client are there.
   asio::awaitable<void> forward(ClientRequest& request);
   void setBudget(double retryRatio, double retrySlack, unsigned proxies) {
@@ -41,6 +42,7 @@
   WorkerCall callOf(const ClientRequest& request, const Attempts& attempts,
                     const load_balancing::Core::Choice& choice) const;
   double answerWithinMs(const ClientRequest& request, const Attempts& attempts) const;
+  asio::awaitable<ExchangeResult> exchange(WorkerCall call);
   // Whether another attempt begins; where not, the request's answer stands.
   bool mayAttempt(ClientRequest& request, Attempts& attempts);
   // The same after one has ended.
@@ -55,6 +57,7 @@
 
   load_balancing::Core& balancer_;
   const std::shared_ptr<DepartureFigures> departures_;
+  const std::shared_ptr<AnswerFigures> answerFigures_;
   const std::function<double()> draw_;
   distributed_quota::TryBudget budget_;
   WorkerSide workers_;
--- a/src/proxy/retry_policy.cpp
+++ b/src/proxy/retry_policy.cpp
@@ -16,6 +16,7 @@
       ++arrivals_;
       mayHaveRun_ = true;
       return repeatable_ ? NextStep::tryAnother : NextStep::giveUpNoAnswer;
+    case ExchangeOutcome::givenUpHere:
     case ExchangeOutcome::abandoned:
       ++arrivals_;
       mayHaveRun_ = true;
--- a/src/proxy/worker_exchange.hpp
+++ b/src/proxy/worker_exchange.hpp
@@ -33,6 +33,7 @@
   wrongServer,  // 421: another worker has the address: certainly not run
   broken,       // sent, and no whole answer: may have run
   timedOut,     // sent, and the time is over: may have run, or run yet
+  givenUpHere,  // sent, perhaps, and given up for want of this side's own means: may have run
   abandoned     // sent, at least in part, and broken off because its client has left: may have run
 };
 
--- a/src/registry/list_reader.cpp
+++ b/src/registry/list_reader.cpp
@@ -61,7 +61,16 @@
     rpc::Error ignored;
     pause.expires_after(std::chrono::milliseconds(static_cast<int>(pauseMs())));
     co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    if (settings_.platform && due()) co_await readOnce();
+    if (settings_.platform && due()) co_await readGuarded();
+  }
+}
+
+// What one reading throws must not end all that follow.
+asio::awaitable<void> ListReader::readGuarded() {
+  try {
+    co_await readOnce();
+  } catch (const std::exception& exception) {
+    program::error("the platform's list", {{"why", exception.what()}});
   }
 }
 
--- a/src/registry/list_reader.hpp
+++ b/src/registry/list_reader.hpp
@@ -27,6 +27,7 @@
 
  private:
   asio::awaitable<void> run();
+  asio::awaitable<void> readGuarded();
   asio::awaitable<void> readOnce();
   bool due() const;
   double pauseMs() const;
--- a/tests/system/control_api_test.cpp
+++ b/tests/system/control_api_test.cpp
@@ -24,6 +24,7 @@
   }
   asio::awaitable<Reply> handle(Call call) {
     handled.push_back(call.segments.at(0));
+    if (call.segments[0] == "throws") throw std::bad_alloc();
     if (call.segments[0] != "now") {
       auto release = std::make_shared<asio::steady_timer>(io, asio::steady_timer::time_point::max());
       held.push_back(release);
@@ -114,5 +115,27 @@
   CHECK(caller.hears(head.size() + onlyReply("now").size()) == head + onlyReply("now"));
 }
 
+TEST_CASE("a call whose handling throws ends its own connection, and others are answered") {
+  Service service;
+  Caller caller(service);
+  Caller other(service);
+  caller.say(Caller::call("/throws"));
+  CHECK(caller.hearsAll().empty());
+  other.say(Caller::call("/now"));
+  CHECK(other.hears(onlyReply("now").size()) == onlyReply("now"));
+}
+
+TEST_CASE(
+    "a call's told length beyond all memory ends its connection, with bytes of its body behind the head") {
+  Service service;
+  Caller caller(service);
+  Caller other(service);
+  caller.say("POST /now HTTP/1.1\r\nHost: c\r\nContent-Length: 1099511627776\r\n\r\nwool");
+  CHECK(caller.hearsAll().empty());
+  other.say(Caller::call("/now"));
+  CHECK(other.hears(onlyReply("now").size()) == onlyReply("now"));
+  CHECK(service.handled == std::vector<std::string>{"now"});
+}
+
 }  // namespace
 }  // namespace burlwind::control_api
--- a/tests/system/endless_answers_test.cpp
+++ b/tests/system/endless_answers_test.cpp
@@ -85,8 +85,11 @@
   asio::async_read_until(client.socket, asio::dynamic_buffer(heard), "\r\n\r\n",
                          [](const Error&, std::size_t) {});
   client.say(EdgeLoop::request("/a"));
-  CHECK(comesWithin(io, kToldWithinMs, [&] { return heard.starts_with("HTTP/1.1 50"); }));
+  CHECK(comesWithin(io, kToldWithinMs, [&] { return heard.starts_with("HTTP/1.1 502 "); }));
   CHECK(figures->exceptions() == 1);
+  client.say(EdgeLoop::request("/b"));
+  const std::string next = client.hearsHead();
+  CHECK(next.find("HTTP/1.1 404 ") != std::string::npos);
 }
 
 TEST_CASE("an exchange that throws gives its worker's count of running requests back") {
