A page of the platform's list is bounded at 1 MB, a reading at 16 MB

What was seen: the registry's reader of the list has the class of the incident: a page without a length took 100 MB resident in a registry of 64 MB, and one that told 1 TB ended the reading for ever on the program as it was: the play hung at that form.

Cause: a page had the bound of a client's body, 40 MB, in a string that doubles, and pages were added up nowhere. A page of the platform has 50 workers and some 10 kB; the target's whole list about 1 MB.

Change: 1 MB a page, 16 MB for all pages of a reading; past either the reading fails, the log says so, and the last list holds.

The sum over pages has no test.

--- a/src/registry/platform_list.cpp
+++ b/src/registry/platform_list.cpp
@@ -13,7 +13,9 @@
 namespace burlwind::registry {
 namespace {
 constexpr std::size_t kMostPages = 200;
-}
+constexpr std::size_t kMaxPageBytes = 1 << 20;         // of its body: some 5,000 workers
+constexpr std::size_t kMaxListBytes = 16 * (1 << 20);  // of all bodies of one reading
+}  // namespace
 
 bool readPage(const std::string& body, PlatformList::Workers& into, std::string& next, std::string& fault) {
   next.clear();
@@ -56,13 +58,16 @@
   });
   Workers out;
   std::string next;
+  std::size_t bytes = 0;
   bool good = true;
   for (std::size_t page = 0; good && page < kMostPages; ++page) {
     // Named, since GCC 12 destroys a conditional's temporary in an awaited call twice.
     std::string target = "/servers";
     if (!next.empty()) target += "?pageToken=" + next;
     const auto body = co_await get(std::move(target), why);
-    good = body && readPage(*body, out, next, why);
+    bytes += body ? body->size() : 0;
+    if (bytes > kMaxListBytes) why = "its pages are too long together";
+    good = body && bytes <= kMaxListBytes && readPage(*body, out, next, why);
     if (good) pages_ = page + 1;
     if (next.empty()) break;
   }
@@ -92,7 +97,7 @@
   const std::string ask = "GET " + target + " HTTP/1.1\r\nHost: " + at_.ip + "\r\n\r\n";
   co_await asio::async_write(socket_, asio::buffer(ask), asio::redirect_error(asio::use_awaitable, error));
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMostBody);
+  parser.body_limit(kMaxPageBytes);
   beast::flat_buffer in;
   while (!error && !parser.is_done()) {
     const std::size_t n =
--- a/tests/system/endless_answers_programs_test.cpp
+++ b/tests/system/endless_answers_programs_test.cpp
@@ -11,7 +11,7 @@
 namespace burlwind {
 namespace {
 
-constexpr unsigned kMemoryMb = 64;                           // of a proxy
+constexpr unsigned kMemoryMb = 64;                           // of each process
 constexpr std::size_t kSentAtMost = std::size_t{300} << 20;  // bytes on one connection
 constexpr unsigned kWorkers = 24;
 constexpr unsigned kAtOnce = 24;
@@ -154,5 +154,30 @@
   CHECK(peakMb(workers.proxy()) < kMemoryMb);
 }
 
+TEST_CASE("programs: pages of the list without end stay in a registry's memory, and it reads on") {
+  const auto forms = endlessAnswers("");
+  constexpr std::size_t kProper = ~std::size_t{0};
+  std::atomic<std::size_t> form{kProper};
+  std::atomic<unsigned> calls{0};
+  System system({.memoryMb = kMemoryMb, .atPlatform = [&](const StandIn::Incoming& incoming) {
+                   const std::size_t now = form;
+                   if (now != kProper) sendWithoutEnd(incoming.fd, forms[now], kFullSpeedPiece, kSentAtMost);
+                   ++calls;
+                   return now == kProper;
+                 }});
+  REQUIRE(system.order("config.replace", System::configuration(1, 0, "/a/")).starts_with("HTTP/1.1 200"));
+  system.awaitStart(0, 1);
+  const auto awaitCalls = [&](unsigned more) {
+    for (const unsigned before = calls; calls < before + more;) std::this_thread::yield();
+  };
+  for (std::size_t i = 0; i <= forms.size(); ++i) {
+    form = i < forms.size() ? i : kProper;
+    CAPTURE(i < forms.size() ? forms[i].name : "proper");
+    awaitCalls(2);
+    for (const auto& registry : system.registries) CHECK(peakMb(*registry) < kMemoryMb);
+  }
+  CHECK(system.served(0, "/a/x").starts_with("HTTP/1.1 200"));
+}
+
 }  // namespace
 }  // namespace burlwind
--- a/tests/system/whole_system.hpp
+++ b/tests/system/whole_system.hpp
@@ -176,13 +176,16 @@
   unsigned memoryMb = 2;        // of each process, as its settings tell it
   unsigned workers = 1;         // all of one service
   unsigned workerCapacity = 4;  // requests at once
+  // Sees each call of the platform; false: it has answered.
+  std::function<bool(const StandIn::Incoming&)> atPlatform = {};
 };
 
 class System {
  public:
   explicit System(SystemOptions options = {})
-      : options_(options),
-        platform_("127.78.9.1", kPlatform, [this](const StandIn::Incoming&) { return list(); }) {
+      : options_(options), platform_("127.78.9.1", kPlatform, [this](const StandIn::Incoming& incoming) {
+          return options_.atPlatform && !options_.atPlatform(incoming) ? std::string() : list();
+        }) {
     for (unsigned i = 0; i < options_.workers; ++i)
       workers_.push_back(std::make_unique<StandIn>(
           workerIp(i), kWorker, [this](const StandIn::Incoming& incoming) { return work(incoming); }));
