Answers take their share of memory before they are read, and the sum is bounded

Cause: what an exchange may hold was set when it began, from what was free at that moment, and taken from the budget only once the answer was whole. A body moved to larger room by doubling, and was copied once more for its client.

Change: AnswerBudget adds up all that answers hold: a fixed share for each exchange, taken before anything is sent (else 503: it has not run), and a pool for long ones, of which one service gets at most 0.8 and one worker 0.65. The reader tells what it needs before it reads or a body grows; a told length waits for all of it with nothing held, of those that tell none the largest gives way once they fill half of what is full, so somebody always goes on. The share goes with the answer until it is written. Bodies are written from where they are held, both ways: no copies. Receive buffers to workers are 32 kB, 128 kB for long answers; bytes on idle connections end them within a second. memory_plan.hpp divides the memory: 0.25 requests (1 x their length, was 0.4 at 2 x), 0.15 exchanges, 0.25 long answers.

One test's told length is 190,000 in place of 90,000 bytes, as a body of 90,000 now fits its 100,000.

--- a/src/proxy/answer_figures.cpp
+++ b/src/proxy/answer_figures.cpp
@@ -12,7 +12,7 @@
 using program::appendType;
 using program::label;
 
-constexpr std::string_view kBoundNames[kAnswerBounds] = {"head", "body"};
+constexpr std::string_view kBoundNames[kAnswerBounds] = {"head", "body", "room"};
 constexpr std::string_view kHolderNames[kAnswerHolders] = {"reading", "writing"};
 constexpr std::size_t kMaxWorkersNamed = 64;  // between two reports; others are only counted
 
--- a/src/proxy/answer_figures.hpp
+++ b/src/proxy/answer_figures.hpp
@@ -16,8 +16,9 @@
 enum class AnswerBound : std::uint8_t {
   head,  // bytes of a head, of a chunk's head or of trailers
   body,  // bytes of a body, as told or as they came
+  room,  // bytes of all answers together, or of its service's or worker's
 };
-constexpr std::size_t kAnswerBounds = 2;
+constexpr std::size_t kAnswerBounds = 3;
 
 // Who holds an answer's bytes.
 enum class AnswerHolder : std::uint8_t { reading, writing };
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -128,9 +128,10 @@
       use_awaitable);
 }
 
-asio::awaitable<Error> ClientConnection::write(asio::const_buffer bytes) {
+asio::awaitable<Error> ClientConnection::write(asio::const_buffer head, asio::const_buffer body) {
   Error error;
-  co_await asio::async_write(socket_, bytes, redirect_error(use_awaitable, error));
+  const std::array<asio::const_buffer, 2> text{head, body};
+  co_await asio::async_write(socket_, text, redirect_error(use_awaitable, error));
   co_return error;
 }
 
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -35,7 +35,8 @@
 
   // Waits until more has been read, or the connection has ended: then its error. One caller at a time.
   asio::awaitable<Error> moreInput();
-  asio::awaitable<Error> write(asio::const_buffer bytes);
+  // Both, one behind the other; they outlive the call.
+  asio::awaitable<Error> write(asio::const_buffer head, asio::const_buffer body = {});
   // While a request is handled and answered: notes the client's departure.
   void beginRequest();
   void endRequest();
--- a/src/proxy/client_request.hpp
+++ b/src/proxy/client_request.hpp
@@ -5,10 +5,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "config/configuration.hpp"
 #include "http/http.hpp"
 #include "node/budget.hpp"
+#include "proxy/answer_budget.hpp"
 #include "proxy/client_presence.hpp"
 
 namespace burlwind::proxy {
@@ -16,12 +18,17 @@
 // The answer: a worker's, as it gave it, or one of the proxy's own with a status and a reason.
 struct ClientAnswer {
   std::optional<http::response<http::string_body>> fromWorker;
-  unsigned status = 0;       // of the proxy's own; 0: none stands yet
-  std::string_view reason;   // literal text
-  double retryAfterMs = -1;  // below 0: not told
+  std::shared_ptr<AnswerBudget::Share> share;  // of fromWorker
+  unsigned status = 0;                         // of the proxy's own; 0: none stands yet
+  std::string_view reason;                     // literal text
+  double retryAfterMs = -1;                    // below 0: not told
 
   bool stands() const { return fromWorker.has_value() || status != 0; }
   unsigned statusCode() const { return fromWorker ? fromWorker->result_int() : status; }
+  void take(http::response<http::string_body> response, std::shared_ptr<AnswerBudget::Share> itsShare) {
+    fromWorker = std::move(response);
+    share = std::move(itsShare);
+  }
   void refuse(unsigned code, std::string_view text, double retryAfter = -1) {
     status = code, reason = text, retryAfterMs = retryAfter;
   }
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -26,10 +26,12 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-// Bytes that a body holds, or will, by what is known of it.
+// Bytes that a body holds, or will, by what is known of it: one that tells no length is held twice and more
+// while it moves to larger room.
 std::size_t bodyBytes(const Parser& parser) {
+  constexpr std::size_t kGrowthFactor = 3;
   const auto told = parser.content_length();
-  return std::max<std::size_t>(parser.get().body().size(), told ? static_cast<std::size_t>(*told) : 0);
+  return told ? static_cast<std::size_t>(*told) : kGrowthFactor * parser.get().body().size();
 }
 
 bool expectsContinue(const Parser& parser) {
@@ -150,7 +152,8 @@
     program::error("request ended by an exception", {{"why", exception.what()}});
   }
   answerFigures_->exception();
-  request.answer = {};
+  request.answer.fromWorker.reset();
+  request.answer.share.reset();
   request.answer.refuse(502, "its handling failed");
 }
 
@@ -169,7 +172,7 @@
     if (in.size() > 0 && feed(parser, in, error)) break;
     if (error) break;
     // What will not fit is refused by its head; what tells no length, once it does not fit any more.
-    if (parser.is_header_done() && !connection->bytes().growTo(2 * bodyBytes(parser))) {
+    if (parser.is_header_done() && !connection->bytes().growTo(bodyBytes(parser))) {
       request.arrivedAt = now();
       request.answer.refuse(503, "too many bytes are held", kNoRoomRetryMs);
       co_return Read::refused;
@@ -203,9 +206,10 @@
                                                 bool close) {
   const std::string text = clientAnswerText(request, close);
   AnswerFigures::Held held(*answerFigures_, AnswerHolder::writing);
-  held.set(text.capacity() + (request.answer.fromWorker ? request.answer.fromWorker->body().capacity() : 0));
+  const std::string_view body = workerBodyOf(request);
+  held.set(text.capacity() + body.size());
   connection->closeAfter(kWriteWithinMs);
-  const Error error = co_await connection->write(asio::buffer(text));
+  const Error error = co_await connection->write(asio::buffer(text), asio::buffer(body));
   connection->keepOpen();
   co_return !error;
 }
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -50,10 +50,14 @@
       co_return;
     }
     WorkerCall call = callOf(request, attempts, choice);
-    const std::size_t bytes = call.text.size();
+    if (!call.share) {
+      returnUnusedTry(request, attempts);
+      giveUp(request, attempts, "too many answers are under way", kBusyRetryMs);
+      co_return;
+    }
+    const std::size_t bytes = call.head.size() + call.body.size();
     balancer_.sent(choice.id, now());
     ExchangeResult result = co_await exchange(std::move(call));
-    request.bytes->growTo(2 * (request.message.body().size() + result.response.body().size()));
     const bool reached = result.outcome != ExchangeOutcome::notSent;
     if (!reached) returnUnusedTry(request, attempts);
     request.reachedWorker = request.reachedWorker || reached;
@@ -111,10 +115,10 @@
     case NextStep::tryAnother:
       return true;
     case NextStep::keepAndTryAnother:
-      request.answer.fromWorker = std::move(result.response);
+      request.answer.take(std::move(result.response), std::move(result.share));
       return true;
     case NextStep::deliverAnswer:
-      request.answer.fromWorker = std::move(result.response);
+      request.answer.take(std::move(result.response), std::move(result.share));
       return false;
     case NextStep::giveUpAnswerUnusable:
       giveUp(request, attempts, "a worker failed", -1);
@@ -157,10 +161,12 @@
   WorkerCall call;
   call.worker = choice.id;
   call.address = choice.address;
-  call.text = workerRequestText(request, choice.id, request.until - now());
+  call.head = workerRequestHead(request, choice.id, request.until - now());
+  call.body = asio::buffer(request.message.body());
+  call.share = answerBudget_->open(request.service, choice.id);
   call.request.tryId = tryIdOf(request.message);
   call.request.head = request.message.method() == http::verb::head;
-  call.request.maxBodyBytes = request.bytes->room() / 2;  // held as it comes and as it goes out
+  call.request.maxBodyBytes = answerBudget_->maxBodyBytes();
   call.runsOnce = !request.route->safe;
   call.client = request.client;
   call.withinMs = answerWithinMs(request, attempts);
--- a/src/proxy/forwarder.hpp
+++ b/src/proxy/forwarder.hpp
@@ -21,11 +21,12 @@
  public:
   // draw: a number from 0 to under 1.
   Forwarder(asio::io_context& io, load_balancing::Core& balancer,
-            std::shared_ptr<DepartureFigures> departures, std::shared_ptr<AnswerFigures> answers,
-            std::function<double()> draw)
+            std::shared_ptr<DepartureFigures> departures, std::shared_ptr<AnswerFigures> answerFigures,
+            std::shared_ptr<AnswerBudget> answerBudget, std::function<double()> draw)
       : balancer_(balancer),
         departures_(std::move(departures)),
-        answerFigures_(std::move(answers)),
+        answerFigures_(std::move(answerFigures)),
+        answerBudget_(std::move(answerBudget)),
         draw_(std::move(draw)),
         workers_(io, answerFigures_) {}
   // Ends with request.answer standing, or with its client gone. request.bytes and request.client are there.
@@ -58,6 +59,7 @@
   load_balancing::Core& balancer_;
   const std::shared_ptr<DepartureFigures> departures_;
   const std::shared_ptr<AnswerFigures> answerFigures_;
+  const std::shared_ptr<AnswerBudget> answerBudget_;
   const std::function<double()> draw_;
   distributed_quota::TryBudget budget_;
   WorkerSide workers_;
--- a/src/proxy/idle_connections.hpp
+++ b/src/proxy/idle_connections.hpp
@@ -38,14 +38,19 @@
     return std::nullopt;
   }
   void forget(const std::string& worker) { byWorker_.erase(worker); }
-  // Closes what has waited too long.
-  void sweep(double now) {
+  // Closes what has waited too long, and what is not usable.
+  template <class Usable>
+  void sweep(double now, Usable usable) {
     for (auto it = byWorker_.begin(); it != byWorker_.end();) {
       auto& all = it->second;
-      std::erase_if(all, [&](const Entry& entry) { return expired(entry, now); });
+      std::erase_if(all,
+                    [&](const Entry& entry) { return expired(entry, now) || !usable(entry.connection); });
       it = all.empty() ? byWorker_.erase(it) : std::next(it);
     }
   }
+  void sweep(double now) {
+    sweep(now, [](const Connection&) { return true; });
+  }
   std::size_t size() const {
     std::size_t sum = 0;
     for (const auto& [worker, all] : byWorker_) sum += all.size();
--- a/src/proxy/message_text.cpp
+++ b/src/proxy/message_text.cpp
@@ -9,6 +9,8 @@
 namespace burlwind::proxy {
 namespace {
 
+constexpr std::size_t kUsualHeadBytes = 512;
+
 enum class Direction { toWorker, toClient };
 
 template <class Names>
@@ -59,7 +61,6 @@
     appendField(out, "Content-Length", std::to_string(answer.body().size()));
   if (close) appendField(out, "Connection", "close");
   out.append("\r\n");
-  if (!head) out.append(answer.body());
 }
 
 void appendOwnAnswer(std::string& out, const ClientRequest& request, bool head, bool close) {
@@ -75,12 +76,14 @@
   if (!head) out.append(body);
 }
 
+bool answersHead(const ClientRequest& request) { return request.message.method() == http::verb::head; }
+
 }  // namespace
 
-std::string workerRequestText(const ClientRequest& request, const std::string& worker, double leftMs) {
+std::string workerRequestHead(const ClientRequest& request, const std::string& worker, double leftMs) {
   const auto& message = request.message;
   std::string out;
-  out.reserve(512 + message.body().size());
+  out.reserve(kUsualHeadBytes);
   out.append(view(message.method_string())).append(" ").append(view(message.target()));
   out.append(" HTTP/1.1\r\n");
   copyFields(out, message, Direction::toWorker);
@@ -89,17 +92,21 @@
   if (request.tenant) appendField(out, "Tenant", request.tenant->name);
   if (!message.body().empty() || message.count(http::field::content_length) > 0 || message.chunked())
     appendField(out, "Content-Length", std::to_string(message.body().size()));
-  return out.append("\r\n").append(message.body());
+  return out.append("\r\n");
 }
 
 std::string clientAnswerText(const ClientRequest& request, bool close) {
-  const bool head = request.message.method() == http::verb::head;
   std::string out = "HTTP/1.1 " + std::to_string(request.answer.statusCode()) + " ";
   if (request.answer.fromWorker)
-    appendWorkerAnswer(out, *request.answer.fromWorker, head, close);
+    appendWorkerAnswer(out, *request.answer.fromWorker, answersHead(request), close);
   else
-    appendOwnAnswer(out, request, head, close);
+    appendOwnAnswer(out, request, answersHead(request), close);
   return out;
 }
 
+std::string_view workerBodyOf(const ClientRequest& request) {
+  if (answersHead(request) || !request.answer.fromWorker) return {};
+  return request.answer.fromWorker->body();
+}
+
 }  // namespace burlwind::proxy
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -4,6 +4,7 @@
 
 #include "program/log.hpp"
 #include "program/start.hpp"
+#include "proxy/memory_plan.hpp"
 #include "proxy/routing.hpp"
 #include "rpc/traffic_log.hpp"
 
@@ -16,32 +17,26 @@
 constexpr double kProcessStallThreshold = 1000;  // ms between two ticks: this process stood still
 constexpr double kAcceptsMs = 2000;              // after SIGTERM
 constexpr double kEndBeforeGraceMs = 300;
-constexpr double kBytesPart = 0.4;       // of the memory, for bodies
-constexpr double kMemoryUntoldMb = 256;  // where the settings tell none
-constexpr double kReportMs = 10000;      // between two lines of figures
+constexpr double kReportMs = 10000;  // between two lines of figures
 // Until a proxy that starts may serve; clients ask but once more, and not all in one moment: up to so much
 // later.
 constexpr double kStartsMs = 800, kStartsMoreMs = 700;
 constexpr double kQuotaRetryMs = 500;  // and up to as much again
 
-std::size_t bodyBytesOf(const config::Settings& settings) {
-  const double mb = settings.memoryMb > 0 ? settings.memoryMb : kMemoryUntoldMb;
-  return static_cast<std::size_t>(kBytesPart * mb * 1024 * 1024);
-}
-
 }  // namespace
 
 Proxy::Proxy(asio::io_context& io, config::Settings settings)
     : io_(io),
       settings_(std::move(settings)),
       sessions_(io, settings_, hooks()),
+      answerBudget_(std::make_shared<AnswerBudget>(memoryPlan(settings_.memoryMb).answers)),
       balancer_({settings_.zone, settings_.region}, settings_.regionOf, settings_.bounds.coldExcess,
                 settings_.bounds.coldSlack),
-      forwarder_(io, balancer_, departures_, answerFigures_, [this] { return draw(); }),
+      forwarder_(io, balancer_, departures_, answerFigures_, answerBudget_, [this] { return draw(); }),
       tokens_(
           io, now(), [this](const rpc::TokenRequest& request) { sessions_.tell(rpc::frame(request)); },
           [this] { sessions_.tellStatus(); }),
-      bytes_(std::make_shared<Budget>(bodyBytesOf(settings_))),
+      bytes_(std::make_shared<Budget>(memoryPlan(settings_.memoryMb).requestBytes)),
       clients_(
           io, bytes_, departures_, answerFigures_,
           [this] { return configuration_ ? configuration_->limits : config::ClientLimits{}; },
@@ -96,7 +91,9 @@
   balancer_.setPlaces(settings_.regionOf);
   balancer_.setColdBound(settings_.bounds.coldExcess, settings_.bounds.coldSlack);
   sessions_.adoptSeeds();
-  bytes_->setMost(bodyBytesOf(settings_));
+  const MemoryPlan plan = memoryPlan(settings_.memoryMb);
+  bytes_->setMost(plan.requestBytes);
+  answerBudget_->setLimits(plan.answers);
   if (!proxies_.empty()) takeProxyCounts();
 }
 
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -53,12 +53,13 @@
   std::uint64_t index_ = 0;       // of the configuration in force
   std::uint64_t unreadable_ = 0;  // of the last one that didn't read
   Sessions sessions_;
+  const std::shared_ptr<AnswerBudget> answerBudget_;
   load_balancing::Core balancer_;
   const std::shared_ptr<DepartureFigures> departures_ = std::make_shared<DepartureFigures>();
   const std::shared_ptr<AnswerFigures> answerFigures_ = std::make_shared<AnswerFigures>();
   Forwarder forwarder_;
   TokenGate tokens_;
-  const std::shared_ptr<Budget> bytes_;  // of bodies that are held whole, both ways
+  const std::shared_ptr<Budget> bytes_;  // of requests
   ClientServer clients_;
   asio::steady_timer timer_;
   std::mt19937_64 random_;
--- a/src/proxy/worker_exchange.cpp
+++ b/src/proxy/worker_exchange.cpp
@@ -6,6 +6,8 @@
 namespace burlwind::proxy {
 namespace {
 
+constexpr std::size_t kFirstBodyBytes = 4096;  // room of a body that tells no length
+constexpr std::size_t kHeadCopies = 3;         // a head as read, its fields, and what keeps these
 constexpr unsigned kMaxSkippedAnswers = 4;  // before the own one; a connection with more of them is given up
 
 bool isInterim(unsigned status) { return status < 200; }
@@ -25,10 +27,14 @@
 
 }  // namespace
 
-WorkerExchange::WorkerExchange(Request request) : request_(std::move(request)) { beginAnswer(); }
+WorkerExchange::WorkerExchange(Request request)
+    : request_(std::move(request)), grantedBytes_(request_.grantedBytes) {
+  beginAnswer();
+}
 
 void WorkerExchange::beginAnswer() {
   parser_.emplace();
+  headBytes_ = plannedBody_ = 0;
   parser_->body_limit(std::min<std::uint64_t>(kMostBody, request_.maxBodyBytes));
   if (request_.head) parser_->skip(true);
 }
@@ -41,7 +47,7 @@
 }
 
 asio::mutable_buffer WorkerExchange::prepare() {
-  const auto room = in_.prepare(kReadStep);
+  const auto room = in_.prepare(readStep());
   return {room.data(), room.size()};
 }
 
@@ -63,6 +69,17 @@
   }
 }
 
+void WorkerExchange::grant(std::size_t bytes) {
+  grantedBytes_ = bytes;
+  consume();
+}
+
+void WorkerExchange::roomRefused() {
+  if (finished()) return;
+  passedBound_ = AnswerBound::room;
+  finish(written_ > 0 ? ExchangeOutcome::givenUpHere : ExchangeOutcome::notSent);
+}
+
 void WorkerExchange::connectionEnded() {
   if (finished()) return;
   finish(written_ > 0 ? ExchangeOutcome::broken : ExchangeOutcome::notSent);
@@ -81,14 +98,62 @@
 void WorkerExchange::consume() {
   while (!finished() && in_.size() > 0) {
     Error error;
-    const bool whole = feed(*parser_, in_, error);
+    const bool inBody = parser_->is_header_done();
+    const bool whole = inBody ? parseBody(error) : parseHead(error);
     if (error) {
       passedBound_ = boundOf(error);
       return finish(ExchangeOutcome::broken);
     }
-    if (!whole) return;
-    takeAnswer();
+    if (whole)
+      takeAnswer();
+    else if (inBody || !parser_->is_header_done())
+      return;
+  }
+}
+
+// True where the answer ends with it.
+bool WorkerExchange::parseHead(Error& error) {
+  const std::size_t before = in_.size();
+  const bool done = feed(*parser_, in_, error, Feed::head);
+  headBytes_ += before - in_.size();
+  if (!done) return false;
+  planBody();
+  return parser_->is_done();
+}
+
+// True where the answer ends with it; false: it needs more bytes, or more room for them.
+bool WorkerExchange::parseBody(Error& error) {
+  planBody();
+  if (!mayRead()) return false;
+  parser_->get().body().reserve(plannedBody_);
+  return feed(*parser_, in_, error);
+}
+
+// What is read of a body and not parsed may all be part of it.
+void WorkerExchange::planBody() {
+  if (parser_->is_done()) return;
+  if (const auto told = parser_->content_length()) {
+    plannedBody_ = static_cast<std::size_t>(*told);
+    return;
   }
+  const std::size_t size = parser_->get().body().size() + in_.size();
+  if (size <= plannedBody_) return;
+  plannedBody_ = std::max({size, 2 * plannedBody_, kFirstBodyBytes});
+}
+
+std::size_t WorkerExchange::readStep() const { return longBody() ? kReadStepOfBody : kReadStep; }
+
+std::size_t WorkerExchange::neededBytes() const {
+  if (finished()) return response_.body().capacity() + kHeadCopies * headBytes_;
+  const std::size_t room = parser_->get().body().capacity();
+  // While a body moves to larger room it is held twice.
+  const std::size_t body = plannedBody_ > room ? plannedBody_ + room : room;
+  const std::size_t head = kHeadCopies * (parser_->is_header_done() ? headBytes_ : headBytes_ + in_.size());
+  return body + head + 2 * (in_.size() + readStep());
+}
+
+bool WorkerExchange::lengthTold() const {
+  return !parser_->is_header_done() || parser_->content_length().has_value();
 }
 
 void WorkerExchange::takeAnswer() {
--- a/src/proxy/worker_exchange.hpp
+++ b/src/proxy/worker_exchange.hpp
@@ -12,11 +12,14 @@
 //    connection on which anything unasked was seen is used again.
 //  - A request without a usable Try-Id can't be told from another's: it takes a connection that nothing was
 //    ever asked on, accepts the first answer alone, and the connection is closed behind it.
-// Cost: the parser's, and the body held once.
+//  - No more is held than has been granted: before bytes are read or a body grows, neededBytes() tells what
+//    that takes, and nothing goes on until grant() has it.
+// Cost: the parser's, and the body held once; while a body without a told length grows, twice.
 #pragma once
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -57,6 +60,7 @@
     std::string tryId;  // empty: none that tells its answer from others
     bool head = false;  // an answer to HEAD has no body
     std::uint64_t maxBodyBytes = kMostBody;
+    std::size_t grantedBytes = std::numeric_limits<std::size_t>::max();
   };
   explicit WorkerExchange(Request request);
 
@@ -64,17 +68,25 @@
   // The system has taken `bytes` of the request. Not `whole`: the connection failed; what the worker said
   // before may still be read.
   void requestWritten(std::size_t bytes, bool whole);
-  // Room for what is read, and how much of it was.
+  // Goes on with what was read, and may be read, within so many bytes.
+  void grant(std::size_t bytes);
+  // Room for what is read, and how much of it was. Only while mayRead().
   asio::mutable_buffer prepare();
   void received(std::size_t bytes);
   void received(std::string_view bytes);  // as prepare and received, with a copy
   void connectionEnded();                 // its end, or an error
   void deadlinePassed();
-  void brokenOff();  // by this side, because the client has left
+  void brokenOff();    // by this side, because the client has left
+  void roomRefused();  // what is needed is not granted
 
   // --- What came of it ---
   bool finished() const { return outcome_.has_value(); }
   ExchangeOutcome outcome() const { return outcome_.value_or(ExchangeOutcome::broken); }
+  // What it must be granted, in all, to go on: to read, and to keep what it has read.
+  std::size_t neededBytes() const;
+  bool mayRead() const { return neededBytes() <= grantedBytes_; }
+  bool lengthTold() const;  // of the body at hand
+  bool longBody() const { return plannedBody_ > kReadStepOfBody; }
   bool anythingReceived() const { return anythingReceived_; }
   bool connectionReusable() const;
   const Response& response() const { return response_; }  // of answered, notRun and wrongServer
@@ -86,6 +98,10 @@
  private:
   enum class Attribution { own, foreign };
   void beginAnswer();
+  bool parseHead(Error& error);
+  bool parseBody(Error& error);
+  void planBody();
+  std::size_t readStep() const;
   void consume();
   void takeAnswer();
   void skipAnswer();
@@ -99,6 +115,9 @@
   Response response_;
   std::optional<ExchangeOutcome> outcome_;
   std::optional<AnswerBound> passedBound_;
+  std::size_t grantedBytes_ = 0;
+  std::size_t headBytes_ = 0;    // of the answer at hand, parsed
+  std::size_t plannedBody_ = 0;  // room that its body is to have
   std::size_t written_ = 0;
   unsigned skipped_ = 0;  // interim answers and those that were not asked for here
   bool writtenWhole_ = false;
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -3,10 +3,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <cerrno>
+#include <utility>
 
 #include "config/settings.hpp"
 #include "http/connection_end.hpp"
@@ -25,6 +27,7 @@
 // sent may have run, so after one such loss requests that may run once go on connections of their own for a
 // while; others are sent again.
 constexpr double kAvoidIdleForMs = 10000;
+constexpr double kIdleLookMs = 1000;  // between two looks at what has come on idle connections
 
 // Anything there, its end or bytes that nobody asked for: not to be used.
 bool nothingArrived(Tcp::socket& socket) {
@@ -49,6 +52,11 @@
   ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
 }
 
+void setReceiveBuffer(Tcp::socket& socket, std::size_t bytes) {
+  Error ignored;
+  socket.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(bytes)), ignored);
+}
+
 double keepTimeMs(const WorkerExchange::Response& response) {
   std::string_view text = view(response["Keep-Alive"]);
   while (!text.empty()) {
@@ -65,6 +73,13 @@
   if (!socket.is_open()) return;
   endedBy = why;
   closeDroppingQueued(socket);
+  room.cancel();
+}
+
+void WorkerSide::sweep(double now) {
+  if (now - lookedAt_ < kIdleLookMs) return idle_.sweep(now);
+  lookedAt_ = now;
+  idle_.sweep(now, [](const ConnectionPtr& connection) { return nothingArrived(connection->socket); });
 }
 
 void WorkerSide::closeAfter(const ConnectionPtr& connection, double ms) {
@@ -94,6 +109,7 @@
   connection->deadline.disarm();
   if (error || !connection->socket.is_open()) co_return nullptr;
   detectSilentLoss(connection->socket);
+  setReceiveBuffer(connection->socket, kAnswerReceiveBuffer);
   co_return connection;
 }
 
@@ -118,8 +134,8 @@
       leaveOrBreakOff();
   });
   call.client->enter(RequestStage::sending);
-  const std::size_t written =
-      co_await asio::async_write(socket, asio::buffer(call.text), redirect_error(use_awaitable, error));
+  const std::array<asio::const_buffer, 2> text{asio::buffer(call.head), call.body};
+  const std::size_t written = co_await asio::async_write(socket, text, redirect_error(use_awaitable, error));
   sending = false;
   if (call.client->left()) leaveOrBreakOff();
   call.client->enter(RequestStage::atWorker);
@@ -127,6 +143,10 @@
   noteOwnEnd(*connection, exchange);
   AnswerFigures::Held held(*figures_, AnswerHolder::reading);
   while (!exchange.finished()) {
+    if (!exchange.mayRead()) {
+      co_await awaitRoom(connection, exchange, call.share);
+      continue;
+    }
     const std::size_t read =
         co_await socket.async_read_some(exchange.prepare(), redirect_error(use_awaitable, error));
     exchange.received(read);
@@ -138,6 +158,34 @@
   if (const auto bound = exchange.passedBound()) figures_->gaveUp(*bound, call.worker);
 }
 
+bool WorkerSide::takeRoom(Connection& connection, WorkerExchange& exchange, AnswerBudget::Share& share) {
+  const auto length = exchange.lengthTold() ? AnswerBudget::Length::told : AnswerBudget::Length::untold;
+  const std::size_t systemBytes = exchange.longBody() ? kLongReceiveBuffer : connection.systemBytes;
+  if (!share.growTo(exchange.neededBytes() + systemBytes, length)) return false;
+  if (connection.systemBytes < systemBytes) setReceiveBuffer(connection.socket, systemBytes);
+  connection.systemBytes = systemBytes;
+  exchange.grant(share.bytes() - connection.systemBytes);
+  return true;
+}
+
+asio::awaitable<void> WorkerSide::awaitRoom(ConnectionPtr connection, WorkerExchange& exchange,
+                                            std::shared_ptr<AnswerBudget::Share> share) {
+  share->onRelease([weak = std::weak_ptr<Connection>(connection)] {
+    if (const auto waiting = weak.lock()) waiting->room.cancel();
+  });
+  while (connection->socket.is_open() && !takeRoom(*connection, exchange, *share)) {
+    if (share->neverFits(exchange.neededBytes() + kLongReceiveBuffer) || share->mustGiveWay()) {
+      exchange.roomRefused();
+      break;
+    }
+    Error woken;
+    connection->room.expires_at(asio::steady_timer::time_point::max());
+    co_await connection->room.async_wait(redirect_error(use_awaitable, woken));
+  }
+  share->onRelease(nullptr);
+  noteOwnEnd(*connection, exchange);
+}
+
 // Where this side has ended the connection, the exchange is told why before it hears of the end.
 void WorkerSide::noteOwnEnd(const Connection& connection, WorkerExchange& exchange) {
   if (connection.endedBy == EndedBy::deadline) exchange.deadlinePassed();
@@ -147,6 +195,8 @@
 void WorkerSide::keepOrClose(const ConnectionPtr& connection, const std::string& worker,
                              const WorkerExchange& exchange) {
   if (exchange.connectionReusable() && connection->socket.is_open()) {
+    if (std::exchange(connection->systemBytes, kAnswerReceiveBuffer) > kAnswerReceiveBuffer)
+      setReceiveBuffer(connection->socket, kAnswerReceiveBuffer);
     idle_.add(worker, connection, now(), keepTimeMs(exchange.response()));
     return;
   }
@@ -172,6 +222,7 @@
     }
     if (now() >= until) co_return result;
     const double sentAt = now();
+    call.request.grantedBytes = call.share->bytes() - connection->systemBytes;
     WorkerExchange exchange(call.request);
     co_await transfer(connection, call, exchange, until - sentAt);
     keepOrClose(connection, call.worker, exchange);
@@ -180,9 +231,11 @@
     const bool forgotten = reused && exchange.outcome() == ExchangeOutcome::broken;
     if (forgotten && !exchange.anythingReceived()) avoidIdleUntil_ = now() + kAvoidIdleForMs;
     result.outcome = exchange.outcome();
-    result.response = exchange.takeResponse();
     result.elapsedMs = now() - sentAt;
     result.skippedAnswers = exchange.skippedAnswers();
+    call.share->shrinkTo(exchange.neededBytes() + connection->systemBytes);
+    result.share = std::move(call.share);
+    result.response = exchange.takeResponse();
     co_return result;
   }
 }
--- a/src/proxy/worker_side.hpp
+++ b/src/proxy/worker_side.hpp
@@ -10,11 +10,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <utility>
 
 #include "program/deadline.hpp"
+#include "proxy/answer_budget.hpp"
 #include "proxy/client_presence.hpp"
 #include "proxy/idle_connections.hpp"
 #include "proxy/worker_exchange.hpp"
@@ -25,15 +27,18 @@
 
 struct ExchangeResult {
   ExchangeOutcome outcome = ExchangeOutcome::notSent;
-  WorkerExchange::Response response;  // of answered, notRun and wrongServer
-  double elapsedMs = 0;               // from sending
-  unsigned skippedAnswers = 0;        // that nobody had asked for on its connection
+  WorkerExchange::Response response;           // of answered, notRun and wrongServer
+  double elapsedMs = 0;                        // from sending
+  unsigned skippedAnswers = 0;                 // that nobody had asked for on its connection
+  std::shared_ptr<AnswerBudget::Share> share;  // of the response
 };
 
 struct WorkerCall {
   std::string worker;  // its id
   std::string address;
-  std::string text;  // the whole request
+  std::string head;         // of the request
+  asio::const_buffer body;  // outlives the call
+  std::shared_ptr<AnswerBudget::Share> share;
   WorkerExchange::Request request;
   bool runsOnce = false;       // it must not be sent again once it may have run: see kAvoidIdleForMs
   double withinMs = 1000;      // in all, connecting included
@@ -47,15 +52,17 @@
       : io_(io), figures_(std::move(figures)) {}
   asio::awaitable<ExchangeResult> exchange(WorkerCall call);
   void forget(const std::string& worker) { idle_.forget(worker); }  // closes what is kept open to it
-  void sweep(double now) { idle_.sweep(now); }                      // closes what has waited too long
+  void sweep(double now);  // closes what has waited too long, and idle ones on which anything has come
 
  private:
   enum class EndedBy { peer, deadline, departure };
   struct Connection {
-    explicit Connection(asio::io_context& io) : socket(io), deadline(io) {}
+    explicit Connection(asio::io_context& io) : socket(io), deadline(io), room(io) {}
     void breakOff(EndedBy why);
     Tcp::socket socket;
     program::Deadline deadline;
+    asio::steady_timer room;  // cancelled where there may be room for more of an answer
+    std::size_t systemBytes = kAnswerReceiveBuffer;  // that may have arrived unread
     EndedBy endedBy = EndedBy::peer;
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
@@ -63,6 +70,10 @@
   asio::awaitable<ConnectionPtr> connect(const WorkerCall& call, double withinMs);
   asio::awaitable<void> transfer(ConnectionPtr connection, const WorkerCall& call, WorkerExchange& exchange,
                                  double withinMs);
+  // Waits until the exchange may go on; where it may not, it is finished.
+  static asio::awaitable<void> awaitRoom(ConnectionPtr connection, WorkerExchange& exchange,
+                                         std::shared_ptr<AnswerBudget::Share> share);
+  static bool takeRoom(Connection& connection, WorkerExchange& exchange, AnswerBudget::Share& share);
   static void noteOwnEnd(const Connection& connection, WorkerExchange& exchange);
   void keepOrClose(const ConnectionPtr& connection, const std::string& worker,
                    const WorkerExchange& exchange);
@@ -72,6 +83,7 @@
   const std::shared_ptr<AnswerFigures> figures_;
   IdleConnections<ConnectionPtr> idle_;
   double avoidIdleUntil_ = -1e18;
+  double lookedAt_ = -1e18;  // at what has come on idle connections
 };
 
 }  // namespace burlwind::proxy
--- a/src/registry/platform_list.cpp
+++ b/src/registry/platform_list.cpp
@@ -13,8 +13,8 @@
 namespace burlwind::registry {
 namespace {
 constexpr std::size_t kMostPages = 200;
-constexpr std::size_t kMaxPageBytes = 1 << 20;         // of its body: some 5,000 workers
-constexpr std::size_t kMaxListBytes = 16 * (1 << 20);  // of all bodies of one reading
+constexpr std::size_t kMaxPageBytes = 1 << 20;                // of its body: some 5,000 workers
+constexpr std::size_t kMaxListBytes = std::size_t{16} << 20;  // of all bodies of one reading
 }  // namespace
 
 bool readPage(const std::string& body, PlatformList::Workers& into, std::string& next, std::string& fault) {
--- a/tests/system/departed_clients_test.cpp
+++ b/tests/system/departed_clients_test.cpp
@@ -120,7 +120,8 @@
   WorkerCall call;
   call.worker = "w";
   call.address = edge.workers[0]->entry().address;
-  call.text = EdgeLoop::request("/once2");
+  call.head = EdgeLoop::request("/once2");
+  call.share = edge.answerBudget->open("s", "w0");
   call.request.tryId = "/once2";
   call.runsOnce = true;
   call.withinMs = call.connectWithin = 60000;
--- a/tests/system/edge_loop.hpp
+++ b/tests/system/edge_loop.hpp
@@ -157,7 +157,9 @@
   std::shared_ptr<Budget> bytes = std::make_shared<Budget>(64 * 1024 * 1024);
   std::shared_ptr<AnswerFigures> answerFigures = std::make_shared<AnswerFigures>();
   static constexpr std::size_t answerBudgetBytes = 32 * 1024 * 1024;
-  Forwarder forwarder{io, balancer, departures, answerFigures, [] { return 0.0; }};
+  std::shared_ptr<AnswerBudget> answerBudget =
+      std::make_shared<AnswerBudget>(AnswerBudget::Limits{1024, answerBudgetBytes / 2});
+  Forwarder forwarder{io, balancer, departures, answerFigures, answerBudget, [] { return 0.0; }};
   double timeLeftMs = 60000;
   ClientServer server{io,
                       bytes,
--- a/tests/system/endless_answers_programs_test.cpp
+++ b/tests/system/endless_answers_programs_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr unsigned kMemoryMb = 64;                           // of each process
 constexpr std::size_t kSentAtMost = std::size_t{300} << 20;  // bytes on one connection
+constexpr std::size_t kLongBytes = std::size_t{11} << 20;    // of an honest long answer
 constexpr unsigned kWorkers = 24;
 constexpr unsigned kAtOnce = 24;
 constexpr std::size_t kFullSpeedPiece = 65536;  // bytes of one write
@@ -66,10 +67,30 @@
   return out;
 }
 
+// How many bytes of a 200 came until its connection's end; 0: another status.
+std::size_t readLongAnswer() {
+  Socket socket(::socket(AF_INET, SOCK_STREAM, 0));
+  const auto where = at(System::proxyIp(0), kFront);
+  REQUIRE(::connect(socket.fd, reinterpret_cast<const sockaddr*>(&where), sizeof where) == 0);
+  say(socket.fd,
+      "POST /a/long HTTP/1.1\r\nHost: shop.example\r\nTry-Id: long\r\nTime-Left-Ms: 8000\r\nApi-Key: key1\r\n"
+      "Connection: close\r\nContent-Length: 4\r\n\r\nwool");
+  std::vector<char> piece(std::size_t{1} << 18);
+  std::size_t bytes = 0;
+  bool served = false;
+  for (ssize_t n = 0; (n = ::recv(socket.fd, piece.data(), piece.size(), 0)) > 0;) {
+    if (bytes == 0)
+      served = std::string_view(piece.data(), static_cast<std::size_t>(n)).starts_with("HTTP/1.1 200");
+    bytes += static_cast<std::size_t>(n);
+  }
+  return served ? bytes : 0;
+}
+
 // A proxy of kMemoryMb before workers that all answer as the path of a request says: /a/FORM/PIECE.
 class FaultyWorkers {
  public:
-  FaultyWorkers() : system({.memoryMb = kMemoryMb, .workers = kWorkers, .workerCapacity = kAtOnce}) {
+  explicit FaultyWorkers(unsigned memoryMb = kMemoryMb)
+      : system({.memoryMb = memoryMb, .workers = kWorkers, .workerCapacity = kAtOnce}) {
     system.atWork = [](const StandIn::Incoming& incoming) { work(incoming); };
     REQUIRE(system.order("config.replace", System::configuration(1, 0, "/a/", "safe"))
                 .starts_with("HTTP/1.1 200"));
@@ -94,6 +115,12 @@
   static void work(const StandIn::Incoming& incoming) {
     const std::string target = incoming.text.substr(incoming.text.find("/a/") + 3);
     if (target.starts_with("x")) return;
+    if (target.starts_with("long")) {
+      const std::string head = "HTTP/1.1 200 OK\r\nTry-Id: " + field(incoming.text, "Try-Id") +
+                               "\r\nServer-Seal: s\r\nContent-Length: " + std::to_string(kLongBytes) +
+                               "\r\n\r\n";
+      return say(incoming.fd, head + std::string(kLongBytes, 'w'));
+    }
     const std::size_t form = std::stoul(target);
     const std::size_t pieceBytes = std::stoul(target.substr(target.find('/') + 1));
     sendWithoutEnd(incoming.fd, endlessAnswers(field(incoming.text, "Try-Id"))[form], pieceBytes,
@@ -154,6 +181,23 @@
   CHECK(peakMb(workers.proxy()) < kMemoryMb);
 }
 
+TEST_CASE("programs: more long answers than fit are served whole, in the memory, beside endless ones") {
+  constexpr unsigned kEdgeMemoryMb = 260;
+  constexpr unsigned kLong = 34;
+  FaultyWorkers workers(kEdgeMemoryMb);
+  const auto forms = endlessAnswers("");
+  std::vector<std::size_t> bytes(kLong);
+  std::vector<std::thread> clients;
+  for (std::size_t form = 0; form < forms.size(); ++form)
+    clients.emplace_back([&, form] { checkAnswered(workers.askFor(form, kFullSpeedPiece)); });
+  for (std::size_t& one : bytes) clients.emplace_back([&] { one = readLongAnswer(); });
+  for (std::thread& client : clients) client.join();
+  const auto whole = [](std::size_t size) { return size > kLongBytes; };
+  CHECK(std::count_if(bytes.begin(), bytes.end(), whole) == kLong);
+  CHECK(peakMb(workers.proxy()) < kEdgeMemoryMb);
+  MESSAGE("peak " << peakMb(workers.proxy()) << " MB of " << kEdgeMemoryMb);
+}
+
 TEST_CASE("programs: pages of the list without end stay in a registry's memory, and it reads on") {
   const auto forms = endlessAnswers("");
   constexpr std::size_t kProper = ~std::size_t{0};
--- a/tests/system/endless_answers_test.cpp
+++ b/tests/system/endless_answers_test.cpp
@@ -141,5 +141,71 @@
   CHECK(peak <= edge.answerBudgetBytes);
 }
 
+TEST_CASE("an answer of usual length needs nothing of the pool, and its connection is kept") {
+  EdgeLoop edge;
+  auto [client, worker] = edge.atWorker("/once");
+  const std::string text = EdgeLoop::answer("/once", std::string(9000, 'y'));
+  worker->say(text);
+  REQUIRE(client->hears(text.size()).size() == text.size());
+  CHECK(edge.answerBudget->poolBytes() == 0);
+  client->say(EdgeLoop::request("/once"));
+  CHECK(worker->hearsHead().starts_with("POST /once"));
+  CHECK(edge.reached() == 1);
+}
+
+TEST_CASE("bytes that come on an idle connection end it soon, used or not") {
+  EdgeLoop edge;
+  auto [client, worker] = edge.atWorker("/once");
+  const std::string text = EdgeLoop::answer("/once");
+  worker->say(text);
+  REQUIRE(client->hears(text.size()).size() == text.size());
+  edge.forwarder.tick(program::now());
+  worker->say("more");
+  worker->awaitDelivery();
+  edge.forwarder.tick(program::now() + 1000);
+  CHECK(edge.workerIsTold(*worker));
+}
+
+TEST_CASE("where no more exchanges fit, a request is refused before any worker sees it") {
+  EdgeLoop edge;
+  edge.answerBudget->setLimits({2, 1 << 20});  // one of a service
+  auto [first, worker] = edge.atWorker("/once1");
+  auto second = edge.client();
+  second->say(EdgeLoop::request("/once2"));
+  const std::string heard = second->hearsHead();
+  CHECK(heard.starts_with("HTTP/1.1 503 "));
+  CHECK(heard.find("Retry-After: ") != std::string::npos);
+  CHECK(edge.reached() == 1);
+  const std::string text = EdgeLoop::answer("/once1");
+  worker->say(text);
+  CHECK(first->hears(text.size()).starts_with("HTTP/1.1 200 "));
+  CHECK(edge.answerBudget->exchanges() == 0);
+}
+
+TEST_CASE("answers that wait for room end with their time or their client, and give all back") {
+  constexpr std::size_t kLongBytes = 6 << 20;
+  EdgeLoop edge;
+  edge.answerBudget->setLimits({64, 12 << 20});
+  const std::string head =
+      "HTTP/1.1 200 x\r\nServer-Seal: s\r\nContent-Length: " + std::to_string(kLongBytes);
+  auto [holder, holderWorker] = edge.atWorker("/once0");
+  holderWorker->say(head + "\r\nTry-Id: /once0\r\n\r\nbegun");
+  runUntil(edge.io, [&] { return edge.answerBudget->poolBytes() >= kLongBytes; });
+  edge.timeLeftMs = 300;
+  auto [late, lateWorker] = edge.atWorker("/once1");
+  lateWorker->say(head + "\r\nTry-Id: /once1\r\n\r\nbegun");
+  CHECK(late->hearsHead().starts_with("HTTP/1.1 504 "));
+  edge.timeLeftMs = 60000;
+  auto [leaver, leaverWorker] = edge.atWorker("/may-repeat");
+  leaverWorker->say(head + "\r\nTry-Id: /may-repeat\r\n\r\nbegun");
+  edge.io.poll();
+  closes(leaver);
+  CHECK(edge.workerIsTold(*leaverWorker));
+  CHECK(edge.answerBudget->exchanges() == 1);
+  const std::string rest(kLongBytes - std::string("begun").size(), 'x');
+  asio::async_write(holderWorker->socket, asio::buffer(rest), [](const Error&, std::size_t) {});
+  CHECK(holder->hearsHead().starts_with("HTTP/1.1 200 "));
+}
+
 }  // namespace
 }  // namespace burlwind::proxy
--- a/tests/system/path_test.cpp
+++ b/tests/system/path_test.cpp
@@ -22,7 +22,7 @@
   CHECK(seen.ends_with("\r\n\r\nwool"));
   CHECK(system.request(0, "/a/x", "another").starts_with("HTTP/1.1 401"));
   CHECK(system.request(0, "/b/x", "key1").starts_with("HTTP/1.1 404"));
-  // A body that does not fit beside what it may hold (0.8 MB, twice) has not run, and is told when to come
+  // A body that does not fit beside what it may hold (0.5 MB) has not run, and is told when to come
   // back.
   const std::string large =
       ask(System::proxyIp(0), kFront,
--- a/tests/system/proxy_connections_test.cpp
+++ b/tests/system/proxy_connections_test.cpp
@@ -86,7 +86,7 @@
 TEST_CASE("a body that is refused unread is not read as the next request") {
   Clients clients;
   Peer client(clients.io, clients.server.port());
-  client.say("POST /a HTTP/1.1\r\nHost: c\r\nContent-Length: 90000\r\n\r\n" + Clients::request("/smuggled"));
+  client.say("POST /a HTTP/1.1\r\nHost: c\r\nContent-Length: 190000\r\n\r\n" + Clients::request("/smuggled"));
   const std::string heard = client.hearsHead();
   CHECK(heard.starts_with("HTTP/1.1 503 "));
   CHECK(heard.find("Connection: close\r\n") != std::string::npos);
@@ -149,7 +149,8 @@
     WorkerCall call;
     call.worker = "w";
     call.address = address;
-    call.text = "GET / HTTP/1.1\r\nTry-Id: " + tryId + "\r\n\r\n";
+    call.share = budget->open("s", "w");
+    call.head = "GET / HTTP/1.1\r\nTry-Id: " + tryId + "\r\n\r\n";
     call.request.tryId = tryId;
     call.withinMs = withinMs;
     call.connectWithin = 60000;
@@ -183,6 +184,8 @@
   asio::io_context io{1};
   Tcp::acceptor acceptor;
   const std::string address;
+  std::shared_ptr<AnswerBudget> budget =
+      std::make_shared<AnswerBudget>(AnswerBudget::Limits{64, std::size_t{64} << 20});
   WorkerSide side{io, std::make_shared<AnswerFigures>()};
   std::optional<ExchangeResult> result;
 };
@@ -303,7 +306,11 @@
   Budget all{1000000};
   Budget::Share bytes{all};
   load_balancing::Core balancer{{"z", "r"}, {{"z", "r"}}, 1, 1};
-  Forwarder forwarder{io, balancer, std::make_shared<DepartureFigures>(), std::make_shared<AnswerFigures>(),
+  Forwarder forwarder{io,
+                      balancer,
+                      std::make_shared<DepartureFigures>(),
+                      std::make_shared<AnswerFigures>(),
+                      std::make_shared<AnswerBudget>(AnswerBudget::Limits{64, std::size_t{64} << 20}),
                       [] { return 0.0; }};
   config::Route route;
   ClientRequest request;
--- a/tests/system/worker_exchange_test.cpp
+++ b/tests/system/worker_exchange_test.cpp
@@ -195,7 +195,7 @@
   request.message.method(http::verb::head);
   request.message.set("Try-Id", "t1");
   request.answer.refuse(404, "no such route");
-  const std::string text = clientAnswerText(request, false);
+  const std::string text = clientAnswerText(request, false) + std::string(workerBodyOf(request));
   CHECK(text.starts_with("HTTP/1.1 404 Not Found\r\nTry-Id: t1\r\n"));
   CHECK(text.ends_with("\r\n\r\n"));
   request.message.method(http::verb::get);
@@ -209,7 +209,7 @@
   request.answer.fromWorker->set("Server-Load", "1,2,3");
   request.answer.fromWorker->body() = "broke";
   request.answer.refuse(502, "later");  // nothing that is said later changes it
-  const std::string text = clientAnswerText(request, true);
+  const std::string text = clientAnswerText(request, true) + std::string(workerBodyOf(request));
   CHECK(text.starts_with("HTTP/1.1 500 "));
   CHECK(text.find("Server-Seal: s\r\n") != std::string::npos);
   CHECK(text.find("Server-Load") == std::string::npos);
--- a/tests/system/worker_simulation_test.cpp
+++ b/tests/system/worker_simulation_test.cpp
@@ -157,7 +157,7 @@
     if (!request.answer.fromWorker)
       request.answer.refuse(bug_ == Bug::promiseAfterRun ? 503 : policy.statusOnGivingUp(timeOver),
                             "given up");
-    const std::string text = clientAnswerText(request, false);
+    const std::string text = clientAnswerText(request, false) + std::string(workerBodyOf(request));
     http::response_parser<http::string_body> parser;
     if (h.head) parser.skip(true);
     beast::flat_buffer in;
@@ -188,7 +188,8 @@
     reused_ += isReused;
     h.afterUnasked = h.afterUnasked || !connection->clean;
     WorkerExchange product({tryId, h.head, kMostBody});
-    const std::string text = workerRequestText(request, std::to_string(worker), 1000);
+    const std::string text =
+        workerRequestHead(request, std::to_string(worker), 1000) + request.message.body();
     transfer(product, *connection, text, tryId, h);
     skipped_ += product.skippedAnswers();
     ExchangeOutcome outcome = product.outcome();
