Bodies of calls to a control address share one budget

Cause, of the class of the incident: each call had a bound of 16 MB and nobody added them up; 17 calls at a time pass the 256 MB of a core machine. The readiness and directory addresses, whose calls have no bodies, took as much each.

Change: 64 MB for all bodies that are read or handled at a control address, taken before they are read (1 x a told length, 3 x what has come without one); past it a call is told 503 by its head, and its caller goes on to another machine. Readiness and directory: 64 kB a call, 1 MB together.

Test: 'bodies of calls hold no more together ...': on the code before the fifth caller of 15 MB hears nothing (ended by the test's bound after 6 s). Tests that waited in a loop wait for a notification instead.

--- a/src/control_api/server.cpp
+++ b/src/control_api/server.cpp
@@ -17,11 +17,17 @@
 namespace {
 
 constexpr double kIdleMs = 10000;
-constexpr std::uint64_t kMaxCall = std::uint64_t{16} * 1024 * 1024;  // bytes of a body
 constexpr std::size_t kReadBytes = 8192;
 constexpr int kBacklog = 512;
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);  // after an error: no descriptors
 
+// What a body holds, or will: one that tells no length is held twice and more while it moves to larger room.
+std::size_t heldBytes(const http::request_parser<http::string_body>& parser) {
+  constexpr std::size_t kGrowthFactor = 3;
+  const auto told = parser.content_length();
+  return told ? static_cast<std::size_t>(*told) : kGrowthFactor * parser.get().body().size();
+}
+
 std::string decoded(std::string_view text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -89,8 +95,13 @@
   }
 };
 
-Server::Server(asio::io_context& io, Handler handler, BeforeCall beforeCall)
-    : io_(io), handler_(std::move(handler)), beforeCall_(std::move(beforeCall)), acceptor_(io) {}
+Server::Server(asio::io_context& io, Handler handler, BeforeCall beforeCall, CallLimits limits)
+    : io_(io),
+      handler_(std::move(handler)),
+      beforeCall_(std::move(beforeCall)),
+      limits_(limits),
+      bytes_(std::make_shared<Budget>(limits.maxHeldBytes)),
+      acceptor_(io) {}
 Server::~Server() = default;
 
 boost::system::error_code Server::listen(const std::string& ip, std::uint16_t port) {
@@ -132,9 +143,11 @@
 }
 
 asio::awaitable<void> Server::serve(std::shared_ptr<Connection> connection) {
+  const std::shared_ptr<Budget> bytes = bytes_;
   for (bool goOn = true; goOn;) {
     Call call;
-    const bool read = co_await readCall(connection, call);
+    Budget::Share held(*bytes);
+    const bool read = co_await readCall(connection, call, held);
     if (read && beforeCall_) beforeCall_();
     if (!read || !connection->socket.is_open()) break;
     const Reply reply = co_await handler_(call);
@@ -151,15 +164,21 @@
 }
 
 // One whole call; false: the connection is to end.
-asio::awaitable<bool> Server::readCall(std::shared_ptr<Connection> connection, Call& call) {
+asio::awaitable<bool> Server::readCall(std::shared_ptr<Connection> connection, Call& call,
+                                       Budget::Share& bytes) {
   http::request_parser<http::string_body> parser;
-  parser.body_limit(kMaxCall);
+  parser.body_limit(limits_.maxBodyBytes);
   Connection::closeWhenIdle(connection);
   auto& in = connection->in;
   Error error;
   while (!parser.is_done()) {
     if (in.size() > 0 && feed(parser, in, error)) break;
     if (error) break;
+    if (parser.is_header_done() && !bytes.growTo(heldBytes(parser))) {
+      call.keepAlive = false;
+      co_await writeReply(connection, call, Reply(503, message("too many bytes are held")));
+      co_return false;
+    }
     const std::size_t read = co_await connection->socket.async_read_some(
         in.prepare(kReadBytes), asio::redirect_error(asio::use_awaitable, error));
     if (error) break;
--- a/src/control_api/server.hpp
+++ b/src/control_api/server.hpp
@@ -20,6 +20,8 @@
 #include <string_view>
 #include <vector>
 
+#include "node/budget.hpp"
+
 namespace burlwind::control_api {
 
 namespace asio = boost::asio;
@@ -46,12 +48,20 @@
   std::string_view contentType = "application/json";
 };
 
+// Of the bodies of calls.
+struct CallLimits {
+  std::size_t maxBodyBytes = std::size_t{16} << 20;  // of one
+  std::size_t maxHeldBytes = std::size_t{64} << 20;  // of all that are read or handled; past it 503
+};
+// Where calls carry no body.
+constexpr CallLimits kSmallCalls{std::size_t{64} << 10, std::size_t{1} << 20};
+
 class Server {
  public:
   using Handler = std::function<asio::awaitable<Reply>(Call)>;
   // Called between the reading of a call and its handling; it may call dropAll, and the call is then dropped.
   using BeforeCall = std::function<void()>;
-  Server(asio::io_context& io, Handler handler, BeforeCall beforeCall = nullptr);
+  Server(asio::io_context& io, Handler handler, BeforeCall beforeCall = nullptr, CallLimits limits = {});
   ~Server();
   boost::system::error_code listen(const std::string& ip, std::uint16_t port);
   std::uint16_t port() const;  // that it listens at
@@ -63,12 +73,14 @@
   asio::awaitable<void> accept();
   void end(const std::shared_ptr<Connection>& connection);
   asio::awaitable<void> serve(std::shared_ptr<Connection> connection);
-  static asio::awaitable<bool> readCall(std::shared_ptr<Connection> connection, Call& call);
+  asio::awaitable<bool> readCall(std::shared_ptr<Connection> connection, Call& call, Budget::Share& bytes);
   static asio::awaitable<bool> writeReply(std::shared_ptr<Connection> connection, const Call& call,
                                           const Reply& reply);
   asio::io_context& io_;
   const Handler handler_;
   const BeforeCall beforeCall_;
+  const CallLimits limits_;
+  const std::shared_ptr<Budget> bytes_;  // of calls, whose coroutines may outlive this object
   Tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Connection>> connections_;
 };
--- a/src/proxy/main.cpp
+++ b/src/proxy/main.cpp
@@ -18,7 +18,9 @@
         file_(std::move(file)),
         readiness_(*settings.readiness),
         proxy_(io, std::move(settings)),
-        ready_(io, [this](control_api::Call call) { return answer(std::move(call)); }),
+        ready_(
+            io, [this](control_api::Call call) { return answer(std::move(call)); }, nullptr,
+            control_api::kSmallCalls),
         signals_(io, SIGTERM, SIGINT, SIGHUP),
         timer_(io) {}
 
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -74,7 +74,9 @@
         control_(
             io, [this](control_api::Call call) { return controlCall(std::move(call)); },
             [this] { detectStall(); }),
-        directory_(io, [this](control_api::Call call) { return calls_.directory(std::move(call)); }),
+        directory_(
+            io, [this](control_api::Call call) { return calls_.directory(std::move(call)); }, nullptr,
+            control_api::kSmallCalls),
         timer_(io),
         endTimer_(io),
         signals_(io, SIGTERM, SIGINT, SIGHUP) {}
--- a/tests/system/control_api_test.cpp
+++ b/tests/system/control_api_test.cpp
@@ -115,6 +115,27 @@
   CHECK(caller.hears(head.size() + onlyReply("now").size()) == head + onlyReply("now"));
 }
 
+TEST_CASE("bodies of calls hold no more together than their budget: one more is refused by its head") {
+  Service service;
+  std::vector<std::unique_ptr<Caller>> callers;
+  const std::string head = "POST /now HTTP/1.1\r\nHost: c\r\nContent-Length: ";
+  for (unsigned i = 0; i < 4; ++i) {
+    callers.push_back(std::make_unique<Caller>(service));
+    callers.back()->say(head + std::to_string(15 << 20) + "\r\n\r\n");
+    callers.back()->awaitDelivery();
+  }
+  service.io.poll();
+  Caller more(service);
+  more.say(head + std::to_string(15 << 20) + "\r\n\r\n");
+  CHECK(more.hearsHead().starts_with("HTTP/1.1 503 "));
+  callers.clear();
+  service.io.restart();
+  service.io.poll();
+  Caller next(service);
+  next.say(head + "4\r\n\r\nwool");
+  CHECK(next.hears(onlyReply("now").size()) == onlyReply("now"));
+}
+
 TEST_CASE("a call whose handling throws ends its own connection, and others are answered") {
   Service service;
   Caller caller(service);
--- a/tests/system/endless_answers_programs_test.cpp
+++ b/tests/system/endless_answers_programs_test.cpp
@@ -40,6 +40,10 @@
   return count;
 }
 
+void awaitAtLeast(const std::atomic<unsigned>& count, unsigned wanted) {
+  for (unsigned now = count; now < wanted; now = count) count.wait(now);
+}
+
 // What came on a connection until it had a whole head or ended, within the time that a client waits.
 struct Heard {
   std::string text;
@@ -241,6 +245,7 @@
                                  kind == 3 ? "x" : pathOf(random() % forms_, random() % 2)))
                  .status());
       ++ended;
+      ended.notify_all();
     }
   }
   static std::string pathOf(std::size_t form, bool drips) {
@@ -283,7 +288,7 @@
   // A signal behind each 20 requests.
   constexpr unsigned kSignals = 8;
   for (unsigned i = 1; i <= kSignals; ++i) {
-    while (clients.ended < 20 * i) std::this_thread::yield();
+    awaitAtLeast(clients.ended, 20 * i);
     if (random() % 2) {
       workers.proxy().signal(SIGHUP);
     } else {
@@ -326,17 +331,15 @@
                    const std::size_t now = form;
                    if (now != kProper) sendWithoutEnd(incoming.fd, forms[now], kFullSpeedPiece, kSentAtMost);
                    ++calls;
+                   calls.notify_all();
                    return now == kProper;
                  }});
   REQUIRE(system.order("config.replace", System::configuration(1, 0, "/a/")).starts_with("HTTP/1.1 200"));
   system.awaitStart(0, 1);
-  const auto awaitCalls = [&](unsigned more) {
-    for (const unsigned before = calls; calls < before + more;) std::this_thread::yield();
-  };
   for (std::size_t i = 0; i <= forms.size(); ++i) {
     form = i < forms.size() ? i : kProper;
     CAPTURE(i < forms.size() ? forms[i].name : "proper");
-    awaitCalls(2);
+    awaitAtLeast(calls, calls + 2);
     for (const auto& registry : system.registries) CHECK(peakMb(*registry) < kMemoryMb);
   }
   CHECK(system.served(0, "/a/x").starts_with("HTTP/1.1 200"));
