Answer budget: idle holders are forgotten at doubled sizes, not at each request

At the target (4,400 workers) its table stood past the fixed size at which idle entries are looked for, and each request would have searched all of it (read, not measured). Now it is searched when it has doubled since the last search, and only where a new name comes.

--- a/src/proxy/answer_budget.cpp
+++ b/src/proxy/answer_budget.cpp
@@ -7,7 +7,7 @@
 namespace burlwind::proxy {
 namespace {
 
-constexpr std::size_t kMaxHoldersKept = 4096;  // of services, and of workers, before idle ones are forgotten
+constexpr std::size_t kLeastHoldersKept = 1024;  // of services, and of workers
 
 std::size_t beyondExchange(std::size_t bytes) { return bytes > kExchangeBytes ? bytes - kExchangeBytes : 0; }
 
@@ -81,8 +81,6 @@
 
 std::shared_ptr<AnswerBudget::Share> AnswerBudget::open(const std::string& service,
                                                         const std::string& worker) {
-  forgetIdle(services_);
-  forgetIdle(workers_);
   auto ofService = holder(services_, service);
   const auto mostOfService =
       static_cast<std::size_t>(kMaxServicePart * static_cast<double>(limits_.exchanges));
@@ -98,14 +96,13 @@
 }
 
 std::shared_ptr<AnswerBudget::Holder> AnswerBudget::holder(Holders& holders, const std::string& name) {
-  std::shared_ptr<Holder>& found = holders[name];
-  if (!found) found = std::make_shared<Holder>();
-  return found;
-}
-
-void AnswerBudget::forgetIdle(Holders& holders) {
-  if (holders.size() < kMaxHoldersKept) return;
-  std::erase_if(holders, [](const auto& entry) { return entry.second->exchanges == 0; });
+  const auto known = holders.byName.find(name);
+  if (known != holders.byName.end()) return known->second;
+  if (holders.byName.size() >= std::max(holders.forgetAt, kLeastHoldersKept)) {
+    std::erase_if(holders.byName, [](const auto& entry) { return entry.second->exchanges == 0; });
+    holders.forgetAt = 2 * holders.byName.size();
+  }
+  return holders.byName[name] = std::make_shared<Holder>();
 }
 
 void AnswerBudget::wakeOthers(const Share* except) {
--- a/src/proxy/answer_budget.hpp
+++ b/src/proxy/answer_budget.hpp
@@ -100,9 +100,11 @@
   std::size_t mostBytes() const { return limits_.exchanges * kExchangeBytes + limits_.poolBytes; }
 
  private:
-  using Holders = std::unordered_map<std::string, std::shared_ptr<Holder>>;
+  struct Holders {
+    std::unordered_map<std::string, std::shared_ptr<Holder>> byName;
+    std::size_t forgetAt = 0;  // entries at which idle ones are forgotten
+  };
   static std::shared_ptr<Holder> holder(Holders& holders, const std::string& name);
-  static void forgetIdle(Holders& holders);
   std::size_t maxOf(double part) const {
     return static_cast<std::size_t>(part * static_cast<double>(limits_.poolBytes));
   }
