The play of endless answers: HEAD, short times, uploads, paused drips and a kill

Cases that a mend must meet and that the play did not hold: answers to HEAD whose worker goes on sending, clients whose Time-Left-Ms is 100, uploads in chunks of 0.5 MB meanwhile, drips with pauses of 20 ms, and a SIGKILL while all this is under way with a new process in its place, which must serve.

--- a/tests/system/endless_answers.hpp
+++ b/tests/system/endless_answers.hpp
@@ -2,6 +2,7 @@
 // goes on until its caller closes.
 #pragma once
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -92,4 +93,13 @@
   return sent;
 }
 
+// One repeat each kDripPauseMs, until the other end closes.
+inline void dripWithoutEnd(int fd, const EndlessAnswer& answer) {
+  constexpr int kDripPauseMs = 20;
+  if (sendAll(fd, answer.begin, answer.begin.size()) < answer.begin.size()) return;
+  pollfd closed{fd, POLLRDHUP, 0};
+  while (::poll(&closed, 1, kDripPauseMs) == 0)
+    if (sendAll(fd, answer.repeat, answer.repeat.size()) < answer.repeat.size()) return;
+}
+
 }  // namespace burlwind
--- a/tests/system/endless_answers_programs_test.cpp
+++ b/tests/system/endless_answers_programs_test.cpp
@@ -21,8 +21,9 @@
 constexpr unsigned kAtOnce = 24;
 constexpr std::size_t kFullSpeedPiece = 65536;  // bytes of one write
 constexpr std::size_t kDripPiece = 1;
-constexpr int kLeftMs = 3000;  // that a client waits
-constexpr int kAfterMs = 500;  // until its answer must be there, past that
+constexpr std::size_t kPausedDrips = 0;  // one repeat at a time, with pauses
+constexpr int kLeftMs = 3000;            // that a client waits
+constexpr int kAfterMs = 500;            // until its answer must be there, past that
 
 // The most that a process has had in memory since it began.
 double peakMb(const Process& process) {
@@ -130,8 +131,11 @@
     }
     const std::size_t form = std::stoul(target);
     const std::size_t pieceBytes = std::stoul(target.substr(target.find('/') + 1));
-    sendWithoutEnd(incoming.fd, endlessAnswers(field(incoming.text, "Try-Id"))[form], pieceBytes,
-                   kSentAtMost);
+    const EndlessAnswer answer = endlessAnswers(field(incoming.text, "Try-Id"))[form];
+    if (pieceBytes == kPausedDrips)
+      dripWithoutEnd(incoming.fd, answer);
+    else
+      sendWithoutEnd(incoming.fd, answer, pieceBytes, kSentAtMost);
   }
   std::atomic<unsigned> number_{0};
 };
@@ -235,32 +239,61 @@
   void play(unsigned seed) {
     std::mt19937 random(seed);
     for (unsigned i = 0; i < kRequests; ++i) {
-      const unsigned kind = random() % 10;
-      if (kind == 0)
-        leave(random() % forms_, random() % 20);
-      else if (kind < 3)
-        note(readLongAnswer() > kLongBytes ? 200 : 502);
-      else
-        note(hearHead(requestFor("play" + std::to_string(seed) + "-" + std::to_string(i),
-                                 kind == 3 ? "x" : pathOf(random() % forms_, random() % 2)))
-                 .status());
+      const std::string tryId = "play" + std::to_string(seed) + "-" + std::to_string(i);
+      const std::size_t form = random() % forms_;
+      const std::string path = pathOf(form, kPieces[random() % std::size(kPieces)]);
+      switch (random() % 12) {
+        case 0:
+          leave(form, random() % 20);
+          break;
+        case 1:
+        case 2:
+          note(readLongAnswer() > kLongBytes ? 200 : 502);
+          break;
+        case 3:
+          note(hearHead(requestFor(tryId, "x")).status());
+          break;
+        case 4:
+          note(hearHead(uploadFor(tryId)).status());
+          break;
+        case 5:
+          note(hearHead(requestFor(tryId, path, "HEAD")).status());
+          break;
+        case 6:
+          note(hearHead(requestFor(tryId, path, "PUT", kShortTimeMs)).status());
+          break;
+        default:
+          note(hearHead(requestFor(tryId, path)).status());
+      }
       ++ended;
       ended.notify_all();
     }
   }
-  static std::string pathOf(std::size_t form, bool drips) {
-    return std::to_string(form) + "/" + std::to_string(drips ? kDripPiece : kFullSpeedPiece);
+  static constexpr std::size_t kPieces[] = {kFullSpeedPiece, kDripPiece, kPausedDrips};
+  static constexpr int kShortTimeMs = 100;
+  static constexpr std::size_t kUploadBytes = std::size_t{1} << 19;
+  static std::string pathOf(std::size_t form, std::size_t pieceBytes) {
+    return std::to_string(form) + "/" + std::to_string(pieceBytes);
   }
-  static std::string requestFor(const std::string& tryId, const std::string& path) {
-    return "POST /a/" + path + " HTTP/1.1\r\nHost: shop.example\r\nTry-Id: " + tryId +
-           "\r\nTime-Left-Ms: " + std::to_string(kLeftMs) +
-           "\r\nApi-Key: key1\r\nContent-Length: 4\r\n\r\nwool";
+  static std::string headFor(const std::string& tryId, const std::string& path, const std::string& verb,
+                             int leftMs) {
+    return verb + " /a/" + path + " HTTP/1.1\r\nHost: shop.example\r\nTry-Id: " + tryId +
+           "\r\nTime-Left-Ms: " + std::to_string(leftMs) + "\r\nApi-Key: key1\r\n";
+  }
+  static std::string requestFor(const std::string& tryId, const std::string& path,
+                                const std::string& verb = "POST", int leftMs = kLeftMs) {
+    return headFor(tryId, path, verb, leftMs) + "Content-Length: 4\r\n\r\nwool";
+  }
+  static std::string uploadFor(const std::string& tryId) {
+    const std::string chunk = "1000\r\n" + std::string(0x1000, 'w') + "\r\n";
+    return headFor(tryId, "x", "PUT", kLeftMs) + "Transfer-Encoding: chunked\r\n\r\n" +
+           many(chunk, kUploadBytes) + "0\r\n\r\n";
   }
   void leave(std::size_t form, unsigned afterMs) {
     Socket socket(::socket(AF_INET, SOCK_STREAM, 0));
     const auto where = at(System::proxyIp(0), kFront);
     if (::connect(socket.fd, reinterpret_cast<const sockaddr*>(&where), sizeof where) != 0) return;
-    say(socket.fd, requestFor("leaves", pathOf(form, false)));
+    say(socket.fd, requestFor("leaves", pathOf(form, kFullSpeedPiece)));
     pollfd entry{socket.fd, POLLIN, 0};
     ::poll(&entry, 1, static_cast<int>(afterMs));
     ++left;
@@ -306,6 +339,17 @@
   MESSAGE("seed " << seed << ": served " << clients.served.load() << ", 502 or 504 "
                   << clients.answered.load() << ", 503 " << clients.refused.load() << ", left "
                   << clients.left.load() << ", peak " << peakMb(workers.proxy()) << " MB");
+  // A kill while others are under way, and a new process in its place.
+  {
+    PlayedClients killed(workers, seed + 2000, endlessAnswers("").size());
+    killed.ending = true;
+    awaitAtLeast(killed.ended, 1);
+    workers.proxy().signal(SIGKILL);
+    CHECK(workers.system.proxies[0]->ends() == 128 + SIGKILL);
+  }
+  workers.system.startProxy(0);
+  workers.system.awaitStart(0, 1);
+  CHECK(workers.system.served(0, "/a/x").starts_with("HTTP/1.1 200"));
   // SIGTERM while endless answers are under way: it ends in its grace, with 0.
   PlayedClients last(workers, seed + 1000, endlessAnswers("").size());
   last.ending = true;
