--- a/src/proxy/answer_figures.hpp
+++ b/src/proxy/answer_figures.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -26,22 +27,24 @@
 
 class AnswerFigures {
  public:
-  // One answer's bytes; what it holds is counted from its first set() until its end.
+  // One answer's bytes; what it holds is counted from its first set() until its end. Requests end with the
+  // loop, which may outlive the proxy.
   class Held {
    public:
-    explicit Held(AnswerFigures& figures, AnswerHolder holder) : figures_(figures), holder_(holder) {
-      ++figures_.holders_[index(holder_)].answers;
+    Held(std::shared_ptr<AnswerFigures> figures, AnswerHolder holder)
+        : figures_(std::move(figures)), holder_(holder) {
+      ++figures_->holders_[index(holder_)].answers;
     }
     ~Held() {
       set(0);
-      --figures_.holders_[index(holder_)].answers;
+      --figures_->holders_[index(holder_)].answers;
     }
     Held(const Held&) = delete;
     Held& operator=(const Held&) = delete;
-    void set(std::size_t bytes) { figures_.change(holder_, std::exchange(bytes_, bytes), bytes); }
+    void set(std::size_t bytes) { figures_->change(holder_, std::exchange(bytes_, bytes), bytes); }
 
    private:
-    AnswerFigures& figures_;
+    const std::shared_ptr<AnswerFigures> figures_;
     const AnswerHolder holder_;
     std::size_t bytes_ = 0;
   };
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -205,7 +205,7 @@
 asio::awaitable<bool> ClientServer::writeAnswer(ConnectionPtr connection, const ClientRequest& request,
                                                 bool close) {
   const std::string text = clientAnswerText(request, close);
-  AnswerFigures::Held held(*answerFigures_, AnswerHolder::writing);
+  AnswerFigures::Held held(answerFigures_, AnswerHolder::writing);
   const std::string_view body = workerBodyOf(request);
   held.set(text.capacity() + body.size());
   connection->closeAfter(kWriteWithinMs);
--- a/src/proxy/worker_side.cpp
+++ b/src/proxy/worker_side.cpp
@@ -141,7 +141,7 @@
   call.client->enter(RequestStage::atWorker);
   exchange.requestWritten(written, !error);
   noteOwnEnd(*connection, exchange);
-  AnswerFigures::Held held(*figures_, AnswerHolder::reading);
+  AnswerFigures::Held held(figures_, AnswerHolder::reading);
   while (!exchange.finished()) {
     if (!exchange.mayRead()) {
       co_await awaitRoom(connection, exchange, call.share);
