One piece tells what a body takes while it is read whole

Cause: the incident's mends wrote the same rule twice, at clients' requests and at calls (a told length once, without one three times what has come).

Change: bytesToHold in src/http/body_size.hpp serves both; behaviour and assertions are unchanged.

--- a/src/control_api/server.cpp
+++ b/src/control_api/server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <charconv>
 
+#include "http/body_size.hpp"
 #include "http/http.hpp"
 #include "program/deadline.hpp"
 #include "program/listen.hpp"
@@ -21,13 +22,6 @@
 constexpr int kBacklog = 512;
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);  // after an error: no descriptors
 
-// What a body holds, or will: one that tells no length is held twice and more while it moves to larger room.
-std::size_t heldBytes(const http::request_parser<http::string_body>& parser) {
-  constexpr std::size_t kGrowthFactor = 3;
-  const auto told = parser.content_length();
-  return told ? static_cast<std::size_t>(*told) : kGrowthFactor * parser.get().body().size();
-}
-
 std::string decoded(std::string_view text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -174,7 +168,7 @@
   while (!parser.is_done()) {
     if (in.size() > 0 && feed(parser, in, error)) break;
     if (error) break;
-    if (parser.is_header_done() && !bytes.growTo(heldBytes(parser))) {
+    if (parser.is_header_done() && !bytes.growTo(bytesToHold(parser))) {
       call.keepAlive = false;
       co_await writeReply(connection, call, Reply(503, message("too many bytes are held")));
       co_return false;
--- a/src/proxy/client_server.cpp
+++ b/src/proxy/client_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "http/body_size.hpp"
 #include "program/listen.hpp"
 #include "program/log.hpp"
 #include "program/spawn.hpp"
@@ -26,14 +27,6 @@
 
 using Parser = http::request_parser<http::string_body>;
 
-// Bytes that a body holds, or will, by what is known of it: one that tells no length is held twice and more
-// while it moves to larger room.
-std::size_t bodyBytes(const Parser& parser) {
-  constexpr std::size_t kGrowthFactor = 3;
-  const auto told = parser.content_length();
-  return told ? static_cast<std::size_t>(*told) : kGrowthFactor * parser.get().body().size();
-}
-
 bool expectsContinue(const Parser& parser) {
   return parser.is_header_done() && beast::iequals(parser.get()[http::field::expect], "100-continue");
 }
@@ -172,7 +165,7 @@
     if (in.size() > 0 && feed(parser, in, error)) break;
     if (error) break;
     // What will not fit is refused by its head; what tells no length, once it does not fit any more.
-    if (parser.is_header_done() && !connection->bytes().growTo(bodyBytes(parser))) {
+    if (parser.is_header_done() && !connection->bytes().growTo(bytesToHold(parser))) {
       request.arrivedAt = now();
       request.answer.refuse(503, "too many bytes are held", kNoRoomRetryMs);
       co_return Read::refused;
