--- a/src/distributed_quota/aggregator.cpp
+++ b/src/distributed_quota/aggregator.cpp
@@ -12,26 +12,42 @@
 void QuotaAggregator::demand(const Asker& asker, const rpc::TokenDemand& demand, double now,
                              std::vector<Answer>& out) {
   Account& a = accounts_[demand.tenant];
-  if (now - a.wishedAt > kCellStill) a.stock = 0;
+  if (now - a.wishedAt > kCellStill)
+    figures_[demand.tenant].add(TokenEvent::expired, std::exchange(a.stock, 0));
   if (demand.want < 0) {  // given back
     a.stock -= demand.want;
+    figures_[demand.tenant].add(TokenEvent::received, -demand.want);
     return;
   }
   a.wished = a.wished * std::exp(-(now - a.wishedAt) / kTau) + demand.want * 1000 / kTau;
   a.wishedAt = now;
   a.come[asker.proxy] = {demand.asked, now};
   if (a.waiting.empty() && a.stock >= demand.want) {
-    a.stock -= demand.want;
-    out.push_back({asker, {demand.tenant, demand.want, a.use, false}});
+    out.push_back(lend(demand.tenant, a, asker, demand.want, demand.want, false));
   } else if (now - a.emptyAt < kCellEmptyFor) {
     const double given = std::min(demand.want, std::floor(a.stock));
-    a.stock -= given;
-    out.push_back({asker, {demand.tenant, given, a.use, true}});
+    out.push_back(lend(demand.tenant, a, asker, demand.want, given, true));
   } else {
     a.waiting.push_back({asker, demand.want, now});
   }
 }
 
+QuotaAggregator::Answer QuotaAggregator::lend(const std::string& tenant, Account& a, const Asker& to,
+                                              double want, double given, bool empty) {
+  a.stock -= given;
+  TokenFigures& figures = figures_[tenant];
+  figures.add(TokenEvent::lent, given);
+  figures.add(TokenEvent::refused, want - given);
+  return {to, {tenant, given, a.use, empty}};
+}
+
+void QuotaAggregator::dropStocks() {
+  for (auto& [tenant, account] : accounts_) {
+    figures_[tenant].add(TokenEvent::expired, std::exchange(account.stock, 0));
+    account.requests.clear();
+  }
+}
+
 rpc::TokenRequest QuotaAggregator::request(double now) {
   rpc::TokenRequest out;
   out.number = number_ + 1;
@@ -39,6 +55,7 @@
     Account& a = it->second;
     if (now - a.wishedAt > kCellStill) {
       if (a.stock >= 1) out.demands.push_back({it->first, -std::floor(a.stock), 0});
+      figures_[it->first].add(TokenEvent::handedBack, a.stock);
       it = accounts_.erase(it);
       continue;
     }
@@ -83,7 +100,9 @@
     return;
   }
   Account& a = found->second;
-  a.stock += std::clamp(grant.granted, 0.0, *wanted);
+  const double granted = std::clamp(grant.granted, 0.0, *wanted);
+  a.stock += granted;
+  figures_[grant.tenant].add(TokenEvent::received, granted);
   a.use = grant.use;
   if (grant.empty) a.emptyAt = now;
   std::erase_if(a.waiting, [&](const Waiting& w) { return now - w.at > kCellWithin; });
@@ -91,11 +110,16 @@
     const Waiting w = a.waiting.front();
     a.waiting.pop_front();
     const double given = std::min(w.want, std::floor(a.stock));
-    a.stock -= given;
-    out.push_back({w.asker, {grant.tenant, given, a.use, given < w.want}});
+    out.push_back(lend(grant.tenant, a, w.asker, w.want, given, given < w.want));
   }
 }
 
+std::vector<TenantTokens> QuotaAggregator::tokens() const {
+  std::vector<TenantTokens> out;
+  for (const auto& [tenant, figures] : figures_) out.push_back({tenant, stock(tenant), figures});
+  return out;
+}
+
 double QuotaAggregator::stock(const std::string& tenant) const {
   const auto found = accounts_.find(tenant);
   return found == accounts_.end() ? 0 : found->second.stock;
--- a/src/distributed_quota/aggregator.hpp
+++ b/src/distributed_quota/aggregator.hpp
@@ -19,6 +19,7 @@
 
 #include "distributed_quota/outstanding_requests.hpp"
 #include "distributed_quota/quota_bound.hpp"
+#include "distributed_quota/token_figures.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::distributed_quota {
@@ -44,11 +45,10 @@
   // One tenant's part of the answer to the request of that number.
   void granted(std::uint64_t number, const rpc::TokenGrant& grant, double now, std::vector<Answer>& out);
   // Tokens of a holder that is none any more: a new one reckons with what proxies have.
-  void dropStocks() {
-    for (auto& [tenant, account] : accounts_) account.stock = 0, account.requests.clear();
-  }
+  void dropStocks();
   std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
   double stock(const std::string& tenant) const;
+  std::vector<TenantTokens> tokens() const;  // of each tenant asked for so far
 
  private:
   struct Waiting {
@@ -66,9 +66,12 @@
   };
   void ask(const std::string& tenant, Account& a, std::uint64_t number, double now,
            std::vector<rpc::TokenDemand>& out);
+  // Of what was asked for, `given` is had.
+  Answer lend(const std::string& tenant, Account& a, const Asker& to, double want, double given, bool empty);
   static double comingToProxies(Account& a, double now);
   std::unordered_map<std::string, Account> accounts_;
-  std::uint64_t number_ = 0;  // of the latest request
+  std::unordered_map<std::string, TokenFigures> figures_;  // outlive the accounts
+  std::uint64_t number_ = 0;                               // of the latest request
   std::uint64_t dropped_ = 0;
 };
 
--- a/src/distributed_quota/allocator.cpp
+++ b/src/distributed_quota/allocator.cpp
@@ -52,6 +52,12 @@
   return out;
 }
 
+std::vector<TenantTokens> QuotaAllocator::tokens() const {
+  std::vector<TenantTokens> out;
+  for (const auto& [tenant, store] : stores_) out.push_back({tenant, store.level, store.figures});
+  return out;
+}
+
 double QuotaAllocator::level(const std::string& tenant) const {
   const auto found = stores_.find(tenant);
   return found == stores_.end() ? 0 : found->second.level;
@@ -62,7 +68,9 @@
   const bool stocked = now - store.demandAt < kStocksKept && store.demand < limit.rate;
   const double inStock = stocked ? kStockSpan * store.demand : 0;
   const double most = std::max(1.0, limit.burst - inStock);
+  const double before = store.level;
   store.level = std::min(most, store.level + limit.rate * reach_ * std::max(0.0, now - store.at) / 1000);
+  store.figures.add(TokenEvent::received, std::max(0.0, store.level - before));
   store.at = std::max(store.at, now);
 }
 
@@ -79,6 +87,7 @@
   refill(store, limit, now);
   if (want < 0) {  // given back
     store.level = std::min(std::max(1.0, limit.burst), store.level - want);
+    store.figures.add(TokenEvent::handedBack, -want);
     return out;
   }
   const double demand = sumDemand(store, who, asked, now);
@@ -94,6 +103,8 @@
       std::max(0.0, std::min(want, std::floor(contended ? std::min(store.level, asker.share) : store.level)));
   store.level -= out.granted;
   store.granted += out.granted;
+  store.figures.add(TokenEvent::lent, out.granted);
+  if (contended) store.figures.add(TokenEvent::refused, want - out.granted);
   asker.share -= out.granted;
   // Where less is asked for than comes in, what is missing is there in a moment: that is worth a wait.
   out.empty = out.granted < want && contended;
--- a/src/distributed_quota/allocator.hpp
+++ b/src/distributed_quota/allocator.hpp
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "distributed_quota/quota_bound.hpp"
+#include "distributed_quota/token_figures.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::distributed_quota {
@@ -47,6 +48,7 @@
   // none.
   std::vector<rpc::Level> promises(bool all);
   double level(const std::string& tenant) const;
+  std::vector<TenantTokens> tokens() const;  // of each store, since the duties were taken
   // The duty had lapsed until now, and nobody else had it: proxies had their own parts meanwhile.
   void skip(double now) {
     for (auto& [tenant, store] : stores_) store.at = now;
@@ -70,6 +72,7 @@
   };
   struct Store {
     double level = 0, at = 0;
+    TokenFigures figures;
     double rate = 0;                      // as it was limited last
     std::optional<double> floor;          // as promised
     double credited = 0;                  // ms of idle_ that are in the level
--- a/src/distributed_quota/token_cache.cpp
+++ b/src/distributed_quota/token_cache.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace burlwind::distributed_quota {
 namespace {
@@ -31,6 +32,13 @@
   return *a;
 }
 
+void TokenCache::dropStock(Account& a, TokenEvent why) { a.figures.add(why, std::exchange(a.stock, 0)); }
+
+Admit TokenCache::refuse(Account& a) {
+  a.figures.add(TokenEvent::refused);
+  return Admit::no;
+}
+
 void TokenCache::climb(Account& a, double now) {
   a.fraction.climb((1 - quota::kFractionFloor) * std::max(0.0, now - a.fractionAt) / kClimb);
   a.fractionAt = std::max(a.fractionAt, now);
@@ -77,25 +85,34 @@
 // Out of touch the stock goes first: it was taken off the store already.
 bool TokenCache::takeOne(Account& a, double chance, double now) {
   lastFromStock_ = a.stock >= 1;
-  if (lastFromStock_) return a.stock -= 1, true;
+  if (lastFromStock_) {
+    a.stock -= 1;
+    a.figures.add(TokenEvent::spent);
+    return true;
+  }
   if (share(now) == 0) return false;
   growPart(a, now);
   if (a.own.level <= chance) return false;
-  return a.own.level -= 1, true;
+  a.own.level -= 1;
+  a.figures.add(TokenEvent::ownPart);
+  return true;
 }
 
 Admit TokenCache::admit(const std::string& tenant, double rate, double burst, double chance, double now) {
   Account& a = account(tenant, rate, burst, now);
-  if (now - a.cameAt > kStill) a.stock = 0, a.fresh = true;
+  if (now - a.cameAt > kStill) {
+    dropStock(a, TokenEvent::expired);
+    a.fresh = true;
+  }
   a.came = a.came * std::exp(-(now - a.cameAt) / kTau) + 1000 / kTau;
   a.cameAt = now;
   const bool empty = now - a.emptyAt < kEmptyFor;
   if (empty) {
     climb(a, now);
-    if (chance >= a.fraction.value && a.stock < 1) return Admit::no;
+    if (chance >= a.fraction.value && a.stock < 1) return refuse(a);
   }
   if (spend(a, chance, now)) return Admit::yes;
-  if (inTouch() ? empty : !partComes(a, now)) return Admit::no;
+  if (inTouch() ? empty : !partComes(a, now)) return refuse(a);
   ++a.waits;
   return Admit::wait;
 }
@@ -117,7 +134,7 @@
   // Who waits behind others goes on waiting, as long as the store is not told empty.
   if (!in && !last && (inTouch() || share(now) > 0) && now - a.emptyAt >= kEmptyFor) return Admit::wait;
   if (a.waits) --a.waits;
-  return in ? Admit::yes : Admit::no;
+  return in ? Admit::yes : refuse(a);
 }
 
 void TokenCache::withdraw(const std::string& tenant) {
@@ -130,6 +147,7 @@
   if (!known || !inTouch()) return;
   if (!known->letIn.takeBack(fillSpan(known->rate, known->burst), now)) return;
   known->stock += 1;
+  known->figures.add(TokenEvent::returned);
 }
 
 double TokenCache::target(const Account& a) const {
@@ -150,8 +168,10 @@
 void TokenCache::ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out) {
   if (now - a.cameAt > kStill) {
     // What isn't needed goes back: others may need it.
-    if (a.stock >= 1 && inTouch()) out.push_back({a.tenant, -std::floor(a.stock), 0});
-    a.stock = 0, a.fresh = true;
+    const bool handsBack = a.stock >= 1 && inTouch();
+    if (handsBack) out.push_back({a.tenant, -std::floor(a.stock), 0});
+    dropStock(a, handsBack ? TokenEvent::handedBack : TokenEvent::expired);
+    a.fresh = true;
     return;
   }
   const double coming = a.requests.coming(now);
@@ -191,13 +211,21 @@
   holderless_ = false;
   Account& a = *known;
   a.fresh = false;
-  a.stock += std::clamp(grant.granted, 0.0, *wanted);
+  const double granted = std::clamp(grant.granted, 0.0, *wanted);
+  a.stock += granted;
+  a.figures.add(TokenEvent::received, granted);
   if (!grant.empty) return;
   a.emptyAt = now;
   climb(a, now);
   if (grant.use > 0) a.fraction.read(grant.use);
 }
 
+std::vector<TenantTokens> TokenCache::tokens() const {
+  std::vector<TenantTokens> out;
+  for (const Account& a : table_) out.push_back({a.tenant, a.stock, a.figures});
+  return out;
+}
+
 double TokenCache::fraction(const std::string& tenant) const {
   const Account* const known = table_.peek(tenant);
   return known ? known->fraction.value : 1;
--- a/src/distributed_quota/token_cache.hpp
+++ b/src/distributed_quota/token_cache.hpp
@@ -25,6 +25,7 @@
 #include "distributed_quota/outstanding_requests.hpp"
 #include "distributed_quota/quota_bound.hpp"
 #include "distributed_quota/recent_use.hpp"
+#include "distributed_quota/token_figures.hpp"
 #include "quota/bucket.hpp"
 #include "quota/lru_table.hpp"
 #include "rpc/messages.hpp"
@@ -88,6 +89,7 @@
   std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
   // What was let in and is in stock, by tenant, and how far back that is known (usage_recovery.hpp).
   rpc::UsageReport usage(double now);
+  std::vector<TenantTokens> tokens() const;  // of each tenant in the table
   double fraction(const std::string& tenant) const;
   double stock(const std::string& tenant) const;
 
@@ -98,6 +100,7 @@
     double stock = 0;
     double came = 0, cameAt = 0;  // requests a second, of late
     RecentUse letIn;
+    TokenFigures figures;
     quota::Bucket own;  // the part out of touch
     double ownAt = 0;
     OutstandingRequests requests{kAnswerWithin};
@@ -109,6 +112,8 @@
   };
   Account& account(const std::string& tenant, double rate, double burst, double now);
   void ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out);
+  static void dropStock(Account& a, TokenEvent why);
+  static Admit refuse(Account& a);
   static void climb(Account& a, double now);
   bool spend(Account& a, double chance, double now);
   bool takeOne(Account& a, double chance, double now);
--- a/src/program/prometheus.hpp
+++ b/src/program/prometheus.hpp
@@ -14,7 +14,15 @@
 // One pair of a sample's labels; several are joined by commas.
 inline std::string label(std::string_view name, std::string_view value) {
   std::string out(name);
-  return out.append("=\"").append(value).append("\"");
+  out.append("=\"");
+  for (const char c : value) {
+    if (c == '"' || c == '\\') out.push_back('\\');
+    if (c == '\n')
+      out.append("\\n");
+    else
+      out.push_back(c);
+  }
+  return out.append("\"");
 }
 
 template <class Value>
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -183,6 +183,7 @@
   if (leaving_) return;
   leaving_ = true;
   leaveAt_ = now();
+  tokens_.report();
   departures_->report();
   answerFigures_->report();
   rpc::logTraffic();
--- a/src/proxy/proxy.hpp
+++ b/src/proxy/proxy.hpp
@@ -32,9 +32,8 @@
   Error start();  // takes its addresses; nothing is served before it has a configuration
   void leave();   // SIGTERM: serves what it has, takes little more, ends the loop
   bool ready() const;
-  std::string metrics() const {
-    return departures_->text() + answerFigures_->text();
-  }  // Prometheus text format
+  // Prometheus text format.
+  std::string metrics() const { return departures_->text() + answerFigures_->text() + tokens_.metrics(); }
 
  private:
   Sessions::Hooks hooks();
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
+#include "distributed_quota/token_report.hpp"
 #include "program/log.hpp"
 #include "program/start.hpp"
 
@@ -74,6 +75,11 @@
   const std::uint64_t dropped = cache_.dropped();
   if (dropped > droppedTold_) program::info("grants dropped", {{"count", dropped - droppedTold_}});
   droppedTold_ = dropped;
+  distributed_quota::logTokens("proxy", distributed_quota::refusedMost(cache_.tokens()));
+}
+
+std::string TokenGate::metrics() const {
+  return distributed_quota::tokenMetrics("proxy", distributed_quota::refusedMost(cache_.tokens()));
 }
 
 void TokenGate::tick(distributed_quota::Contact contact, double now) {
--- a/src/proxy/token_gate.hpp
+++ b/src/proxy/token_gate.hpp
@@ -42,7 +42,8 @@
   void tick(distributed_quota::Contact contact, double now);
   bool spendsOwnPart() const { return cache_.contact() != distributed_quota::Contact::held; }
   std::optional<double> firstGrantAt() const { return cache_.firstGrantAt(); }  // ms
-  void report();  // logs the grants that were dropped since the last report
+  void report();  // logs the grants that were dropped since the last report, and pressing tenants' tokens
+  std::string metrics() const;                               // Prometheus text format
   double lastAdmittedAt() const { return lastAdmittedAt_; }  // ms; 0: nobody yet
 
  private:
--- a/src/registry/main.cpp
+++ b/src/registry/main.cpp
@@ -69,7 +69,8 @@
                [this](const rpc::Workers& workers) { sessions_.broadcast(rpc::frame(workers)); }),
         list_(io, settings_, registry_, lease_,
               [this](const rpc::Workers& change, bool byHolder) { listChanged(change, byHolder); }),
-        calls_(settings_, lookups_, orders_),
+        calls_(settings_, lookups_, orders_,
+               [this] { return lookups_.figures().text() + quotas_.metrics(now()); }),
         acceptor_(io),
         control_(
             io, [this](control_api::Call call) { return controlCall(std::move(call)); },
@@ -397,6 +398,7 @@
     peerLinks_.report("registry");
     rpc::logTraffic();
     lookups_.figures().report();
+    quotas_.report(at);
   }
 
   void wait() {
@@ -406,6 +408,7 @@
       program::info("ends", {{"signal", number}});
       rpc::logTraffic();
       lookups_.figures().report();
+      quotas_.report(now());
       control_.close(), directory_.close();
       endTimer_.expires_after(kEndPause);
       endTimer_.async_wait([this](const Error&) {
--- a/src/registry/outside_calls.cpp
+++ b/src/registry/outside_calls.cpp
@@ -60,7 +60,7 @@
 
 asio::awaitable<Reply> OutsideCalls::directory(Call call) {
   if (call.is("GET", {"api", "metrics"})) {
-    Reply metrics(200, directory_.figures().text());
+    Reply metrics(200, metrics_());
     metrics.contentType = control_api::kMetricsType;
     co_return metrics;
   }
--- a/src/registry/outside_calls.hpp
+++ b/src/registry/outside_calls.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "config/settings.hpp"
 #include "control_api/server.hpp"
@@ -13,8 +15,10 @@
 
 class OutsideCalls {
  public:
-  OutsideCalls(const config::Settings& settings, Directory& directory, OrderForwarder& orders)
-      : settings_(settings), directory_(directory), orders_(orders) {}
+  // `metrics`: this program's figures in Prometheus text format.
+  OutsideCalls(const config::Settings& settings, Directory& directory, OrderForwarder& orders,
+               std::function<std::string()> metrics)
+      : settings_(settings), directory_(directory), orders_(orders), metrics_(std::move(metrics)) {}
   asio::awaitable<control_api::Reply> control(control_api::Call call);
   asio::awaitable<control_api::Reply> directory(control_api::Call call);
 
@@ -26,6 +30,7 @@
   const config::Settings& settings_;
   Directory& directory_;
   OrderForwarder& orders_;
+  const std::function<std::string()> metrics_;
   double abroadLoggedAt_ = -1e18;
 };
 
--- a/src/registry/quota_service.cpp
+++ b/src/registry/quota_service.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "distributed_quota/token_report.hpp"
 #include "program/log.hpp"
 
 namespace burlwind::registry {
@@ -177,6 +178,20 @@
   tellGrants(answers);
 }
 
+std::string QuotaService::metrics(double now) const {
+  std::string out =
+      distributed_quota::tokenMetrics("cell", distributed_quota::refusedMost(aggregator_.tokens()));
+  if (lease_.holds(now))
+    out += distributed_quota::tokenMetrics("store", distributed_quota::refusedMost(allocator_.tokens()));
+  return out;
+}
+
+void QuotaService::report(double now) const {
+  distributed_quota::logTokens("cell", distributed_quota::refusedMost(aggregator_.tokens()));
+  if (lease_.holds(now))
+    distributed_quota::logTokens("store", distributed_quota::refusedMost(allocator_.tokens()));
+}
+
 // One message for each request of a proxy that is answered.
 void QuotaService::tellGrants(const Answers& answers) {
   std::map<std::tuple<std::string, std::uint64_t, std::uint64_t>, rpc::TokenResponse> byRequest;
--- a/src/registry/quota_service.hpp
+++ b/src/registry/quota_service.hpp
@@ -73,6 +73,9 @@
   void granted(const rpc::TokenResponse& response, double now);
   void askHolder(double now);
 
+  std::string metrics(double now) const;  // Prometheus text format
+  void report(double now) const;          // logs the tokens of the tenants that press
+
  private:
   using Answers = std::vector<distributed_quota::QuotaAggregator::Answer>;
   void creditIdle(double now);
