--- a/tests/system/quota_succession_test.cpp
+++ b/tests/system/quota_succession_test.cpp
@@ -9,7 +9,7 @@
 namespace burlwind::quota_world {
 namespace {
 
-constexpr unsigned kProxies = 11, kRegistries = 3, kSeeds = 40;
+constexpr unsigned kProxies = 11, kRegistries = 3, kSeeds = 40, kWaveSeeds = 6;
 constexpr double kHot = 8;
 
 using Day = std::function<void(World&, const Limit&)>;
@@ -83,10 +83,30 @@
   world.run(world.now() + 6000, kHot * limit.rate);
 }
 
+// Presses, and between them rests in which the tenant asks for what it usually does.
+Day waves(double restMs) {
+  return [restMs](World& world, const Limit& limit) {
+    world.run(6000, 0.6 * limit.rate);
+    for (int press = 0; press < 3; ++press) {
+      world.run(world.now() + 5000, kHot * limit.rate);
+      world.run(world.now() + restMs, 0.6 * limit.rate);
+    }
+  };
+}
+// The limit falls to a quarter while the tenant, which has pressed, rests; it presses when that is in force.
+void limitFallsInRest(World& world, const Limit& limit) {
+  world.run(6000, 0.6 * limit.rate);
+  world.run(11000, kHot * limit.rate);
+  world.run(15000, 0.2 * limit.rate);
+  world.setLimit({limit.rate / 4, limit.burst / 4});
+  world.run(15000 + kApply, 0.05 * limit.rate);
+  world.run(24000, kHot * limit.rate);
+}
+
 // Seeds on which the rule is broken.
-unsigned broken(const Day& day, const Limit& limit, Planted planted = {}) {
+unsigned broken(const Day& day, const Limit& limit, Planted planted = {}, unsigned seeds = kSeeds) {
   unsigned out = 0;
-  for (unsigned seed = 1; seed <= kSeeds; ++seed) {
+  for (unsigned seed = 1; seed <= seeds; ++seed) {
     World world(kProxies, kRegistries, limit, seed, planted);
     day(world, limit);
     const bool is = double(world.most()) > world.allowed();
@@ -96,10 +116,10 @@
   }
   return out;
 }
-void holds(const Day& day) {
+void holds(const Day& day, unsigned seeds = kSeeds) {
   for (const Limit limit : {Limit{33, 33}, Limit{100, 100}}) {
     CAPTURE(limit.rate);
-    CHECK(broken(day, limit) == 0);
+    CHECK(broken(day, limit, {}, seeds) == 0);
   }
 }
 
@@ -116,6 +136,16 @@
 TEST_CASE("A quota holds over a cut of 60 s with a hot tenant on both sides") { holds(longCutOf60s); }
 TEST_CASE("A quota holds where proxies restart each second out of touch") { holds(proxyRestartedEachSecond); }
 
+TEST_CASE("A quota holds where a tenant presses and rests by turns") {
+  for (const double restMs : {1000.0, 3000.0, 6000.0}) {
+    CAPTURE(restMs);
+    holds(waves(restMs), kWaveSeeds);
+  }
+}
+TEST_CASE("A lower limit holds for a tenant that had rested since it pressed") {
+  holds(limitFallsInRest, kWaveSeeds);
+}
+
 TEST_CASE("A tenant inside its quota is served after all registries have restarted") {
   const Limit limit{100, 100};
   World world(kProxies, kRegistries, limit, 3);
--- a/tests/system/quota_world.hpp
+++ b/tests/system/quota_world.hpp
@@ -25,7 +25,7 @@
 using distributed_quota::Contact;
 using distributed_quota::Limit;
 
-constexpr double kStep = 5, kWindow = 5000, kSlack = 20;
+constexpr double kStep = 5, kWindow = 5000, kSlack = 20, kApply = 3000;
 constexpr double kSilence = 1300, kLinkTimeout = 1500, kStatusPause = 400, kHeartbeatPause = 250;
 
 // Faults of earlier programs, planted to see that the judge finds them.
@@ -38,11 +38,7 @@
  public:
   World(unsigned proxies, unsigned registries, Limit limit, unsigned seed, Planted planted = {})
       : random_(seed), limit_(limit), planted_(planted), proxies_(proxies), registries_(registries) {
-    config::Tenant tenant;
-    tenant.name = "t", tenant.rate = limit.rate, tenant.burst = limit.burst;
-    auto configuration = std::make_shared<config::Configuration>();
-    configuration->tenants.push_back(tenant);
-    configuration_ = configuration;
+    configuration_ = configurationOf(limit);
     for (unsigned r = 0; r < registries; ++r) startRegistry(r);
     for (unsigned p = 0; p < proxies; ++p) startProxy(p);
   }
@@ -55,6 +51,14 @@
       countWindow();
     }
   }
+  // In force everywhere at once; judged by it from kApply later on.
+  void setLimit(Limit limit) {
+    limit_ = limit;
+    configuration_ = configurationOf(limit);
+    for (RegistryNode& node : registries_)
+      if (node.up) node.quotas->setConfiguration(configuration_);
+    judgedFrom_ = now_ + kApply;
+  }
   void cut(unsigned p, bool is) { proxies_[p].isCut = is, proxies_[p].cutAt = now_; }
   void killProxy(unsigned p) { proxies_[p].up = false; }
   void startProxy(unsigned p) {
@@ -118,6 +122,13 @@
     double at = 0;
     std::function<void()> act;
   };
+  static registry::QuotaService::Configuration configurationOf(const Limit& limit) {
+    config::Tenant tenant;
+    tenant.name = "t", tenant.rate = limit.rate, tenant.burst = limit.burst;
+    auto configuration = std::make_shared<config::Configuration>();
+    configuration->tenants.push_back(tenant);
+    return configuration;
+  }
   static std::string ip(unsigned r) { return "10.0.0." + std::to_string(r + 1); }
   static unsigned registryAt(const std::string& ip) { return unsigned(std::stoul(ip.substr(7))) - 1; }
   static std::string name(unsigned p) { return std::to_string(p); }
@@ -249,10 +260,12 @@
   }
   void tellProxy(unsigned r, const rpc::TokenResponse& response) {
     const auto p = unsigned(std::stoul(response.proxy));
-    toProxy(r, p, [this, response](Proxy& proxy) {
+    toProxy(r, p, [this, p, response](Proxy& proxy) {
       if (proxy.incarnation != response.incarnation) return;
       for (const auto& grant : response.grants) proxy.cache.granted(response.number, grant, now_);
       if (response.noHolder) proxy.cache.noHolder();
+      updateContact(p);
+      demand(p);  // as the program does: what is still short is asked for at once
     });
   }
   void askUsage(unsigned r, unsigned p, const rpc::UsageQuery& query) {
@@ -345,12 +358,13 @@
     ++letIn_;
   }
   void countWindow() {
+    if (now_ < judgedFrom_) times_.clear(), most_ = 0;
     while (!times_.empty() && now_ - times_.front() > kWindow) times_.pop_front();
     most_ = std::max(most_, times_.size());
   }
 
   std::mt19937_64 random_;
-  const Limit limit_;
+  Limit limit_;
   const Planted planted_;
   registry::QuotaService::Configuration configuration_;
   std::vector<Proxy> proxies_;
@@ -359,7 +373,7 @@
   lease::LeaseOwner owner_;
   std::deque<Message> messages_;
   std::uint64_t incarnations_ = 0;
-  double now_ = 0;
+  double now_ = 0, judgedFrom_ = 0;
   std::deque<double> times_;
   std::size_t most_ = 0, letIn_ = 0;
 };
