--- a/src/distributed_quota/aggregator.hpp
+++ b/src/distributed_quota/aggregator.hpp
@@ -2,12 +2,13 @@
 // them on, so that most demands are met inside the cell, without a way to another region. Decisions only.
 //
 // A token that it holds was taken off the store before; one that it loses lets nothing in. It holds
-// kCellAhead of what its proxies demand for, and gives back what has been still for kCellStill. Cost: one map
-// entry a tenant, one queue entry a demand under way.
+// kCellAhead of what comes to its proxies, as each told it last, and of their share of the rate: a demand
+// that is said again is the same one. Each token ends by itself, and is lent on for what is left of its time.
+// Cost: one map entry a tenant, one queue entry a demand under way.
 //
 // Properties, as the proxies' own (token_cache.hpp): a grant counts once, for a request under way, and for no
 // more than that one asked for. A demand that has waited for kCellWithin is answered no more: its proxy has
-// asked again. A stock that nobody touched for kCellStill is lent to nobody.
+// asked again. Under a lower limit nothing is lent that was granted under the one before.
 #pragma once
 
 #include <cstdint>
@@ -20,11 +21,12 @@
 #include "distributed_quota/outstanding_requests.hpp"
 #include "distributed_quota/quota_bound.hpp"
 #include "distributed_quota/token_figures.hpp"
+#include "distributed_quota/token_stock.hpp"
 #include "rpc/messages.hpp"
 
 namespace burlwind::distributed_quota {
 
-constexpr double kCellStill = 3000;    // ms
+constexpr double kCellStill = 3000;    // ms without a demand until a tenant is forgotten
 constexpr double kCellWithin = 500;    // ms until a question to the holder counts as lost
 constexpr double kCellEmptyFor = 150;  // ms that "the store is empty" is believed
 
@@ -46,9 +48,10 @@
   void granted(std::uint64_t number, const rpc::TokenGrant& grant, double now, std::vector<Answer>& out);
   // Tokens of a holder that is none any more: a new one reckons with what proxies have.
   void dropStocks();
+  void limitLowered(const std::string& tenant);
   std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
   double stock(const std::string& tenant) const;
-  std::vector<TenantTokens> tokens() const;  // of each tenant asked for so far
+  std::vector<TenantTokens> tokens(double now) const;  // of each tenant asked for so far
 
  private:
   struct Waiting {
@@ -56,8 +59,8 @@
     double want = 0, at = 0;
   };
   struct Account {
-    double stock = 0;
-    double wished = 0, wishedAt = 0;  // tokens a second, of late
+    TokenStock stock;
+    double demandedAt = 0;
     OutstandingRequests requests{kCellWithin};
     double emptyAt = -1e18;
     int use = 0;
@@ -66,8 +69,8 @@
   };
   void ask(const std::string& tenant, Account& a, std::uint64_t number, double now,
            std::vector<rpc::TokenDemand>& out);
-  // Of what was asked for, `given` is had.
-  Answer lend(const std::string& tenant, Account& a, const Asker& to, double want, double given, bool empty);
+  Answer lend(const std::string& tenant, Account& a, const Waiting& to, double given, bool empty);
+  void expire(const std::string& tenant, Account& a, double now);
   static double comingToProxies(Account& a, double now);
   std::unordered_map<std::string, Account> accounts_;
   std::unordered_map<std::string, TokenFigures> figures_;  // outlive the accounts
--- a/src/distributed_quota/allocator.cpp
+++ b/src/distributed_quota/allocator.cpp
@@ -2,14 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 namespace burlwind::distributed_quota {
 namespace {
-constexpr double kFloorRise = 1.3;    // times the floor promised, from which on a higher one is worth telling
-constexpr double kStocksKept = 6500;  // ms: unused stocks of proxies and cells are back after that
-constexpr double kShareLeast = 2;     // requests that a share may hold at least
-constexpr double kShareHeld = 1;      // seconds of its part that it may hold
-constexpr double kAskedFor = 2000;    // ms that what one told of its demand counts
+constexpr double kFloorRise = 1.3;  // times the floor promised, from which on a higher one is worth telling
+constexpr double kShareLeast = 2;   // requests that a share may hold at least
+constexpr double kShareHeld = 1;    // seconds of its part that it may hold
+constexpr double kAskedFor = 2000;  // ms that what one told of its demand counts
+
 }  // namespace
 
 // What is asked for by all, a second; who was not heard for a while counts no more.
@@ -63,11 +64,15 @@
   return found == stores_.end() ? 0 : found->second.level;
 }
 
+// Tokens of this store that may not be spent yet.
+double QuotaAllocator::mayLieOutside(Store& store, const Limit& limit, double now) {
+  const double lifeMs = tokenLifeMs(limit);
+  const double underWay = store.outside.sumOfLatest(lifeMs, now);
+  return std::min(store.outside.sum(lifeMs, now), heldAhead(limit) + underWay);
+}
+
 void QuotaAllocator::refill(Store& store, const Limit& limit, double now) const {
-  // Where more is asked for than comes in nothing is left to lie in stock.
-  const bool stocked = now - store.demandAt < kStocksKept && store.demand < limit.rate;
-  const double inStock = stocked ? kStockSpan * store.demand : 0;
-  const double most = std::max(1.0, limit.burst - inStock);
+  const double most = std::max(1.0, storeRoom(limit) - mayLieOutside(store, limit, now));
   const double before = store.level;
   store.level = std::min(most, store.level + limit.rate * reach_ * std::max(0.0, now - store.at) / 1000);
   store.figures.add(TokenEvent::received, std::max(0.0, store.level - before));
@@ -85,13 +90,8 @@
   store.credited = std::max(store.credited, idle_);
   store.rate = limit.rate;
   refill(store, limit, now);
-  if (want < 0) {  // given back
-    store.level = std::min(std::max(1.0, limit.burst), store.level - want);
-    store.figures.add(TokenEvent::handedBack, -want);
-    return out;
-  }
+  if (want <= 0) return out;
   const double demand = sumDemand(store, who, asked, now);
-  store.demand = demand, store.demandAt = now;
   Asker& asker = store.askers[who];
   const double room = std::max(kShareLeast, limit.rate * kShareHeld * asker.asked / std::max(demand, 1e-9));
   const double since = std::max(0.0, now - asker.at) / 1000;
@@ -103,6 +103,7 @@
       std::max(0.0, std::min(want, std::floor(contended ? std::min(store.level, asker.share) : store.level)));
   store.level -= out.granted;
   store.granted += out.granted;
+  store.outside.add(tokenLifeMs(limit), now, static_cast<std::uint32_t>(out.granted));
   store.figures.add(TokenEvent::lent, out.granted);
   if (contended) store.figures.add(TokenEvent::refused, want - out.granted);
   asker.share -= out.granted;
--- a/src/distributed_quota/allocator.hpp
+++ b/src/distributed_quota/allocator.hpp
@@ -1,8 +1,9 @@
 // The quota of all proxies together, as the holder of the quota duty keeps it: decisions only.
 //
-// A tenant's bucket refills at its rate and holds its burst, less what may be in stock at proxies and cells;
-// they take tokens out of it ahead of need, and one token lets one request in, once. A proxy that dies loses
-// its stock, which lets nothing in. quota_bound.hpp adds up what may be let in.
+// A tenant's bucket refills at its rate and holds its burst, less what may lie outside unspent: what it has
+// granted within the life of a token (tokenLifeMs), and no more of that than proxies and cells hold ahead.
+// Proxies and cells take tokens out of it ahead of need, and one lets one request in, once. None comes back:
+// what isn't spent ends by itself. quota_bound.hpp adds up what may be let in.
 //
 // While more is asked for than the rate, what comes in is shared by what each is asked for: else those who
 // stand near the holder would have it all.
@@ -22,6 +23,7 @@
 #include <vector>
 
 #include "distributed_quota/quota_bound.hpp"
+#include "distributed_quota/recent_use.hpp"
 #include "distributed_quota/token_figures.hpp"
 #include "rpc/messages.hpp"
 
@@ -61,7 +63,7 @@
     int use = 0;
     bool empty = false;  // and more is asked for than comes in
   };
-  // asked: requests a second that come for the tenant to `who` demands. Below 0, `want` is given back.
+  // want: tokens, above 0. asked: requests a second that come for the tenant to `who`.
   Given take(const std::string& who, const std::string& tenant, const Limit& limit, double want, double asked,
              double now);
 
@@ -73,14 +75,15 @@
   struct Store {
     double level = 0, at = 0;
     TokenFigures figures;
-    double rate = 0;                      // as it was limited last
-    std::optional<double> floor;          // as promised
-    double credited = 0;                  // ms of idle_ that are in the level
-    double granted = 0;                   // since the duties were taken
-    double demand = 0, demandAt = -1e18;  // requests a second, as summed last, when
+    double rate = 0;              // as it was limited last
+    std::optional<double> floor;  // as promised
+    double credited = 0;          // ms of idle_ that are in the level
+    double granted = 0;           // since the duties were taken
+    RecentUse outside;            // granted within the life of a token
     std::unordered_map<std::string, Asker> askers;
   };
   static double sumDemand(Store& store, const std::string& who, double asked, double now);
+  static double mayLieOutside(Store& store, const Limit& limit, double now);
   void refill(Store& store, const Limit& limit, double now) const;
   std::unordered_map<std::string, Store> stores_;
   static constexpr double kNoCredit = 1e18;  // of a store that began with a level
--- a/src/distributed_quota/quota_bound.hpp
+++ b/src/distributed_quota/quota_bound.hpp
@@ -4,11 +4,18 @@
 //
 //     rate x w + burst + excess
 //
-// The holder's store refills at the rate and holds the burst, less what proxies and cells may have in stock
-// (kStockSpan of the demand, at most of the rate): a token in stock has been taken off the store, so store
-// and stocks together hold the burst at most. What is more comes from these sources, each bounded:
+// A token ends tokenLifeMs after it was granted, wherever it lies: in a message, a registry's cell, a proxy's
+// stock, or back from a request that reached no worker. Each process counts that time on its own steady clock
+// from when it sent its request, which was before the grant. Of what was granted within that life, cells and
+// proxies hold kStockSpan of the rate at most, shared by what comes to each; the rest is under way, or was
+// granted for a request that waits, and is spent when it comes. The store refills at the rate, as far as
 //
-//  - stocks: where the burst is smaller than what may be in stock, what it is smaller by;
+//     level + min(granted within tokenLifeMs, heldAhead + granted just now) <= storeRoom
+//
+// In a window no more is let in than that sum at its begin and what the store refills by in it. What is more
+// comes from these sources, each bounded:
+//
+//  - stocks: storeRoom is the burst, or what may be held ahead and comes in meanwhile where that is more;
 //  - parts out of touch: a proxy spends rate / n, n the agreed ceiling (registry/proxy_ceiling.hpp), and the
 //    holder refills only the parts of those that draw on it. A proxy tells its registry that it begins, and
 //    counts no more kToldWithin later. Where it can't be heard it counts no more once it, or its registry,
@@ -30,9 +37,12 @@
 
 namespace burlwind::distributed_quota {
 
-constexpr double kAhead = 0.6;      // seconds of demand that a proxy holds in stock
-constexpr double kCellAhead = 0.3;  // seconds of its proxies' demand that a registry's cell holds
+constexpr double kAhead = 0.4;      // seconds of demand that a proxy holds in stock
+constexpr double kCellAhead = 0.2;  // seconds of its proxies' demand that a registry's cell holds
 constexpr double kStockSpan = kAhead + kCellAhead;
+constexpr double kTokenLife = 0.7;        // s; longer than both spans and a way to the holder and back
+constexpr double kTokenLifeLeast = 0.4;   // s, of tenants whose burst is small beside their rate
+constexpr double kRefillSpan = 0.1;       // s of the rate that a store may hold beside what is outside
 constexpr double kUncountedWithin = 0.7;  // s from a proxy's first doubt until the holder counts it no more
 constexpr double kToldWithin = 0.3;       // s from when a proxy tells that it spends its own part to the same
 constexpr double kUnsureShare = 0.4;      // of its part that a proxy spends meanwhile
@@ -45,6 +55,23 @@
   double rate = 0, burst = 0;  // requests a second, requests
 };
 
+// ms from a grant until its tokens end.
+inline double tokenLifeMs(const Limit& limit) {
+  const double ofBurst = limit.rate > 0 ? kTokenLife * limit.burst / limit.rate : 0;
+  return 1000 * std::clamp(ofBurst, kTokenLifeLeast, kTokenLife);
+}
+
+// Tokens that proxies and cells may hold ahead of need, all together.
+inline double heldAhead(const Limit& limit) {
+  // Windows of grants are kept to an eighth of a life.
+  return std::min(kStockSpan, 1.125 * tokenLifeMs(limit) / 1000) * limit.rate;
+}
+
+// Tokens that a store and all that lies outside it may hold together.
+inline double storeRoom(const Limit& limit) {
+  return std::max(limit.burst, heldAhead(limit) + kRefillSpan * limit.rate);
+}
+
 // Requests that a proxy out of touch may save up, of `proxies` that there may be.
 inline double partSaved(const Limit& limit, double slack, unsigned proxies) {
   const double ofBurst = kBurstSaved * std::min(limit.burst, limit.rate);
@@ -53,7 +80,7 @@
 
 // What may be let in beyond rate x w + burst, at worst. `slack`: requests that the rule leaves.
 inline double worstExcess(const Limit& limit, double slack) {
-  const double stocks = std::max(0.0, kStockSpan * limit.rate - limit.burst);
+  const double stocks = storeRoom(limit) - limit.burst;
   const double saved = partSaved(limit, slack, 1);
   const double uncounted = std::max(kUnsureShare * kUncountedWithin, kToldWithin) * limit.rate;
   const double outOfTouch = std::max(saved, uncounted);
--- a/src/distributed_quota/token_cache.cpp
+++ b/src/distributed_quota/token_cache.cpp
@@ -28,11 +28,19 @@
     // Nothing of its part was spent since, whoever it is: an entry was evicted at evictedAt_ at the latest.
     a->ownAt = std::max(outSince_, evictedAt_);
   }
-  a->rate = rate, a->burst = burst;
+  setLimit(*a, rate, burst);
   return *a;
 }
 
-void TokenCache::dropStock(Account& a, TokenEvent why) { a.figures.add(why, std::exchange(a.stock, 0)); }
+void TokenCache::expire(Account& a, double now) { a.figures.add(TokenEvent::expired, a.stock.expire(now)); }
+
+void TokenCache::setLimit(Account& a, double rate, double burst) {
+  if (rate < a.rate || burst < a.burst) {
+    a.figures.add(TokenEvent::limitLowered, a.stock.clear());
+    a.requests.clear();
+  }
+  a.rate = rate, a.burst = burst;
+}
 
 Admit TokenCache::refuse(Account& a) {
   a.figures.add(TokenEvent::refused);
@@ -76,7 +84,8 @@
   rpc::UsageReport out;
   out.coveredMs = now - std::max(beganAt_, evictedAt_);
   for (Account& a : table_) {
-    const double used = a.letIn.sum(fillSpan(a.rate, a.burst), now) + std::max(0.0, a.stock);
+    expire(a, now);
+    const double used = a.letIn.sum(fillSpan(a.rate, a.burst), now) + a.stock.held();
     if (used > 0) out.uses.push_back({a.tenant, used});
   }
   return out;
@@ -84,9 +93,10 @@
 
 // Out of touch the stock goes first: it was taken off the store already.
 bool TokenCache::takeOne(Account& a, double chance, double now) {
-  lastFromStock_ = a.stock >= 1;
-  if (lastFromStock_) {
-    a.stock -= 1;
+  expire(a, now);
+  lastTokenEnds_.reset();
+  if (a.stock.held() >= 1) {
+    lastTokenEnds_ = a.stock.take(1).endsAt;
     a.figures.add(TokenEvent::spent);
     return true;
   }
@@ -100,16 +110,14 @@
 
 Admit TokenCache::admit(const std::string& tenant, double rate, double burst, double chance, double now) {
   Account& a = account(tenant, rate, burst, now);
-  if (now - a.cameAt > kStill) {
-    dropStock(a, TokenEvent::expired);
-    a.fresh = true;
-  }
+  expire(a, now);
+  if (now - a.cameAt > kStill) a.fresh = true;
   a.came = a.came * std::exp(-(now - a.cameAt) / kTau) + 1000 / kTau;
   a.cameAt = now;
   const bool empty = now - a.emptyAt < kEmptyFor;
   if (empty) {
     climb(a, now);
-    if (chance >= a.fraction.value && a.stock < 1) return refuse(a);
+    if (chance >= a.fraction.value && a.stock.held() < 1) return refuse(a);
   }
   if (spend(a, chance, now)) return Admit::yes;
   if (inTouch() ? empty : !partComes(a, now)) return refuse(a);
@@ -129,7 +137,7 @@
   Account* const known = table_.peek(tenant);
   if (!known) return Admit::no;
   Account& a = *known;
-  a.rate = rate;
+  setLimit(a, rate, a.burst);
   const bool in = spend(a, 1, now);
   // Who waits behind others goes on waiting, as long as the store is not told empty.
   if (!in && !last && (inTouch() || share(now) > 0) && now - a.emptyAt >= kEmptyFor) return Admit::wait;
@@ -142,16 +150,17 @@
   if (known && known->waits) --known->waits;
 }
 
-void TokenCache::giveBack(const std::string& tenant, double now) {
+void TokenCache::giveBack(const std::string& tenant, double endsAt, double now) {
   Account* const known = table_.peek(tenant);
   if (!known || !inTouch()) return;
   if (!known->letIn.takeBack(fillSpan(known->rate, known->burst), now)) return;
-  known->stock += 1;
+  known->stock.add(1, endsAt);
   known->figures.add(TokenEvent::returned);
 }
 
 double TokenCache::target(const Account& a) const {
-  const double ahead = a.came * kAhead;
+  const double share = a.use > 100 ? 100.0 / a.use : 1;
+  const double ahead = a.came * share * kAhead;
   // Of a tenant that comes here seldom nothing is held ahead: at many proxies that would be its whole store.
   const double most = a.fresh ? std::max(ahead, std::min(a.burst / std::max(1U, proxies_), 4.0)) : ahead;
   return most < 1 ? 0 : most;
@@ -166,18 +175,16 @@
 }
 
 void TokenCache::ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out) {
+  expire(a, now);
   if (now - a.cameAt > kStill) {
-    // What isn't needed goes back: others may need it.
-    const bool handsBack = a.stock >= 1 && inTouch();
-    if (handsBack) out.push_back({a.tenant, -std::floor(a.stock), 0});
-    dropStock(a, handsBack ? TokenEvent::handedBack : TokenEvent::expired);
     a.fresh = true;
     return;
   }
   const double coming = a.requests.coming(now);
   const double most = target(a);
-  if (!a.waits && a.stock + coming >= most / 2) return;
-  const double want = std::ceil(most - a.stock - coming + a.waits);
+  const double stock = a.stock.held();
+  if (!a.waits && stock + coming >= most / 2) return;
+  const double want = std::ceil(most - stock - coming + a.waits);
   if (want < 1) return;
   a.requests.add(number, want, now);
   if (asked_ <= told_) asked_ = now;
@@ -201,8 +208,8 @@
 
 void TokenCache::granted(std::uint64_t number, const rpc::TokenGrant& grant, double now) {
   Account* const known = table_.peek(grant.tenant);
-  const auto wanted = known ? known->requests.answered(number, now) : std::nullopt;
-  if (!wanted) {
+  const auto request = known ? known->requests.answered(number, now) : std::nullopt;
+  if (!request) {
     ++dropped_;
     return;
   }
@@ -211,8 +218,9 @@
   holderless_ = false;
   Account& a = *known;
   a.fresh = false;
-  const double granted = std::clamp(grant.granted, 0.0, *wanted);
-  a.stock += granted;
+  a.use = grant.use;
+  const double granted = std::clamp(grant.granted, 0.0, request->want);
+  a.stock.add(granted, request->at + grant.lifeMs);
   a.figures.add(TokenEvent::received, granted);
   if (!grant.empty) return;
   a.emptyAt = now;
@@ -220,9 +228,9 @@
   if (grant.use > 0) a.fraction.read(grant.use);
 }
 
-std::vector<TenantTokens> TokenCache::tokens() const {
+std::vector<TenantTokens> TokenCache::tokens(double now) const {
   std::vector<TenantTokens> out;
-  for (const Account& a : table_) out.push_back({a.tenant, a.stock, a.figures});
+  for (const Account& a : table_) out.push_back({a.tenant, a.stock.heldAt(now), a.figures});
   return out;
 }
 
@@ -232,7 +240,7 @@
 }
 double TokenCache::stock(const std::string& tenant) const {
   const Account* const known = table_.peek(tenant);
-  return known ? known->stock : 0;
+  return known ? known->stock.held() : 0;
 }
 
 }  // namespace burlwind::distributed_quota
--- a/src/distributed_quota/token_cache.hpp
+++ b/src/distributed_quota/token_cache.hpp
@@ -1,8 +1,9 @@
 // What one proxy may let in of each tenant: decisions only.
 //
 // In touch with the registries: a stock of tokens, asked for ahead of need. The stock is the local bucket of
-// the design; it follows what comes here, up to kAhead of it, and is given up when a tenant has been still
-// for kStill. A tenant new here begins with a demand of burst / gatekeepers. Where the allocator says that
+// the design; it follows what comes here, up to kAhead of it and of this proxy's share of the rate, and each
+// token in it ends by itself (token_stock.hpp). A tenant that has been still for kStill is new again; one new
+// here begins with a demand of burst / gatekeepers. Where the allocator says that
 // the store is empty, the admit fraction trims: each reading u multiplies it by 100 / u, within [0.05, 1]; it
 // climbs back within kClimb without readings. Out of touch: a part of its own, rate / n, n the agreed ceiling
 // of proxies, which nobody else is given (quota_bound.hpp has the sum). The part grows from nothing from when
@@ -12,8 +13,9 @@
 // eviction.
 //
 // Properties: a grant adds to the stock once, only for a request that is under way, and no more than that one
-// asked for; so the stock and what may come never exceed the target and those who wait. A stock that nobody
-// touched for kStill lets nothing in: the process may have stood still, and others have had its share.
+// asked for; so the stock and what may come never exceed the target and those who wait. A token lets nothing
+// in once its time is over, whether this process stood still or a request came back with it; under a lower
+// limit none that was granted under the one before does.
 #pragma once
 
 #include <algorithm>
@@ -26,6 +28,7 @@
 #include "distributed_quota/quota_bound.hpp"
 #include "distributed_quota/recent_use.hpp"
 #include "distributed_quota/token_figures.hpp"
+#include "distributed_quota/token_stock.hpp"
 #include "quota/bucket.hpp"
 #include "quota/lru_table.hpp"
 #include "rpc/messages.hpp"
@@ -77,11 +80,11 @@
   Admit again(const std::string& tenant, double rate, bool last, double now);
   // One that waited waits no more: its client has left.
   void withdraw(const std::string& tenant);
-  // Whether the request that was let in last took its token off a stock.
-  bool lastFromStock() const { return lastFromStock_; }
-  // A token that was taken off the stock and let nothing in: it is in stock again. Out of touch, or where
-  // the tenant was forgotten, it is lost.
-  void giveBack(const std::string& tenant, double now);
+  // When the token of the request that was let in last ends, in ms; nothing where it came off no stock.
+  std::optional<double> lastTokenEnds() const { return lastTokenEnds_; }
+  // A token that was taken off the stock and let nothing in: it is in stock again until it ends. Out of
+  // touch, or where the tenant was forgotten, it is lost.
+  void giveBack(const std::string& tenant, double endsAt, double now);
   // What to ask for, now, under a number of its own. Without demands: nothing.
   rpc::TokenRequest request(double now);
   // One tenant's part of the answer to the request of that number.
@@ -89,7 +92,7 @@
   std::uint64_t dropped() const { return dropped_; }  // grants that answered nothing under way
   // What was let in and is in stock, by tenant, and how far back that is known (usage_recovery.hpp).
   rpc::UsageReport usage(double now);
-  std::vector<TenantTokens> tokens() const;  // of each tenant in the table
+  std::vector<TenantTokens> tokens(double now) const;  // of each tenant in the table
   double fraction(const std::string& tenant) const;
   double stock(const std::string& tenant) const;
 
@@ -97,7 +100,8 @@
   struct Account {
     std::string tenant;
     double rate = 0, burst = 0;
-    double stock = 0;
+    TokenStock stock;
+    int use = 0;                  // percent of the rate that all ask for, as told last
     double came = 0, cameAt = 0;  // requests a second, of late
     RecentUse letIn;
     TokenFigures figures;
@@ -112,7 +116,8 @@
   };
   Account& account(const std::string& tenant, double rate, double burst, double now);
   void ask(Account& a, std::uint64_t number, double now, std::vector<rpc::TokenDemand>& out);
-  static void dropStock(Account& a, TokenEvent why);
+  static void expire(Account& a, double now);
+  static void setLimit(Account& a, double rate, double burst);
   static Admit refuse(Account& a);
   static void climb(Account& a, double now);
   bool spend(Account& a, double chance, double now);
@@ -124,7 +129,7 @@
   double target(const Account& a) const;
   quota::LruTable<std::string, Account> table_;
   Contact contact_ = Contact::lost;
-  bool lastFromStock_ = false;
+  std::optional<double> lastTokenEnds_;
   bool holderless_ = false;  // told so, and no grant since
   double beganAt_ = 0, outSince_ = 0, evictedAt_ = 0;
   double slack_ = 0;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -132,18 +132,18 @@
     co_return;
   }
   if (!assignRoute(request, draw())) co_return;
-  auto admission = TokenGate::Admission::admitted;
+  TokenGate::Admission admission{true, std::nullopt};
   if (request.tenant && request.tenant->rate > 0) {
     const double chance = draw();
     admission = co_await tokens_.admit(*request.tenant, chance, request.until, request.client);
-    if (admission == TokenGate::Admission::refused) {
+    if (!admission.admitted) {
       request.answer.refuse(429, "over the quota", kQuotaRetryMs * (1 + chance));
       co_return;
     }
   }
   co_await forwarder_.forward(request);
   const bool unused = request.client->left() && !request.reachedWorker;
-  if (unused && admission == TokenGate::Admission::admittedFromStock) tokens_.giveBack(request.tenant->name);
+  if (unused && admission.tokenEndsAt) tokens_.giveBack(request.tenant->name, *admission.tokenEndsAt);
 }
 
 void Proxy::tick() {
--- a/src/proxy/token_gate.cpp
+++ b/src/proxy/token_gate.cpp
@@ -40,12 +40,12 @@
     waiting_.erase(mine);
     if (decision == Admit::wait) cache_.withdraw(tenant.name);
   }
-  if (decision != Admit::yes) co_return Admission::refused;
+  if (decision != Admit::yes) co_return Admission{};
   lastAdmittedAt_ = now();
-  co_return cache_.lastFromStock() ? Admission::admittedFromStock : Admission::admitted;
+  co_return Admission{true, cache_.lastTokenEnds()};
 }
 
-void TokenGate::giveBack(const std::string& tenant) { cache_.giveBack(tenant, now()); }
+void TokenGate::giveBack(const std::string& tenant, double endsAt) { cache_.giveBack(tenant, endsAt, now()); }
 
 void TokenGate::request() {
   const rpc::TokenRequest due = cache_.request(now());
@@ -75,11 +75,11 @@
   const std::uint64_t dropped = cache_.dropped();
   if (dropped > droppedTold_) program::info("grants dropped", {{"count", dropped - droppedTold_}});
   droppedTold_ = dropped;
-  distributed_quota::logTokens("proxy", distributed_quota::refusedMost(cache_.tokens()));
+  distributed_quota::logTokens("proxy", distributed_quota::refusedMost(cache_.tokens(now())));
 }
 
 std::string TokenGate::metrics() const {
-  return distributed_quota::tokenMetrics("proxy", distributed_quota::refusedMost(cache_.tokens()));
+  return distributed_quota::tokenMetrics("proxy", distributed_quota::refusedMost(cache_.tokens(now())));
 }
 
 void TokenGate::tick(distributed_quota::Contact contact, double now) {
--- a/src/proxy/token_gate.hpp
+++ b/src/proxy/token_gate.hpp
@@ -26,13 +26,16 @@
   // its own part from now on, or no longer.
   TokenGate(asio::io_context& io, double beganAt, Send send, std::function<void()> ownPartChanged)
       : io_(io), send_(std::move(send)), ownPartChanged_(std::move(ownPartChanged)), cache_(beganAt) {}
-  enum class Admission { refused, admitted, admittedFromStock };
+  struct Admission {
+    bool admitted = false;
+    std::optional<double> tokenEndsAt;  // ms, of a token that came off the stock
+  };
   // Whether a request of that tenant may go on. chance: drawn from 0 to under 1. until: ms, its time is over.
   // A client that leaves while its request waits is refused at once, and takes no token.
   asio::awaitable<Admission> admit(const config::Tenant& tenant, double chance, double until,
                                    std::shared_ptr<ClientPresence> client);
   // The token of a request that was admitted from stock and has reached no worker.
-  void giveBack(const std::string& tenant);
+  void giveBack(const std::string& tenant, double endsAt);
   void take(const rpc::TokenResponse& response);
   void request();  // what is due
   // A new holder of the quotas asks: its tokens are drawn on from now on.
--- a/src/registry/quota_service.cpp
+++ b/src/registry/quota_service.cpp
@@ -24,6 +24,20 @@
       hooks_(std::move(hooks)),
       fence_(incarnation) {}
 
+void QuotaService::setConfiguration(Configuration configuration) {
+  if (configuration_ && configuration) {
+    for (const config::Tenant& before : configuration_->tenants) {
+      const auto& tenants = configuration->tenants;
+      const auto after = std::find_if(tenants.begin(), tenants.end(), [&](const config::Tenant& tenant) {
+        return tenant.name == before.name;
+      });
+      const bool lower = after == tenants.end() || after->rate < before.rate || after->burst < before.burst;
+      if (lower) aggregator_.limitLowered(before.name);
+    }
+  }
+  configuration_ = std::move(configuration);
+}
+
 // What came in while nobody can have let anything in, and what the holder before promised of its stores.
 void QuotaService::takeDuty(double now) {
   takenAt_ = now;
@@ -106,7 +120,8 @@
     if (tenant == tenants.end()) continue;
     const auto given = allocator_.take(request.proxy, demand.tenant, {tenant->rate, tenant->burst},
                                        demand.want, demand.asked, now);
-    out.grants.push_back({demand.tenant, given.granted, given.use, given.empty});
+    const double lifeMs = distributed_quota::tokenLifeMs({tenant->rate, tenant->burst});
+    out.grants.push_back({demand.tenant, given.granted, given.use, given.empty, lifeMs});
   }
   // Before the grants are sent: nobody may have tokens that a successor believes to be there.
   if (rpc::Levels broken{lease_.epoch(), allocator_.promises(false)}; !broken.levels.empty())
@@ -180,14 +195,14 @@
 
 std::string QuotaService::metrics(double now) const {
   std::string out =
-      distributed_quota::tokenMetrics("cell", distributed_quota::refusedMost(aggregator_.tokens()));
+      distributed_quota::tokenMetrics("cell", distributed_quota::refusedMost(aggregator_.tokens(now)));
   if (lease_.holds(now))
     out += distributed_quota::tokenMetrics("store", distributed_quota::refusedMost(allocator_.tokens()));
   return out;
 }
 
 void QuotaService::report(double now) const {
-  distributed_quota::logTokens("cell", distributed_quota::refusedMost(aggregator_.tokens()));
+  distributed_quota::logTokens("cell", distributed_quota::refusedMost(aggregator_.tokens(now)));
   if (lease_.holds(now))
     distributed_quota::logTokens("store", distributed_quota::refusedMost(allocator_.tokens()));
 }
--- a/src/registry/quota_service.hpp
+++ b/src/registry/quota_service.hpp
@@ -36,7 +36,8 @@
   QuotaService(std::string ip, std::uint64_t incarnation, const Registry& registry, const DutyLease& lease,
                Hooks hooks);
 
-  void setConfiguration(Configuration configuration) { configuration_ = std::move(configuration); }
+  // Grants of limits that are lower now are lent no more.
+  void setConfiguration(Configuration configuration);
 
   // How many proxies there may be, as the stores have agreed; 0: not told yet.
   void setCeiling(unsigned proxies) { ceiling_ = proxies; }
@@ -73,6 +74,11 @@
   void granted(const rpc::TokenResponse& response, double now);
   void askHolder(double now);
 
+  // Tokens of each tenant in this registry's cell; in its stores, where it holds the duties.
+  std::vector<distributed_quota::TenantTokens> cellTokens(double now) const {
+    return aggregator_.tokens(now);
+  }
+  std::vector<distributed_quota::TenantTokens> storeTokens() const { return allocator_.tokens(); }
   std::string metrics(double now) const;  // Prometheus text format
   void report(double now) const;          // logs the tokens of the tenants that press
 
--- a/src/rpc/messages.hpp
+++ b/src/rpc/messages.hpp
@@ -296,7 +296,7 @@
 // --- Quotas ---
 struct TokenDemand {
   std::string tenant;
-  double want = 0;   // requests, in stock beyond what is held
+  double want = 0;   // requests, in stock beyond what is held and under way
   double asked = 0;  // requests a second that came
   MSGPACK_DEFINE(tenant, want, asked)
 };
@@ -313,7 +313,10 @@
   double granted = 0;
   int use = 0;         // percent of the rate that all ask for
   bool empty = false;  // the store has nothing left
-  MSGPACK_DEFINE(tenant, granted, use, empty)
+  // ms from when the request was sent that this answers until the tokens end; as preset: of a peer that tells
+  // none.
+  double lifeMs = 400;
+  MSGPACK_DEFINE(tenant, granted, use, empty, lifeMs)
 };
 struct TokenResponse {
   static constexpr Kind kKind = kTokenResponse;
