--- a/src/distributed_quota/allocator.cpp
+++ b/src/distributed_quota/allocator.cpp
@@ -66,9 +66,8 @@
 
 // Tokens of this store that may not be spent yet.
 double QuotaAllocator::mayLieOutside(Store& store, const Limit& limit, double now) {
-  const double lifeMs = tokenLifeMs(limit);
-  const double underWay = store.outside.sumOfLatest(lifeMs, now);
-  return std::min(store.outside.sum(lifeMs, now), heldAhead(limit) + underWay);
+  const double granted = store.outside.sum(tokenLifeMs(limit), now);
+  return std::min(granted, heldAhead(limit) + store.underWay.sum(kUnderWayMs, now));
 }
 
 void QuotaAllocator::refill(Store& store, const Limit& limit, double now) const {
@@ -103,7 +102,9 @@
       std::max(0.0, std::min(want, std::floor(contended ? std::min(store.level, asker.share) : store.level)));
   store.level -= out.granted;
   store.granted += out.granted;
-  store.outside.add(tokenLifeMs(limit), now, static_cast<std::uint32_t>(out.granted));
+  const auto granted = static_cast<std::uint32_t>(out.granted);
+  store.outside.add(tokenLifeMs(limit), now, granted);
+  store.underWay.add(kUnderWayMs, now, granted);
   store.figures.add(TokenEvent::lent, out.granted);
   if (contended) store.figures.add(TokenEvent::refused, want - out.granted);
   asker.share -= out.granted;
--- a/src/distributed_quota/allocator.hpp
+++ b/src/distributed_quota/allocator.hpp
@@ -80,6 +80,7 @@
     double credited = 0;          // ms of idle_ that are in the level
     double granted = 0;           // since the duties were taken
     RecentUse outside;            // granted within the life of a token
+    RecentUse underWay;           // granted within kUnderWayMs
     std::unordered_map<std::string, Asker> askers;
   };
   static double sumDemand(Store& store, const std::string& who, double asked, double now);
--- a/src/distributed_quota/recent_use.hpp
+++ b/src/distributed_quota/recent_use.hpp
@@ -26,11 +26,6 @@
     }
     return false;
   }
-  // Of these, counted within the last eighth of the span, and up to as much again.
-  double sumOfLatest(double spanMs, double now) {
-    advance(spanMs, now);
-    return double(slots_[index(slot_)]) + slots_[index(slot_ - 1)];
-  }
   // Requests let in within the last spanMs.
   double sum(double spanMs, double now) {
     advance(spanMs, now);
@@ -41,9 +36,7 @@
 
  private:
   static constexpr std::size_t kSlots = 9;  // one of them is being filled
-  static std::size_t index(std::int64_t slot) {
-    return static_cast<std::size_t>(slot + std::int64_t{kSlots}) % kSlots;
-  }
+  static std::size_t index(std::int64_t slot) { return static_cast<std::size_t>(slot) % kSlots; }
   // Where the span has changed the slots mean another one: what they hold counts as let in just now.
   void advance(double spanMs, double now) {
     if (spanMs != spanMs_) {
--- a/src/distributed_quota/token_cache.cpp
+++ b/src/distributed_quota/token_cache.cpp
@@ -6,6 +6,7 @@
 
 namespace burlwind::distributed_quota {
 namespace {
+constexpr double kLeastAhead = 2;           // tokens: of fewer, many would end unused
 constexpr double kTau = 2500;               // ms, memory of what came; shorter: one request looks like many
 constexpr double kFirstGrantWithin = 1000;  // ms of a process's life in which it waits for its first grant
 constexpr double kPartWait = 350;           // ms that a request may wait for its proxy's own part to grow
@@ -112,7 +113,7 @@
   Account& a = account(tenant, rate, burst, now);
   expire(a, now);
   if (now - a.cameAt > kStill) a.fresh = true;
-  a.came = a.came * std::exp(-(now - a.cameAt) / kTau) + 1000 / kTau;
+  a.came = arrivalRate(a, now) + 1000 / kTau;
   a.cameAt = now;
   const bool empty = now - a.emptyAt < kEmptyFor;
   if (empty) {
@@ -158,12 +159,17 @@
   known->figures.add(TokenEvent::returned);
 }
 
-double TokenCache::target(const Account& a) const {
+// Requests a second that come now, as remembered.
+double TokenCache::arrivalRate(const Account& a, double now) {
+  return a.came * std::exp(-(now - a.cameAt) / kTau);
+}
+
+double TokenCache::target(const Account& a, double now) const {
   const double share = a.use > 100 ? 100.0 / a.use : 1;
-  const double ahead = a.came * share * kAhead;
+  const double ahead = arrivalRate(a, now) * share * kAhead;
   // Of a tenant that comes here seldom nothing is held ahead: at many proxies that would be its whole store.
   const double most = a.fresh ? std::max(ahead, std::min(a.burst / std::max(1U, proxies_), 4.0)) : ahead;
-  return most < 1 ? 0 : most;
+  return most < kLeastAhead ? 0 : most;
 }
 
 rpc::TokenRequest TokenCache::request(double now) {
@@ -181,14 +187,14 @@
     return;
   }
   const double coming = a.requests.coming(now);
-  const double most = target(a);
+  const double most = target(a, now);
   const double stock = a.stock.held();
   if (!a.waits && stock + coming >= most / 2) return;
   const double want = std::ceil(most - stock - coming + a.waits);
   if (want < 1) return;
   a.requests.add(number, want, now);
   if (asked_ <= told_) asked_ = now;
-  out.push_back({a.tenant, want, a.came * std::exp(-(now - a.cameAt) / kTau)});
+  out.push_back({a.tenant, want, arrivalRate(a, now)});
 }
 
 void TokenCache::newHolder(double now) {
--- a/src/distributed_quota/token_cache.hpp
+++ b/src/distributed_quota/token_cache.hpp
@@ -126,7 +126,8 @@
   double share(double now) const;                      // of the part out of touch that may be spent
   bool partComes(const Account& a, double now) const;  // soon enough for one more that waits
   bool inTouch() const { return contact_ == Contact::held; }
-  double target(const Account& a) const;
+  static double arrivalRate(const Account& a, double now);
+  double target(const Account& a, double now) const;
   quota::LruTable<std::string, Account> table_;
   Contact contact_ = Contact::lost;
   std::optional<double> lastTokenEnds_;
--- a/tests/config/validation_test.cpp
+++ b/tests/config/validation_test.cpp
@@ -254,5 +254,61 @@
   }
 }
 
+// One of each kind of fault that an order of the log below has.
+std::string invalidOrder(const std::string& fault, std::uint64_t version, std::uint64_t parent) {
+  picojson::value body = support::json(support::onParent(version, parent));
+  if (fault == "unknown_service") support::at(body, "routes[1].backend") = picojson::value("z");
+  if (fault == "below_zero") support::at(body, "routes[0].split[0].weight") = picojson::value(-1.0);
+  if (fault == "no_host") support::at(body, "routes[0].hostname") = picojson::value("");
+  if (fault == "same_place") support::at(body, "routes[1].pathPrefix") = picojson::value("/a/");
+  if (fault == "odd_kind") support::at(body, "routes[0].kind") = picojson::value("odd");
+  const std::string text = body.serialize();
+  return fault == "cut_short" ? text.substr(0, text.size() / 2) : text;
+}
+
+TEST_CASE(
+    "an operator's log of races and invalid orders: no invalid one is acknowledged, no second one of a "
+    "pair") {
+  struct Order {
+    std::uint64_t version, parent;
+    std::string fault;
+    bool isTaken;
+  };
+  const std::vector<Order> log = {{6, 5, "", true},
+                                  {6, 5, "customers", false},
+                                  {8, 6, "", true},
+                                  {12, 6, "stale parent", false},
+                                  {16, 8, "cut_short", false},
+                                  {18, 8, "", true},
+                                  {18, 8, "customers", false},
+                                  {20, 18, "", true},
+                                  {22, 20, "unknown_service", false},
+                                  {24, 20, "", true},
+                                  {28, 24, "", true},
+                                  {31, 28, "below_zero", false},
+                                  {34, 28, "no_host", false},
+                                  {38, 28, "same_place", false},
+                                  {40, 28, "odd_kind", false},
+                                  {27, 28, "old version", false}};
+  config_store::State state;
+  state.version = 5;
+  std::uint64_t id = 0;
+  for (const Order& order : log) {
+    CAPTURE(order.version);
+    CAPTURE(order.fault);
+    std::string body = invalidOrder(order.fault, order.version, order.parent);
+    if (order.fault == "customers") {  // another change under the same number
+      picojson::value other = support::json(body);
+      support::at(other, "customers[0].ratePerS") = picojson::value(10.0);
+      body = other.serialize();
+    }
+    const std::uint64_t before = state.version;
+    const int status = config_store::apply(state, {++id, "config", body}, id).status;
+    CHECK((status == 200) == order.isTaken);
+    CHECK((order.isTaken || status / 100 == 4));
+    CHECK(state.version == (order.isTaken ? order.version : before));
+  }
+}
+
 }  // namespace
 }  // namespace burlwind::config
